--- /dev/null
+++ b/hibiscusstile/backends/plain_service.py
@@ -0,0 +1,118 @@
+"""Plain HTTP services whose calls may not be repeated by accident."""
+
+from __future__ import annotations
+
+import aiohttp
+import yarl
+
+from hibiscusstile import backends, outcome, request
+
+__all__ = ["PlainService"]
+
+_MAX_REPLY_BYTES = 4 * 1024 * 1024
+_CONNECT_TIMEOUT_S = 2.0
+
+
+@backends.backend_kinds.register()
+class PlainService(backends.ServiceBackend):
+    """A service reached over HTTP, one connection a call.
+
+    aiohttp repeats idempotent methods, PUT and DELETE among them, when a
+    kept-alive connection turns out closed. A fresh connection for each call
+    rules that out.
+    """
+
+    name = "plain_service"
+
+    def __init__(self, url: str) -> None:
+        super().__init__(url)
+        self._url = url
+        self._session: aiohttp.ClientSession | None = None
+
+    async def call(
+        self, call: request.ServiceCall, *, timeout_s: float
+    ) -> request.ServiceReply:
+        """Makes one call, once."""
+        url = yarl.URL(
+            f"{self._url}/{call.path}"
+            + (f"?{call.query}" if call.query else ""),
+            encoded=True,
+        )
+        headers = {}
+        if call.content_type:
+            headers["Content-Type"] = call.content_type
+        try:
+            async with self._open_session().request(
+                call.method,
+                url,
+                data=call.body or None,
+                headers=headers,
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
+                ),
+            ) as response:
+                return await _read_reply(response)
+        except aiohttp.ClientConnectorError:
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.BACKEND_FAILED,
+                    "the service accepts no connection",
+                )
+            ) from None
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.BACKEND_FAILED,
+                    f"the service gave no whole answer: {error!r}",
+                    outcome.Verdict.MAY_HAVE_RUN,
+                )
+            ) from None
+
+    async def alive(self) -> bool:
+        """Returns whether the service accepts connections."""
+        try:
+            async with self._open_session().get(
+                f"{self._url}/health",
+                timeout=aiohttp.ClientTimeout(total=_CONNECT_TIMEOUT_S),
+            ):
+                return True
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def close(self) -> None:
+        """Closes connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(force_close=True, limit=0),
+                auto_decompress=False,
+            )
+        return self._session
+
+
+async def _read_reply(
+    response: aiohttp.ClientResponse,
+) -> request.ServiceReply:
+    body = await response.content.read(_MAX_REPLY_BYTES + 1)
+    while not response.content.at_eof():
+        more = await response.content.read(_MAX_REPLY_BYTES + 1)
+        body += more
+        if len(body) > _MAX_REPLY_BYTES:
+            break
+    if len(body) > _MAX_REPLY_BYTES:
+        raise outcome.Refused(
+            outcome.Refusal(
+                outcome.Reason.TOO_LARGE,
+                "the service's answer exceeds 4 MiB",
+                outcome.Verdict.RAN,
+            )
+        )
+    return request.ServiceReply(
+        response.status,
+        response.headers.get("Content-Type", "application/octet-stream"),
+        body,
+    )
--- /dev/null
+++ b/hibiscusstile/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration: the log's records folded into what is in force."""
--- /dev/null
+++ b/hibiscusstile/entry/__init__.py
@@ -0,0 +1,1 @@
+"""Role `entry`: the thin instances that callers reach."""
--- /dev/null
+++ b/hibiscusstile/entry/front.py
@@ -0,0 +1,383 @@
+"""The HTTP front: what callers send and what they get back."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import json
+from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
+
+import logbook
+from aiohttp import hdrs, web
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import identity, outcome, prefix, settings
+from hibiscusstile import request as request_lib
+from hibiscusstile.configuration import store as store_lib
+from hibiscusstile.configuration import view as view_lib
+from hibiscusstile.entry import auth, calls, parsing, refusals, relay
+
+__all__ = ["Front"]
+
+_log = logbook.Logger("front")
+
+_RANK_HEADER = "Hibiscusstile-Rank"
+_KEY_HEADER = "Idempotency-Key"
+_MAX_KEY_LENGTH = 255
+_SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+_DEFAULT_RANK = view_lib.Rank(
+    "routine",
+    level=1,
+    share=0.0,
+    queue_time=datetime.timedelta(seconds=30),
+    first_token_target=datetime.timedelta(seconds=5),
+)
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Front:
+    """Handlers of the callers' port.
+
+    Args:
+        limits: Bounds of what a caller may send.
+        store: The configuration in force.
+        answers: Carries model requests.
+        service_calls: Carries plain-service calls.
+        ready: Returns whether the load balancer may send requests.
+        clock: Dates the answers.
+    """
+
+    def __init__(
+        self,
+        limits: settings.LimitSettings,
+        store: store_lib.ConfigurationStore,
+        answers: relay.Relay,
+        service_calls: calls.Calls,
+        ready: Callable[[], bool],
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._limits = limits
+        self._store = store
+        self._answers = answers
+        self._calls = service_calls
+        self._ready = ready
+        self._clock = clock
+        self._active = 0
+
+    @property
+    def active(self) -> int:
+        """Requests being served."""
+        return self._active
+
+    def application(self) -> web.Application:
+        """Returns the aiohttp application."""
+        app = web.Application(
+            client_max_size=self._limits.body_bytes,
+            middlewares=[self._guard],
+        )
+        app.router.add_post("/v1/chat/completions", self._post_chat)
+        app.router.add_get("/v1/models", self._get_models)
+        app.router.add_get("/ready", self._get_ready)
+        app.router.add_get("/live", self._get_live)
+        for method in _SERVICE_METHODS:
+            app.router.add_route(
+                method,
+                "/v1/services/{application}/{path:.*}",
+                self._call_service,
+            )
+        return app
+
+    @web.middleware
+    async def _guard(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        """Turns every outcome into a response with a request id."""
+        request_id = identity.new_id("req")
+        request["request_id"] = request_id
+        self._active += 1
+        try:
+            return await handler(request)
+        except outcome.Refused as refused:
+            return refusals.to_response(refused.refusal, request_id)
+        except web.HTTPException as error:
+            return refusals.to_response(_from_http(error), request_id)
+        finally:
+            self._active -= 1
+
+    async def _get_live(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response({"live": True})
+
+    async def _get_ready(self, request: web.Request) -> web.Response:
+        del request
+        ready = self._ready()
+        return web.json_response(
+            {"ready": ready, "revision": self._store.revision},
+            status=200 if ready else 503,
+        )
+
+    async def _get_models(self, request: web.Request) -> web.Response:
+        caller = self._authenticate(request)
+        allowed = caller.workspace.models
+        names = [
+            name
+            for name in sorted(self._store.view.models)
+            if not allowed or name in allowed
+        ]
+        return web.json_response(
+            {
+                "object": "list",
+                "data": [{"id": name, "object": "model"} for name in names],
+            },
+            headers={refusals.REQUEST_ID_HEADER: request["request_id"]},
+        )
+
+    async def _post_chat(self, request: web.Request) -> web.StreamResponse:
+        caller = self._authenticate(request)
+        body = await self._read_body(request)
+        chat = parsing.parse_chat(body, image_bytes=self._limits.image_bytes)
+        work = self._chat_work(request["request_id"], caller, chat)
+        answer = self._answers.run(work)
+        if chat.stream:
+            return await _stream(request, work, answer)
+        return await _whole(request, work, answer)
+
+    async def _call_service(self, request: web.Request) -> web.Response:
+        caller = self._authenticate(request)
+        name = request.match_info["application"]
+        application = self._application(caller.workspace, name)
+        key = request.headers.get(_KEY_HEADER)
+        if key is not None and not 1 <= len(key) <= _MAX_KEY_LENGTH:
+            raise _refused(
+                outcome.Reason.BAD_REQUEST,
+                "Idempotency-Key must have 1 to 255 characters",
+            )
+        if key is None and (request.method in application.key_required_methods):
+            raise _refused(
+                outcome.Reason.BAD_REQUEST,
+                f"{request.method} calls need an Idempotency-Key",
+            )
+        body = await self._read_body(request)
+        call = request_lib.ServiceCall(
+            name,
+            request.method,
+            request.rel_url.raw_path.split("/", 4)[4],
+            request.rel_url.raw_query_string,
+            request.headers.get(hdrs.CONTENT_TYPE, ""),
+            body,
+            key,
+        )
+        reply = await self._calls.run(
+            calls.CallWork(
+                request["request_id"],
+                caller.workspace.name,
+                caller.key.caller or caller.key.key_id,
+                caller.rank,
+                application,
+                call,
+            )
+        )
+        return web.Response(
+            status=reply.reply.status,
+            body=reply.reply.body,
+            headers={
+                hdrs.CONTENT_TYPE: reply.reply.content_type,
+                refusals.REQUEST_ID_HEADER: request["request_id"],
+                refusals.VERDICT_HEADER: outcome.Verdict.RAN.value,
+            },
+        )
+
+    def _authenticate(self, request: web.Request) -> auth.Caller:
+        if self._store.revision < 0:
+            raise _refused(
+                outcome.Reason.NOT_READY, "no configuration is known yet"
+            )
+        if self._active > self._limits.concurrent_requests:
+            raise _refused(
+                outcome.Reason.OVERLOADED, "this instance is at its limit"
+            )
+        return auth.authenticate(
+            self._store.view,
+            request.headers.get(hdrs.AUTHORIZATION, ""),
+            request.headers.get(_RANK_HEADER, ""),
+        )
+
+    async def _read_body(self, request: web.Request) -> bytes:
+        try:
+            async with asyncio.timeout(self._limits.body_timeout_s):
+                return await request.read()
+        except TimeoutError:
+            raise _refused(
+                outcome.Reason.SLOW_CLIENT, "the body did not arrive in time"
+            ) from None
+
+    def _chat_work(
+        self,
+        request_id: str,
+        caller: auth.Caller,
+        chat: request_lib.ChatRequest,
+    ) -> relay.ChatWork:
+        view = self._store.view
+        model = self._model(caller.workspace, chat)
+        rank = view.ranks.get(caller.rank, _DEFAULT_RANK)
+        scope = identity.CacheScope(
+            caller.workspace.name,
+            chat.model,
+            chat.adapter,
+            model.weights_version,
+        )
+        levels = prefix.prefix_levels(scope, chat.messages)
+        if levels[-1].tokens + chat.max_tokens > model.context_tokens:
+            raise _refused(
+                outcome.Reason.BAD_REQUEST,
+                f"prompt and answer exceed {model.context_tokens} tokens",
+            )
+        item = request_lib.WorkItem(
+            request_id,
+            caller.workspace.name,
+            caller.key.caller or chat.user or caller.key.key_id,
+            caller.rank,
+            chat.model,
+            chat.adapter,
+            levels,
+            levels[-1].tokens,
+            chat.max_tokens,
+        )
+        return relay.ChatWork(
+            item,
+            chat,
+            caller.workspace.policy,
+            rank.level,
+            rank.queue_time,
+            int(self._clock.now().timestamp()),
+        )
+
+    def _model(
+        self, workspace: view_lib.Workspace, chat: request_lib.ChatRequest
+    ) -> view_lib.Model:
+        model = self._store.view.models.get(chat.model)
+        allowed = not workspace.models or chat.model in workspace.models
+        if model is None or not allowed:
+            raise _refused(
+                outcome.Reason.NOT_FOUND, f"unknown model {chat.model!r}"
+            )
+        if chat.adapter and chat.adapter not in model.adapters:
+            raise _refused(
+                outcome.Reason.NOT_FOUND, f"unknown adapter {chat.adapter!r}"
+            )
+        return model
+
+    def _application(
+        self, workspace: view_lib.Workspace, name: str
+    ) -> view_lib.Application:
+        application = self._store.view.applications.get(name)
+        allowed = not workspace.applications or name in workspace.applications
+        if application is None or not allowed:
+            raise _refused(
+                outcome.Reason.NOT_FOUND, f"unknown application {name!r}"
+            )
+        return application
+
+
+async def _stream(
+    request: web.Request,
+    work: relay.ChatWork,
+    answer: AsyncIterator[relay.AnswerText | relay.AnswerEnd],
+) -> web.StreamResponse:
+    """Answers with server-sent events, begun at the first text."""
+    first = await anext(answer)
+    response = web.StreamResponse(
+        headers={
+            hdrs.CONTENT_TYPE: "text/event-stream",
+            hdrs.CACHE_CONTROL: "no-store",
+            refusals.REQUEST_ID_HEADER: work.item.work_id,
+        }
+    )
+    await response.prepare(request)
+    try:
+        await response.write(_event(work, first))
+        async for event in answer:
+            await response.write(_event(work, event))
+        await response.write(b"data: [DONE]\n\n")
+    except outcome.Refused as refused:
+        body = refusals.error_body(refused.refusal)
+        await response.write(f"event: error\ndata: {body}\n\n".encode())
+    await response.write_eof()
+    return response
+
+
+async def _whole(
+    request: web.Request,
+    work: relay.ChatWork,
+    answer: AsyncIterator[relay.AnswerText | relay.AnswerEnd],
+) -> web.Response:
+    texts: list[str] = []
+    end: relay.AnswerEnd | None = None
+    async for event in answer:
+        if isinstance(event, relay.AnswerText):
+            texts.append(event.text)
+        else:
+            end = event
+    if end is None:
+        raise _refused(outcome.Reason.INTERNAL, "the answer has no end")
+    choice = {
+        "index": 0,
+        "message": {"role": "assistant", "content": "".join(texts)},
+        "finish_reason": end.finish_reason,
+    }
+    body = {
+        **_common(work, "chat.completion"),
+        "choices": [choice],
+        "usage": _usage(end),
+    }
+    del request
+    return web.json_response(
+        body, headers={refusals.REQUEST_ID_HEADER: work.item.work_id}
+    )
+
+
+def _event(
+    work: relay.ChatWork, event: relay.AnswerText | relay.AnswerEnd
+) -> bytes:
+    choice: dict[str, Any] = {"index": 0, "delta": {}, "finish_reason": None}
+    body = _common(work, "chat.completion.chunk")
+    if isinstance(event, relay.AnswerText):
+        choice["delta"] = {"content": event.text}
+    else:
+        choice["finish_reason"] = event.finish_reason
+        body["usage"] = _usage(event)
+    body["choices"] = [choice]
+    return f"data: {json.dumps(body)}\n\n".encode()
+
+
+def _common(work: relay.ChatWork, kind: str) -> dict[str, Any]:
+    return {
+        "id": work.item.work_id,
+        "object": kind,
+        "created": work.created,
+        "model": work.chat.model,
+    }
+
+
+def _usage(end: relay.AnswerEnd) -> dict[str, Any]:
+    usage = end.usage
+    return {
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+    }
+
+
+def _refused(reason: outcome.Reason, message: str) -> outcome.Refused:
+    return outcome.Refused(outcome.Refusal(reason, message))
+
+
+def _from_http(error: web.HTTPException) -> outcome.Refusal:
+    reason = {
+        404: outcome.Reason.NOT_FOUND,
+        405: outcome.Reason.METHOD_NOT_ALLOWED,
+        413: outcome.Reason.TOO_LARGE,
+    }.get(error.status, outcome.Reason.BAD_REQUEST)
+    return outcome.Refusal(reason, error.reason or "bad request")
--- /dev/null
+++ b/hibiscusstile/entry/refusals.py
@@ -0,0 +1,96 @@
+"""Refusals as callers see them, and as peers' messages carry them."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import math
+
+from aiohttp import web
+
+from hibiscusstile import metrics, outcome
+from hibiscusstile.peers import messages
+
+__all__ = [
+    "REQUEST_ID_HEADER",
+    "VERDICT_HEADER",
+    "error_body",
+    "peer_lost",
+    "refusal_of",
+    "to_response",
+]
+
+VERDICT_HEADER = "Hibiscusstile-Verdict"
+REQUEST_ID_HEADER = "Hibiscusstile-Request-Id"
+_RETRY_AFTER_LOST = datetime.timedelta(seconds=1)
+
+_STATUS_BY_REASON = {
+    outcome.Reason.BAD_REQUEST: 400,
+    outcome.Reason.UNAUTHORIZED: 401,
+    outcome.Reason.FORBIDDEN: 403,
+    outcome.Reason.NOT_FOUND: 404,
+    outcome.Reason.METHOD_NOT_ALLOWED: 405,
+    outcome.Reason.SLOW_CLIENT: 408,
+    outcome.Reason.KEY_CONFLICT: 409,
+    outcome.Reason.TOO_LARGE: 413,
+    outcome.Reason.SUSPECT: 422,
+    outcome.Reason.OVERLOADED: 429,
+    outcome.Reason.INTERNAL: 500,
+    outcome.Reason.BACKEND_FAILED: 502,
+    outcome.Reason.BACKEND_CRASHED: 502,
+    outcome.Reason.PEER_LOST: 502,
+    outcome.Reason.EXPIRED: 504,
+}
+_DEFAULT_STATUS = 503
+
+
+def refusal_of(failed: messages.Failed) -> outcome.Refusal:
+    """Returns the refusal that a message carries, unchanged."""
+    retry_s = failed.retry_after_s
+    return outcome.Refusal(
+        failed.reason,
+        failed.message,
+        failed.verdict,
+        None if retry_s is None else datetime.timedelta(seconds=retry_s),
+    )
+
+
+def peer_lost(verdict: outcome.Verdict) -> outcome.Refusal:
+    """Returns the refusal for a sidecar that cannot be reached."""
+    return outcome.Refusal(
+        outcome.Reason.PEER_LOST,
+        "the connection to the backend server's sidecar was lost",
+        verdict,
+        _RETRY_AFTER_LOST,
+    )
+
+
+def error_body(refusal: outcome.Refusal) -> str:
+    """Returns the JSON text of a refusal."""
+    return json.dumps(
+        {
+            "error": {
+                "type": refusal.reason.value,
+                "message": refusal.message,
+                "verdict": refusal.verdict.value,
+            }
+        }
+    )
+
+
+def to_response(refusal: outcome.Refusal, request_id: str) -> web.Response:
+    """Returns the HTTP response for a refusal, and counts it."""
+    metrics.count_refusal(refusal)
+    headers = {
+        VERDICT_HEADER: refusal.verdict.value,
+        REQUEST_ID_HEADER: request_id,
+    }
+    if refusal.retry_after is not None:
+        seconds = max(1, math.ceil(refusal.retry_after.total_seconds()))
+        headers["Retry-After"] = str(seconds)
+    return web.Response(
+        status=_STATUS_BY_REASON.get(refusal.reason, _DEFAULT_STATUS),
+        text=error_body(refusal),
+        content_type="application/json",
+        headers=headers,
+    )
--- /dev/null
+++ b/hibiscusstile/entry/routing.py
@@ -0,0 +1,187 @@
+"""Asks for bids and chooses a runner, with a log line for each decision."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+
+import logbook
+
+from hibiscusstile import logs, outcome, policies, request
+from hibiscusstile.configuration import store as store_lib
+from hibiscusstile.configuration import view as view_lib
+from hibiscusstile.entry import fleet as fleet_lib
+from hibiscusstile.peers import messages
+
+__all__ = ["Route", "Router"]
+
+_log = logbook.Logger("routing")
+
+_BID_TIMEOUT = datetime.timedelta(milliseconds=60)
+_FALLBACK_POLICY = view_lib.RoutingPolicy("fallback", "bidding")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """Where a request goes.
+
+    Attributes:
+        runner: The sidecar's peer id.
+        expected_cached_tokens: Cached tokens that its bid named.
+        reason: Why, for logs.
+    """
+
+    runner: str
+    expected_cached_tokens: int
+    reason: str
+
+
+class Router:
+    """Routes model requests by the workspace's policy.
+
+    Args:
+        fleet: The links.
+        store: The configuration in force.
+    """
+
+    def __init__(
+        self, fleet: fleet_lib.Fleet, store: store_lib.ConfigurationStore
+    ) -> None:
+        self._fleet = fleet
+        self._store = store
+        self._policies: dict[tuple[int, str], policies.Policy] = {}
+
+    async def route(
+        self,
+        work: request.WorkItem,
+        policy_name: str,
+        excluded: frozenset[str],
+    ) -> Route:
+        """Returns where the work goes.
+
+        Args:
+            work: The request.
+            policy_name: Name of the routing-policy record.
+            excluded: Runners that already refused or failed it.
+
+        Raises:
+            Refused: `no_backend` or the bidders' reason, with `not_run`.
+        """
+        policy = self._policy(policy_name)
+        usable = [
+            view
+            for view in self._fleet.runners(work.model)
+            if view.runner not in excluded
+        ]
+        candidates = policy.candidates(work, usable)
+        if not candidates:
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.NO_BACKEND,
+                    f"no backend server serves model {work.model!r} now",
+                    retry_after=datetime.timedelta(seconds=1),
+                )
+            )
+        bids = await self._bids(policy, work, candidates)
+        choice = policy.choose(work, bids)
+        self._log_choice(work, bids, choice)
+        if choice is None:
+            raise outcome.Refused(_all_refused(bids))
+        cached = {bid.runner: bid.cached_tokens for bid in bids}
+        return Route(choice.runner, cached[choice.runner], choice.reason)
+
+    def _policy(self, name: str) -> policies.Policy:
+        revision = self._store.revision
+        policy = self._policies.get((revision, name))
+        if policy is None:
+            record = self._store.view.policies.get(name, _FALLBACK_POLICY)
+            policy = policies.get_policy_by_name(record.algorithm)(
+                record.options
+            )
+            if self._policies and next(iter(self._policies))[0] != revision:
+                self._policies.clear()
+            self._policies[revision, name] = policy
+        return policy
+
+    async def _bids(
+        self,
+        policy: policies.Policy,
+        work: request.WorkItem,
+        candidates: list[policies.RunnerView],
+    ) -> list[policies.Bid]:
+        if not policy.asks_for_bids:
+            return [
+                policies.Bid(view.runner, load=view.load) for view in candidates
+            ]
+        answers = await asyncio.gather(
+            *(self._ask(work, view) for view in candidates)
+        )
+        return [bid for bid in answers if bid is not None]
+
+    async def _ask(
+        self, work: request.WorkItem, view: policies.RunnerView
+    ) -> policies.Bid | None:
+        link = self._fleet.link(view.runner)
+        if link is None:
+            return None
+        reply = await link.ask_bid(
+            messages.BidRequest(
+                link.next_number(),
+                work.workspace,
+                work.caller,
+                work.rank,
+                work.model,
+                work.adapter,
+                work.levels,
+                work.prompt_tokens,
+                work.max_tokens,
+                work.suspect,
+            ),
+            _BID_TIMEOUT.total_seconds(),
+        )
+        if reply is None:
+            return None
+        return policies.Bid(
+            view.runner,
+            reply.cached_tokens,
+            reply.wait_s,
+            reply.prefill_s,
+            reply.load,
+            view.zone_cost_s,
+            reply.refusal,
+        )
+
+    def _log_choice(
+        self,
+        work: request.WorkItem,
+        bids: list[policies.Bid],
+        choice: policies.Choice | None,
+    ) -> None:
+        fields = {
+            "request": work.work_id,
+            "workspace": work.workspace,
+            "rank": work.rank,
+            "bids": ",".join(_describe(bid) for bid in bids),
+            "choice": choice.runner if choice else "none",
+            "reason": choice.reason if choice else "all_refused",
+            "revision": self._store.revision,
+        }
+        _log.info(logs.decision_line("route", fields))
+
+
+def _describe(bid: policies.Bid) -> str:
+    if bid.refusal is not None:
+        return f"{bid.runner}:{bid.refusal.value}"
+    return f"{bid.runner}:{bid.first_token_s:.3f}s/{bid.cached_tokens}"
+
+
+def _all_refused(bids: list[policies.Bid]) -> outcome.Refusal:
+    reasons = [bid.refusal for bid in bids if bid.refusal is not None]
+    reason = reasons[0] if reasons else outcome.Reason.NO_BACKEND
+    wait_s = min((bid.wait_s for bid in bids), default=1.0)
+    return outcome.Refusal(
+        reason,
+        "no backend server can take the request now",
+        retry_after=datetime.timedelta(seconds=max(1.0, wait_s)),
+    )
--- /dev/null
+++ b/hibiscusstile/logs.py
@@ -0,0 +1,67 @@
+"""Log set-up, and the one-line form of decisions."""
+
+from __future__ import annotations
+
+import enum
+import json
+import sys
+from collections.abc import Mapping
+from typing import Any
+
+import logbook
+
+__all__ = ["LogFormat", "decision_line", "set_format", "start_logging"]
+
+
+class LogFormat(enum.Enum):
+    """Form of decision lines."""
+
+    KEY_VALUE = "keyvalue"
+    JSON = "json"
+
+
+class _Settings:
+    """Holds the process-wide form, which only `set_format` changes."""
+
+    decision_format = LogFormat.KEY_VALUE
+
+
+def set_format(log_format: LogFormat) -> None:
+    """Sets the form of decision lines for this process."""
+    _Settings.decision_format = log_format
+
+
+def start_logging(log_format: LogFormat, level: str) -> None:
+    """Sends log lines of at least `level` to standard error."""
+    set_format(log_format)
+    handler = logbook.StreamHandler(
+        sys.stderr,
+        level=level,
+        format_string=(
+            "{record.time:%Y-%m-%dT%H:%M:%S.%f} {record.level_name} "
+            "{record.channel} {record.message}"
+        ),
+    )
+    handler.push_application()
+
+
+def decision_line(event: str, fields: Mapping[str, Any]) -> str:
+    """Returns one log line for a decision, in the process's form.
+
+    Args:
+        event: What was decided, such as `route`.
+        fields: Names and values; values with spaces are quoted.
+    """
+    if _Settings.decision_format is LogFormat.JSON:
+        return json.dumps({"event": event, **fields}, default=str)
+    pairs = (f"{name}={_quote(value)}" for name, value in fields.items())
+    return " ".join((event, *pairs))
+
+
+def _quote(value: Any) -> str:
+    if isinstance(value, float):
+        return f"{value:.6g}"
+    text = str(value)
+    if not text or any(c in text for c in ' "=\n'):
+        return json.dumps(text)
+    return text
--- /dev/null
+++ b/hibiscusstile/metrics.py
@@ -0,0 +1,98 @@
+"""Collectors of one process, rendered for the operators' port."""
+
+from __future__ import annotations
+
+import resource
+
+from aioprometheus import collectors, renderer
+
+from hibiscusstile import outcome
+
+__all__ = [
+    "count_control_bytes",
+    "count_hit",
+    "count_prompt",
+    "count_refusal",
+    "observe_first_token",
+    "render",
+    "set_queue_length",
+    "set_revision",
+]
+
+_prompt_tokens = collectors.Counter(
+    "hibiscusstile_prompt_tokens", "Prompt tokens of answered requests"
+)
+_cached_tokens = collectors.Counter(
+    "hibiscusstile_cached_tokens", "Prompt tokens reused from a cache"
+)
+_recomputed_tokens = collectors.Counter(
+    "hibiscusstile_recomputed_tokens",
+    "Prompt tokens computed although some engine had seen their prefix",
+)
+_first_token = collectors.Histogram(
+    "hibiscusstile_first_token_seconds",
+    "Time to the first token by rank",
+    buckets=[0.05, 0.1, 0.2, 0.4, 0.61, 1.0, 2.0, 5.0, 10.0, 30.0],
+)
+_refusals = collectors.Counter(
+    "hibiscusstile_refusals", "Refused requests by verdict and reason"
+)
+_queue = collectors.Gauge(
+    "hibiscusstile_queue_requests", "Waiting requests by rank"
+)
+_control_bytes = collectors.Counter(
+    "hibiscusstile_control_bytes", "Bytes sent to peers by message type"
+)
+_processor = collectors.Gauge(
+    "hibiscusstile_processor_seconds", "Processor time of the process"
+)
+_revision = collectors.Gauge(
+    "hibiscusstile_revision", "Configuration revision in force"
+)
+
+
+def count_prompt(prompt_tokens: int, cached_tokens: int) -> None:
+    """Counts the prompt of an answered request."""
+    _prompt_tokens.add({}, prompt_tokens)
+    _cached_tokens.add({}, cached_tokens)
+
+
+def count_hit(expected_tokens: int, cached_tokens: int) -> None:
+    """Counts prompt tokens that were computed in spite of an expected hit."""
+    if cached_tokens < expected_tokens:
+        _recomputed_tokens.add({}, expected_tokens - cached_tokens)
+
+
+def observe_first_token(rank: str, seconds: float) -> None:
+    """Records a time to first token."""
+    _first_token.observe({"rank": rank}, seconds)
+
+
+def count_refusal(refusal: outcome.Refusal) -> None:
+    """Counts a refusal."""
+    _refusals.inc(
+        {"verdict": refusal.verdict.value, "reason": refusal.reason.value}
+    )
+
+
+def count_control_bytes(message: str, size: int) -> None:
+    """Counts bytes sent to a peer."""
+    _control_bytes.add({"message": message}, size)
+
+
+def set_queue_length(rank: str, requests: int) -> None:
+    """Records how many requests of a rank wait."""
+    _queue.set({"rank": rank}, requests)
+
+
+def set_revision(revision: int) -> None:
+    """Records the configuration revision in force."""
+    _revision.set({}, revision)
+
+
+def render() -> tuple[bytes, str]:
+    """Returns the metrics page and its content type."""
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    _processor.set({}, usage.ru_utime + usage.ru_stime)
+    content, headers = renderer.render(collectors.REGISTRY, [])
+    return content, headers["Content-Type"]
--- /dev/null
+++ b/hibiscusstile/operators.py
@@ -0,0 +1,65 @@
+"""The operators' port: metrics and status, both read-only."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from aiohttp import web
+
+from hibiscusstile import metrics, settings
+
+__all__ = ["OperatorsServer"]
+
+
+class OperatorsServer:
+    """Serves `GET /metrics` and `GET /status`.
+
+    Args:
+        address: Where to listen.
+        status: Returns the status page's fields.
+    """
+
+    def __init__(
+        self,
+        address: settings.Address,
+        status: Callable[[], Mapping[str, object]],
+    ) -> None:
+        self._address = address
+        self._status = status
+        self._port = address.port
+        self._listening = asyncio.Event()
+
+    @property
+    def port(self) -> int:
+        """The port listened on."""
+        return self._port
+
+    async def wait_listening(self) -> None:
+        """Waits until the port is open."""
+        await self._listening.wait()
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        app = web.Application()
+        app.router.add_get("/metrics", self._get_metrics)
+        app.router.add_get("/status", self._get_status)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        try:
+            site = web.TCPSite(runner, self._address.host_text, self._port)
+            await site.start()
+            self._port = runner.addresses[0][1]
+            self._listening.set()
+            await asyncio.get_running_loop().create_future()
+        finally:
+            await runner.cleanup()
+
+    async def _get_metrics(self, request: web.Request) -> web.Response:
+        del request
+        body, content_type = metrics.render()
+        return web.Response(body=body, headers={"Content-Type": content_type})
+
+    async def _get_status(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(dict(self._status()))
--- /dev/null
+++ b/hibiscusstile/options.py
@@ -0,0 +1,115 @@
+"""Typed helpers that read options from a mapping."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+__all__ = [
+    "OptionError",
+    "get_bool",
+    "get_choice",
+    "get_duration",
+    "get_float",
+    "get_int",
+]
+
+
+class OptionError(ValueError):
+    """An option is missing, of the wrong type or out of range."""
+
+
+def get_bool(options: Mapping[str, Any], name: str, default: bool) -> bool:
+    """Returns a boolean option.
+
+    Raises:
+        OptionError: The value is not true or false.
+    """
+    value = options.get(name, default)
+    if not isinstance(value, bool):
+        raise OptionError(f"option {name!r} must be true or false")
+    return value
+
+
+def get_int(
+    options: Mapping[str, Any],
+    name: str,
+    default: int,
+    *,
+    least: int | None = None,
+    most: int | None = None,
+) -> int:
+    """Returns an integer option within [least, most].
+
+    Raises:
+        OptionError: The value is no integer or out of range.
+    """
+    value = options.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise OptionError(f"option {name!r} must be an integer")
+    _check_range(name, value, least, most)
+    return value
+
+
+def get_float(
+    options: Mapping[str, Any],
+    name: str,
+    default: float,
+    *,
+    least: float | None = None,
+    most: float | None = None,
+) -> float:
+    """Returns a number option within [least, most].
+
+    Raises:
+        OptionError: The value is no number or out of range.
+    """
+    value = options.get(name, default)
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise OptionError(f"option {name!r} must be a number")
+    _check_range(name, value, least, most)
+    return float(value)
+
+
+def get_duration(
+    options: Mapping[str, Any], name: str, default: datetime.timedelta
+) -> datetime.timedelta:
+    """Returns an option given in seconds as a time span of at least zero.
+
+    Raises:
+        OptionError: The value is no number or below zero.
+    """
+    seconds = get_float(options, name, default.total_seconds(), least=0.0)
+    return datetime.timedelta(seconds=seconds)
+
+
+def get_choice(
+    options: Mapping[str, Any],
+    name: str,
+    default: str,
+    choices: Sequence[str],
+) -> str:
+    """Returns an option that is one of `choices`.
+
+    Raises:
+        OptionError: The value is none of them.
+    """
+    value = options.get(name, default)
+    if value not in choices:
+        raise OptionError(
+            f"option {name!r} must be one of {', '.join(choices)}"
+        )
+    return str(value)
+
+
+def _check_range(
+    name: str,
+    value: float,
+    least: float | None,
+    most: float | None,
+) -> None:
+    if least is not None and value < least:
+        raise OptionError(f"option {name!r} must be at least {least}")
+    if most is not None and value > most:
+        raise OptionError(f"option {name!r} must be at most {most}")
--- /dev/null
+++ b/hibiscusstile/outcome.py
@@ -0,0 +1,72 @@
+"""Tagged outcomes: how a request ended and whether it may have run."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import enum
+
+__all__ = ["Reason", "Refusal", "Refused", "Verdict"]
+
+
+class Verdict(enum.Enum):
+    """Says whether a backend server may have run a request.
+
+    The verdict is made where the fact is known and travels unchanged.
+    """
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN = "ran"
+
+
+class Reason(enum.Enum):
+    """Tag of a refusal; its value is the `type` that callers see."""
+
+    BAD_REQUEST = "bad_request"
+    UNAUTHORIZED = "unauthorized"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    TOO_LARGE = "too_large"
+    SLOW_CLIENT = "slow_client"
+    KEY_CONFLICT = "key_conflict"
+    OVERLOADED = "overloaded"
+    EXPIRED = "expired"
+    CANCELLED = "cancelled"
+    LEAVING = "leaving"
+    NOT_READY = "not_ready"
+    NO_BACKEND = "no_backend"
+    NOT_LOADED = "not_loaded"
+    STALE_REVISION = "stale_revision"
+    BACKEND_FAILED = "backend_failed"
+    BACKEND_CRASHED = "backend_crashed"
+    PEER_LOST = "peer_lost"
+    SUSPECT = "suspect"
+    LOG_UNAVAILABLE = "log_unavailable"
+    INTERNAL = "internal"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refusal:
+    """Outcome of a request that got no answer.
+
+    Attributes:
+        reason: The tag that callers and metrics see.
+        message: One sentence for a person, free of secrets.
+        verdict: Whether a backend server may have run the request.
+        retry_after: When a retry may help; None where it does not.
+    """
+
+    reason: Reason
+    message: str
+    verdict: Verdict = Verdict.NOT_RUN
+    retry_after: datetime.timedelta | None = None
+
+
+class Refused(Exception):  # noqa: N818 - an outcome, not a program error
+    """Carries a refusal up to the handler that answers the caller."""
+
+    def __init__(self, refusal: Refusal) -> None:
+        super().__init__(f"{refusal.reason.value}: {refusal.message}")
+        self.refusal = refusal
--- /dev/null
+++ b/hibiscusstile/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between own processes: websockets with CBOR."""
--- /dev/null
+++ b/hibiscusstile/peers/client.py
@@ -0,0 +1,330 @@
+"""Connects an entry instance to one sidecar and keeps it connected."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import itertools
+import random
+from collections.abc import Callable
+from typing import Protocol
+
+import logbook
+import websockets
+from websockets.asyncio import client as ws_client
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.peers import codec, handshake, messages
+from hibiscusstile.peers import connection as connection_lib
+
+__all__ = ["AttemptChannel", "ChannelLost", "LinkObserver", "SidecarLink"]
+
+_log = logbook.Logger("peers")
+
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=2)
+_PING_INTERVAL = datetime.timedelta(seconds=10)
+_PONG_TIMEOUT = datetime.timedelta(seconds=1.5)
+_MIN_BACKOFF = datetime.timedelta(milliseconds=100)
+_MAX_BACKOFF = datetime.timedelta(seconds=5)
+_MAX_QUEUE_FRAMES = 64
+_WRITE_LIMIT_BYTES = 256 * 1024
+_CHANNEL_MESSAGES = 1024
+_MISSES_UNTIL_UNREACHABLE = 2
+
+
+class ChannelLost(Exception):  # noqa: N818 - an outcome of the network
+    """The connection that carried an attempt has ended."""
+
+
+class LinkObserver(Protocol):
+    """Hears what a link receives beside answers to its own requests."""
+
+    async def on_hello(self, link: SidecarLink, hello: messages.Hello) -> None:
+        """Handles a sidecar's hello."""
+
+    async def on_message(
+        self, link: SidecarLink, message: messages.PeerMessage
+    ) -> None:
+        """Handles any other message."""
+
+    async def on_revision(self, link: SidecarLink, revision: int) -> None:
+        """Handles a revision newer than the one in force here."""
+
+
+class AttemptChannel:
+    """Receives the messages of one attempt, in the order they arrived."""
+
+    def __init__(self, attempt_id: str) -> None:
+        self._attempt_id = attempt_id
+        self._queue: asyncio.Queue[messages.PeerMessage | None] = asyncio.Queue(
+            _CHANNEL_MESSAGES
+        )
+
+    @property
+    def attempt_id(self) -> str:
+        """The attempt."""
+        return self._attempt_id
+
+    async def receive(self, timeout_s: float) -> messages.PeerMessage:
+        """Returns the next message.
+
+        Raises:
+            ChannelLost: The connection has ended.
+            TimeoutError: Nothing came within `timeout_s` seconds.
+        """
+        async with asyncio.timeout(timeout_s):
+            message = await self._queue.get()
+        if message is None:
+            raise ChannelLost(self._attempt_id)
+        return message
+
+    def deliver(self, message: messages.PeerMessage | None) -> bool:
+        """Queues a message, None for a lost connection; False when full."""
+        try:
+            self._queue.put_nowait(message)
+        except asyncio.QueueFull:
+            return False
+        return True
+
+
+class SidecarLink:
+    """The entry's side of the connection to one sidecar.
+
+    Args:
+        me: This process's identity.
+        host: The sidecar's IP address.
+        port: The sidecar's port for peers.
+        secret: The shared secret.
+        clock: Measures time.
+        revision: Returns the configuration revision in force here.
+        hello: Returns the hello that this process sends.
+        observer: Hears hellos and other messages.
+    """
+
+    def __init__(
+        self,
+        me: handshake.Identity,
+        host: str,
+        port: int,
+        secret: bytes,
+        clock: clock_lib.Clock,
+        revision: Callable[[], int],
+        hello: Callable[[], messages.Hello],
+        observer: LinkObserver,
+    ) -> None:
+        self._me = me
+        self._host = host
+        self._port = port
+        self._secret = secret
+        self._clock = clock
+        self._revision = revision
+        self._hello = hello
+        self._observer = observer
+        self._info: messages.PeerInfo | None = None
+        self._connection: connection_lib.PeerConnection | None = None
+        self._channels: dict[str, AttemptChannel] = {}
+        self._replies: dict[int, asyncio.Future[messages.PeerMessage]] = {}
+        self._numbers = itertools.count(1)
+        self._misses = 0
+        self._load = 0
+        self._load_at_s = 0.0
+        self._ready = asyncio.Event()
+
+    @property
+    def address(self) -> str:
+        """The sidecar's address, `host:port`."""
+        return f"{self._host}:{self._port}"
+
+    @property
+    def info(self) -> messages.PeerInfo | None:
+        """What the sidecar last said of itself."""
+        return self._info
+
+    @property
+    def peer_id(self) -> str:
+        """The sidecar's name, empty before its first hello."""
+        return self._info.peer_id if self._info else ""
+
+    @property
+    def usable(self) -> bool:
+        """Whether new work may go there."""
+        return (
+            self._connection is not None
+            and self._info is not None
+            and not self._info.leaving
+            and self._misses < _MISSES_UNTIL_UNREACHABLE
+        )
+
+    @property
+    def connected(self) -> bool:
+        """Whether the connection stands."""
+        return self._connection is not None
+
+    @property
+    def load(self) -> int:
+        """The sidecar's last known running and queued tokens."""
+        return self._load
+
+    @property
+    def load_age_s(self) -> float:
+        """Seconds since `load` was learned."""
+        return self._clock.monotonic() - self._load_at_s
+
+    def mark_leaving(self) -> None:
+        """Sends no new work there."""
+        if self._info is not None:
+            self._info = dataclasses.replace(self._info, leaving=True)
+
+    async def wait_ready(self) -> None:
+        """Waits until the connection stands and the sidecar said hello."""
+        await self._ready.wait()
+
+    async def run(self) -> None:
+        """Connects, reads messages, and connects again, until cancelled."""
+        backoff_s = _MIN_BACKOFF.total_seconds()
+        while True:
+            started_s = self._clock.monotonic()
+            try:
+                await self._run_once()
+            except (
+                OSError,
+                TimeoutError,
+                websockets.WebSocketException,
+                connection_lib.ConnectionLost,
+                handshake.HandshakeError,
+                codec.FrameError,
+            ) as error:
+                _log.info(
+                    "peer_link_down address={} error={!r}", self.address, error
+                )
+            if self._clock.monotonic() - started_s > backoff_s:
+                backoff_s = _MIN_BACKOFF.total_seconds()
+            wait_s = backoff_s * random.uniform(0.5, 1.5)
+            await self._clock.sleep(datetime.timedelta(seconds=wait_s))
+            backoff_s = min(2 * backoff_s, _MAX_BACKOFF.total_seconds())
+
+    async def send(self, message: messages.PeerMessage) -> None:
+        """Sends a message.
+
+        Raises:
+            ConnectionLost: There is no connection, or it has ended.
+        """
+        if self._connection is None:
+            raise connection_lib.ConnectionLost("not connected")
+        await self._connection.send(message)
+
+    async def ask_bid(
+        self, bid_request: messages.BidRequest, timeout_s: float
+    ) -> messages.BidReply | None:
+        """Asks for a bid; None when no answer came in time."""
+        reply = await self._ask(bid_request, bid_request.bid_id, timeout_s)
+        if not isinstance(reply, messages.BidReply):
+            return None
+        self._load = reply.load
+        self._load_at_s = self._clock.monotonic()
+        return reply
+
+    def next_number(self) -> int:
+        """Returns a fresh number for a question on this link."""
+        return next(self._numbers)
+
+    def open_channel(self, attempt_id: str) -> AttemptChannel:
+        """Returns a channel that gets the attempt's messages from now on."""
+        channel = AttemptChannel(attempt_id)
+        self._channels[attempt_id] = channel
+        return channel
+
+    def close_channel(self, attempt_id: str) -> None:
+        """Drops what still arrives for an attempt."""
+        self._channels.pop(attempt_id, None)
+
+    async def _ask(
+        self, question: messages.PeerMessage, number: int, timeout_s: float
+    ) -> messages.PeerMessage | None:
+        future: asyncio.Future[messages.PeerMessage] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._replies[number] = future
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.send(question)
+                reply = await future
+        except TimeoutError:
+            self._misses += 1
+            return None
+        except connection_lib.ConnectionLost:
+            return None
+        finally:
+            del self._replies[number]
+        self._misses = 0
+        return reply
+
+    async def _run_once(self) -> None:
+        async with ws_client.connect(
+            f"ws://{self._host}:{self._port}",
+            max_size=codec.MAX_FRAME_BYTES,
+            max_queue=_MAX_QUEUE_FRAMES,
+            write_limit=_WRITE_LIMIT_BYTES,
+            open_timeout=_CONNECT_TIMEOUT.total_seconds(),
+            compression=None,
+            ping_interval=None,
+            proxy=None,
+        ) as socket:
+            connection = connection_lib.PeerConnection(socket, self._revision)
+            await handshake.connect(connection, self._me, self._secret)
+            await connection.send(self._hello())
+            try:
+                await self._read(connection)
+            finally:
+                self._forget_connection()
+
+    async def _read(self, connection: connection_lib.PeerConnection) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(_PING_INTERVAL.total_seconds()):
+                    envelope = await connection.receive()
+            except TimeoutError:
+                await connection.send(messages.Ping(self.next_number()))
+                async with asyncio.timeout(_PONG_TIMEOUT.total_seconds()):
+                    envelope = await connection.receive()
+            self._misses = 0
+            if envelope.revision > self._revision():
+                await self._observer.on_revision(self, envelope.revision)
+            await self._route(connection, envelope.message)
+
+    async def _route(
+        self,
+        connection: connection_lib.PeerConnection,
+        message: messages.PeerMessage,
+    ) -> None:
+        if isinstance(message, messages.Hello):
+            self._info = message.info
+            self._connection = connection
+            await self._observer.on_hello(self, message)
+            self._ready.set()
+        elif isinstance(message, messages.BidReply):
+            self._resolve(message.bid_id, message)
+        elif isinstance(message, messages.ClaimAnswer):
+            self._resolve(message.query_id, message)
+        elif isinstance(message, messages.Pong):
+            return
+        elif (attempt_id := getattr(message, "attempt_id", None)) is not None:
+            channel = self._channels.get(attempt_id)
+            if channel is not None and not channel.deliver(message):
+                raise codec.FrameError("attempt exceeds its window")
+        else:
+            await self._observer.on_message(self, message)
+
+    def _resolve(self, number: int, message: messages.PeerMessage) -> None:
+        future = self._replies.get(number)
+        if future is not None and not future.done():
+            future.set_result(message)
+
+    def _forget_connection(self) -> None:
+        self._connection = None
+        self._ready.clear()
+        channels = list(self._channels.values())
+        self._channels.clear()
+        for channel in channels:
+            channel.deliver(None)
--- /dev/null
+++ b/hibiscusstile/peers/codec.py
@@ -0,0 +1,109 @@
+"""CBOR frames of the peers' protocol."""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+from typing import Any
+
+import cbor2
+import pydantic
+
+from hibiscusstile import registry
+from hibiscusstile.peers import messages
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "PROTOCOL_VERSION",
+    "Envelope",
+    "FrameError",
+    "decode",
+    "encode",
+]
+
+PROTOCOL_VERSION = 1
+MAX_FRAME_BYTES = 6 * 1024 * 1024
+_ENVELOPE_FIELDS = 4
+
+
+class FrameError(ValueError):
+    """A frame is not a valid message; its connection is to be closed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Envelope:
+    """A received message.
+
+    Attributes:
+        protocol_version: The sender's protocol version.
+        revision: The configuration revision in force at the sender.
+        message: The message.
+    """
+
+    protocol_version: int
+    revision: int
+    message: messages.PeerMessage
+
+
+@functools.cache
+def _adapter(name: str) -> pydantic.TypeAdapter[Any]:
+    cls: Any = messages.message_types.get_by_name(name)
+    return pydantic.TypeAdapter(cls)
+
+
+def encode(message: messages.PeerMessage, revision: int) -> bytes:
+    """Returns the frame for a message.
+
+    Args:
+        message: An instance of a registered message type.
+        revision: The configuration revision in force at the sender.
+
+    Raises:
+        FrameError: The frame would exceed `MAX_FRAME_BYTES`.
+    """
+    fields = _adapter(message.name).dump_python(message, exclude_defaults=True)
+    frame = cbor2.dumps(
+        [PROTOCOL_VERSION, revision, message.name, fields],
+        default=_encode_enum,
+    )
+    if len(frame) > MAX_FRAME_BYTES:
+        raise FrameError(f"message {message.name!r} exceeds the frame limit")
+    return frame
+
+
+def decode(frame: bytes) -> Envelope:
+    """Returns the message in a frame.
+
+    Raises:
+        FrameError: The frame is no valid message.
+    """
+    if len(frame) > MAX_FRAME_BYTES:
+        raise FrameError("frame exceeds the limit")
+    try:
+        envelope = cbor2.loads(frame)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        raise FrameError(f"frame is not CBOR: {error}") from None
+    if not isinstance(envelope, list) or len(envelope) != _ENVELOPE_FIELDS:
+        raise FrameError("frame is not an array of four")
+    version, revision, name, fields = envelope
+    if not isinstance(version, int) or not isinstance(revision, int):
+        raise FrameError("version and revision must be integers")
+    if not isinstance(name, str) or not isinstance(fields, dict):
+        raise FrameError("type must be text and fields a map")
+    return Envelope(version, revision, _validate(name, fields))
+
+
+def _validate(name: str, fields: dict[Any, Any]) -> messages.PeerMessage:
+    try:
+        message: messages.PeerMessage = _adapter(name).validate_python(fields)
+    except registry.NameNotFound as error:
+        raise FrameError(str(error)) from None
+    except pydantic.ValidationError as error:
+        first = error.errors(include_input=False, include_url=False)[0]
+        where = ".".join(str(part) for part in first["loc"])
+        raise FrameError(f"{name}: {where}: {first['msg']}") from None
+    return message
+
+
+def _encode_enum(encoder: Any, value: Any) -> None:
+    encoder.encode(value.value)
--- /dev/null
+++ b/hibiscusstile/peers/server.py
@@ -0,0 +1,100 @@
+"""Accepts connections from other own processes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import logbook
+from websockets.asyncio import server as ws_server
+
+from hibiscusstile.peers import codec, handshake
+from hibiscusstile.peers import connection as connection_lib
+
+__all__ = ["ConnectionHandler", "PeerServer"]
+
+_log = logbook.Logger("peers")
+
+_MAX_QUEUE_FRAMES = 32
+_WRITE_LIMIT_BYTES = 256 * 1024
+
+ConnectionHandler = Callable[
+    [connection_lib.PeerConnection, handshake.Identity], Awaitable[None]
+]
+
+
+class PeerServer:
+    """Listens for peers; each connection is one task that runs a handler.
+
+    Args:
+        me: This process's identity.
+        host: IP address to listen on.
+        port: TCP port; 0 takes a free one.
+        secret: The shared secret.
+        revision: Returns the configuration revision in force.
+        handler: Runs a connection after its handshake.
+    """
+
+    def __init__(
+        self,
+        me: handshake.Identity,
+        host: str,
+        port: int,
+        secret: bytes,
+        revision: Callable[[], int],
+        handler: ConnectionHandler,
+    ) -> None:
+        self._me = me
+        self._host = host
+        self._port = port
+        self._secret = secret
+        self._revision = revision
+        self._handler = handler
+        self._listening = asyncio.Event()
+
+    @property
+    def port(self) -> int:
+        """The port listened on, known once `wait_listening` returns."""
+        return self._port
+
+    async def wait_listening(self) -> None:
+        """Waits until the port is open."""
+        await self._listening.wait()
+
+    async def run(self) -> None:
+        """Serves until cancelled."""
+        async with ws_server.serve(
+            self._serve_connection,
+            self._host,
+            self._port,
+            max_size=codec.MAX_FRAME_BYTES,
+            max_queue=_MAX_QUEUE_FRAMES,
+            write_limit=_WRITE_LIMIT_BYTES,
+            compression=None,
+            ping_interval=None,
+        ) as server:
+            self._port = server.sockets[0].getsockname()[1]
+            self._listening.set()
+            await asyncio.get_running_loop().create_future()
+
+    async def _serve_connection(
+        self, socket: ws_server.ServerConnection
+    ) -> None:
+        connection = connection_lib.PeerConnection(socket, self._revision)
+        try:
+            other = await handshake.accept(connection, self._me, self._secret)
+            await self._handler(connection, other)
+        except (handshake.HandshakeError, TimeoutError) as error:
+            _log.warn(
+                "peer_rejected remote={} error={!r}", connection.remote, error
+            )
+            await connection.close("handshake failed")
+        except codec.FrameError as error:
+            _log.warn(
+                "peer_frame_refused remote={} error={}",
+                connection.remote,
+                error,
+            )
+            await connection.close("malformed frame")
+        except connection_lib.ConnectionLost as error:
+            _log.debug("peer_lost remote={} error={}", connection.remote, error)
--- /dev/null
+++ b/hibiscusstile/platform/http_instance_list.py
@@ -0,0 +1,76 @@
+"""Instance-list client over HTTP."""
+
+from __future__ import annotations
+
+import datetime
+
+import aiohttp
+import pydantic
+
+from hibiscusstile import platform
+
+__all__ = ["HttpInstanceList"]
+
+_TIMEOUT = datetime.timedelta(seconds=3)
+
+
+class _Instance(pydantic.BaseModel):
+    peer_id: str
+    role: str
+    host: str
+    port: int
+    zone: str
+    region: str
+    leaving: bool = False
+
+
+class _Page(pydantic.BaseModel):
+    instances: list[_Instance]
+
+
+@platform.instance_lists.register()
+class HttpInstanceList(platform.InstanceList):
+    """Reads the list at a base URL.
+
+    Args:
+        url: Base URL without a trailing slash.
+    """
+
+    name = "http"
+
+    def __init__(self, url: str) -> None:
+        super().__init__(url)
+        self._url = url
+        self._session: aiohttp.ClientSession | None = None
+
+    async def list_instances(
+        self,
+    ) -> platform.Listing | platform.ListUnavailable:
+        """Returns the instances listed now."""
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        timeout = aiohttp.ClientTimeout(total=_TIMEOUT.total_seconds())
+        try:
+            async with self._session.get(
+                f"{self._url}/instances", timeout=timeout
+            ) as response:
+                if response.status != 200:
+                    return platform.ListUnavailable(
+                        f"the list answered {response.status}"
+                    )
+                page = _Page.model_validate_json(await response.read())
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return platform.ListUnavailable(f"no answer: {error!r}")
+        except pydantic.ValidationError:
+            return platform.ListUnavailable("the list's answer is malformed")
+        return platform.Listing(
+            tuple(
+                platform.ListedInstance(**each.model_dump())
+                for each in page.instances
+            )
+        )
+
+    async def close(self) -> None:
+        """Closes connections."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/hibiscusstile/platform/http_log.py
@@ -0,0 +1,129 @@
+"""Log client over HTTP."""
+
+from __future__ import annotations
+
+import base64
+import datetime
+
+import aiohttp
+import pydantic
+
+from hibiscusstile import platform
+
+__all__ = ["HttpLog"]
+
+_APPEND_TIMEOUT = datetime.timedelta(seconds=3)
+_READ_MARGIN = datetime.timedelta(seconds=3)
+_MAX_REFUSAL_STATUS = 499
+
+
+class _Entry(pydantic.BaseModel):
+    offset: int
+    time: datetime.datetime
+    payload: str
+
+
+class _Page(pydantic.BaseModel):
+    entries: list[_Entry]
+    earliest: int
+    end: int
+
+
+class _Position(pydantic.BaseModel):
+    offset: int
+
+
+@platform.log_clients.register()
+class HttpLog(platform.LogClient):
+    """Talks to the log service at a base URL.
+
+    Args:
+        url: Base URL without a trailing slash.
+    """
+
+    name = "http"
+
+    def __init__(self, url: str) -> None:
+        super().__init__(url)
+        self._url = url
+        self._session: aiohttp.ClientSession | None = None
+
+    async def append(
+        self, stream: str, payload: bytes
+    ) -> platform.Appended | platform.AppendRefused | platform.AppendUnknown:
+        """Appends one entry, once."""
+        timeout = aiohttp.ClientTimeout(total=_APPEND_TIMEOUT.total_seconds())
+        try:
+            async with self._open_session().post(
+                f"{self._url}/streams/{stream}", data=payload, timeout=timeout
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except aiohttp.ClientConnectorError as error:
+            return platform.AppendRefused(f"log unreachable: {error}")
+        except (aiohttp.ClientError, TimeoutError) as e:
+            return platform.AppendUnknown(f"no answer from the log: {e!r}")
+        if status in (200, 201):
+            return self._parse_position(body)
+        if status <= _MAX_REFUSAL_STATUS:
+            return platform.AppendRefused(f"log answered {status}")
+        return platform.AppendUnknown(f"log answered {status}")
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        *,
+        limit: int = 500,
+        wait: datetime.timedelta = datetime.timedelta(0),
+    ) -> platform.LogEntries | platform.LogUnavailable:
+        """Reads entries from `offset` on, waiting up to `wait` for one."""
+        total_s = (wait + _READ_MARGIN).total_seconds()
+        parameters = {
+            "offset": str(offset),
+            "limit": str(limit),
+            "wait": f"{wait.total_seconds():g}",
+        }
+        try:
+            async with self._open_session().get(
+                f"{self._url}/streams/{stream}",
+                params=parameters,
+                timeout=aiohttp.ClientTimeout(total=total_s),
+            ) as response:
+                if response.status != 200:
+                    return platform.LogUnavailable(
+                        f"log answered {response.status}"
+                    )
+                page = _Page.model_validate_json(await response.read())
+        except (aiohttp.ClientError, TimeoutError) as e:
+            return platform.LogUnavailable(f"no answer from the log: {e!r}")
+        except pydantic.ValidationError:
+            return platform.LogUnavailable("the log's answer is malformed")
+        return _to_entries(page)
+
+    async def close(self) -> None:
+        """Closes connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    @staticmethod
+    def _parse_position(
+        body: bytes,
+    ) -> platform.Appended | platform.AppendUnknown:
+        try:
+            return platform.Appended(_Position.model_validate_json(body).offset)
+        except pydantic.ValidationError:
+            return platform.AppendUnknown("the log's answer is malformed")
+
+
+def _to_entries(page: _Page) -> platform.LogEntries:
+    entries = tuple(
+        platform.LogEntry(e.offset, e.time, base64.b64decode(e.payload))
+        for e in page.entries
+    )
+    return platform.LogEntries(entries, page.earliest, page.end)
--- /dev/null
+++ b/hibiscusstile/policies/round_robin.py
@@ -0,0 +1,43 @@
+"""Baseline: each runner in turn."""
+
+from __future__ import annotations
+
+import itertools
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from hibiscusstile import policies, request
+
+__all__ = ["RoundRobin"]
+
+
+@policies.policies.register()
+class RoundRobin(policies.Policy):
+    """Gives each request to the next runner in the order of their names."""
+
+    name = "round_robin"
+
+    def __init__(self, options: Mapping[str, Any]) -> None:
+        super().__init__(options)
+        self._turns = itertools.count()
+
+    def candidates(
+        self,
+        work: request.WorkItem,
+        fleet: Sequence[policies.RunnerView],
+    ) -> list[policies.RunnerView]:
+        """Returns all runners, starting with the one whose turn it is."""
+        if not fleet:
+            return []
+        ordered = sorted(fleet, key=lambda view: view.runner)
+        start = next(self._turns) % len(ordered)
+        return ordered[start:] + ordered[:start]
+
+    def choose(
+        self, work: request.WorkItem, bids: Sequence[policies.Bid]
+    ) -> policies.Choice | None:
+        """Returns the first runner that does not refuse."""
+        for bid in bids:
+            if bid.refusal is None:
+                return policies.Choice(bid.runner, "turn")
+        return None
--- /dev/null
+++ b/hibiscusstile/records/__init__.py
@@ -0,0 +1,85 @@
+"""Kinds of configuration records and their schema versions.
+
+A class per kind and schema version validates the body at the border and
+turns it into a data class of `configuration.view`. A version's rules never
+change once it has been released, because processes of different versions
+must judge a record alike.
+"""
+
+from __future__ import annotations
+
+import abc
+from typing import Any, ClassVar
+
+import pydantic
+
+from hibiscusstile import registry
+
+__all__ = [
+    "RecordBody",
+    "RecordSchemaNotFound",
+    "get_schema_by_name",
+    "newest_schema_version",
+    "record_schemas",
+    "schema_name",
+]
+
+
+class RecordBody(pydantic.BaseModel, abc.ABC):
+    """Body of one kind of record in one schema version.
+
+    Attributes:
+        name: Name in the registry, `kind/schema_version`.
+        aliases: Further names.
+        kind: The kind of record.
+        schema_version: The schema's version, from 1.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    name: ClassVar[str] = ""
+    aliases: ClassVar[tuple[str, ...]] = ()
+    kind: ClassVar[str] = ""
+    schema_version: ClassVar[int] = 0
+
+    @abc.abstractmethod
+    def build(self, record_name: str) -> Any:
+        """Returns the data class of `configuration.view`."""
+
+
+class RecordSchemaNotFound(registry.NameNotFound):
+    """No schema of that kind and version is known to this process."""
+
+
+record_schemas: registry.Registry[RecordBody] = registry.Registry(
+    "record schema",
+    RecordSchemaNotFound,
+    (
+        f"{__name__}.application",
+        f"{__name__}.backend_kind",
+        f"{__name__}.model",
+        f"{__name__}.rank",
+        f"{__name__}.routing_policy",
+        f"{__name__}.workspace",
+    ),
+)
+
+
+def schema_name(kind: str, schema_version: int) -> str:
+    """Returns the registry's name of a kind and version."""
+    return f"{kind}/{schema_version}"
+
+
+def get_schema_by_name(name: str) -> type[RecordBody]:
+    """Returns the body class named `kind/schema_version`.
+
+    Raises:
+        RecordSchemaNotFound: This process does not know it.
+    """
+    return record_schemas.get_by_name(name)
+
+
+def newest_schema_version(kind: str) -> int:
+    """Returns the newest version known of a kind, 0 for an unknown kind."""
+    versions = (s.schema_version for s in record_schemas if s.kind == kind)
+    return max(versions, default=0)
--- /dev/null
+++ b/hibiscusstile/registry.py
@@ -0,0 +1,88 @@
+"""Registry of named classes, filled by a decorator."""
+
+from __future__ import annotations
+
+import importlib
+from collections.abc import Callable, Iterator, Sequence
+from typing import Any, Generic, TypeVar
+
+__all__ = ["NameNotFound", "Registry"]
+
+_T = TypeVar("_T")
+_C = TypeVar("_C", bound=type[Any])
+
+
+class NameNotFound(LookupError):  # noqa: N818 - as in `XNotFound` look-ups
+    """No class of a family has the requested name or alias."""
+
+
+class Registry(Generic[_T]):
+    """Maps the `name` and `aliases` of classes to the classes.
+
+    Args:
+        family: What the classes are, for error messages ("policy").
+        not_found: The error raised for an unknown name.
+        modules: Modules that register classes. They are imported at the
+            first look-up, so that a family's base classes can be used
+            without the libraries that its members need.
+    """
+
+    def __init__(
+        self,
+        family: str,
+        not_found: type[NameNotFound] = NameNotFound,
+        modules: Sequence[str] = (),
+    ) -> None:
+        self._family = family
+        self._not_found = not_found
+        self._unloaded = list(modules)
+        self._classes: dict[str, type[_T]] = {}
+        self._names: list[str] = []
+
+    @property
+    def names(self) -> tuple[str, ...]:
+        """The primary names, in order of registration."""
+        self._load()
+        return tuple(self._names)
+
+    def register(self) -> Callable[[_C], _C]:
+        """Returns a class decorator that enters the class.
+
+        Raises:
+            ValueError: A name or alias is already taken.
+        """
+
+        def decorate(cls: _C) -> _C:
+            for name in (cls.name, *cls.aliases):
+                if name in self._classes:
+                    raise ValueError(
+                        f"{self._family} {name!r} is registered twice"
+                    )
+                self._classes[name] = cls
+            self._names.append(cls.name)
+            return cls
+
+        return decorate
+
+    def get_by_name(self, name: str) -> type[_T]:
+        """Returns the class with this name or alias.
+
+        Raises:
+            NameNotFound: No class has it.
+        """
+        self._load()
+        try:
+            return self._classes[name]
+        except KeyError:
+            known = ", ".join(sorted(self._names)) or "none"
+            raise self._not_found(
+                f"unknown {self._family} {name!r} (known: {known})"
+            ) from None
+
+    def __iter__(self) -> Iterator[type[_T]]:
+        self._load()
+        return (self._classes[name] for name in self._names)
+
+    def _load(self) -> None:
+        while self._unloaded:
+            importlib.import_module(self._unloaded.pop())
--- /dev/null
+++ b/hibiscusstile/roles/entry.py
@@ -0,0 +1,164 @@
+"""Role of the thin instances that callers reach."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Mapping
+
+import logbook
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import (
+    identity,
+    operators,
+    platform,
+    roles,
+    settings,
+    supervisor,
+)
+from hibiscusstile.configuration import follower as follower_lib
+from hibiscusstile.configuration import store as store_lib
+from hibiscusstile.entry import (
+    calls,
+    fleet,
+    front,
+    listener,
+    relay,
+    routing,
+)
+from hibiscusstile.peers import messages
+
+__all__ = ["EntryRole"]
+
+_log = logbook.Logger("entry")
+
+_DRAIN_POLL = datetime.timedelta(milliseconds=50)
+_ROLE = "entry"
+
+
+@roles.roles.register()
+class EntryRole(roles.Role):
+    """Takes callers' requests and relays them to sidecars."""
+
+    name = _ROLE
+
+    def __init__(
+        self, config: settings.EntrySettings, clock: clock_lib.Clock
+    ) -> None:
+        super().__init__(config, clock)
+        self._config = config
+        self._clock = clock
+        self._incarnation = identity.new_id("inc")
+        self._leaving = False
+        self._store = store_lib.ConfigurationStore()
+        self._log = platform.get_log_client_by_name(config.platform.log.kind)(
+            config.platform.log.url
+        )
+        listing = config.platform.instance_list
+        self._instance_list = platform.get_instance_list_by_name(listing.kind)(
+            listing.url
+        )
+        self._fleet = fleet.Fleet(
+            config,
+            config.peer_secret.read(),
+            self._hello,
+            self._store,
+            self._instance_list,
+            clock,
+        )
+        router = routing.Router(self._fleet, self._store)
+        self._front = front.Front(
+            config.limits,
+            self._store,
+            relay.Relay(self._fleet, router, clock),
+            calls.Calls(self._fleet, clock),
+            lambda: not self._leaving and self._store.revision >= 0,
+            clock,
+        )
+        self._listener = listener.Listener(
+            config.http, self._front.application()
+        )
+        self._operators = operators.OperatorsServer(
+            config.operators, self.status
+        )
+
+    @property
+    def ports(self) -> Mapping[str, int]:
+        """The open ports by their names in the settings."""
+        return {
+            "http": self._listener.port,
+            "operators": self._operators.port,
+        }
+
+    def status(self) -> dict[str, object]:
+        """Returns what the operators' port shows."""
+        return {
+            "role": _ROLE,
+            "peer_id": self._config.peer_id,
+            "incarnation": self._incarnation,
+            "revision": self._store.revision,
+            "digest": self._store.digest,
+            "leaving": self._leaving,
+            "active_requests": self._front.active,
+            "backend_servers": [
+                {
+                    "peer_id": link.peer_id,
+                    "address": link.address,
+                    "usable": link.usable,
+                    "load": link.load,
+                }
+                for link in self._fleet.links
+            ],
+        }
+
+    def build(self, root: supervisor.Supervisor) -> None:
+        """Adds the role's children to the root."""
+        follower = follower_lib.LogFollower(self._log, self._store, self._clock)
+        specs = [
+            ("configuration", follower.run),
+            ("links", self._fleet.tasks.run),
+            ("fleet", self._fleet.run),
+            ("operators", self._operators.run),
+            ("http", self._listener.run),
+        ]
+        for name, start in specs:
+            root.add(supervisor.ChildSpec(name, start))
+
+    async def wait_ready(self) -> None:
+        """Waits until both ports are open."""
+        await self._listener.wait_listening()
+        await self._operators.wait_listening()
+
+    async def drain(self) -> None:
+        """Turns not ready, closes the port, and lets requests end.
+
+        Requests that still arrive before the load balancer has noticed are
+        served until the port closes.
+        """
+        _log.info("leaving peer_id={}", self._config.peer_id)
+        self._leaving = True
+        stop = self._config.stop
+        await self._clock.sleep(stop.balancer_delay)
+        await self._listener.close_port()
+        limit_s = self._clock.monotonic() + stop.deadline.total_seconds()
+        while self._front.active and self._clock.monotonic() < limit_s:
+            await self._clock.sleep(_DRAIN_POLL)
+
+    async def close(self) -> None:
+        """Closes clients, once the children have stopped."""
+        await self._log.close()
+        await self._instance_list.close()
+
+    def _hello(self) -> messages.Hello:
+        return messages.Hello(
+            messages.PeerInfo(
+                self._config.peer_id,
+                self._incarnation,
+                _ROLE,
+                "",
+                0,
+                self._config.zone,
+                self._config.region,
+                leaving=self._leaving,
+            )
+        )
--- /dev/null
+++ b/hibiscusstile/settings.py
@@ -0,0 +1,306 @@
+"""Settings of a process: YAML, validated before anything starts."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import os
+import pathlib
+from collections.abc import Sequence
+from typing import Annotated, Literal
+
+import pydantic
+import yaml
+
+from hibiscusstile import logs
+
+__all__ = [
+    "Address",
+    "BackendSettings",
+    "CommonSettings",
+    "EntrySettings",
+    "LoggingSettings",
+    "PlatformSettings",
+    "QueueSettings",
+    "SecretSource",
+    "ServiceSettings",
+    "SettingsError",
+    "SettingsFault",
+    "SidecarSettings",
+    "StopSettings",
+    "faults_of",
+    "load_settings",
+    "parse_settings",
+]
+
+_MIN_SECRET_BYTES = 16
+_Port = Annotated[int, pydantic.Field(ge=0, le=65535)]
+_Name = Annotated[
+    str,
+    pydantic.StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"),
+]
+_Positive = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsFault:
+    """One fault in a file.
+
+    Attributes:
+        path: Where in the file, as `platform.log.url`.
+        message: What is wrong.
+    """
+
+    path: str
+    message: str
+
+
+class SettingsError(ValueError):
+    """The settings cannot be used; `faults` lists every fault."""
+
+    def __init__(self, faults: Sequence[SettingsFault]) -> None:
+        self.faults = tuple(faults)
+        super().__init__("; ".join(f"{f.path}: {f.message}" for f in faults))
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class Address(_Model):
+    """A TCP address by IP."""
+
+    host: pydantic.IPvAnyAddress
+    port: _Port
+
+    @property
+    def host_text(self) -> str:
+        """The IP address as text."""
+        return str(self.host)
+
+
+class SecretSource(_Model):
+    """Where a secret comes from; exactly one of the two is given."""
+
+    file: pathlib.Path | None = None
+    environment: str | None = None
+
+    @pydantic.model_validator(mode="after")
+    def _check_one(self) -> SecretSource:
+        if (self.file is None) == (self.environment is None):
+            raise ValueError("give either 'file' or 'environment'")
+        return self
+
+    def read(self) -> bytes:
+        """Returns the secret.
+
+        Raises:
+            SettingsError: It is missing or shorter than 16 bytes.
+        """
+        try:
+            if self.file is not None:
+                value = self.file.read_bytes().strip()
+            else:
+                value = os.environ[self.environment or ""].encode()
+        except (OSError, KeyError):
+            raise SettingsError(
+                [SettingsFault("peer_secret", "the secret cannot be read")]
+            ) from None
+        if len(value) < _MIN_SECRET_BYTES:
+            raise SettingsError(
+                [SettingsFault("peer_secret", "the secret is under 16 bytes")]
+            )
+        return value
+
+
+class ServiceSettings(_Model):
+    """A platform service: the kind of its client, and its URL."""
+
+    kind: str = "http"
+    url: Annotated[str, pydantic.StringConstraints(pattern=r"^https?://\S+$")]
+
+
+class PlatformSettings(_Model):
+    """The platform's services."""
+
+    log: ServiceSettings
+    instance_list: ServiceSettings
+
+
+class LoggingSettings(_Model):
+    """Form and level of the log."""
+
+    format: logs.LogFormat = logs.LogFormat.KEY_VALUE
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
+
+
+class StopSettings(_Model):
+    """Timing of a graceful stop.
+
+    Attributes:
+        balancer_delay_s: Seconds from "not ready" to the listener's close.
+        deadline_s: Seconds after which what still runs is ended.
+    """
+
+    balancer_delay_s: Annotated[float, pydantic.Field(ge=0)] = 3.0
+    deadline_s: _Positive = 120.0
+
+    @property
+    def balancer_delay(self) -> datetime.timedelta:
+        """Time from "not ready" to the listener's close."""
+        return datetime.timedelta(seconds=self.balancer_delay_s)
+
+    @property
+    def deadline(self) -> datetime.timedelta:
+        """Time after which what still runs is ended."""
+        return datetime.timedelta(seconds=self.deadline_s)
+
+
+class CommonSettings(_Model):
+    """What every role needs."""
+
+    peer_id: _Name
+    zone: _Name
+    region: _Name
+    operators: Address
+    platform: PlatformSettings
+    peer_secret: SecretSource
+    logging: LoggingSettings = LoggingSettings()
+    stop: StopSettings = StopSettings()
+
+
+class LimitSettings(_Model):
+    """Bounds of what a caller may send."""
+
+    body_bytes: Annotated[int, pydantic.Field(ge=1024, le=5_000_000)] = (
+        4_000_000
+    )
+    image_bytes: Annotated[int, pydantic.Field(ge=1024, le=4_000_000)] = (
+        2_000_000
+    )
+    body_timeout_s: _Positive = 10.0
+    concurrent_requests: Annotated[int, pydantic.Field(ge=1)] = 2000
+
+
+class EntrySettings(CommonSettings):
+    """Settings of an entry instance.
+
+    Attributes:
+        role: Always `entry`.
+        http: Where callers connect.
+        seeds: Sidecars to connect to before the instance list answers.
+        limits: Bounds of what a caller may send.
+        zone_delays_s: Seconds of round trip to other availability zones.
+    """
+
+    role: Literal["entry"]
+    http: Address
+    seeds: tuple[Address, ...] = ()
+    limits: LimitSettings = LimitSettings()
+    zone_delays_s: dict[str, float] = pydantic.Field(default_factory=dict)
+
+
+class BackendSettings(_Model):
+    """The backend server beside a sidecar.
+
+    Attributes:
+        kind: Name in the registry of backend kinds.
+        url: Its base URL.
+        application: Application that a plain service serves.
+    """
+
+    kind: str
+    url: Annotated[str, pydantic.StringConstraints(pattern=r"^https?://\S+$")]
+    application: str = ""
+
+
+class QueueSettings(_Model):
+    """Bounds of a sidecar's queue and of what runs at once.
+
+    Attributes:
+        running: Requests handed to the backend server at once.
+        running_tokens: Tokens handed to the engine at once.
+        queued_tokens: Tokens that may wait.
+        queued_requests: Requests that may wait.
+        prefill_tokens_per_s: The engine's speed before any was observed.
+    """
+
+    running: Annotated[int, pydantic.Field(ge=1)] = 32
+    running_tokens: Annotated[int, pydantic.Field(ge=1)] = 400_000
+    queued_tokens: Annotated[int, pydantic.Field(ge=1)] = 2_000_000
+    queued_requests: Annotated[int, pydantic.Field(ge=1)] = 1000
+    prefill_tokens_per_s: _Positive = 20_000.0
+
+
+class SidecarSettings(CommonSettings):
+    """Settings of a sidecar.
+
+    Attributes:
+        role: Always `sidecar`.
+        peers: Where entry instances connect.
+        backend: The backend server beside it.
+        queue: Bounds of its queue.
+        seeds: Other sidecars, for configuration while the log is down.
+    """
+
+    role: Literal["sidecar"]
+    peers: Address
+    backend: BackendSettings
+    queue: QueueSettings = QueueSettings()
+    seeds: tuple[Address, ...] = ()
+
+
+_AnySettings = Annotated[
+    EntrySettings | SidecarSettings, pydantic.Field(discriminator="role")
+]
+_ADAPTER: pydantic.TypeAdapter[EntrySettings | SidecarSettings] = (
+    pydantic.TypeAdapter(_AnySettings)
+)
+
+
+def faults_of(error: pydantic.ValidationError) -> list[SettingsFault]:
+    """Returns every fault of a failed validation, without input values."""
+    return [
+        SettingsFault(
+            ".".join(str(part) for part in each["loc"]) or "(file)",
+            each["msg"],
+        )
+        for each in error.errors(include_input=False, include_url=False)
+    ]
+
+
+def parse_settings(text: str) -> EntrySettings | SidecarSettings:
+    """Returns validated settings from YAML text.
+
+    Raises:
+        SettingsError: With every fault found.
+    """
+    try:
+        data = yaml.safe_load(text)
+    except yaml.YAMLError as error:
+        raise SettingsError(
+            [SettingsFault("(file)", f"not YAML: {_one_line(error)}")]
+        ) from None
+    try:
+        return _ADAPTER.validate_python(data)
+    except pydantic.ValidationError as error:
+        raise SettingsError(faults_of(error)) from None
+
+
+def load_settings(path: pathlib.Path) -> EntrySettings | SidecarSettings:
+    """Returns validated settings from a YAML file.
+
+    Raises:
+        SettingsError: The file cannot be read or has faults.
+    """
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeDecodeError) as error:
+        raise SettingsError(
+            [SettingsFault("(file)", f"cannot be read: {error}")]
+        ) from None
+    return parse_settings(text)
+
+
+def _one_line(error: Exception) -> str:
+    return " ".join(str(error).split())
--- /dev/null
+++ b/hibiscusstile/sidecar/__init__.py
@@ -0,0 +1,1 @@
+"""Role `sidecar`: the process beside each backend server."""
--- /dev/null
+++ b/hibiscusstile/sidecar/attempt.py
@@ -0,0 +1,143 @@
+"""One attempt to answer a model request at the local engine."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+import xxhash
+
+from hibiscusstile import backends
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.peers import messages
+
+__all__ = ["AttemptStream"]
+
+_WINDOW_CHUNKS = 512
+_PROGRESS_INTERVAL_S = 0.5
+_REATTACH_GRACE = datetime.timedelta(milliseconds=900)
+
+
+class AttemptStream:
+    """Keeps an attempt's unacknowledged chunks and sends them in order.
+
+    The stream outlives its connection for a moment, so that the entry can
+    connect again and take up from the last chunk that it has.
+
+    Args:
+        attempt_id: The attempt.
+        connection: Where to send.
+        clock: Measures how long the stream has had no connection.
+    """
+
+    def __init__(
+        self,
+        attempt_id: str,
+        connection: connection_lib.PeerConnection,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._attempt_id = attempt_id
+        self._connection: connection_lib.PeerConnection | None = connection
+        self._clock = clock
+        self._detached_s: float | None = None
+        self._sent_s = clock.monotonic()
+        self._chunks: dict[int, messages.Chunk] = {}
+        self._next_number = 0
+        self._digest = xxhash.xxh3_64()
+        self._last: messages.PeerMessage | None = None
+        self._room = asyncio.Event()
+        self._room.set()
+
+    @property
+    def attempt_id(self) -> str:
+        """The attempt."""
+        return self._attempt_id
+
+    @property
+    def connection(self) -> connection_lib.PeerConnection | None:
+        """Where chunks go; None while detached."""
+        return self._connection
+
+    @property
+    def orphaned(self) -> bool:
+        """Whether it has had no connection for longer than the grace."""
+        if self._detached_s is None:
+            return False
+        age_s = self._clock.monotonic() - self._detached_s
+        return age_s > _REATTACH_GRACE.total_seconds()
+
+    async def send_started(self, cached_tokens: int) -> None:
+        """Says that the engine has taken the attempt up."""
+        await self._send(messages.Started(self._attempt_id, cached_tokens))
+
+    async def send_progress_if_idle(self) -> None:
+        """Says that the attempt is alive, if nothing was sent for 0.5 s."""
+        if self._clock.monotonic() - self._sent_s >= _PROGRESS_INTERVAL_S:
+            await self._send(messages.Progress(self._attempt_id))
+
+    async def send_text(self, text: str) -> None:
+        """Sends a chunk, waiting while too many are unacknowledged."""
+        await self._room.wait()
+        chunk = messages.Chunk(self._attempt_id, self._next_number, text)
+        self._chunks[chunk.number] = chunk
+        self._next_number += 1
+        self._digest.update(text.encode())
+        if len(self._chunks) >= _WINDOW_CHUNKS:
+            self._room.clear()
+        await self._send(chunk)
+
+    async def send_end(self, end: backends.EngineEnd) -> None:
+        """Sends the end, with the count and digest of all chunks."""
+        self._last = messages.End(
+            self._attempt_id,
+            self._next_number,
+            self._digest.intdigest(),
+            end.finish_reason,
+            messages.Usage(
+                end.prompt_tokens, end.cached_tokens, end.completion_tokens
+            ),
+        )
+        await self._send(self._last)
+
+    async def send_failed(self, failed: messages.Failed) -> None:
+        """Sends the failure that ends the attempt."""
+        self._last = failed
+        await self._send(failed)
+
+    def acknowledge(self, next_number: int) -> None:
+        """Forgets chunks below `next_number`."""
+        for number in list(self._chunks):
+            if number >= next_number:
+                break
+            del self._chunks[number]
+        if len(self._chunks) < _WINDOW_CHUNKS:
+            self._room.set()
+
+    def detach(self, connection: connection_lib.PeerConnection) -> None:
+        """Notes that a connection has ended."""
+        if self._connection is connection:
+            self._connection = None
+            self._detached_s = self._clock.monotonic()
+
+    async def attach(
+        self, connection: connection_lib.PeerConnection, next_number: int
+    ) -> None:
+        """Sends all chunks from `next_number` on over a new connection."""
+        self.acknowledge(next_number)
+        self._connection = connection
+        self._detached_s = None
+        for chunk in list(self._chunks.values()):
+            await self._send(chunk)
+        if self._last is not None:
+            await self._send(self._last)
+
+    async def _send(self, message: messages.PeerMessage) -> None:
+        connection = self._connection
+        if connection is None:
+            return
+        self._sent_s = self._clock.monotonic()
+        try:
+            await connection.send(message)
+        except connection_lib.ConnectionLost:
+            self.detach(connection)
--- /dev/null
+++ b/hibiscusstile/sidecar/turns.py
@@ -0,0 +1,98 @@
+"""Lets attempts wait for their turn in the admission queue."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+from hibiscusstile import admission, metrics, outcome, request
+from hibiscusstile import clock as clock_lib
+
+__all__ = ["Turns"]
+
+_EXPIRY_INTERVAL = datetime.timedelta(milliseconds=100)
+
+
+class Turns:
+    """Joins the queue's decisions with the tasks that wait for them.
+
+    Args:
+        queue: Decides who runs next.
+        clock: Paces the search for expired requests.
+    """
+
+    def __init__(
+        self, queue: admission.AdmissionQueue, clock: clock_lib.Clock
+    ) -> None:
+        self._queue = queue
+        self._clock = clock
+        self._futures: dict[str, asyncio.Future[None]] = {}
+
+    @property
+    def queue(self) -> admission.AdmissionQueue:
+        """The queue."""
+        return self._queue
+
+    async def wait(self, work: request.WorkItem, deadline_s: float) -> None:
+        """Waits until the request may start.
+
+        The caller must call `finish` once this has returned.
+
+        Raises:
+            Refused: The queue refused it, it expired, or the queue was
+                drained; always `not_run`.
+        """
+        refusal = self._queue.offer(work, deadline_s)
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+        future: asyncio.Future[None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._futures[work.work_id] = future
+        self._start_ready()
+        try:
+            await future
+        except asyncio.CancelledError:
+            if not self._queue.cancel(work.work_id):
+                self.finish(work.work_id, 0)
+            raise
+        finally:
+            self._futures.pop(work.work_id, None)
+
+    def finish(self, work_id: str, served_tokens: int) -> None:
+        """Frees the place of a request that ended."""
+        self._queue.finish(work_id, served_tokens)
+        self._start_ready()
+
+    def drain(self, refusal: outcome.Refusal) -> None:
+        """Refuses all that wait."""
+        for work in self._queue.drain():
+            self._refuse(work.work_id, refusal)
+
+    async def run(self) -> None:
+        """Refuses expired requests until cancelled."""
+        while True:
+            await self._clock.sleep(_EXPIRY_INTERVAL)
+            for work in self._queue.expire():
+                self._refuse(
+                    work.work_id,
+                    outcome.Refusal(
+                        outcome.Reason.EXPIRED,
+                        "the request waited longer than its rank allows",
+                    ),
+                )
+            self._start_ready()
+
+    def _start_ready(self) -> None:
+        while (work := self._queue.take()) is not None:
+            future = self._futures.get(work.work_id)
+            if future is None or future.done():
+                self._queue.finish(work.work_id, 0)
+            else:
+                future.set_result(None)
+        metrics.set_queue_length("all", self._queue.waiting)
+
+    def _refuse(self, work_id: str, refusal: outcome.Refusal) -> None:
+        future = self._futures.get(work_id)
+        if future is not None and not future.done():
+            future.set_exception(outcome.Refused(refusal))
--- /dev/null
+++ b/hibiscusstile/supervisor.py
@@ -0,0 +1,235 @@
+"""Supervisor tree: owns, restarts and stops the long-lived tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextlib
+import dataclasses
+import datetime
+import enum
+from collections.abc import Awaitable, Callable
+
+import logbook
+
+from hibiscusstile import clock as clock_lib
+
+__all__ = [
+    "ChildSpec",
+    "IntensityExceeded",
+    "Restart",
+    "Strategy",
+    "Supervisor",
+]
+
+_log = logbook.Logger("supervisor")
+
+_DEFAULT_SHUTDOWN = datetime.timedelta(seconds=5)
+_DEFAULT_PERIOD = datetime.timedelta(seconds=10)
+_RESTART_DELAY = datetime.timedelta(milliseconds=50)
+
+
+class Restart(enum.Enum):
+    """When a child that ended is started again."""
+
+    PERMANENT = "permanent"
+    """Always: a normal return counts as a failure too."""
+    TRANSIENT = "transient"
+    """After an error only."""
+    TEMPORARY = "temporary"
+    """Never: an error is logged and the child forgotten."""
+
+
+class Strategy(enum.Enum):
+    """Which children are started again when one fails."""
+
+    ONE_FOR_ONE = "one_for_one"
+    ONE_FOR_ALL = "one_for_all"
+
+
+class IntensityExceeded(RuntimeError):  # noqa: N818 - supervision's usual term
+    """A supervisor's children failed more often than it tolerates."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChildSpec:
+    """How to run one child.
+
+    Attributes:
+        name: Unique among the supervisor's live children.
+        start: Makes the coroutine that is the child's whole life.
+        restart: When to start it again.
+        shutdown: How long it may take to stop once cancelled.
+    """
+
+    name: str
+    start: Callable[[], Awaitable[None]]
+    restart: Restart = Restart.PERMANENT
+    shutdown: datetime.timedelta = _DEFAULT_SHUTDOWN
+
+
+class Supervisor:
+    """Runs children as tasks, in order, and stops them in reverse order.
+
+    A supervisor is itself a child of another one through `run`. A child that
+    fails more than `max_restarts` times in `period` makes `run` raise
+    `IntensityExceeded`, which the parent counts as a failure of its own.
+
+    Args:
+        name: For logs.
+        clock: Measures the intensity's period.
+        strategy: Which children to restart when one fails.
+        max_restarts: The failures tolerated in `period`.
+        period: The time over which failures count.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        clock: clock_lib.Clock,
+        *,
+        strategy: Strategy = Strategy.ONE_FOR_ONE,
+        max_restarts: int = 5,
+        period: datetime.timedelta = _DEFAULT_PERIOD,
+    ) -> None:
+        self._name = name
+        self._clock = clock
+        self._strategy = strategy
+        self._max_restarts = max_restarts
+        self._period_s = period.total_seconds()
+        self._specs: dict[str, ChildSpec] = {}
+        self._tasks: dict[str, asyncio.Task[None]] = {}
+        self._ended: asyncio.Queue[tuple[str, asyncio.Task[None]]] = (
+            asyncio.Queue()
+        )
+        self._failures_s: collections.deque[float] = collections.deque()
+        self._running = False
+
+    @property
+    def name(self) -> str:
+        """The supervisor's name."""
+        return self._name
+
+    @property
+    def children(self) -> tuple[str, ...]:
+        """Names of the children, in order of their start."""
+        return tuple(self._specs)
+
+    def add(self, spec: ChildSpec) -> None:
+        """Adds a child; it starts at once if the supervisor runs.
+
+        Raises:
+            ValueError: A live child has the same name.
+        """
+        if spec.name in self._specs:
+            raise ValueError(f"{self._name} already has a child {spec.name!r}")
+        self._specs[spec.name] = spec
+        if self._running:
+            self._start(spec)
+
+    async def remove(self, name: str) -> None:
+        """Stops a child and forgets it; an unknown name is ignored."""
+        spec = self._specs.pop(name, None)
+        task = self._tasks.pop(name, None)
+        if spec is not None and task is not None:
+            await self._stop_task(spec, task)
+
+    async def run(self) -> None:
+        """Runs the children until cancelled or until they fail too often.
+
+        Raises:
+            IntensityExceeded: The children failed too often.
+        """
+        self._running = True
+        try:
+            for spec in list(self._specs.values()):
+                self._start(spec)
+            while True:
+                name, task = await self._ended.get()
+                await self._handle_end(name, task)
+        finally:
+            self._running = False
+            await self._stop_all()
+
+    def _start(self, spec: ChildSpec) -> None:
+        task = asyncio.ensure_future(self._live(spec))
+        task.set_name(f"{self._name}/{spec.name}")
+        self._tasks[spec.name] = task
+        task.add_done_callback(
+            lambda ended: self._ended.put_nowait((spec.name, ended))
+        )
+
+    async def _live(self, spec: ChildSpec) -> None:
+        await spec.start()
+
+    async def _handle_end(self, name: str, task: asyncio.Task[None]) -> None:
+        if self._tasks.get(name) is not task:
+            return
+        del self._tasks[name]
+        spec = self._specs[name]
+        error = None if task.cancelled() else task.exception()
+        if not self._is_failure(spec, error):
+            del self._specs[name]
+            return
+        _log.error(
+            "child_failed supervisor={} child={} error={!r}",
+            self._name,
+            name,
+            error,
+        )
+        self._count_failure(name)
+        await self._clock.sleep(_RESTART_DELAY)
+        if self._strategy is Strategy.ONE_FOR_ALL:
+            await self._stop_all()
+            for each in list(self._specs.values()):
+                self._start(each)
+        elif name in self._specs:
+            self._start(spec)
+
+    def _is_failure(self, spec: ChildSpec, error: BaseException | None) -> bool:
+        if spec.restart is Restart.PERMANENT:
+            return True
+        if error is None:
+            return False
+        if spec.restart is Restart.TRANSIENT:
+            return True
+        _log.warn(
+            "task_failed supervisor={} child={} error={!r}",
+            self._name,
+            spec.name,
+            error,
+        )
+        return False
+
+    def _count_failure(self, name: str) -> None:
+        now_s = self._clock.monotonic()
+        self._failures_s.append(now_s)
+        while self._failures_s[0] < now_s - self._period_s:
+            self._failures_s.popleft()
+        if len(self._failures_s) > self._max_restarts:
+            raise IntensityExceeded(
+                f"{self._name}: child {name!r} was the last of "
+                f"{len(self._failures_s)} failures in {self._period_s:g} s"
+            )
+
+    async def _stop_all(self) -> None:
+        for name in reversed(list(self._tasks)):
+            task = self._tasks.pop(name)
+            await self._stop_task(self._specs[name], task)
+
+    async def _stop_task(
+        self, spec: ChildSpec, task: asyncio.Task[None]
+    ) -> None:
+        task.cancel()
+        limit_s = spec.shutdown.total_seconds()
+        done, _ = await asyncio.wait([task], timeout=limit_s)
+        if not done:
+            _log.error(
+                "child_did_not_stop supervisor={} child={} after_s={:g}",
+                self._name,
+                spec.name,
+                limit_s,
+            )
+            return
+        with contextlib.suppress(asyncio.CancelledError, Exception):
+            task.result()
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,32 @@
+"""Guards the border between decisions and the encoding of messages."""
+
+from __future__ import annotations
+
+import subprocess
+import sys
+
+import pytest
+
+_DECISIONS = (
+    "admission",
+    "cacheview",
+    "configuration.fold",
+    "configuration.view",
+    "policies",
+    "prefix",
+    "rendezvous",
+)
+_TRANSPORTS = ("aiohttp", "websockets", "cbor2")
+
+
+@pytest.mark.parametrize("name", _DECISIONS)
+def test_decisions_do_not_import_transports(name: str) -> None:
+    """A decision that needs a transport cannot serve another front end."""
+    code = (
+        f"import sys, hibiscusstile.{name};"
+        f"print([m for m in {_TRANSPORTS} if m in sys.modules])"
+    )
+    result = subprocess.run(
+        [sys.executable, "-c", code], capture_output=True, text=True
+    )
+    assert result.stdout.strip() == "[]", result.stdout + result.stderr
