Carry a stream on across cuts, crashes and leaving sidecars

Cause: a resend on a new connection could be overtaken by new chunks, a late end frame failed the whole answer, a last attempt's not_run hid an earlier may_have_run, and the entry learned sidecars from the list alone.

Change: a lock keeps resent chunks in front; a gap before the end asks for the missing chunks; verdicts are joined over attempts; membership joins the list with what peers say; the callers' port opens once requests can be served.

--- /dev/null
+++ b/hibiscusstile/entry/chunkreader.py
@@ -0,0 +1,143 @@
+"""Reads one attempt's chunks in order and checks that none is missing."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+from collections.abc import AsyncGenerator
+
+import xxhash
+
+from hibiscusstile import outcome
+from hibiscusstile.entry import refusals
+from hibiscusstile.peers import client as client_lib
+from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.peers import messages
+
+__all__ = ["AnswerEnd", "AnswerEvent", "AnswerText", "ChunkReader"]
+
+_SILENCE = datetime.timedelta(milliseconds=1500)
+_RECONNECT_WAIT = datetime.timedelta(seconds=1)
+_ACK_EVERY = 64
+_MAX_REPEATS = 5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerText:
+    """A piece of the answer."""
+
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerEnd:
+    """The answer is whole."""
+
+    finish_reason: str
+    usage: messages.Usage
+
+
+AnswerEvent = AnswerText | AnswerEnd
+
+
+class ChunkReader:
+    """Yields an attempt's texts and takes a cut connection up again.
+
+    Args:
+        link: The link to the sidecar that runs the attempt.
+        channel: The attempt's messages.
+    """
+
+    def __init__(
+        self,
+        link: client_lib.SidecarLink,
+        channel: client_lib.AttemptChannel,
+    ) -> None:
+        self._link = link
+        self._channel = channel
+        self._next_number = 0
+        self._repeats = 0
+        self._digest = xxhash.xxh3_64()
+
+    async def read(self) -> AsyncGenerator[AnswerEvent]:
+        """Yields texts in order, then the end.
+
+        Raises:
+            Refused: The attempt failed or its sidecar is lost.
+        """
+        while True:
+            message = await self._receive()
+            match message:
+                case messages.Chunk() if message.number == self._next_number:
+                    yield await self._take(message)
+                case messages.Chunk() if message.number > self._next_number:
+                    await self._ask_for_missing()
+                case messages.End() if message.chunks > self._next_number:
+                    await self._ask_for_missing()
+                case messages.End():
+                    self._check_end(message)
+                    yield AnswerEnd(message.finish_reason, message.usage)
+                    return
+                case messages.Failed():
+                    raise outcome.Refused(refusals.refusal_of(message))
+                case _:
+                    continue
+
+    async def _take(self, chunk: messages.Chunk) -> AnswerText:
+        self._next_number += 1
+        self._repeats = 0
+        self._digest.update(chunk.text.encode())
+        if self._next_number % _ACK_EVERY == 0:
+            await self._acknowledge()
+        return AnswerText(chunk.text)
+
+    async def _receive(self) -> messages.PeerMessage:
+        while True:
+            try:
+                return await self._channel.receive(_SILENCE.total_seconds())
+            except client_lib.ChannelLost:
+                await self._resume()
+            except TimeoutError:
+                raise _lost() from None
+
+    async def _ask_for_missing(self) -> None:
+        """Has the chunks after a gap sent again, a few times at most."""
+        self._repeats += 1
+        if self._repeats > _MAX_REPEATS:
+            raise _lost()
+        await self._resume()
+
+    async def _resume(self) -> None:
+        self._channel = self._link.open_channel(self._channel.attempt_id)
+        try:
+            async with asyncio.timeout(_RECONNECT_WAIT.total_seconds()):
+                await self._link.wait_ready()
+            await self._link.send(
+                messages.Resume(self._channel.attempt_id, self._next_number)
+            )
+        except (TimeoutError, connection_lib.ConnectionLost):
+            raise _lost() from None
+
+    async def _acknowledge(self) -> None:
+        try:
+            await self._link.send(
+                messages.Ack(self._channel.attempt_id, self._next_number)
+            )
+        except connection_lib.ConnectionLost:
+            return
+
+    def _check_end(self, end: messages.End) -> None:
+        received = (self._next_number, self._digest.intdigest())
+        if (end.chunks, end.digest) != received:
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.INTERNAL,
+                    "the answer's digest does not match its chunks",
+                    outcome.Verdict.RAN,
+                )
+            )
+
+
+def _lost() -> outcome.Refused:
+    return outcome.Refused(refusals.peer_lost(outcome.Verdict.MAY_HAVE_RUN))
--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -3,12 +3,19 @@
 from __future__ import annotations
 
 import datetime
+import random
 from collections.abc import Callable, Sequence
 
 import logbook
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import platform, policies, settings, supervisor
+from hibiscusstile import (
+    membership,
+    platform,
+    policies,
+    settings,
+    supervisor,
+)
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
@@ -18,7 +25,9 @@
 
 _log = logbook.Logger("fleet")
 
-_LIST_INTERVAL = datetime.timedelta(seconds=5)
+_LIST_INTERVAL = datetime.timedelta(seconds=10)
+_PREPARE_POLL = datetime.timedelta(milliseconds=10)
+_PREPARE_WAIT = datetime.timedelta(seconds=1)
 
 
 class Fleet(client_lib.LinkObserver):
@@ -50,12 +59,19 @@
         self._clock = clock
         self._links: dict[str, client_lib.SidecarLink] = {}
         self._tasks = supervisor.Supervisor("links", clock)
+        self._listed = False
+        self._membership = membership.Membership(config.region, clock)
 
     @property
     def tasks(self) -> supervisor.Supervisor:
         """Supervisor of the links."""
         return self._tasks
 
+    @property
+    def wants_peers(self) -> bool:
+        """Whether sidecars' addresses are to be asked of peers."""
+        return not self._listed
+
     @property
     def links(self) -> Sequence[client_lib.SidecarLink]:
         """All links, connected or not."""
@@ -63,33 +79,79 @@
 
     def link(self, peer_id: str) -> client_lib.SidecarLink | None:
         """Returns the usable link to a sidecar, None if there is none."""
-        for each in self._links.values():
-            if each.peer_id == peer_id and each.usable:
-                return each
+        for link in self._usable():
+            if link.peer_id == peer_id:
+                return link
         return None
 
     def runners(self, model: str) -> list[policies.RunnerView]:
         """Returns the usable sidecars whose engine serves a model."""
         return [
             self._view(link)
-            for link in self._links.values()
-            if link.usable and link.info and link.info.model == model
+            for link in self._usable()
+            if link.info and link.info.model == model
         ]
 
     def servers(self, application: str) -> list[policies.RunnerView]:
         """Returns the usable sidecars whose service is of an application."""
         return [
             self._view(link)
-            for link in self._links.values()
-            if link.usable
-            and link.info
-            and link.info.application == application
+            for link in self._usable()
+            if link.info and link.info.application == application
+        ]
+
+    async def wait_prepared(self) -> None:
+        """Waits until requests can be served as well as ever.
+
+        That is when a configuration is known and the known sidecars have
+        said hello, or a second after the first one did.
+        """
+        while self._store.revision < 0 or not self._usable():
+            await self._clock.sleep(_PREPARE_POLL)
+        limit_s = self._clock.monotonic() + _PREPARE_WAIT.total_seconds()
+        while self._clock.monotonic() < limit_s:
+            if all(link.connected for link in self._links.values()):
+                return
+            await self._clock.sleep(_PREPARE_POLL)
+
+    async def run(self) -> None:
+        """Follows seeds and the instance list until cancelled."""
+        for seed in self._config.seeds:
+            self._membership.add_seed(seed.host_text, seed.port)
+        self._reconcile()
+        while True:
+            listing = await self._instance_list.list_instances(
+                self._config.region
+            )
+            if isinstance(listing, platform.Listing):
+                self._listed = True
+                self._membership.note_listing(listing)
+            self._reconcile()
+            # The spread keeps instances that start together from asking
+            # the list at the same moment from then on.
+            spread = random.uniform(0.8, 1.2)
+            await self._clock.sleep(_LIST_INTERVAL * spread)
+
+    def _usable(self) -> list[client_lib.SidecarLink]:
+        return [
+            link
+            for address, link in self._links.items()
+            if link.usable and not self._membership.is_leaving(address)
         ]
 
-    def add(self, host: str, port: int) -> None:
-        """Starts a link unless there is one to this address."""
+    def _reconcile(self) -> None:
+        for address, link in self._links.items():
+            if link.connected and link.info is not None:
+                self._membership.note_alive(address, link.info.incarnation)
+        for address in self._membership.forget_gone():
+            if self._links.pop(address, None) is not None:
+                self._tasks.cancel(address)
+        for member in self._membership.members:
+            self._add(member.host, member.port)
+
+    def _add(self, host: str, port: int) -> None:
         address = f"{host}:{port}"
-        if address in self._links:
+        if address in self._links or address in self._tasks.children:
             return
         link = client_lib.SidecarLink(
             handshake.Identity(self._config.peer_id, "entry"),
@@ -102,27 +164,21 @@
             self,
         )
         self._links[address] = link
-        self._tasks.add(supervisor.ChildSpec(address, link.run))
-
-    async def run(self) -> None:
-        """Follows seeds and the instance list until cancelled."""
-        for seed in self._config.seeds:
-            self.add(seed.host_text, seed.port)
-        while True:
-            listing = await self._instance_list.list_instances()
-            if isinstance(listing, platform.Listing):
-                for each in listing.instances:
-                    if (
-                        each.role == "sidecar"
-                        and each.region == self._config.region
-                    ):
-                        self.add(each.host, each.port)
-            await self._clock.sleep(_LIST_INTERVAL)
+        self._tasks.add(
+            supervisor.ChildSpec(
+                address, link.run, supervisor.Restart.TRANSIENT
+            )
+        )
 
     async def on_hello(
         self, link: client_lib.SidecarLink, hello: messages.Hello
     ) -> None:
         """Notes a sidecar's hello."""
+        self._membership.note_alive(link.address, hello.info.incarnation)
+        self._membership.note_peers(
+            (peer.host, peer.port) for peer in hello.peers
+        )
+        self._reconcile()
         _log.info(
             "sidecar_up peer_id={} address={} zone={}",
             hello.info.peer_id,
--- a/hibiscusstile/entry/front.py
+++ b/hibiscusstile/entry/front.py
@@ -3,20 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from typing import Any
 
 import logbook
 from aiohttp import hdrs, web
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import identity, outcome, prefix, settings
+from hibiscusstile import identity, metrics, outcome, prefix, settings
 from hibiscusstile import request as request_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.configuration import view as view_lib
-from hibiscusstile.entry import auth, calls, parsing, refusals, relay
+from hibiscusstile.entry import (
+    auth,
+    calls,
+    chunkreader,
+    parsing,
+    refusals,
+    relay,
+)
 
 __all__ = ["Front"]
 
@@ -26,6 +34,7 @@
 _KEY_HEADER = "Idempotency-Key"
 _MAX_KEY_LENGTH = 255
 _SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+_WRITE_TIMEOUT = datetime.timedelta(seconds=30)
 _DEFAULT_RANK = view_lib.Rank(
     "routine",
     level=1,
@@ -76,6 +85,7 @@
             client_max_size=self._limits.body_bytes,
             middlewares=[self._guard],
         )
+        app.on_response_prepare.append(self._close_if_leaving)
         app.router.add_post("/v1/chat/completions", self._post_chat)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_get("/ready", self._get_ready)
@@ -102,9 +112,20 @@
             return refusals.to_response(refused.refusal, request_id)
         except web.HTTPException as error:
             return refusals.to_response(_from_http(error), request_id)
+        except Exception as error:
+            _log.exception("request_failed request={}", request_id)
+            return refusals.to_response(_internal(error), request_id)
         finally:
             self._active -= 1
 
+    async def _close_if_leaving(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Lets the load balancer open its next connection elsewhere."""
+        del request
+        if not self._ready():
+            response.force_close()
+
     async def _get_live(self, request: web.Request) -> web.Response:
         del request
         return web.json_response({"live": True})
@@ -138,10 +159,10 @@
         body = await self._read_body(request)
         chat = parsing.parse_chat(body, image_bytes=self._limits.image_bytes)
         work = self._chat_work(request["request_id"], caller, chat)
-        answer = self._answers.run(work)
-        if chat.stream:
-            return await _stream(request, work, answer)
-        return await _whole(request, work, answer)
+        async with contextlib.aclosing(self._answers.run(work)) as answer:
+            if chat.stream:
+                return await _stream(request, work, answer)
+            return await _whole(work, answer)
 
     async def _call_service(self, request: web.Request) -> web.Response:
         caller = self._authenticate(request)
@@ -283,7 +304,7 @@
 async def _stream(
     request: web.Request,
     work: relay.ChatWork,
-    answer: AsyncIterator[relay.AnswerText | relay.AnswerEnd],
+    answer: AsyncGenerator[chunkreader.AnswerEvent],
 ) -> web.StreamResponse:
     """Answers with server-sent events, begun at the first text."""
     first = await anext(answer)
@@ -296,26 +317,39 @@
     )
     await response.prepare(request)
     try:
-        await response.write(_event(work, first))
+        await _write(response, _event(work, first))
         async for event in answer:
-            await response.write(_event(work, event))
-        await response.write(b"data: [DONE]\n\n")
+            await _write(response, _event(work, event))
+        await _write(response, b"data: [DONE]\n\n")
     except outcome.Refused as refused:
+        metrics.count_refusal(refused.refusal)
         body = refusals.error_body(refused.refusal)
-        await response.write(f"event: error\ndata: {body}\n\n".encode())
+        await _write(response, f"event: error\ndata: {body}\n\n".encode())
+    except TimeoutError:
+        if request.transport is not None:
+            request.transport.abort()
+        return response
     await response.write_eof()
     return response
 
 
+async def _write(response: web.StreamResponse, data: bytes) -> None:
+    """Writes to a caller, cutting it off when it does not read.
+
+    A caller that stops reading would otherwise hold its place at the engine.
+    """
+    async with asyncio.timeout(_WRITE_TIMEOUT.total_seconds()):
+        await response.write(data)
+
+
 async def _whole(
-    request: web.Request,
     work: relay.ChatWork,
-    answer: AsyncIterator[relay.AnswerText | relay.AnswerEnd],
+    answer: AsyncGenerator[chunkreader.AnswerEvent],
 ) -> web.Response:
     texts: list[str] = []
-    end: relay.AnswerEnd | None = None
+    end: chunkreader.AnswerEnd | None = None
     async for event in answer:
-        if isinstance(event, relay.AnswerText):
+        if isinstance(event, chunkreader.AnswerText):
             texts.append(event.text)
         else:
             end = event
@@ -331,18 +365,15 @@
         "choices": [choice],
         "usage": _usage(end),
     }
-    del request
     return web.json_response(
         body, headers={refusals.REQUEST_ID_HEADER: work.item.work_id}
     )
 
 
-def _event(
-    work: relay.ChatWork, event: relay.AnswerText | relay.AnswerEnd
-) -> bytes:
+def _event(work: relay.ChatWork, event: chunkreader.AnswerEvent) -> bytes:
     choice: dict[str, Any] = {"index": 0, "delta": {}, "finish_reason": None}
     body = _common(work, "chat.completion.chunk")
-    if isinstance(event, relay.AnswerText):
+    if isinstance(event, chunkreader.AnswerText):
         choice["delta"] = {"content": event.text}
     else:
         choice["finish_reason"] = event.finish_reason
@@ -360,7 +391,7 @@
     }
 
 
-def _usage(end: relay.AnswerEnd) -> dict[str, Any]:
+def _usage(end: chunkreader.AnswerEnd) -> dict[str, Any]:
     usage = end.usage
     return {
         "prompt_tokens": usage.prompt_tokens,
@@ -374,6 +405,14 @@
     return outcome.Refused(outcome.Refusal(reason, message))
 
 
+def _internal(error: Exception) -> outcome.Refusal:
+    return outcome.Refusal(
+        outcome.Reason.INTERNAL,
+        f"internal error: {type(error).__name__}",
+        outcome.Verdict.MAY_HAVE_RUN,
+    )
+
+
 def _from_http(error: web.HTTPException) -> outcome.Refusal:
     reason = {
         404: outcome.Reason.NOT_FOUND,
--- a/hibiscusstile/entry/relay.py
+++ b/hibiscusstile/entry/relay.py
@@ -2,30 +2,44 @@
 
 from __future__ import annotations
 
-import asyncio
+import contextlib
 import dataclasses
 import datetime
-from collections.abc import AsyncIterator
+from collections.abc import AsyncGenerator
 
 import logbook
-import xxhash
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import identity, logs, metrics, outcome, request
+from hibiscusstile.entry import chunkreader, refusals, routing
 from hibiscusstile.entry import fleet as fleet_lib
-from hibiscusstile.entry import refusals, routing
+from hibiscusstile.entry.chunkreader import (
+    AnswerEnd,
+    AnswerEvent,
+    AnswerText,
+)
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
 
-__all__ = ["AnswerEnd", "AnswerText", "ChatWork", "Relay"]
+__all__ = ["ChatWork", "Relay"]
 
 _log = logbook.Logger("relay")
 
 _MAX_ATTEMPTS = 4
-_SILENCE = datetime.timedelta(milliseconds=1500)
-_RECONNECT_WAIT = datetime.timedelta(seconds=1)
-_ACK_EVERY = 64
+_ROUTE_WAIT = datetime.timedelta(seconds=2)
+_ROUTE_POLL = datetime.timedelta(milliseconds=50)
+_PASSING_REASONS = frozenset(
+    {outcome.Reason.NO_BACKEND, outcome.Reason.LEAVING}
+)
+_FINAL_REASONS = frozenset(
+    {
+        outcome.Reason.BAD_REQUEST,
+        outcome.Reason.EXPIRED,
+        outcome.Reason.SUSPECT,
+        outcome.Reason.INTERNAL,
+    }
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -49,33 +63,54 @@
     created: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerText:
-    """A piece of the answer."""
-
-    text: str
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class AnswerEnd:
-    """The answer is whole."""
-
-    finish_reason: str
-    usage: messages.Usage
-
-
 class _Progress:
-    """What the caller has got so far, over all attempts."""
+    """What became of a request so far, over all attempts."""
+
+    def __init__(self, started_s: float) -> None:
+        self._started_s = started_s
+        self._texts: list[str] = []
+        self._excluded: set[str] = set()
+        self._verdict = outcome.Verdict.NOT_RUN
 
-    def __init__(self) -> None:
-        self.text: list[str] = []
-        self.excluded: set[str] = set()
-        self.first_token_sent = False
+    @property
+    def started_s(self) -> float:
+        """Monotonic time at which the request came."""
+        return self._started_s
 
     @property
     def sent_text(self) -> str:
         """All text sent to the caller."""
-        return "".join(self.text)
+        return "".join(self._texts)
+
+    @property
+    def excluded(self) -> frozenset[str]:
+        """Runners that are not to be tried again."""
+        return frozenset(self._excluded)
+
+    def add_text(self, text: str) -> bool:
+        """Notes text sent to the caller; True for the first piece."""
+        self._texts.append(text)
+        return len(self._texts) == 1
+
+    def add_failure(self, runner: str, refusal: outcome.Refusal) -> None:
+        """Notes a failed attempt."""
+        self._verdict = self._verdict.joined(refusal.verdict)
+        # A sidecar at an older revision has caught up by the next attempt.
+        if refusal.reason is not outcome.Reason.STALE_REVISION:
+            self._excluded.add(runner)
+
+    def allow_all(self) -> None:
+        """Lets failed runners be tried again, where no other is left."""
+        self._excluded.clear()
+
+    def final(self, refusal: outcome.Refusal) -> outcome.Refused:
+        """Returns the outcome for the caller.
+
+        A last attempt that did not run does not undo an earlier one that
+        may have.
+        """
+        verdict = self._verdict.joined(refusal.verdict)
+        return outcome.Refused(dataclasses.replace(refusal, verdict=verdict))
 
 
 class Relay:
@@ -97,40 +132,55 @@
         self._router = router
         self._clock = clock
 
-    async def run(
-        self, work: ChatWork
-    ) -> AsyncIterator[AnswerText | AnswerEnd]:
+    async def run(self, work: ChatWork) -> AsyncGenerator[AnswerEvent]:
         """Yields the answer's text in order, then its end.
 
         Raises:
             Refused: The answer cannot be completed.
         """
-        started_s = self._clock.monotonic()
-        progress = _Progress()
+        progress = _Progress(self._clock.monotonic())
         for number in range(1, _MAX_ATTEMPTS + 1):
-            route = await self._router.route(
-                work.item, work.policy, frozenset(progress.excluded)
-            )
+            route = await self._route(work, progress)
+            attempt = self._attempt(work, route, progress)
             try:
-                async for event in self._attempt(work, route, progress):
-                    if not progress.first_token_sent:
-                        progress.first_token_sent = True
-                        metrics.observe_first_token(
-                            work.item.rank,
-                            self._clock.monotonic() - started_s,
-                        )
-                    yield event
+                async with contextlib.aclosing(attempt):
+                    async for event in attempt:
+                        yield event
                 return
             except outcome.Refused as refused:
-                refusal = refused.refusal
-                self._log_failure(work, route, refusal)
-                if number == _MAX_ATTEMPTS:
-                    raise
-                progress.excluded.add(route.runner)
+                self._log_failure(work, route, refused.refusal)
+                progress.add_failure(route.runner, refused.refusal)
+                if number == _MAX_ATTEMPTS or not _may_go_on(refused.refusal):
+                    raise progress.final(refused.refusal) from None
+
+    async def _route(
+        self, work: ChatWork, progress: _Progress
+    ) -> routing.Route:
+        """Waits for a moment while no backend server can be reached.
+
+        Between the stop of one sidecar and the start of its successor there
+        may be none, and a caller that is turned away then would see the
+        replacement.
+        """
+        wait = min(work.queue_time, _ROUTE_WAIT)
+        limit_s = self._clock.monotonic() + wait.total_seconds()
+        while True:
+            try:
+                return await self._router.route(
+                    work.item, work.policy, progress.excluded
+                )
+            except outcome.Refused as refused:
+                if (
+                    refused.refusal.reason not in _PASSING_REASONS
+                    or self._clock.monotonic() >= limit_s
+                ):
+                    raise progress.final(refused.refusal) from None
+            await self._clock.sleep(_ROUTE_POLL)
+            progress.allow_all()
 
     async def _attempt(
         self, work: ChatWork, route: routing.Route, progress: _Progress
-    ) -> AsyncIterator[AnswerText | AnswerEnd]:
+    ) -> AsyncGenerator[AnswerEvent]:
         link = self._fleet.link(route.runner)
         if link is None:
             raise outcome.Refused(refusals.peer_lost(outcome.Verdict.NOT_RUN))
@@ -141,25 +191,36 @@
             await _send_or_refuse(
                 link, self._dispatch(work, attempt_id, progress)
             )
-            reader = _ChunkReader(link, channel)
-            async for event in reader.read():
-                if isinstance(event, AnswerText):
-                    progress.text.append(event.text)
-                else:
-                    ended = True
-                    metrics.count_prompt(
-                        event.usage.prompt_tokens, event.usage.cached_tokens
-                    )
-                    metrics.count_hit(
-                        route.expected_cached_tokens,
-                        event.usage.cached_tokens,
-                    )
-                yield event
+            chunks = chunkreader.ChunkReader(link, channel).read()
+            async with contextlib.aclosing(chunks):
+                async for event in chunks:
+                    self._note(event, work, route, progress)
+                    ended = isinstance(event, AnswerEnd)
+                    yield event
+        except outcome.Refused as refused:
+            ended = refused.refusal.reason is not outcome.Reason.PEER_LOST
+            raise
         finally:
             link.close_channel(attempt_id)
             if not ended:
                 await _cancel(link, attempt_id)
 
+    def _note(
+        self,
+        event: AnswerEvent,
+        work: ChatWork,
+        route: routing.Route,
+        progress: _Progress,
+    ) -> None:
+        if isinstance(event, AnswerText):
+            if progress.add_text(event.text):
+                first_s = self._clock.monotonic() - progress.started_s
+                metrics.observe_first_token(work.item.rank, first_s)
+            return
+        usage = event.usage
+        metrics.count_prompt(usage.prompt_tokens, usage.cached_tokens)
+        metrics.count_hit(route.expected_cached_tokens, usage.cached_tokens)
+
     def _dispatch(
         self, work: ChatWork, attempt_id: str, progress: _Progress
     ) -> messages.Dispatch:
@@ -192,89 +253,9 @@
         )
 
 
-class _ChunkReader:
-    """Reads one attempt's chunks in order, resuming a cut connection."""
-
-    def __init__(
-        self,
-        link: client_lib.SidecarLink,
-        channel: client_lib.AttemptChannel,
-    ) -> None:
-        self._link = link
-        self._channel = channel
-        self._next_number = 0
-        self._digest = xxhash.xxh3_64()
-
-    async def read(self) -> AsyncIterator[AnswerText | AnswerEnd]:
-        """Yields texts in order, then the end.
-
-        Raises:
-            Refused: The attempt failed or its sidecar is lost.
-        """
-        while True:
-            message = await self._receive()
-            match message:
-                case messages.Chunk() if message.number == self._next_number:
-                    self._next_number += 1
-                    self._digest.update(message.text.encode())
-                    if self._next_number % _ACK_EVERY == 0:
-                        await self._acknowledge()
-                    yield AnswerText(message.text)
-                case messages.Chunk() if message.number > self._next_number:
-                    await self._resume()
-                case messages.End():
-                    self._check_end(message)
-                    yield AnswerEnd(message.finish_reason, message.usage)
-                    return
-                case messages.Failed():
-                    raise outcome.Refused(refusals.refusal_of(message))
-                case _:
-                    continue
-
-    async def _receive(self) -> messages.PeerMessage:
-        while True:
-            try:
-                return await self._channel.receive(_SILENCE.total_seconds())
-            except client_lib.ChannelLost:
-                await self._resume()
-            except TimeoutError:
-                raise outcome.Refused(
-                    refusals.peer_lost(outcome.Verdict.MAY_HAVE_RUN)
-                ) from None
-
-    async def _resume(self) -> None:
-        self._channel = self._link.open_channel(self._channel.attempt_id)
-        try:
-            async with asyncio.timeout(_RECONNECT_WAIT.total_seconds()):
-                await self._link.wait_ready()
-            await self._link.send(
-                messages.Resume(self._channel.attempt_id, self._next_number)
-            )
-        except (TimeoutError, connection_lib.ConnectionLost):
-            raise outcome.Refused(
-                refusals.peer_lost(outcome.Verdict.MAY_HAVE_RUN)
-            ) from None
-
-    async def _acknowledge(self) -> None:
-        try:
-            await self._link.send(
-                messages.Ack(self._channel.attempt_id, self._next_number)
-            )
-        except connection_lib.ConnectionLost:
-            return
-
-    def _check_end(self, end: messages.End) -> None:
-        if (end.chunks, end.digest) != (
-            self._next_number,
-            self._digest.intdigest(),
-        ):
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.INTERNAL,
-                    "the answer's digest does not match its chunks",
-                    outcome.Verdict.RAN,
-                )
-            )
+def _may_go_on(refusal: outcome.Refusal) -> bool:
+    """Model calls have no side effects, so that only the reason decides."""
+    return refusal.reason not in _FINAL_REASONS
 
 
 async def _send_or_refuse(
--- a/hibiscusstile/outcome.py
+++ b/hibiscusstile/outcome.py
@@ -19,6 +19,13 @@
     MAY_HAVE_RUN = "may_have_run"
     RAN = "ran"
 
+    def joined(self, other: Verdict) -> Verdict:
+        """Returns the verdict over two attempts at one request."""
+        return max(self, other, key=_STRENGTH.index)
+
+
+_STRENGTH = (Verdict.NOT_RUN, Verdict.MAY_HAVE_RUN, Verdict.RAN)
+
 
 class Reason(enum.Enum):
     """Tag of a refusal; its value is the `type` that callers see."""
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 import itertools
@@ -26,7 +27,7 @@
 _PING_INTERVAL = datetime.timedelta(seconds=10)
 _PONG_TIMEOUT = datetime.timedelta(seconds=1.5)
 _MIN_BACKOFF = datetime.timedelta(milliseconds=100)
-_MAX_BACKOFF = datetime.timedelta(seconds=5)
+_MAX_BACKOFF = datetime.timedelta(seconds=1)
 _MAX_QUEUE_FRAMES = 64
 _WRITE_LIMIT_BYTES = 256 * 1024
 _CHANNEL_MESSAGES = 1024
@@ -80,7 +81,13 @@
         return message
 
     def deliver(self, message: messages.PeerMessage | None) -> bool:
-        """Queues a message, None for a lost connection; False when full."""
+        """Queues a message, None for a lost connection; False when full.
+
+        A sign of life adds nothing to messages that still wait, and a slow
+        caller's channel would otherwise fill up with them.
+        """
+        if isinstance(message, messages.Progress) and self._queue.qsize():
+            return True
         try:
             self._queue.put_nowait(message)
         except asyncio.QueueFull:
@@ -251,7 +258,7 @@
                 await self.send(question)
                 reply = await future
         except TimeoutError:
-            self._misses += 1
+            await self._note_miss()
             return None
         except connection_lib.ConnectionLost:
             return None
@@ -260,6 +267,18 @@
         self._misses = 0
         return reply
 
+    async def _note_miss(self) -> None:
+        """Counts an unanswered question.
+
+        The ping at the limit makes a peer that wakes up answer, since no
+        more questions are sent to it.
+        """
+        self._misses += 1
+        if self._misses == _MISSES_UNTIL_UNREACHABLE:
+            _log.warn("peer_unreachable address={}", self.address)
+            with contextlib.suppress(connection_lib.ConnectionLost):
+                await self.send(messages.Ping(self.next_number()))
+
     async def _run_once(self) -> None:
         async with ws_client.connect(
             f"ws://{self._host}:{self._port}",
--- a/hibiscusstile/peers/messages.py
+++ b/hibiscusstile/peers/messages.py
@@ -33,6 +33,7 @@
     "HandshakeStart",
     "Hello",
     "Leaving",
+    "PeerAddress",
     "PeerInfo",
     "PeerMessage",
     "Ping",
@@ -106,6 +107,14 @@
     leaving: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PeerAddress:
+    """Where a sidecar can be reached."""
+
+    host: ShortText
+    port: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Usage:
     """Tokens of an answered request; `cached` counts reused prompt tokens."""
@@ -150,11 +159,22 @@
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello(PeerMessage):
-    """First message of each side after the handshake, and on any change."""
+    """First message of each side after the handshake, and on any change.
+
+    Attributes:
+        info: What the sender says of itself.
+        wants_peers: Whether the sender asks for addresses of sidecars,
+            because it has not seen the platform's list yet.
+        peers: Sidecars that the sender knows.
+        suspects: Requests that were running when an engine crashed.
+    """
 
     name = "hello"
     info: PeerInfo
-    peers: tuple[PeerInfo, ...] = ()
+    wants_peers: bool = False
+    peers: Annotated[
+        tuple[PeerAddress, ...], pydantic.Field(max_length=1024)
+    ] = ()
     suspects: tuple[SuspectNotice, ...] = ()
 
 
--- a/hibiscusstile/platform/__init__.py
+++ b/hibiscusstile/platform/__init__.py
@@ -164,8 +164,8 @@
         """Takes the service's base URL, without a trailing slash."""
 
     @abc.abstractmethod
-    async def list_instances(self) -> Listing | ListUnavailable:
-        """Returns the instances listed now."""
+    async def list_instances(self, region: str) -> Listing | ListUnavailable:
+        """Returns the instances of a region that are listed now."""
 
     @abc.abstractmethod
     async def close(self) -> None:
--- a/hibiscusstile/platform/http_instance_list.py
+++ b/hibiscusstile/platform/http_instance_list.py
@@ -44,15 +44,17 @@
         self._session: aiohttp.ClientSession | None = None
 
     async def list_instances(
-        self,
+        self, region: str
     ) -> platform.Listing | platform.ListUnavailable:
-        """Returns the instances listed now."""
+        """Returns the instances of a region that are listed now."""
         if self._session is None:
             self._session = aiohttp.ClientSession()
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT.total_seconds())
         try:
             async with self._session.get(
-                f"{self._url}/instances", timeout=timeout
+                f"{self._url}/instances",
+                params={"region": region},
+                timeout=timeout,
             ) as response:
                 if response.status != 200:
                     return platform.ListUnavailable(
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -119,7 +119,7 @@
             ("links", self._fleet.tasks.run),
             ("fleet", self._fleet.run),
             ("operators", self._operators.run),
-            ("http", self._listener.run),
+            ("http", self._serve_http),
         ]
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
@@ -149,6 +149,11 @@
         await self._log.close()
         await self._instance_list.close()
 
+    async def _serve_http(self) -> None:
+        """Opens the callers' port once requests can be served."""
+        await self._fleet.wait_prepared()
+        await self._listener.run()
+
     def _hello(self) -> messages.Hello:
         return messages.Hello(
             messages.PeerInfo(
@@ -160,5 +165,6 @@
                 self._config.zone,
                 self._config.region,
                 leaving=self._leaving,
-            )
+            ),
+            wants_peers=self._fleet.wants_peers,
         )
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -24,7 +24,7 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import handshake, messages
 from hibiscusstile.peers import server as server_lib
-from hibiscusstile.sidecar import cachefeed, executor, service, turns
+from hibiscusstile.sidecar import cachefeed, discovery, executor, service, turns
 
 __all__ = ["SidecarRole"]
 
@@ -57,6 +57,13 @@
         self._log = platform.get_log_client_by_name(config.platform.log.kind)(
             config.platform.log.url
         )
+        listing = config.platform.instance_list
+        self._instance_list = platform.get_instance_list_by_name(listing.kind)(
+            listing.url
+        )
+        self._discovery = discovery.Discovery(
+            config.region, self._instance_list, clock
+        )
         queue = admission.AdmissionQueue(
             clock, admission.QueueLimits(**config.queue.model_dump())
         )
@@ -77,6 +84,7 @@
             self._turns,
             self._view,
             config.queue.prefill_tokens_per_s,
+            lambda: self._discovery.peers,
         )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
@@ -121,6 +129,7 @@
             ("turns", self._turns.run),
             ("executor", self._executor.run),
             ("engine", self._run_engine),
+            ("discovery", self._discovery.run),
             ("peers", self._server.run),
             ("operators", self._operators.run),
         ]
@@ -152,6 +161,7 @@
         """Closes clients, once the children have stopped."""
         await self._backend.close()
         await self._log.close()
+        await self._instance_list.close()
 
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
--- a/hibiscusstile/settings.py
+++ b/hibiscusstile/settings.py
@@ -240,14 +240,12 @@
         peers: Where entry instances connect.
         backend: The backend server beside it.
         queue: Bounds of its queue.
-        seeds: Other sidecars, for configuration while the log is down.
     """
 
     role: Literal["sidecar"]
     peers: Address
     backend: BackendSettings
     queue: QueueSettings = QueueSettings()
-    seeds: tuple[Address, ...] = ()
 
 
 _AnySettings = Annotated[
--- a/hibiscusstile/sidecar/attempt.py
+++ b/hibiscusstile/sidecar/attempt.py
@@ -44,6 +44,9 @@
         self._sent_s = clock.monotonic()
         self._chunks: dict[int, messages.Chunk] = {}
         self._next_number = 0
+        self._unsent_number = 0
+        self._last_sent = False
+        self._sending = asyncio.Lock()
         self._digest = xxhash.xxh3_64()
         self._last: messages.PeerMessage | None = None
         self._room = asyncio.Event()
@@ -79,13 +82,13 @@
     async def send_text(self, text: str) -> None:
         """Sends a chunk, waiting while too many are unacknowledged."""
         await self._room.wait()
-        chunk = messages.Chunk(self._attempt_id, self._next_number, text)
-        self._chunks[chunk.number] = chunk
+        number = self._next_number
+        self._chunks[number] = messages.Chunk(self._attempt_id, number, text)
         self._next_number += 1
         self._digest.update(text.encode())
         if len(self._chunks) >= _WINDOW_CHUNKS:
             self._room.clear()
-        await self._send(chunk)
+        await self._flush()
 
     async def send_end(self, end: backends.EngineEnd) -> None:
         """Sends the end, with the count and digest of all chunks."""
@@ -98,12 +101,12 @@
                 end.prompt_tokens, end.cached_tokens, end.completion_tokens
             ),
         )
-        await self._send(self._last)
+        await self._flush()
 
     async def send_failed(self, failed: messages.Failed) -> None:
         """Sends the failure that ends the attempt."""
         self._last = failed
-        await self._send(failed)
+        await self._flush()
 
     def acknowledge(self, next_number: int) -> None:
         """Forgets chunks below `next_number`."""
@@ -127,10 +130,26 @@
         self.acknowledge(next_number)
         self._connection = connection
         self._detached_s = None
-        for chunk in list(self._chunks.values()):
-            await self._send(chunk)
-        if self._last is not None:
-            await self._send(self._last)
+        self._unsent_number = next_number
+        self._last_sent = False
+        await self._flush()
+
+    async def _flush(self) -> None:
+        """Sends what the current connection has not got yet, in order.
+
+        The lock keeps chunks generated during a resend behind the resent
+        ones.
+        """
+        async with self._sending:
+            while self._connection is not None:
+                chunk = self._chunks.get(self._unsent_number)
+                if chunk is None:
+                    break
+                self._unsent_number += 1
+                await self._send(chunk)
+            if self._last is not None and not self._last_sent:
+                self._last_sent = self._connection is not None
+                await self._send(self._last)
 
     async def _send(self, message: messages.PeerMessage) -> None:
         connection = self._connection
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -134,10 +134,9 @@
         if running is not None:
             running.stream.acknowledge(ack.next_number)
 
-    async def cancel(self, attempt_id: str) -> None:
-        """Stops an attempt, at the engine too."""
-        await self._tasks.remove(attempt_id)
-        self._attempts.pop(attempt_id, None)
+    def cancel(self, attempt_id: str) -> None:
+        """Stops an attempt, at the engine too, without waiting for it."""
+        self._tasks.cancel(attempt_id)
 
     def detach(self, connection: connection_lib.PeerConnection) -> None:
         """Notes that a connection has ended."""
@@ -154,12 +153,22 @@
             await self._clock.sleep(_WATCH_INTERVAL)
             for attempt_id, running in list(self._attempts.items()):
                 if running.stream.orphaned:
-                    await self.cancel(attempt_id)
+                    self.cancel(attempt_id)
                 elif not running.ended:
                     await running.stream.send_progress_if_idle()
 
     async def _run(
         self, running: _Running, dispatch: messages.Dispatch
+    ) -> None:
+        try:
+            await self._answer(running, dispatch)
+            running.ended = True
+            await self._clock.sleep(_KEEP_ENDED)
+        finally:
+            del self._attempts[dispatch.attempt_id]
+
+    async def _answer(
+        self, running: _Running, dispatch: messages.Dispatch
     ) -> None:
         try:
             await self._generate(running, dispatch)
@@ -167,9 +176,6 @@
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
-        running.ended = True
-        await self._clock.sleep(_KEEP_ENDED)
-        self._attempts.pop(dispatch.attempt_id, None)
 
     async def _generate(
         self, running: _Running, dispatch: messages.Dispatch
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -24,6 +24,7 @@
         turns: The admission queue's turns.
         view: What the engine holds in cache.
         prefill_tokens_per_s: The engine's speed.
+        known_peers: Returns the sidecars that this one knows.
     """
 
     def __init__(
@@ -34,6 +35,7 @@
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
         prefill_tokens_per_s: float,
+        known_peers: Callable[[], tuple[messages.PeerAddress, ...]],
     ) -> None:
         self._info = info
         self._store = store
@@ -41,6 +43,7 @@
         self._turns = turns
         self._view = view
         self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._known_peers = known_peers
         self._connections: set[connection_lib.PeerConnection] = set()
 
     @property
@@ -84,6 +87,10 @@
     ) -> None:
         message = envelope.message
         match message:
+            case messages.Hello() if message.wants_peers:
+                await connection.send(
+                    messages.Hello(self._info(), peers=self._known_peers())
+                )
             case messages.BidRequest():
                 await connection.send(self._bid(message))
             case messages.Dispatch():
@@ -93,7 +100,7 @@
             case messages.Ack():
                 self._executor.acknowledge(message)
             case messages.Cancel():
-                await self._executor.cancel(message.attempt_id)
+                self._executor.cancel(message.attempt_id)
             case messages.Resume():
                 await self._executor.resume(connection, message)
             case messages.Ping():
--- a/hibiscusstile/supervisor.py
+++ b/hibiscusstile/supervisor.py
@@ -134,6 +134,12 @@
         if spec is not None and task is not None:
             await self._stop_task(spec, task)
 
+    def cancel(self, name: str) -> None:
+        """Cancels a temporary child without waiting for its end."""
+        task = self._tasks.get(name)
+        if task is not None:
+            task.cancel()
+
     async def run(self) -> None:
         """Runs the children until cancelled or until they fail too often.
 
--- a/hibiscusstile_standins/instancelist.py
+++ b/hibiscusstile_standins/instancelist.py
@@ -43,5 +43,13 @@
         return app
 
     async def _list(self, request: web.Request) -> web.Response:
-        del request
-        return web.json_response({"instances": list(self._instances.values())})
+        region = request.query.get("region")
+        return web.json_response(
+            {
+                "instances": [
+                    each
+                    for each in self._instances.values()
+                    if region in (None, each["region"])
+                ]
+            }
+        )
--- /dev/null
+++ b/tests/test_streams.py
@@ -0,0 +1,231 @@
+"""Fuzzes one attempt's stream between sidecar and entry instance."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from typing import Any
+
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hibiscusstile import backends, outcome
+from hibiscusstile.entry import chunkreader
+from hibiscusstile.peers import client, connection, messages
+from hibiscusstile.sidecar import attempt
+from tests import builders
+
+_ATTEMPT = "att-1"
+_END = backends.EngineEnd("stop", 10, 0, 5)
+
+
+class _Wire:
+    """A connection that keeps frames until the test delivers them."""
+
+    def __init__(self) -> None:
+        self.frames: collections.deque[messages.PeerMessage] = (
+            collections.deque()
+        )
+        self.delivered: list[messages.PeerMessage] = []
+
+    async def send(self, message: messages.PeerMessage) -> None:
+        self.frames.append(message)
+
+
+class _Link:
+    """The entry's link, whose connection the test cuts and restores."""
+
+    def __init__(self) -> None:
+        self.channel = client.AttemptChannel(_ATTEMPT)
+        self.up = asyncio.Event()
+        self.up.set()
+        self.sent: collections.deque[messages.PeerMessage] = collections.deque()
+
+    def open_channel(self, attempt_id: str) -> client.AttemptChannel:
+        self.channel = client.AttemptChannel(attempt_id)
+        return self.channel
+
+    async def wait_ready(self) -> None:
+        await self.up.wait()
+
+    async def send(self, message: messages.PeerMessage) -> None:
+        if not self.up.is_set():
+            raise connection.ConnectionLost("cut")
+        self.sent.append(message)
+
+
+class StreamMachine(stateful.RuleBasedStateMachine):
+    """Cuts, repeats and delays frames between the real two ends.
+
+    The oracle is the text that the engine generated: what the reader yields
+    must always be its beginning, and all of it once the end was read.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.loop = asyncio.new_event_loop()
+        self.texts: list[str] = []
+        self.read: list[str] = []
+        self.ended = False
+        self.finished = False
+        self.old_wires: list[_Wire] = []
+        self.wire = _Wire()
+        self.link: Any = self.run(self._make_link())
+        self.stream = attempt.AttemptStream(
+            _ATTEMPT, self._as_connection(self.wire), builders.ManualClock()
+        )
+        self.reader = self.loop.create_task(self._read())
+        self.settle()
+
+    async def _make_link(self) -> _Link:
+        return _Link()
+
+    def _as_connection(self, wire: Any) -> connection.PeerConnection:
+        result: connection.PeerConnection = wire
+        return result
+
+    async def _read(self) -> None:
+        reader = chunkreader.ChunkReader(self.link, self.link.channel)
+        async for event in reader.read():
+            if isinstance(event, chunkreader.AnswerText):
+                self.read.append(event.text)
+            else:
+                self.ended = True
+
+    def run(self, coroutine: Any) -> Any:
+        return self.loop.run_until_complete(coroutine)
+
+    def settle(self) -> None:
+        """Lets both ends act, and carries the entry's messages."""
+        for _ in range(6):
+            self.run(asyncio.sleep(0))
+            while self.link.up.is_set() and self.link.sent:
+                self._carry(self.link.sent.popleft())
+
+    def _carry(self, message: messages.PeerMessage) -> None:
+        if isinstance(message, messages.Resume):
+            self.run(
+                self.stream.attach(
+                    self._as_connection(self.wire), message.next_number
+                )
+            )
+        elif isinstance(message, messages.Ack):
+            self.stream.acknowledge(message.next_number)
+
+    @stateful.precondition(lambda self: not self.finished)
+    @stateful.rule(
+        count=st.integers(1, 80),
+        delivered=st.integers(0, 80),
+        twice=st.booleans(),
+    )
+    def generate(self, count: int, delivered: int, twice: bool) -> None:
+        for _ in range(count):
+            if len(self.texts) >= 400:
+                break
+            text = f"w{len(self.texts)} "
+            self.texts.append(text)
+            self.run(self.stream.send_text(text))
+        self.deliver(delivered, twice)
+
+    @stateful.precondition(
+        lambda self: len(self.texts) > 100 and not self.finished
+    )
+    @stateful.rule()
+    def finish(self) -> None:
+        self.finished = True
+        self.run(self.stream.send_end(_END))
+
+    @stateful.precondition(lambda self: self.finished)
+    @stateful.rule(count=st.integers(1, 100), twice=st.booleans())
+    def deliver(self, count: int, twice: bool) -> None:
+        for _ in range(min(count, len(self.wire.frames))):
+            frame = self.wire.frames.popleft()
+            self.wire.delivered.append(frame)
+            self.link.channel.deliver(frame)
+            if twice:
+                self.link.channel.deliver(frame)
+        self.settle()
+
+    @stateful.precondition(lambda self: bool(self.old_wires))
+    @stateful.rule(data=st.data())
+    def deliver_late(self, data: st.DataObject) -> None:
+        """A frame of an earlier connection turns up."""
+        wire = data.draw(st.sampled_from(self.old_wires))
+        frames = [*wire.delivered, *wire.frames]
+        if frames:
+            frame = data.draw(st.sampled_from(frames))
+            self.link.channel.deliver(frame)
+            self.settle()
+
+    @stateful.precondition(lambda self: self.link.up.is_set())
+    @stateful.rule(brief=st.booleans())
+    def cut(self, brief: bool) -> None:
+        self.link.up.clear()
+        self.link.sent.clear()
+        self.stream.detach(self._as_connection(self.wire))
+        self.old_wires.append(self.wire)
+        self.wire = _Wire()
+        self.link.channel.deliver(None)
+        self.settle()
+        if brief:
+            self.reconnect()
+
+    @stateful.precondition(lambda self: not self.link.up.is_set())
+    @stateful.rule()
+    def reconnect(self) -> None:
+        self.link.up.set()
+        self.settle()
+
+    @stateful.invariant()
+    def reader_has_a_beginning_of_the_text(self) -> None:
+        assert self.read == self.texts[: len(self.read)]
+        if self.ended:
+            assert self.finished
+            assert self.read == self.texts
+
+    def teardown(self) -> None:
+        try:
+            if not self.link.up.is_set():
+                self.reconnect()
+            if not self.finished:
+                self.finish()
+            for _ in range(20):
+                self.deliver(1000, False)
+            self.run(asyncio.wait_for(self.reader, 5))
+            assert self.ended
+            assert self.read == self.texts
+        finally:
+            self.reader.cancel()
+            self.run(asyncio.wait([self.reader]))
+            self.loop.close()
+
+
+TestStream = pytest.mark.fuzz(StreamMachine.TestCase)
+
+
+async def test_an_end_after_a_lost_chunk_asks_for_it() -> None:
+    """Guards against `[DONE]` after a gap that no later chunk reveals."""
+    link: Any = _Link()
+    reader = chunkreader.ChunkReader(link, link.channel).read()
+    usage = messages.Usage(1, 0, 2)
+    link.channel.deliver(messages.Chunk(_ATTEMPT, 0, "a"))
+    link.channel.deliver(messages.End(_ATTEMPT, 2, 1, "stop", usage))
+    assert (await anext(reader)) == chunkreader.AnswerText("a")
+    with pytest.raises(outcome.Refused) as caught:
+        await anext(reader)
+    assert link.sent[-1] == messages.Resume(_ATTEMPT, 1)
+    assert caught.value.refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+
+
+async def test_an_end_with_another_digest_is_no_answer() -> None:
+    """Guards against an answer whose text was changed on its way."""
+    link: Any = _Link()
+    reader = chunkreader.ChunkReader(link, link.channel).read()
+    usage = messages.Usage(1, 0, 1)
+    link.channel.deliver(messages.Chunk(_ATTEMPT, 0, "a"))
+    link.channel.deliver(messages.End(_ATTEMPT, 1, 1, "stop", usage))
+    await anext(reader)
+    with pytest.raises(outcome.Refused) as caught:
+        await anext(reader)
+    assert caught.value.refusal.verdict is outcome.Verdict.RAN
