Fill hibiscusctl's commands from a registry

The commands were attached by hand in one module, so that two developers could not add commands without editing the same lines. Each command is now a class in a module of its own that a decorator enters; words in its name form groups. Bad usage exits with 2 and one line instead of a panel and 1.

--- a/hibiscusstile/ctl/__init__.py
+++ b/hibiscusstile/ctl/__init__.py
@@ -2,23 +2,99 @@
 
 from __future__ import annotations
 
+import abc
 import sys
+from collections.abc import Callable, Sequence
 
 import cyclopts
 
-from hibiscusstile import __version__
-from hibiscusstile.ctl import demo
+from hibiscusstile import __version__, registry
 
-__all__ = ["app", "main"]
+__all__ = [
+    "EXIT_BAD_USAGE",
+    "EXIT_DONE",
+    "EXIT_REFUSED",
+    "Command",
+    "CommandNotFound",
+    "build_app",
+    "commands",
+    "get_command_by_name",
+    "main",
+]
 
-app = cyclopts.App(
-    name="hibiscusctl",
-    version=__version__,
-    help="Checks files, appends records and shows what is in force.",
+EXIT_DONE = 0
+EXIT_REFUSED = 1
+EXIT_BAD_USAGE = 2
+
+
+class Command(abc.ABC):
+    """One command.
+
+    Attributes:
+        name: The words after `hibiscusctl`, such as `records append`.
+        aliases: Further names.
+    """
+
+    name: str = ""
+    aliases: tuple[str, ...] = ()
+
+    @property
+    @abc.abstractmethod
+    def handler(self) -> Callable[..., int]:
+        """Function whose signature and docstring define the options.
+
+        It returns the exit code.
+        """
+
+
+class CommandNotFound(registry.NameNotFound):
+    """No command has the requested name."""
+
+
+commands: registry.Registry[Command] = registry.Registry(
+    "command",
+    CommandNotFound,
+    (f"{__name__}.demo",),
 )
-app.command(demo.demo, name="demo")
 
 
-def main() -> None:
+def get_command_by_name(name: str) -> type[Command]:
+    """Returns the command class with this name or alias.
+
+    Raises:
+        CommandNotFound: No command has it.
+    """
+    return commands.get_by_name(name)
+
+
+def build_app() -> cyclopts.App:
+    """Returns the application with all registered commands."""
+    app = cyclopts.App(
+        name="hibiscusctl",
+        version=__version__,
+        help="Checks files, appends records and shows what is in force.",
+        result_action="return_value",
+    )
+    groups: dict[str, cyclopts.App] = {}
+    for command in commands:
+        *group, word = command.name.split()
+        parent = app
+        if group:
+            if group[0] not in groups:
+                groups[group[0]] = cyclopts.App(
+                    name=group[0], help=f"Commands on {group[0]}."
+                )
+                app.command(groups[group[0]])
+            parent = groups[group[0]]
+        parent.command(command().handler, name=word)
+    return app
+
+
+def main(arguments: Sequence[str] | None = None) -> None:
     """Entry point of the program."""
-    sys.exit(app())
+    try:
+        code = build_app()(arguments, exit_on_error=False, print_error=False)
+    except cyclopts.CycloptsError as error:
+        print(" ".join(str(error).split()), file=sys.stderr)
+        code = EXIT_BAD_USAGE
+    sys.exit(code)
--- a/hibiscusstile/ctl/demo.py
+++ b/hibiscusstile/ctl/demo.py
@@ -7,24 +7,36 @@
 import json
 import os
 import secrets
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from typing import Any
 
 import aiohttp
 import aiomisc
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import daemon, logs, settings
+from hibiscusstile import ctl, daemon, logs, settings
 from hibiscusstile.entry import auth
 from hibiscusstile_standins import engine, instancelist, log, service
 
-__all__ = ["demo"]
+__all__ = ["DemoCommand", "demo"]
 
 _SECRET_VARIABLE = "HIBISCUSSTILE_DEMO_SECRET"
 _MODEL = "m1"
 _APPLICATION = "accounts"
 
 
+@ctl.commands.register()
+class DemoCommand(ctl.Command):
+    """Runs the demo."""
+
+    name = "demo"
+
+    @property
+    def handler(self) -> Callable[..., int]:
+        """Function that the command line calls."""
+        return demo
+
+
 def demo() -> int:
     """Runs stand-ins, two entries and four sidecars, and a short load."""
     logs.start_logging(logs.LogFormat.KEY_VALUE, "WARNING")
--- /dev/null
+++ b/tests/ctl/test_main.py
@@ -0,0 +1,32 @@
+"""Tests of the command line as a whole."""
+
+from __future__ import annotations
+
+import pytest
+
+from hibiscusstile import ctl
+
+
+@pytest.mark.parametrize("arguments", [["nonsense"], ["demo", "--nonsense"]])
+def test_bad_usage_exits_with_2_and_one_line(
+    arguments: list[str], capfd: pytest.CaptureFixture[str]
+) -> None:
+    """Guards against exit code 1, which means refused, for a typing error."""
+    with pytest.raises(SystemExit) as ended:
+        ctl.main(arguments)
+    assert ended.value.code == ctl.EXIT_BAD_USAGE
+    assert len(capfd.readouterr().err.splitlines()) == 1
+
+
+def test_help_exits_with_0(capfd: pytest.CaptureFixture[str]) -> None:
+    """Guards against a command that cannot be listed."""
+    with pytest.raises(SystemExit) as ended:
+        ctl.main(["--help"])
+    assert not ended.value.code
+    assert "demo" in capfd.readouterr().out
+
+
+def test_unknown_commands_are_named_in_the_error() -> None:
+    """Guards the family's look-up."""
+    with pytest.raises(ctl.CommandNotFound, match="nonsense"):
+        ctl.get_command_by_name("nonsense")
