--- a/hibiscusstile/records/__init__.py
+++ b/hibiscusstile/records/__init__.py
@@ -9,6 +9,8 @@
 from __future__ import annotations
 
 import abc
+import dataclasses
+from collections.abc import Iterable
 from typing import Any, ClassVar
 
 import pydantic
@@ -18,6 +20,8 @@
 __all__ = [
     "RecordBody",
     "RecordSchemaNotFound",
+    "Reference",
+    "find_schema",
     "get_schema_by_name",
     "newest_schema_version",
     "record_schemas",
@@ -25,6 +29,21 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reference:
+    """A body names another record.
+
+    Attributes:
+        path: Where in the body, as `keys.0.rank`.
+        kind: Kind of the named record.
+        name: Its name.
+    """
+
+    path: str
+    kind: str
+    name: str
+
+
 class RecordBody(pydantic.BaseModel, abc.ABC):
     """Body of one kind of record in one schema version.
 
@@ -46,6 +65,10 @@
     def build(self, record_name: str) -> Any:
         """Returns the data class of `configuration.view`."""
 
+    def references(self) -> Iterable[Reference]:
+        """Returns the records that the body names."""
+        return ()
+
 
 class RecordSchemaNotFound(registry.NameNotFound):
     """No schema of that kind and version is known to this process."""
@@ -79,6 +102,14 @@
     return record_schemas.get_by_name(name)
 
 
+def find_schema(kind: str, schema_version: int) -> type[RecordBody] | None:
+    """Returns the body class, None when this process does not know it."""
+    try:
+        return record_schemas.get_by_name(schema_name(kind, schema_version))
+    except RecordSchemaNotFound:
+        return None
+
+
 def newest_schema_version(kind: str) -> int:
     """Returns the newest version known of a kind, 0 for an unknown kind."""
     versions = (s.schema_version for s in record_schemas if s.kind == kind)
--- a/hibiscusstile/records/rank.py
+++ b/hibiscusstile/records/rank.py
@@ -24,7 +24,7 @@
     level: Annotated[int, pydantic.Field(ge=0, le=9)]
     share: Annotated[float, pydantic.Field(ge=0, le=0.9)] = 0.0
     queue_time_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 30.0
-    first_token_target_s: Annotated[float, pydantic.Field(gt=0)] = 0.61
+    first_token_target_s: Annotated[float, pydantic.Field(gt=0, le=3600)] = 0.61
 
     def build(self, record_name: str) -> view.Rank:
         """Returns the data class of `configuration.view`."""
--- a/hibiscusstile/records/workspace.py
+++ b/hibiscusstile/records/workspace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 from typing import Annotated, ClassVar
 
 import pydantic
@@ -9,24 +10,57 @@
 from hibiscusstile import records
 from hibiscusstile.configuration import view
 
-__all__ = ["WorkspaceV1"]
+__all__ = ["WorkspaceV1", "WorkspaceV2"]
 
 _Hex = Annotated[str, pydantic.StringConstraints(pattern=r"^[0-9a-f]{16,128}$")]
 _KeyId = Annotated[
     str, pydantic.StringConstraints(pattern=r"^[A-Za-z0-9-]{4,64}$")
 ]
+_Caller = Annotated[
+    str,
+    pydantic.StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"),
+]
+_Weight = Annotated[float, pydantic.Field(gt=0, le=1000)]
 
 
-class _Key(pydantic.BaseModel):
+class _BareKey(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
     key_id: _KeyId
     salt: _Hex
     digest: _Hex
+
+
+class _Key(_BareKey):
     caller: str = ""
     rank: str = ""
 
 
+class _CallerBody(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    rank: str = ""
+    keys: Annotated[tuple[_BareKey, ...], pydantic.Field(min_length=1)]
+
+
+def _check_unique(key_ids: Iterable[str]) -> None:
+    seen: set[str] = set()
+    for key_id in key_ids:
+        if key_id in seen:
+            raise ValueError(f"key id {key_id!r} is given twice")
+        seen.add(key_id)
+
+
+def _named_references(
+    policy: str, models: Iterable[str], applications: Iterable[str]
+) -> Iterable[records.Reference]:
+    yield records.Reference("policy", "routing_policy", policy)
+    for number, name in enumerate(models):
+        yield records.Reference(f"models.{number}", "model", name)
+    for number, name in enumerate(applications):
+        yield records.Reference(f"applications.{number}", "application", name)
+
+
 @records.record_schemas.register()
 class WorkspaceV1(records.RecordBody):
     """A tenant, its keys and what it may use."""
@@ -39,7 +73,12 @@
     policy: str = "default"
     models: tuple[str, ...] = ()
     applications: tuple[str, ...] = ()
-    weight: Annotated[float, pydantic.Field(gt=0, le=1000)] = 1.0
+    weight: _Weight = 1.0
+
+    @pydantic.model_validator(mode="after")
+    def _check_keys(self) -> WorkspaceV1:
+        _check_unique(key.key_id for key in self.keys)
+        return self
 
     def build(self, record_name: str) -> view.Workspace:
         """Returns the data class of `configuration.view`."""
@@ -51,3 +90,74 @@
             applications=self.applications,
             weight=self.weight,
         )
+
+    def references(self) -> Iterable[records.Reference]:
+        """Returns the records that the body names."""
+        yield from _named_references(
+            self.policy, self.models, self.applications
+        )
+        for number, key in enumerate(self.keys):
+            if key.rank:
+                yield records.Reference(f"keys.{number}.rank", "rank", key.rank)
+
+
+@records.record_schemas.register()
+class WorkspaceV2(records.RecordBody):
+    """A tenant whose keys are grouped by caller.
+
+    A caller's rank is given once for all its keys, so that a key can be
+    replaced without repeating it, and the workspace may have a rank of its
+    own for callers that name none.
+    """
+
+    name: ClassVar[str] = "workspace/2"
+    kind: ClassVar[str] = "workspace"
+    schema_version: ClassVar[int] = 2
+
+    callers: dict[_Caller, _CallerBody]
+    rank: str = ""
+    policy: str = "default"
+    models: tuple[str, ...] = ()
+    applications: tuple[str, ...] = ()
+    weight: _Weight = 1.0
+
+    @pydantic.model_validator(mode="after")
+    def _check_keys(self) -> WorkspaceV2:
+        _check_unique(
+            key.key_id for each in self.callers.values() for key in each.keys
+        )
+        return self
+
+    def build(self, record_name: str) -> view.Workspace:
+        """Returns the data class of `configuration.view`."""
+        return view.Workspace(
+            name=record_name,
+            keys=tuple(
+                view.ApiKey(
+                    key.key_id,
+                    key.salt,
+                    key.digest,
+                    caller,
+                    each.rank or self.rank,
+                )
+                for caller, each in self.callers.items()
+                for key in each.keys
+            ),
+            policy=self.policy,
+            models=self.models,
+            applications=self.applications,
+            weight=self.weight,
+        )
+
+    def references(self) -> Iterable[records.Reference]:
+        """Returns the records that the body names."""
+        yield from _named_references(
+            self.policy, self.models, self.applications
+        )
+        if self.rank:
+            yield records.Reference("rank", "rank", self.rank)
+        for name, each in self.callers.items():
+            if each.rank:
+                yield records.Reference(
+                    f"callers.{name}.rank", "rank", each.rank
+                )
