Make acceptance and the folded state the same in all versions

Acceptance went through pydantic's lax mode, so that "1" or 1.0 passed as a schema version, duplicate keys were resolved silently, and deep nesting depended on the interpreter. The envelope is now read by explicit rules.

A body that its schema rejects replaced the previous one in the fold, so that the workspace vanished although the previous body is to stay in force. The fold keeps earlier bodies while the newest may be invalid; the digest covers the newest ones only and is kept per record. The view is built from unchanged parts, and references to records that are not in force fall back to defaults.

--- /dev/null
+++ b/hibiscusstile/configuration/envelope.py
@@ -0,0 +1,169 @@
+"""The record envelope, whose rules are the same in every version.
+
+Acceptance depends on these rules and on the order of the log alone. They
+must never change: a process that judged one payload differently from another
+would hold another state from that offset on. JSON is therefore read more
+strictly than the library does by default, so that no rule depends on the
+library's version or on limits of the interpreter.
+"""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import Annotated, Any
+
+import pydantic
+
+__all__ = [
+    "MAX_DEPTH",
+    "MAX_RECORD_BYTES",
+    "Envelope",
+    "EnvelopeError",
+    "Name",
+    "canonical_json",
+    "parse_envelope",
+    "parse_json",
+]
+
+MAX_RECORD_BYTES = 256 * 1024
+MAX_DEPTH = 32
+_MAX_INTEGER = 2**53 - 1
+_MAX_INTEGER_DIGITS = 17
+
+Name = Annotated[
+    str,
+    pydantic.StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"),
+]
+
+
+class EnvelopeError(ValueError):
+    """A payload is not a well-formed record; the text says why."""
+
+
+class Envelope(pydantic.BaseModel):
+    """A record as it stands on the log.
+
+    Attributes:
+        kind: The kind of record.
+        name: Its name within the kind.
+        schema_version: Version of the body's schema, from 1.
+        body: Its content, which acceptance does not read.
+        expect_revision: Offset of the last accepted record of this kind and
+            name that the author knew, -1 for none; without it the record is
+            accepted whatever came before.
+        author: Who appended it, for operators to read.
+    """
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True, strict=True)
+
+    kind: Name
+    name: Name
+    schema_version: Annotated[int, pydantic.Field(ge=1)]
+    body: dict[str, Any]
+    expect_revision: int | None = None
+    author: Annotated[str, pydantic.Field(max_length=200)] = ""
+
+
+def parse_envelope(payload: bytes) -> Envelope:
+    """Returns the record in a payload.
+
+    Raises:
+        EnvelopeError: The payload is not a well-formed record.
+    """
+    if len(payload) > MAX_RECORD_BYTES:
+        raise EnvelopeError(f"record is over {MAX_RECORD_BYTES} bytes")
+    document = parse_json(payload, MAX_DEPTH)
+    try:
+        return Envelope.model_validate(document)
+    except pydantic.ValidationError as error:
+        first = error.errors(include_input=False, include_url=False)[0]
+        where = ".".join(str(part) for part in first["loc"]) or "(record)"
+        raise EnvelopeError(
+            f"envelope is malformed: {where}: {first['msg']}"
+        ) from None
+
+
+def parse_json(payload: bytes, max_depth: int) -> Any:
+    """Returns a JSON document that every JSON library reads alike.
+
+    Refused are text that is not UTF-8, duplicate keys, numbers that are not
+    finite, integers beyond 53 bits, lone surrogates and deep nesting.
+
+    Args:
+        payload: The text.
+        max_depth: The deepest nesting of arrays and objects.
+
+    Raises:
+        EnvelopeError: The payload is not such a document.
+    """
+    try:
+        document = json.loads(
+            payload.decode("utf-8"),
+            object_pairs_hook=_unique_keys,
+            parse_int=_parse_integer,
+            parse_float=_parse_float,
+            parse_constant=_refuse_constant,
+        )
+        _check_depth(document, max_depth)
+        canonical_json(document)
+    except RecursionError:
+        raise EnvelopeError(f"nested over {max_depth} levels") from None
+    except EnvelopeError:
+        raise
+    except ValueError as error:
+        raise EnvelopeError(f"not JSON in UTF-8: {error}") from None
+    return document
+
+
+def canonical_json(document: Any) -> bytes:
+    """Returns the one encoding of a document that digests are taken of."""
+    return json.dumps(
+        document,
+        sort_keys=True,
+        separators=(",", ":"),
+        ensure_ascii=False,
+        allow_nan=False,
+    ).encode("utf-8")
+
+
+def _unique_keys(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    document = dict(pairs)
+    if len(document) != len(pairs):
+        raise EnvelopeError("an object has the same key twice")
+    return document
+
+
+def _parse_integer(text: str) -> int:
+    if len(text) <= _MAX_INTEGER_DIGITS:
+        value = int(text)
+        if abs(value) <= _MAX_INTEGER:
+            return value
+    raise EnvelopeError("an integer is beyond 53 bits")
+
+
+def _parse_float(text: str) -> float:
+    value = float(text)
+    if not math.isfinite(value):
+        raise EnvelopeError("a number is not finite")
+    return value
+
+
+def _refuse_constant(text: str) -> float:
+    raise EnvelopeError(f"{text} is not JSON")
+
+
+def _check_depth(document: Any, max_depth: int) -> None:
+    level = [document]
+    for _ in range(max_depth):
+        level = [child for each in level for child in _children(each)]
+        if not level:
+            return
+    if any(isinstance(each, dict | list) for each in level):
+        raise EnvelopeError(f"nested over {max_depth} levels")
+
+
+def _children(document: Any) -> list[Any]:
+    if isinstance(document, dict):
+        return list(document.values())
+    return document if isinstance(document, list) else []
--- a/hibiscusstile/configuration/fold.py
+++ b/hibiscusstile/configuration/fold.py
@@ -4,44 +4,81 @@
 
 import dataclasses
 import hashlib
-import json
-from typing import Annotated, Any
-
-import pydantic
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any, TypeAlias
 
 from hibiscusstile import platform
-
-__all__ = ["Accepted", "Fold", "Rejected", "StoredRecord"]
-
-MAX_RECORD_BYTES = 256 * 1024
-_Name = Annotated[
-    str,
-    pydantic.StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$"),
+from hibiscusstile.configuration import envelope as envelope_lib
+
+__all__ = [
+    "Accepted",
+    "Fold",
+    "Histories",
+    "Judge",
+    "OutOfOrder",
+    "RecordKey",
+    "Rejected",
+    "StoredRecord",
+    "group_histories",
+    "state_digest",
 ]
 
+# A process that knows a schema keeps two bodies at most: the last valid one
+# and the newest. One that does not know it cannot tell which body is valid,
+# and keeps the oldest and the newest ones up to this number.
+_MAX_HISTORY = 8
 
-class Envelope(pydantic.BaseModel):
-    """What every version of the program reads alike, now and later."""
+RecordKey: TypeAlias = tuple[str, str, int]
 
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
-    kind: _Name
-    name: _Name
-    schema_version: Annotated[int, pydantic.Field(ge=1)]
-    body: dict[str, Any]
-    expect_revision: int | None = None
-    author: Annotated[str, pydantic.Field(max_length=200)] = ""
+class OutOfOrder(ValueError):  # noqa: N818 - names the fault of the caller
+    """An entry is not the next one of the log."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoredRecord:
-    """The last accepted record of one kind, name and schema version."""
+    """An accepted record of one kind, name and schema version.
+
+    Attributes:
+        kind: The kind.
+        name: The name.
+        schema_version: Version of the body's schema.
+        offset: Where the record stands on the log.
+        body: The body.
+        digest: SHA-256 of all the above.
+    """
 
     kind: str
     name: str
     schema_version: int
     offset: int
-    body: dict[str, Any]
+    body: Mapping[str, Any]
+    digest: bytes
+
+    @classmethod
+    def create(
+        cls,
+        kind: str,
+        name: str,
+        schema_version: int,
+        offset: int,
+        body: Mapping[str, Any],
+    ) -> StoredRecord:
+        """Returns the record with its digest."""
+        text = envelope_lib.canonical_json(
+            [kind, name, schema_version, offset, body]
+        )
+        digest = hashlib.sha256(text).digest()
+        return cls(kind, name, schema_version, offset, body, digest)
+
+    @property
+    def key(self) -> RecordKey:
+        """Kind, name and schema version."""
+        return self.kind, self.name, self.schema_version
+
+
+Judge: TypeAlias = Callable[[StoredRecord], bool | None]
+Histories: TypeAlias = Mapping[RecordKey, tuple[StoredRecord, ...]]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,17 +96,54 @@
     reason: str
 
 
+def group_histories(
+    records: Iterable[StoredRecord],
+) -> dict[RecordKey, tuple[StoredRecord, ...]]:
+    """Returns the records by key, each group in order of offset."""
+    groups: dict[RecordKey, dict[int, StoredRecord]] = {}
+    for record in records:
+        groups.setdefault(record.key, {})[record.offset] = record
+    return {
+        key: tuple(group[offset] for offset in sorted(group))
+        for key, group in groups.items()
+    }
+
+
+def state_digest(histories: Histories) -> str:
+    """Returns the hexadecimal SHA-256 of the newest record of each key."""
+    digest = hashlib.sha256()
+    for key in sorted(histories):
+        digest.update(histories[key][-1].digest)
+    return digest.hexdigest()
+
+
+def _cannot_judge(record: StoredRecord) -> bool | None:
+    del record
+    return None
+
+
 class Fold:
     """State after all records below `next_offset`.
 
     Acceptance reads the envelope only, whose rules never change, so that
-    processes of different versions agree on it.
+    processes of different versions agree on it. Beside the newest accepted
+    record of a key, the fold keeps earlier ones for as long as the newest may
+    be one whose body is not valid, in which case an earlier body stays in
+    force. Only the newest records enter the digest, because processes of
+    different versions keep different earlier ones.
+
+    Args:
+        judge: Tells whether a record's body is valid, None when this process
+            does not know its schema.
     """
 
-    def __init__(self) -> None:
-        self._records: dict[tuple[str, str, int], StoredRecord] = {}
+    def __init__(self, judge: Judge = _cannot_judge) -> None:
+        self._judge = judge
+        self._histories: dict[RecordKey, tuple[StoredRecord, ...]] = {}
+        self._revisions: dict[tuple[str, str], int] = {}
         self._revision = -1
         self._next_offset = 0
+        self._digest: str | None = None
 
     @property
     def revision(self) -> int:
@@ -81,31 +155,43 @@
         """Offset of the next log entry to apply."""
         return self._next_offset
 
+    @property
+    def histories(self) -> Histories:
+        """Kept records by key, the newest last."""
+        return self._histories
+
     @property
     def records(self) -> tuple[StoredRecord, ...]:
-        """The last accepted records, in order of their keys."""
-        return tuple(self._records[key] for key in sorted(self._records))
+        """The newest accepted records, in order of their keys."""
+        return tuple(self._histories[k][-1] for k in sorted(self._histories))
 
     @property
     def digest(self) -> str:
-        """Hexadecimal SHA-256 of the state."""
-        text = json.dumps(
-            [dataclasses.astuple(record) for record in self.records],
-            sort_keys=True,
-            separators=(",", ":"),
-        )
-        return hashlib.sha256(text.encode()).hexdigest()
+        """Hexadecimal digest of the state; equal in all processes."""
+        if self._digest is None:
+            self._digest = state_digest(self._histories)
+        return self._digest
+
+    def record_revision(self, kind: str, name: str) -> int:
+        """Returns the offset of the last accepted record, -1 for none."""
+        return self._revisions.get((kind, name), -1)
 
     def apply(self, entry: platform.LogEntry) -> Accepted | Rejected:
-        """Applies the entry at `next_offset`."""
+        """Applies the entry at `next_offset`; no payload makes it fail.
+
+        Raises:
+            OutOfOrder: The entry has another offset.
+        """
+        if entry.offset != self._next_offset:
+            raise OutOfOrder(
+                f"entry {entry.offset} applied, {self._next_offset} is next"
+            )
         self._next_offset = entry.offset + 1
-        if len(entry.payload) > MAX_RECORD_BYTES:
-            return Rejected(entry.offset, "record is too long")
         try:
-            envelope = Envelope.model_validate_json(entry.payload)
-        except pydantic.ValidationError:
-            return Rejected(entry.offset, "envelope is malformed")
-        current = self._record_revision(envelope.kind, envelope.name)
+            envelope = envelope_lib.parse_envelope(entry.payload)
+        except envelope_lib.EnvelopeError as error:
+            return Rejected(entry.offset, str(error))
+        current = self.record_revision(envelope.kind, envelope.name)
         expected = envelope.expect_revision
         if expected is not None and expected != current:
             return Rejected(
@@ -113,26 +199,49 @@
                 f"expected revision {expected} of {envelope.kind} "
                 f"{envelope.name!r}, found {current}",
             )
-        key = (envelope.kind, envelope.name, envelope.schema_version)
-        self._records[key] = StoredRecord(*key, entry.offset, envelope.body)
-        self._revision = entry.offset
+        self._keep(
+            StoredRecord.create(
+                envelope.kind,
+                envelope.name,
+                envelope.schema_version,
+                entry.offset,
+                envelope.body,
+            )
+        )
         return Accepted(entry.offset)
 
-    def restore(
-        self,
-        records: list[StoredRecord],
-        revision: int,
-        next_offset: int,
+    def replace(
+        self, histories: Histories, revision: int, next_offset: int
     ) -> None:
-        """Replaces the state by that of a snapshot."""
-        self._records = {(r.kind, r.name, r.schema_version): r for r in records}
+        """Replaces the state; the caller has checked that it is newer."""
+        self._histories = {
+            key: self._trim(history) for key, history in histories.items()
+        }
+        self._revisions = {}
+        for kind, name, version in self._histories:
+            newest = self._histories[kind, name, version][-1].offset
+            known = self._revisions.get((kind, name), -1)
+            self._revisions[kind, name] = max(known, newest)
         self._revision = revision
         self._next_offset = next_offset
-
-    def _record_revision(self, kind: str, name: str) -> int:
-        offsets = (
-            record.offset
-            for record in self._records.values()
-            if record.kind == kind and record.name == name
-        )
-        return max(offsets, default=-1)
+        self._digest = None
+
+    def _keep(self, record: StoredRecord) -> None:
+        history = (*self._histories.get(record.key, ()), record)
+        self._histories[record.key] = self._trim(history)
+        self._revisions[record.kind, record.name] = record.offset
+        self._revision = record.offset
+        self._digest = None
+
+    def _trim(
+        self, history: tuple[StoredRecord, ...]
+    ) -> tuple[StoredRecord, ...]:
+        judged = [self._judge(record) for record in history]
+        if True in judged:
+            last_valid = len(judged) - 1 - judged[::-1].index(True)
+            return history[last_valid : last_valid + 1] + (
+                history[-1:] if last_valid < len(history) - 1 else ()
+            )
+        if len(history) > _MAX_HISTORY:
+            return history[0], *history[1 - _MAX_HISTORY :]
+        return history
--- /dev/null
+++ b/hibiscusstile/configuration/snapshot.py
@@ -0,0 +1,282 @@
+"""Snapshots of the folded state: encoding, checks and merging.
+
+A snapshot covers all log entries below its `next_offset`. One with `since`
+set holds only the keys that changed after that revision, which keeps the
+answer to a peer that is one change behind small. The encoded form is the
+SHA-256 of the rest, then zlib-compressed JSON.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import zlib
+from typing import Annotated, Any, Literal
+
+import pydantic
+
+from hibiscusstile.configuration import envelope as envelope_lib
+from hibiscusstile.configuration import fold as fold_lib
+
+__all__ = [
+    "MAX_ENCODED_BYTES",
+    "Snapshot",
+    "SnapshotError",
+    "decode",
+    "encode",
+    "find_conflict",
+    "merge",
+    "take",
+]
+
+# Fits into one frame between peers with room for the envelope.
+MAX_ENCODED_BYTES = 5 * 1024 * 1024
+_MAX_DECODED_BYTES = 16 * 1024 * 1024
+_MAX_DEPTH = envelope_lib.MAX_DEPTH + 3
+_DIGEST_BYTES = 32
+
+_Offset = Annotated[int, pydantic.Field(ge=0)]
+_Revision = Annotated[int, pydantic.Field(ge=-1)]
+
+
+class SnapshotError(ValueError):
+    """A snapshot is corrupt, or contradicts what is known."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """The folded state at one offset.
+
+    Attributes:
+        next_offset: First log entry that the state does not cover.
+        revision: Offset of the last accepted record; -1 for none.
+        digest: Hexadecimal digest of the whole state.
+        author: The process that took it.
+        since: Keys that did not change after this revision are left out; -1
+            for a whole state.
+        records: Kept records, by key and offset.
+    """
+
+    next_offset: int
+    revision: int
+    digest: str
+    author: str
+    since: int
+    records: tuple[fold_lib.StoredRecord, ...]
+
+
+class _Record(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    kind: envelope_lib.Name
+    name: envelope_lib.Name
+    schema_version: Annotated[int, pydantic.Field(ge=1)]
+    offset: _Offset
+    body: dict[str, Any]
+
+
+class _Document(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", strict=True)
+
+    format: Literal[1]
+    next_offset: _Offset
+    revision: _Revision
+    digest: str
+    author: Annotated[str, pydantic.Field(max_length=200)]
+    since: _Revision
+    records: list[_Record]
+
+
+def take(fold: fold_lib.Fold, author: str = "", since: int = -1) -> Snapshot:
+    """Returns the fold's state, or what changed in it after `since`."""
+    records = [
+        record
+        for key in sorted(fold.histories)
+        if fold.histories[key][-1].offset > since
+        for record in fold.histories[key]
+    ]
+    return Snapshot(
+        fold.next_offset,
+        fold.revision,
+        fold.digest,
+        author,
+        since,
+        tuple(records),
+    )
+
+
+def encode(snapshot: Snapshot) -> bytes:
+    """Returns the encoded snapshot.
+
+    Raises:
+        SnapshotError: It would exceed `MAX_ENCODED_BYTES`.
+    """
+    text = envelope_lib.canonical_json(
+        {
+            "format": 1,
+            "next_offset": snapshot.next_offset,
+            "revision": snapshot.revision,
+            "digest": snapshot.digest,
+            "author": snapshot.author,
+            "since": snapshot.since,
+            "records": [
+                {
+                    "kind": record.kind,
+                    "name": record.name,
+                    "schema_version": record.schema_version,
+                    "offset": record.offset,
+                    "body": record.body,
+                }
+                for record in snapshot.records
+            ],
+        }
+    )
+    packed = zlib.compress(text)
+    encoded = hashlib.sha256(packed).digest() + packed
+    if len(encoded) > MAX_ENCODED_BYTES or len(text) > _MAX_DECODED_BYTES:
+        raise SnapshotError("the state is too large for a snapshot")
+    return encoded
+
+
+def decode(encoded: bytes) -> Snapshot:
+    """Returns the snapshot in `encoded`, checked against its digests.
+
+    Raises:
+        SnapshotError: It is too large, corrupt or contradicts itself.
+    """
+    document = _parse(_unpack(encoded))
+    records = tuple(
+        fold_lib.StoredRecord.create(
+            each.kind,
+            each.name,
+            each.schema_version,
+            each.offset,
+            each.body,
+        )
+        for each in document.records
+    )
+    snapshot = Snapshot(
+        document.next_offset,
+        document.revision,
+        document.digest,
+        document.author,
+        document.since,
+        records,
+    )
+    _check_itself(snapshot)
+    return snapshot
+
+
+def find_conflict(
+    earlier: fold_lib.Histories, next_offset: int, later: fold_lib.Histories
+) -> str:
+    """Returns why `later` cannot be a later state of the same log.
+
+    A later state holds every key of an earlier one, and holds the earlier
+    one's records wherever it names an offset that the earlier one covers.
+
+    Args:
+        earlier: The earlier state.
+        next_offset: First log entry that the earlier state does not cover.
+        later: The state to check.
+
+    Returns:
+        The reason, empty when there is no conflict.
+    """
+    for key, history in earlier.items():
+        newer = later.get(key)
+        if newer is None:
+            return f"{_describe(key)} is missing"
+        if newer[-1].offset < history[-1].offset:
+            return f"{_describe(key)} goes back"
+    for key, newer in later.items():
+        if newer[-1].offset >= next_offset:
+            continue
+        known = earlier.get(key)
+        if known is None or known[-1].digest != newer[-1].digest:
+            return f"{_describe(key)} differs at offset {newer[-1].offset}"
+    return ""
+
+
+def merge(fold: fold_lib.Fold, snapshot: Snapshot) -> None:
+    """Moves the fold forward to a snapshot that covers more of the log.
+
+    Earlier bodies that the fold keeps are kept on: the snapshot's author may
+    know other schemas and so have dropped a body that is in force here.
+
+    Raises:
+        SnapshotError: It does not cover more, or it contradicts the fold.
+    """
+    if snapshot.next_offset <= fold.next_offset:
+        raise SnapshotError("it covers no more of the log")
+    if snapshot.since > fold.revision:
+        raise SnapshotError(f"it starts after revision {fold.revision}")
+    incoming = fold_lib.group_histories(snapshot.records)
+    state = incoming
+    if snapshot.since >= 0:
+        state = {**fold.histories, **incoming}
+    _check_state(snapshot, state)
+    if conflict := find_conflict(fold.histories, fold.next_offset, state):
+        raise SnapshotError(conflict)
+    kept = fold.histories
+    fold.replace(
+        {
+            key: (
+                *kept.get(key, ()),
+                *(r for r in history if r.offset >= fold.next_offset),
+            )
+            for key, history in state.items()
+        },
+        snapshot.revision,
+        snapshot.next_offset,
+    )
+
+
+def _unpack(encoded: bytes) -> bytes:
+    if len(encoded) > MAX_ENCODED_BYTES:
+        raise SnapshotError(f"it is over {MAX_ENCODED_BYTES} bytes")
+    checksum, packed = encoded[:_DIGEST_BYTES], encoded[_DIGEST_BYTES:]
+    if hashlib.sha256(packed).digest() != checksum:
+        raise SnapshotError("the checksum does not match")
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(packed, _MAX_DECODED_BYTES)
+    except zlib.error as error:
+        raise SnapshotError(f"it is not compressed data: {error}") from None
+    if not inflater.eof:
+        raise SnapshotError("it is cut short or unpacks to too much")
+    return text
+
+
+def _parse(text: bytes) -> _Document:
+    try:
+        return _Document.model_validate(
+            envelope_lib.parse_json(text, _MAX_DEPTH)
+        )
+    except envelope_lib.EnvelopeError as error:
+        raise SnapshotError(str(error)) from None
+    except pydantic.ValidationError as error:
+        first = error.errors(include_input=False, include_url=False)[0]
+        where = ".".join(str(part) for part in first["loc"])
+        raise SnapshotError(f"{where}: {first['msg']}") from None
+
+
+def _check_itself(snapshot: Snapshot) -> None:
+    if snapshot.next_offset <= snapshot.revision:
+        raise SnapshotError("it covers less than its revision")
+    if snapshot.since < 0:
+        histories = fold_lib.group_histories(snapshot.records)
+        _check_state(snapshot, histories)
+
+
+def _check_state(snapshot: Snapshot, state: fold_lib.Histories) -> None:
+    if fold_lib.state_digest(state) != snapshot.digest:
+        raise SnapshotError("the digest does not match the records")
+    newest = max((h[-1].offset for h in state.values()), default=-1)
+    if newest != snapshot.revision:
+        raise SnapshotError("the revision is not that of the newest record")
+
+
+def _describe(key: fold_lib.RecordKey) -> str:
+    kind, name, version = key
+    return f"{kind} {name!r} of schema version {version}"
--- a/hibiscusstile/configuration/store.py
+++ b/hibiscusstile/configuration/store.py
@@ -3,35 +3,60 @@
 from __future__ import annotations
 
 import dataclasses
-import json
-from typing import Any
 
 import logbook
-import pydantic
 
 from hibiscusstile import logs, metrics, platform, records
 from hibiscusstile.configuration import fold as fold_lib
+from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import view as view_lib
+from hibiscusstile.configuration import view_builder
 
-__all__ = ["ConfigurationStore"]
+__all__ = [
+    "Adopted",
+    "AdoptionRefused",
+    "ConfigurationStore",
+    "NotNewer",
+]
 
 _log = logbook.Logger("configuration")
 
-_FIELD_BY_KIND = {
-    "workspace": "workspaces",
-    "rank": "ranks",
-    "routing_policy": "policies",
-    "model": "models",
-    "application": "applications",
-    "backend_kind": "backend_kinds",
-}
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Adopted:
+    """The state of a snapshot is in force at `revision`."""
+
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NotNewer:
+    """The snapshot covers no more of the log than this process."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdoptionRefused:
+    """The snapshot is corrupt or contradicts the state in force."""
+
+    reason: str
 
-class ConfigurationStore:
-    """Folds the log and holds the view built from it; it never goes back."""
 
-    def __init__(self) -> None:
-        self._fold = fold_lib.Fold()
+class ConfigurationStore:
+    """Folds the log and holds the view built from it; it never goes back.
+
+    Args:
+        schemas: Finds the schemas that this process knows.
+        author: Name of this process in the snapshots that it takes.
+    """
+
+    def __init__(
+        self,
+        schemas: view_builder.SchemaLookup = records.find_schema,
+        author: str = "",
+    ) -> None:
+        self._author = author
+        self._builder = view_builder.ViewBuilder(schemas)
+        self._fold = fold_lib.Fold(self._builder.judge)
         self._view = view_lib.ConfigurationView()
 
     @property
@@ -39,6 +64,11 @@
         """The effective records."""
         return self._view
 
+    @property
+    def fold(self) -> fold_lib.Fold:
+        """The folded state, for reading."""
+        return self._fold
+
     @property
     def revision(self) -> int:
         """Revision in force; -1 for none."""
@@ -54,78 +84,98 @@
         """Hexadecimal digest of the folded state."""
         return self._fold.digest
 
-    def apply(self, entries: tuple[platform.LogEntry, ...]) -> None:
-        """Applies log entries in order; earlier ones are ignored."""
-        for entry in entries:
-            if entry.offset >= self._fold.next_offset:
-                _log.info(_verdict_line(self._fold.apply(entry)))
-        self._rebuild()
+    @property
+    def reference_faults(self) -> tuple[view_builder.ReferenceFault, ...]:
+        """References to records that are not in force."""
+        return self._builder.faults
+
+    def apply(
+        self, entries: tuple[platform.LogEntry, ...]
+    ) -> tuple[fold_lib.Accepted | fold_lib.Rejected, ...]:
+        """Applies log entries in order; earlier ones are ignored.
+
+        Returns:
+            The verdicts on the entries that were applied.
 
-    def snapshot(self) -> bytes:
-        """Returns the state, encoded."""
-        return json.dumps(
-            {
-                "revision": self._fold.revision,
-                "next_offset": self._fold.next_offset,
-                "records": [
-                    dataclasses.asdict(each) for each in self._fold.records
-                ],
-            },
-            separators=(",", ":"),
-        ).encode()
-
-    def adopt(self, snapshot: bytes) -> bool:
-        """Takes over a peer's state if it is newer; False if it is not.
+        Raises:
+            OutOfOrder: An entry is missing; those before it are applied.
+        """
+        verdicts = []
+        try:
+            for entry in entries:
+                if entry.offset >= self._fold.next_offset:
+                    verdict = self._fold.apply(entry)
+                    _log.info(_verdict_line(verdict))
+                    verdicts.append(verdict)
+        finally:
+            self._rebuild()
+        return tuple(verdicts)
+
+    def snapshot(self, since: int = -1) -> bytes:
+        """Returns the state, encoded.
+
+        Args:
+            since: Leaves out what did not change after this revision.
+
+        Raises:
+            SnapshotError: The state is too large.
+        """
+        return snapshot_lib.encode(
+            snapshot_lib.take(self._fold, self._author, since)
+        )
+
+    def adopt(
+        self, encoded: bytes, digest: str = ""
+    ) -> Adopted | NotNewer | AdoptionRefused:
+        """Takes over an encoded snapshot if it is newer and consistent.
+
+        Args:
+            encoded: The snapshot.
+            digest: The digest that its sender announced, if any.
+        """
+        try:
+            snapshot = snapshot_lib.decode(encoded)
+            if digest and snapshot.digest != digest:
+                raise snapshot_lib.SnapshotError("not the announced digest")
+            return self.adopt_snapshot(snapshot)
+        except snapshot_lib.SnapshotError as error:
+            _log.error("snapshot_refused reason={!r}", str(error))
+            return AdoptionRefused(str(error))
+
+    def adopt_snapshot(
+        self, snapshot: snapshot_lib.Snapshot
+    ) -> Adopted | NotNewer:
+        """Takes over a decoded snapshot if it is newer.
 
         Raises:
-            ValueError: The snapshot is malformed.
+            SnapshotError: It contradicts the state in force.
         """
-        data = json.loads(snapshot)
-        if data["next_offset"] <= self._fold.next_offset:
-            return False
-        stored = [fold_lib.StoredRecord(**each) for each in data["records"]]
-        self._fold.restore(stored, data["revision"], data["next_offset"])
+        if snapshot.next_offset <= self._fold.next_offset:
+            if (
+                snapshot.next_offset == self._fold.next_offset
+                and snapshot.digest != self._fold.digest
+            ):
+                raise snapshot_lib.SnapshotError(
+                    f"another state at offset {snapshot.next_offset}"
+                )
+            return NotNewer()
+        snapshot_lib.merge(self._fold, snapshot)
         self._rebuild()
-        return True
+        _log.info(
+            "snapshot_adopted revision={} next_offset={} author={}",
+            snapshot.revision,
+            snapshot.next_offset,
+            snapshot.author,
+        )
+        return Adopted(self._fold.revision)
 
     def _rebuild(self) -> None:
         if self._view.revision == self._fold.revision:
             return
-        fields: dict[str, dict[str, Any]] = {
-            field: {} for field in _FIELD_BY_KIND.values()
-        }
-        # Sorted by schema version, so that the newest known one wins.
-        for record in self._fold.records:
-            built = _build(record)
-            if built is not None:
-                fields[_FIELD_BY_KIND[record.kind]][record.name] = built
-        keys = {
-            key.key_id: (workspace, key)
-            for workspace in fields["workspaces"].values()
-            for key in workspace.keys
-        }
-        self._view = view_lib.ConfigurationView(
-            revision=self._fold.revision, keys=keys, **fields
-        )
+        self._view = self._builder.build(self._fold)
         metrics.set_revision(self._fold.revision)
 
 
-def _build(record: fold_lib.StoredRecord) -> Any | None:
-    name = records.schema_name(record.kind, record.schema_version)
-    try:
-        schema = records.get_schema_by_name(name)
-        return schema.model_validate(record.body).build(record.name)
-    except (records.RecordSchemaNotFound, pydantic.ValidationError):
-        _log.warn(
-            "record_ineffective kind={} name={} schema_version={} offset={}",
-            record.kind,
-            record.name,
-            record.schema_version,
-            record.offset,
-        )
-        return None
-
-
 def _verdict_line(
     verdict: fold_lib.Accepted | fold_lib.Rejected,
 ) -> str:
--- /dev/null
+++ b/hibiscusstile/configuration/view_builder.py
@@ -0,0 +1,257 @@
+"""Builds the configuration view from the folded state."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Callable, Sequence
+from typing import Any, TypeAlias
+
+import logbook
+
+from hibiscusstile import records as records_lib
+from hibiscusstile.configuration import fold as fold_lib
+from hibiscusstile.configuration import view as view_lib
+
+__all__ = ["DEFAULT_POLICY", "ReferenceFault", "SchemaLookup", "ViewBuilder"]
+
+_log = logbook.Logger("configuration")
+
+DEFAULT_POLICY = "default"
+_DEFAULT_ALGORITHM = "bidding"
+_DEFAULT_RANK = "routine"
+_FIELD_BY_KIND = {
+    "workspace": "workspaces",
+    "rank": "ranks",
+    "routing_policy": "policies",
+    "model": "models",
+    "application": "applications",
+    "backend_kind": "backend_kinds",
+}
+
+SchemaLookup: TypeAlias = Callable[
+    [str, int], type[records_lib.RecordBody] | None
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReferenceFault:
+    """A record in force names another one that is not.
+
+    Attributes:
+        kind: Kind of the record that holds the reference.
+        name: Its name.
+        path: Where in its body.
+        message: What is wrong.
+    """
+
+    kind: str
+    name: str
+    path: str
+    message: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Built:
+    value: Any
+    references: tuple[records_lib.Reference, ...]
+
+
+class ViewBuilder:
+    """Builds views, keeping what was built of records that did not change.
+
+    Args:
+        schemas: Finds the schemas that this process knows.
+    """
+
+    def __init__(self, schemas: SchemaLookup) -> None:
+        self._schemas = schemas
+        self._built: dict[tuple[fold_lib.RecordKey, int], _Built | None] = {}
+        self._faults: tuple[ReferenceFault, ...] = ()
+
+    @property
+    def faults(self) -> tuple[ReferenceFault, ...]:
+        """References of the last view to records that are not in force."""
+        return self._faults
+
+    def judge(self, record: fold_lib.StoredRecord) -> bool | None:
+        """Tells whether a body is valid, None for an unknown schema."""
+        if self._schemas(record.kind, record.schema_version) is None:
+            return None
+        return self._build_record(record) is not None
+
+    def build(self, fold: fold_lib.Fold) -> view_lib.ConfigurationView:
+        """Returns the view of a state.
+
+        Of each kind and name, the record of the newest schema version that
+        this process knows is in force; of each key, the newest valid body.
+        A reference to a record that is not in force is logged and replaced
+        by a default, so that the view never names a missing policy or rank.
+        """
+        self._forget(fold)
+        in_force: dict[str, dict[str, _Built]] = {
+            kind: {} for kind in _FIELD_BY_KIND
+        }
+        # Keys sort by schema version, so that the newest one stays.
+        for key in sorted(fold.histories):
+            built = self._newest_valid(fold.histories[key])
+            if built is not None:
+                in_force[key[0]][key[1]] = built
+        self._note_faults(_find_faults(in_force))
+        fields: dict[str, dict[str, Any]] = {
+            field: {n: built.value for n, built in in_force[kind].items()}
+            for kind, field in _FIELD_BY_KIND.items()
+        }
+        _resolve(fields)
+        return view_lib.ConfigurationView(
+            revision=fold.revision,
+            keys=_index_keys(fields["workspaces"]),
+            **fields,
+        )
+
+    def _newest_valid(
+        self, history: Sequence[fold_lib.StoredRecord]
+    ) -> _Built | None:
+        for record in reversed(history):
+            built = self._build_record(record)
+            if built is not None:
+                return built
+        return None
+
+    def _build_record(self, record: fold_lib.StoredRecord) -> _Built | None:
+        place = (record.key, record.offset)
+        if place not in self._built:
+            self._built[place] = self._build_anew(record)
+        return self._built[place]
+
+    def _build_anew(self, record: fold_lib.StoredRecord) -> _Built | None:
+        schema = self._schemas(record.kind, record.schema_version)
+        if schema is None or record.kind not in _FIELD_BY_KIND:
+            self._log_ineffective(record, "unknown schema")
+            return None
+        # Whatever a body makes its schema do, the process goes on with the
+        # body that was in force before.
+        try:
+            body = schema.model_validate(record.body)
+            value = body.build(record.name)
+            references = tuple(body.references())
+        except Exception as error:
+            self._log_ineffective(record, type(error).__name__)
+            return None
+        return _Built(value, references)
+
+    def _log_ineffective(
+        self, record: fold_lib.StoredRecord, reason: str
+    ) -> None:
+        _log.warning(
+            "record_ineffective kind={} name={} schema_version={} offset={} "
+            "reason={!r}",
+            record.kind,
+            record.name,
+            record.schema_version,
+            record.offset,
+            reason,
+        )
+
+    def _forget(self, fold: fold_lib.Fold) -> None:
+        kept = {
+            (key, record.offset)
+            for key, history in fold.histories.items()
+            for record in history
+        }
+        for place in self._built.keys() - kept:
+            del self._built[place]
+
+    def _note_faults(self, faults: tuple[ReferenceFault, ...]) -> None:
+        for fault in set(faults) - set(self._faults):
+            _log.warning(
+                "reference_unresolved kind={} name={} path={} message={!r}",
+                fault.kind,
+                fault.name,
+                fault.path,
+                fault.message,
+            )
+        self._faults = faults
+
+
+def _find_faults(
+    in_force: dict[str, dict[str, _Built]],
+) -> tuple[ReferenceFault, ...]:
+    faults = [
+        ReferenceFault(
+            kind,
+            name,
+            each.path,
+            f"{each.kind} {each.name!r} is not in force",
+        )
+        for kind, by_name in in_force.items()
+        for name, built in by_name.items()
+        for each in built.references
+        if each.name not in in_force[each.kind]
+    ]
+    owners: dict[str, str] = {}
+    for name, built in in_force["workspace"].items():
+        for key in built.value.keys:
+            owner = owners.setdefault(key.key_id, name)
+            if owner != name:
+                faults.append(
+                    ReferenceFault(
+                        "workspace",
+                        name,
+                        "",
+                        f"key id {key.key_id!r} belongs to workspace {owner!r}",
+                    )
+                )
+    return tuple(faults)
+
+
+def _resolve(fields: dict[str, dict[str, Any]]) -> None:
+    ranks: dict[str, view_lib.Rank] = fields["ranks"]
+    last_rank = _last_rank(ranks)
+    policies: dict[str, view_lib.RoutingPolicy] = fields["policies"]
+    for name, policy in policies.items():
+        if policy.default_rank not in ranks:
+            policies[name] = dataclasses.replace(policy, default_rank=last_rank)
+    policies.setdefault(
+        DEFAULT_POLICY,
+        view_lib.RoutingPolicy(
+            DEFAULT_POLICY, _DEFAULT_ALGORITHM, default_rank=last_rank
+        ),
+    )
+    workspaces: dict[str, view_lib.Workspace] = fields["workspaces"]
+    for name, workspace in workspaces.items():
+        workspaces[name] = _resolve_workspace(workspace, policies, ranks)
+
+
+def _resolve_workspace(
+    workspace: view_lib.Workspace,
+    policies: dict[str, view_lib.RoutingPolicy],
+    ranks: dict[str, view_lib.Rank],
+) -> view_lib.Workspace:
+    if workspace.policy not in policies:
+        workspace = dataclasses.replace(workspace, policy=DEFAULT_POLICY)
+    if all(not key.rank or key.rank in ranks for key in workspace.keys):
+        return workspace
+    # An unknown rank must not let a key ask for the first rank.
+    last_rank = _last_rank(ranks)
+    keys = tuple(
+        key
+        if not key.rank or key.rank in ranks
+        else dataclasses.replace(key, rank=last_rank)
+        for key in workspace.keys
+    )
+    return dataclasses.replace(workspace, keys=keys)
+
+
+def _last_rank(ranks: dict[str, view_lib.Rank]) -> str:
+    last = max(ranks.values(), key=lambda r: (r.level, r.name), default=None)
+    return last.name if last else _DEFAULT_RANK
+
+
+def _index_keys(
+    workspaces: dict[str, view_lib.Workspace],
+) -> dict[str, tuple[view_lib.Workspace, view_lib.ApiKey]]:
+    index: dict[str, tuple[view_lib.Workspace, view_lib.ApiKey]] = {}
+    for workspace in workspaces.values():
+        for key in workspace.keys:
+            index.setdefault(key.key_id, (workspace, key))
+    return index
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -3,12 +3,27 @@
 from __future__ import annotations
 
 import datetime
-from typing import Any
+import json
+from collections.abc import Coroutine
+from typing import Any, TypeVar
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import request
+from hibiscusstile import platform, records, request
+from hibiscusstile.configuration import store as store_lib
 
-__all__ = ["ManualClock", "chat_messages", "record", "work_item"]
+__all__ = [
+    "FakeLog",
+    "ManualClock",
+    "chat_messages",
+    "config_entry",
+    "config_store",
+    "record",
+    "run_now",
+    "work_item",
+    "workspace_body",
+]
+
+_T = TypeVar("_T")
 
 
 class ManualClock(clock_lib.Clock):
@@ -70,3 +85,119 @@
         {"role": "system", "content": "You grade carob pods. " * 50},
         {"role": "user", "content": question},
     ]
+
+
+def workspace_body(key_id: str = "k-0001", **fields: Any) -> dict[str, Any]:
+    """Returns a workspace body of schema version 1 with one key."""
+    key = {"key_id": key_id, "salt": "ab" * 16, "digest": "cd" * 32}
+    return {"keys": [key], **fields}
+
+
+def config_entry(offset: int, payload: Any) -> platform.LogEntry:
+    """Returns a log entry; a payload that is not bytes is sent as JSON."""
+    if not isinstance(payload, bytes):
+        payload = json.dumps(payload).encode()
+    return platform.LogEntry(offset, ManualClock().now(), payload)
+
+
+def config_store(
+    *payloads: Any, schema_versions: int = 9, author: str = ""
+) -> store_lib.ConfigurationStore:
+    """Returns a store with these payloads applied.
+
+    Args:
+        payloads: Payloads of the log from offset 0.
+        schema_versions: Newest schema version known to the process.
+        author: Its name.
+    """
+
+    def find(kind: str, version: int) -> type[records.RecordBody] | None:
+        if version > schema_versions:
+            return None
+        return records.find_schema(kind, version)
+
+    store = store_lib.ConfigurationStore(find, author)
+    store.apply(
+        tuple(config_entry(offset, p) for offset, p in enumerate(payloads))
+    )
+    return store
+
+
+def run_now(coroutine: Coroutine[Any, Any, _T]) -> _T:
+    """Runs a coroutine that never waits, and returns its result."""
+    try:
+        coroutine.send(None)
+    except StopIteration as done:
+        result: _T = done.value
+        return result
+    raise AssertionError("the coroutine waits")
+
+
+class FakeLog(platform.LogClient):
+    """A log in memory that never waits.
+
+    Attributes:
+        down: Whether it is in an outage.
+        lose_answers: Whether appends take effect without an answer.
+    """
+
+    name = "fake"
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        super().__init__("")
+        self._clock = clock
+        self._streams: dict[str, list[platform.LogEntry]] = {}
+        self._earliest: dict[str, int] = {}
+        self.down = False
+        self.lose_answers = False
+
+    def payloads(self, stream: str) -> list[bytes]:
+        """Returns all payloads ever appended."""
+        return [entry.payload for entry in self._streams.get(stream, [])]
+
+    def retain(self, age: datetime.timedelta) -> None:
+        """Drops entries older than `age`."""
+        for stream, entries in self._streams.items():
+            oldest = self._clock.now() - age
+            kept = [e.offset for e in entries if e.time >= oldest]
+            self._earliest[stream] = kept[0] if kept else len(entries)
+
+    def put(self, stream: str, payload: bytes) -> int:
+        """Appends an entry, even in an outage, and returns its offset."""
+        entries = self._streams.setdefault(stream, [])
+        entry = platform.LogEntry(len(entries), self._clock.now(), payload)
+        entries.append(entry)
+        return entry.offset
+
+    async def append(
+        self, stream: str, payload: bytes
+    ) -> platform.Appended | platform.AppendRefused | platform.AppendUnknown:
+        """Appends one entry."""
+        if self.down:
+            return platform.AppendRefused("outage")
+        offset = self.put(stream, payload)
+        if self.lose_answers:
+            return platform.AppendUnknown("no answer")
+        return platform.Appended(offset)
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        *,
+        limit: int = 500,
+        wait: datetime.timedelta = datetime.timedelta(0),
+    ) -> platform.LogEntries | platform.LogUnavailable:
+        """Reads retained entries."""
+        del wait
+        if self.down:
+            return platform.LogUnavailable("outage")
+        entries = self._streams.get(stream, [])
+        earliest = self._earliest.get(stream, 0)
+        start = max(offset, earliest)
+        return platform.LogEntries(
+            tuple(entries[start : start + limit]), earliest, len(entries)
+        )
+
+    async def close(self) -> None:
+        """Does nothing."""
--- /dev/null
+++ b/tests/configuration/test_store.py
@@ -0,0 +1,201 @@
+"""Tests of the fold, its snapshots and the view built from them."""
+
+from __future__ import annotations
+
+import dataclasses
+import hashlib
+import json
+
+import pytest
+
+from hibiscusstile.configuration import fold as fold_lib
+from hibiscusstile.configuration import snapshot as snapshot_lib
+from hibiscusstile.configuration import store as store_lib
+from tests import builders
+
+_RANK = builders.record("rank", "routine", level=1)
+_POLICY = builders.record("routing_policy", "default", algorithm="bidding")
+_WORKSPACE = builders.record(
+    "workspace", "growers", **builders.workspace_body()
+)
+_BAD = {**_WORKSPACE, "body": {"keys": "none"}}
+_V2 = {
+    "kind": "workspace",
+    "name": "growers",
+    "schema_version": 2,
+    "body": {
+        "rank": "routine",
+        "callers": {
+            "shed": {
+                "keys": [
+                    {"key_id": "k-0002", "salt": "ab" * 16, "digest": "c" * 64}
+                ]
+            }
+        },
+    },
+}
+
+
+def _lie(store: store_lib.ConfigurationStore, **changes: object) -> bytes:
+    taken = snapshot_lib.take(store.fold)
+    return snapshot_lib.encode(dataclasses.replace(taken, **changes))
+
+
+def test_one_of_two_racing_operators_wins_and_the_other_sees_why() -> None:
+    """Guards against a lost update."""
+    store = builders.config_store(_RANK)
+    racing = [
+        {**_RANK, "expect_revision": 0, "author": author}
+        for author in ("ana", "luz")
+    ]
+    verdicts = store.apply(
+        tuple(builders.config_entry(n + 1, r) for n, r in enumerate(racing))
+    )
+    assert verdicts[0] == fold_lib.Accepted(1)
+    assert isinstance(verdicts[1], fold_lib.Rejected)
+    assert "found 1" in verdicts[1].reason
+
+
+def test_a_missing_entry_is_not_skipped() -> None:
+    """Guards against a state that lacks a record it should hold."""
+    store = builders.config_store(_RANK)
+    with pytest.raises(fold_lib.OutOfOrder):
+        store.apply((builders.config_entry(2, _POLICY),))
+    assert store.next_offset == 1
+
+
+@pytest.mark.parametrize("restart", [False, True])
+@pytest.mark.parametrize("snapshot_by", [1, 9])
+def test_a_body_without_effect_leaves_the_previous_one_in_force(
+    restart: bool, snapshot_by: int
+) -> None:
+    """Guards against a workspace that vanishes, also after a restart."""
+    bad_v2 = {**_V2, "body": {"callers": 1}}
+    payloads = (_RANK, _WORKSPACE, _V2, bad_v2, _BAD, bad_v2)
+    store = builders.config_store(*payloads)
+    if restart:
+        writer = builders.config_store(*payloads, schema_versions=snapshot_by)
+        store = builders.config_store()
+        store.adopt(writer.snapshot())
+    assert set(store.view.keys) == {"k-0002"}
+    old = builders.config_store(*payloads, schema_versions=1)
+    assert set(old.view.keys) == {"k-0001"}
+    assert old.digest == store.digest
+
+
+def test_the_newest_known_schema_version_is_in_force_in_any_order() -> None:
+    """Guards against an old version's record undoing a newer one."""
+    for payloads in ((_V2, _WORKSPACE), (_WORKSPACE, _V2)):
+        assert set(builders.config_store(*payloads).view.keys) == {"k-0002"}
+
+
+def test_a_body_that_makes_its_schema_fail_has_no_effect() -> None:
+    """Guards the process against whatever an operator appends."""
+    odd = builders.record("rank", "urgent", level=0, queue_time_s=10**15)
+    store = builders.config_store(_RANK, odd, b"\x00", b"null", _POLICY)
+    assert set(store.view.ranks) == {"routine"}
+    assert store.revision == 4
+
+
+def test_unknown_references_fall_back_and_are_listed() -> None:
+    """Guards against a key that gains a rank by naming an unknown one."""
+    body = builders.workspace_body(policy="gone", models=["gone"])
+    body["keys"][0]["rank"] = "gone"
+    urgent = builders.record("rank", "urgent", level=0)
+    store = builders.config_store(
+        urgent, _RANK, builders.record("workspace", "growers", **body)
+    )
+    workspace, key = store.view.keys["k-0001"]
+    assert workspace.policy == "default"
+    assert store.view.policies["default"].default_rank == "routine"
+    assert key.rank == "routine"
+    assert {f.path for f in store.reference_faults} == {
+        "policy",
+        "models.0",
+        "keys.0.rank",
+    }
+
+
+def test_a_key_id_given_twice_opens_one_workspace() -> None:
+    """Guards against a second workspace taking over a key."""
+    store = builders.config_store(
+        {**_WORKSPACE, "name": "second"}, _WORKSPACE, _POLICY, _RANK
+    )
+    assert store.view.keys["k-0001"][0].name == "growers"
+    assert "belongs to" in store.reference_faults[0].message
+
+
+def test_unchanged_records_are_not_built_again() -> None:
+    """Guards the cost of a change at 860 workspaces."""
+    store = builders.config_store(_RANK, _POLICY, _WORKSPACE)
+    before = store.view.workspaces["growers"]
+    store.apply((builders.config_entry(3, _RANK),))
+    assert store.view.workspaces["growers"] is before
+
+
+def test_a_peer_one_change_behind_gets_only_the_change() -> None:
+    """Guards the 29 KB/s that a node may spend on control."""
+    many = [{**_WORKSPACE, "name": f"w{n}"} for n in range(200)]
+    behind = builders.config_store(*many)
+    ahead = builders.config_store(*many, _RANK)
+    assert len(ahead.snapshot(behind.revision)) < 1000
+    assert behind.adopt(ahead.snapshot(behind.revision), ahead.digest) == (
+        store_lib.Adopted(200)
+    )
+    assert behind.digest == ahead.digest
+
+
+def test_older_and_equal_states_are_not_adopted() -> None:
+    """Guards against going back to a peer's older state."""
+    old, new = builders.config_store(_RANK), builders.config_store(_RANK, _V2)
+    assert new.adopt(old.snapshot()) == store_lib.NotNewer()
+    assert new.adopt(new.snapshot()) == store_lib.NotNewer()
+
+
+def test_corrupt_snapshots_are_refused() -> None:
+    """Guards against a damaged or hostile state from a peer."""
+    good = builders.config_store(_RANK, _POLICY).snapshot()
+    bomb = b"x" * snapshot_lib.MAX_ENCODED_BYTES
+    flipped = good[:-1] + bytes([good[-1] ^ 1])
+    wrong = [b"", good[:40], flipped, bomb, bomb + b"x", good[::-1]]
+    wrong.append(hashlib.sha256(b"").digest())
+    for encoded in wrong:
+        store = builders.config_store(_RANK)
+        refused = store.adopt(encoded)
+        assert isinstance(refused, store_lib.AdoptionRefused)
+        assert store.revision == 0
+
+
+def test_snapshots_that_contradict_the_log_are_refused() -> None:
+    """Guards against a state with a sound checksum that is not the log's."""
+    own = builders.config_store(_RANK, _POLICY)
+    other = builders.config_store(_POLICY, _RANK, _WORKSPACE)
+    lost = builders.config_store(_RANK, b"", _WORKSPACE)
+    whole = builders.config_store(_RANK, _POLICY, _WORKSPACE)
+    for lie in (
+        other.snapshot(),
+        lost.snapshot(),
+        _lie(whole, revision=7, next_offset=9),
+        _lie(whole, next_offset=2),
+        _lie(whole, digest="0" * 64),
+        _lie(whole, records=()),
+        _lie(whole, since=1, records=()),
+        _lie(whole, since=2),
+    ):
+        before = own.digest
+        assert isinstance(own.adopt(lie), store_lib.AdoptionRefused)
+        assert (own.digest, own.next_offset) == (before, 2)
+    assert isinstance(
+        own.adopt(whole.snapshot(), "0" * 64), store_lib.AdoptionRefused
+    )
+    assert own.adopt(whole.snapshot(), whole.digest) == store_lib.Adopted(2)
+
+
+def test_the_digest_does_not_depend_on_the_path_to_a_state() -> None:
+    """Guards the comparison between processes."""
+    payloads = [_RANK, _WORKSPACE, json.dumps(_V2).encode(), _BAD]
+    folded = builders.config_store(*payloads)
+    restored = builders.config_store()
+    restored.adopt(folded.snapshot())
+    assert restored.digest == folded.digest
+    assert restored.view == folded.view
