Follow the log across gaps and confirm the revision after a pause

A follower whose next entry had been dropped by retention went on with what was left and held another state than the rest.

Answers that waited in a socket during a pause looked like fresh ones. Freshness counts an answer from the moment its question was sent; the follower confirms at the log's end and the entry's fleet on answers to bids and pings. Peers that lag are sent only what changed, one fetch at a time; before, each message from a newer peer asked for the whole state.

--- /dev/null
+++ b/hibiscusstile/configuration/fetching.py
@@ -0,0 +1,62 @@
+"""Decides when to ask a peer for a newer configuration."""
+
+from __future__ import annotations
+
+import datetime
+from collections.abc import Callable
+
+from hibiscusstile import clock as clock_lib
+
+__all__ = ["FetchPacer"]
+
+# Peers name their revision in every message. Without a pause between fetches
+# a process that is one change behind would ask once for each message it gets.
+_FETCH_INTERVAL = datetime.timedelta(seconds=1)
+_WHOLE_STATE = -1
+
+
+class FetchPacer:
+    """Lets one fetch out at a time, and asks for the whole state if needed.
+
+    Args:
+        clock: Measures the time between fetches.
+        revision: Returns the revision in force in this process.
+    """
+
+    def __init__(
+        self, clock: clock_lib.Clock, revision: Callable[[], int]
+    ) -> None:
+        self._clock = clock
+        self._revision = revision
+        self._fetched_s: float | None = None
+        self._fetched_at_revision = _WHOLE_STATE
+        self._wants_whole_state = False
+
+    def next_fetch(self, peer_revision: int) -> int | None:
+        """Returns the revision to name in a fetch, None for no fetch now.
+
+        Args:
+            peer_revision: The revision in force at the peer.
+        """
+        revision = self._revision()
+        if peer_revision <= revision:
+            return None
+        now_s = self._clock.monotonic()
+        is_waiting = (
+            self._fetched_s is not None
+            and self._fetched_at_revision == revision
+            and now_s - self._fetched_s < _FETCH_INTERVAL.total_seconds()
+        )
+        if is_waiting:
+            return None
+        self._fetched_s = now_s
+        self._fetched_at_revision = revision
+        return _WHOLE_STATE if self._wants_whole_state else revision
+
+    def note_answer(self, refused: bool) -> None:
+        """Notes whether the state that a peer sent was refused.
+
+        A refused change set leads to a fetch of the whole state, since the
+        peer may have started from another one.
+        """
+        self._wants_whole_state = refused
--- a/hibiscusstile/configuration/follower.py
+++ b/hibiscusstile/configuration/follower.py
@@ -3,20 +3,41 @@
 from __future__ import annotations
 
 import datetime
+import enum
+import random
 
 import logbook
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import platform
+from hibiscusstile.configuration import fold as fold_lib
+from hibiscusstile.configuration import freshness as freshness_lib
+from hibiscusstile.configuration import snapshot_stream
 from hibiscusstile.configuration import store as store_lib
 
-__all__ = ["CONFIG_STREAM", "LogFollower"]
+__all__ = ["CONFIG_STREAM", "LogFollower", "Step"]
 
 _log = logbook.Logger("configuration")
 
 CONFIG_STREAM = "config"
+_NO_WAIT = datetime.timedelta(0)
 _POLL_WAIT = datetime.timedelta(seconds=20)
-_RETRY = datetime.timedelta(seconds=1)
+# Well under the 6 s in which a change is in force everywhere, and spread so
+# that all processes do not come back to a recovering log at once.
+_RETRY_S = (0.5, 1.5)
+
+
+class Step(enum.Enum):
+    """What one read of the log led to."""
+
+    CAUGHT_UP = "caught_up"
+    """Everything up to the log's end is applied."""
+    BEHIND = "behind"
+    """There is more to read."""
+    UNAVAILABLE = "unavailable"
+    """The log did not answer, or not in order."""
+    GAP = "gap"
+    """Retention dropped entries, and no snapshot covers them."""
 
 
 class LogFollower:
@@ -26,6 +47,7 @@
         log: The log service.
         store: Where the records go.
         clock: Waits between tries while the log is down.
+        freshness: Told of each successful read, if given.
     """
 
     def __init__(
@@ -33,19 +55,81 @@
         log: platform.LogClient,
         store: store_lib.ConfigurationStore,
         clock: clock_lib.Clock,
+        freshness: freshness_lib.Freshness | None = None,
     ) -> None:
         self._platform_log = log
         self._store = store
         self._clock = clock
+        self._freshness = freshness or freshness_lib.Freshness(
+            clock, lambda: store.revision
+        )
 
     async def run(self) -> None:
         """Follows until cancelled."""
         while True:
-            page = await self._platform_log.read(
-                CONFIG_STREAM, self._store.next_offset, wait=_POLL_WAIT
+            step = await self._step(_POLL_WAIT)
+            if step in (Step.UNAVAILABLE, Step.GAP):
+                retry = datetime.timedelta(seconds=random.uniform(*_RETRY_S))
+                await self._clock.sleep(retry)
+
+    async def catch_up(self) -> Step:
+        """Reads to the log's end without waiting for new records.
+
+        Returns:
+            Any step but `BEHIND`.
+        """
+        while True:
+            step = await self._step(_NO_WAIT)
+            if step is not Step.BEHIND:
+                return step
+
+    async def _step(self, wait: datetime.timedelta) -> Step:
+        asked_s = self._clock.monotonic()
+        page = await self._platform_log.read(
+            CONFIG_STREAM, self._store.next_offset, wait=wait
+        )
+        if isinstance(page, platform.LogUnavailable):
+            _log.warning("log_unavailable reason={}", page.message)
+            return Step.UNAVAILABLE
+        if page.earliest > self._store.next_offset:
+            return await self._recover(page.earliest)
+        if page.end < self._store.next_offset:
+            _log.error(
+                "log_shorter_than_state end={} next_offset={}",
+                page.end,
+                self._store.next_offset,
             )
-            if isinstance(page, platform.LogUnavailable):
-                _log.warn("log_unavailable reason={}", page.message)
-                await self._clock.sleep(_RETRY)
-                continue
+            return Step.UNAVAILABLE
+        before = self._store.next_offset
+        try:
             self._store.apply(page.entries)
+        except fold_lib.OutOfOrder as error:
+            _log.error("log_out_of_order error={!r}", str(error))
+            return Step.UNAVAILABLE
+        if self._store.next_offset < page.end:
+            is_moving = self._store.next_offset > before
+            return Step.BEHIND if is_moving else Step.UNAVAILABLE
+        self._freshness.confirm_end_of_log(asked_s)
+        return Step.CAUGHT_UP
+
+    async def _recover(self, earliest: int) -> Step:
+        """Crosses a gap that retention left, by a snapshot on the log."""
+        found = await snapshot_stream.read_snapshots(self._platform_log)
+        if found is None:
+            return Step.UNAVAILABLE
+        usable = [
+            each
+            for each in snapshot_stream.consistent(found, self._store.fold)
+            if each.snapshot.next_offset >= earliest
+        ]
+        if not usable:
+            _log.error(
+                "configuration_gap next_offset={} earliest={} snapshots={}",
+                self._store.next_offset,
+                earliest,
+                len(found),
+            )
+            return Step.GAP
+        chosen = snapshot_stream.most_confirmed(usable)
+        self._store.adopt_snapshot(chosen.snapshot)
+        return Step.BEHIND
--- /dev/null
+++ b/hibiscusstile/configuration/snapshot_stream.py
@@ -0,0 +1,304 @@
+"""Snapshots on the log, in a stream of their own.
+
+They are kept apart from the stream `config`, which every process follows by
+long poll: a snapshot there would be sent to all of them. A snapshot larger
+than one entry is cut into parts, and parts of several writers may alternate.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import random
+from collections.abc import Sequence
+from typing import Annotated
+
+import logbook
+import pydantic
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import identity, platform
+from hibiscusstile.configuration import fold as fold_lib
+from hibiscusstile.configuration import snapshot as snapshot_lib
+from hibiscusstile.configuration import store as store_lib
+
+__all__ = [
+    "SNAPSHOT_STREAM",
+    "FoundSnapshot",
+    "Snapshotter",
+    "consistent",
+    "most_confirmed",
+    "read_snapshots",
+]
+
+_log = logbook.Logger("configuration")
+
+SNAPSHOT_STREAM = "config.snapshots"
+_PART_BYTES = 192 * 1024
+_MAX_PARTS = 64
+_MAX_HEADER_BYTES = 512
+_READ_LIMIT = 16
+# Shares of the retention period. The newest snapshot is replaced at half of
+# the period; looking more often than that leaves room for outages.
+_DUE_AGE = (0.4, 0.5)
+_LOOK_INTERVAL = (0.05, 0.1)
+_FIRST_LOOK_S = 60.0
+
+
+class _Header(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
+    snapshot_id: Annotated[str, pydantic.Field(max_length=64)]
+    part: Annotated[int, pydantic.Field(ge=0, lt=_MAX_PARTS)]
+    parts: Annotated[int, pydantic.Field(ge=1, le=_MAX_PARTS)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FoundSnapshot:
+    """A complete snapshot on the log.
+
+    Attributes:
+        time: When the log took its last part.
+        snapshot: The snapshot.
+    """
+
+    time: datetime.datetime
+    snapshot: snapshot_lib.Snapshot
+
+
+async def read_snapshots(
+    log: platform.LogClient,
+) -> list[FoundSnapshot] | None:
+    """Returns the complete snapshots on the log, oldest first.
+
+    Corrupt ones are logged and left out.
+
+    Returns:
+        None when the log does not answer.
+    """
+    parts: dict[str, dict[int, bytes]] = {}
+    found: list[FoundSnapshot] = []
+    offset = 0
+    while True:
+        page = await log.read(SNAPSHOT_STREAM, offset, limit=_READ_LIMIT)
+        if isinstance(page, platform.LogUnavailable):
+            return None
+        for entry in page.entries:
+            encoded = _join(parts, entry)
+            if encoded is not None:
+                _decode_into(found, entry, encoded)
+        if not page.entries or page.entries[-1].offset + 1 >= page.end:
+            return found
+        offset = page.entries[-1].offset + 1
+
+
+def consistent(
+    found: Sequence[FoundSnapshot], own: fold_lib.Fold
+) -> list[FoundSnapshot]:
+    """Returns the snapshots that agree with a state; logs the others."""
+    agreeing = []
+    for each in found:
+        conflict = _conflict_with_state(each.snapshot, own)
+        if not conflict:
+            agreeing.append(each)
+            continue
+        _log.error(
+            "snapshot_refused author={} next_offset={} reason={!r}",
+            each.snapshot.author,
+            each.snapshot.next_offset,
+            conflict,
+        )
+    return agreeing
+
+
+def most_confirmed(found: Sequence[FoundSnapshot]) -> FoundSnapshot:
+    """Returns the snapshot that most writers' snapshots agree with.
+
+    A process without a state of its own cannot tell which of two conflicting
+    snapshots is true, but every sound process corrects a false one as soon as
+    it sees it. Between equals, the one that covers most is returned.
+
+    Args:
+        found: At least one snapshot.
+    """
+    histories = [
+        fold_lib.group_histories(each.snapshot.records) for each in found
+    ]
+
+    def confirmations(number: int) -> tuple[int, int]:
+        mine = found[number].snapshot
+        writers = {
+            other.snapshot.author
+            for other, theirs in zip(found, histories, strict=True)
+            if _agree(mine, histories[number], other.snapshot, theirs)
+        }
+        return len(writers), mine.next_offset
+
+    return found[max(range(len(found)), key=confirmations)]
+
+
+class Snapshotter:
+    """Appends a snapshot before retention could drop the newest one.
+
+    Every process runs one. Each looks at a random moment whether another has
+    written in the meantime, so that usually one of them writes.
+
+    Args:
+        log: The log service.
+        store: The configuration in force.
+        clock: Paces the looks and tells the age of snapshots.
+        retention: How long the log keeps an entry at least.
+    """
+
+    def __init__(
+        self,
+        log: platform.LogClient,
+        store: store_lib.ConfigurationStore,
+        clock: clock_lib.Clock,
+        retention: datetime.timedelta,
+    ) -> None:
+        self._platform_log = log
+        self._store = store
+        self._clock = clock
+        self._retention = retention
+
+    async def run(self) -> None:
+        """Writes snapshots when they are due, until cancelled."""
+        first_s = min(
+            _FIRST_LOOK_S,
+            self._retention.total_seconds() * _LOOK_INTERVAL[0],
+        )
+        wait = datetime.timedelta(seconds=random.uniform(0, first_s))
+        while True:
+            await self._clock.sleep(wait)
+            await self.write_if_due()
+            wait = self._retention * random.uniform(*_LOOK_INTERVAL)
+
+    async def write_if_due(self) -> bool:
+        """Appends a snapshot if the newest good one is old.
+
+        A snapshot that contradicts the state in force is answered with one
+        of our own at once.
+
+        Returns:
+            Whether a whole snapshot was appended.
+        """
+        if self._store.revision < 0:
+            return False
+        found = await read_snapshots(self._platform_log)
+        if found is None:
+            return False
+        good = consistent(found, self._store.fold)
+        newest = max((each.time for each in good), default=None)
+        contradicted = any(
+            each not in good and (newest is None or each.time >= newest)
+            for each in found
+        )
+        due_age = self._retention * random.uniform(*_DUE_AGE)
+        if (
+            newest is not None
+            and not contradicted
+            and self._clock.now() - newest < due_age
+        ):
+            return False
+        return await self.write()
+
+    async def write(self) -> bool:
+        """Appends a snapshot; False when the log did not take all of it."""
+        try:
+            encoded = self._store.snapshot()
+        except snapshot_lib.SnapshotError as error:
+            _log.error("snapshot_not_written reason={!r}", str(error))
+            return False
+        for payload in _cut(encoded, identity.new_id("snap")):
+            result = await self._platform_log.append(SNAPSHOT_STREAM, payload)
+            if not isinstance(result, platform.Appended):
+                _log.warning("snapshot_not_written reason={!r}", result.message)
+                return False
+        _log.info(
+            "snapshot_written revision={} bytes={}",
+            self._store.revision,
+            len(encoded),
+        )
+        return True
+
+
+def _cut(encoded: bytes, snapshot_id: str) -> list[bytes]:
+    pieces = [
+        encoded[start : start + _PART_BYTES]
+        for start in range(0, len(encoded), _PART_BYTES)
+    ]
+    return [
+        _Header(snapshot_id=snapshot_id, part=number, parts=len(pieces))
+        .model_dump_json()
+        .encode()
+        + b"\n"
+        + piece
+        for number, piece in enumerate(pieces)
+    ]
+
+
+def _join(
+    parts: dict[str, dict[int, bytes]], entry: platform.LogEntry
+) -> bytes | None:
+    """Adds a part; returns the snapshot that it completes, if any."""
+    text, _, piece = entry.payload.partition(b"\n")
+    try:
+        if len(text) > _MAX_HEADER_BYTES:
+            raise ValueError("the header is too long")
+        header = _Header.model_validate_json(text)
+    except ValueError:
+        _log.error(
+            "snapshot_refused offset={} reason='part is malformed'",
+            entry.offset,
+        )
+        return None
+    pieces = parts.setdefault(header.snapshot_id, {})
+    pieces[header.part] = piece
+    if len(pieces) < header.parts:
+        return None
+    del parts[header.snapshot_id]
+    return b"".join(pieces[number] for number in sorted(pieces))
+
+
+def _decode_into(
+    found: list[FoundSnapshot], entry: platform.LogEntry, encoded: bytes
+) -> None:
+    try:
+        snapshot = snapshot_lib.decode(encoded)
+        if snapshot.since >= 0:
+            raise snapshot_lib.SnapshotError("it is not a whole state")
+    except snapshot_lib.SnapshotError as error:
+        _log.error(
+            "snapshot_refused offset={} reason={!r}", entry.offset, str(error)
+        )
+        return
+    found.append(FoundSnapshot(entry.time, snapshot))
+
+
+def _conflict_with_state(
+    snapshot: snapshot_lib.Snapshot, own: fold_lib.Fold
+) -> str:
+    histories = fold_lib.group_histories(snapshot.records)
+    if snapshot.next_offset >= own.next_offset:
+        return snapshot_lib.find_conflict(
+            own.histories, own.next_offset, histories
+        )
+    return snapshot_lib.find_conflict(
+        histories, snapshot.next_offset, own.histories
+    )
+
+
+def _agree(
+    one: snapshot_lib.Snapshot,
+    one_state: fold_lib.Histories,
+    other: snapshot_lib.Snapshot,
+    other_state: fold_lib.Histories,
+) -> bool:
+    if one.next_offset <= other.next_offset:
+        return not snapshot_lib.find_conflict(
+            one_state, one.next_offset, other_state
+        )
+    return not snapshot_lib.find_conflict(
+        other_state, other.next_offset, one_state
+    )
--- /dev/null
+++ b/hibiscusstile/entry/confirmation.py
@@ -0,0 +1,55 @@
+"""Confirms the configuration before an entry instance serves."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+from hibiscusstile.configuration import follower as follower_lib
+from hibiscusstile.configuration import freshness
+from hibiscusstile.entry import fleet as fleet_lib
+
+__all__ = ["Confirmation"]
+
+_PEERS_TIMEOUT = datetime.timedelta(milliseconds=250)
+_LOG_TIMEOUT = datetime.timedelta(seconds=1)
+
+
+class Confirmation:
+    """Asks peers, then the log, when the last confirmation is too old.
+
+    Args:
+        fresh: Tells whether the configuration is confirmed.
+        fleet: The links to the sidecars.
+        follower: Reads the log.
+    """
+
+    def __init__(
+        self,
+        fresh: freshness.Freshness,
+        fleet: fleet_lib.Fleet,
+        follower: follower_lib.LogFollower,
+    ) -> None:
+        self._fresh = fresh
+        self._fleet = fleet
+        self._follower = follower
+        self._lock = asyncio.Lock()
+
+    async def ensure(self) -> bool:
+        """Returns whether the configuration in force may be served on.
+
+        Requests that arrive together share one round of questions.
+        """
+        if self._fresh.is_fresh:
+            return True
+        async with self._lock:
+            if self._fresh.is_fresh:
+                return True
+            if await self._fleet.confirm(_PEERS_TIMEOUT):
+                return True
+            try:
+                async with asyncio.timeout(_LOG_TIMEOUT.total_seconds()):
+                    await self._follower.catch_up()
+            except TimeoutError:
+                return False
+            return self._fresh.is_fresh
--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 from collections.abc import Callable, Sequence
 
@@ -9,6 +10,8 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import platform, policies, settings, supervisor
+from hibiscusstile.configuration import fetching, freshness
+from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
@@ -19,6 +22,7 @@
 _log = logbook.Logger("fleet")
 
 _LIST_INTERVAL = datetime.timedelta(seconds=5)
+_PROBED_LINKS = 3
 
 
 class Fleet(client_lib.LinkObserver):
@@ -31,6 +35,7 @@
         store: The configuration in force.
         instance_list: The platform's list.
         clock: Paces look-ups of the list.
+        fresh: Told what peers say of their revision.
     """
 
     def __init__(
@@ -41,6 +46,7 @@
         store: store_lib.ConfigurationStore,
         instance_list: platform.InstanceList,
         clock: clock_lib.Clock,
+        fresh: freshness.Freshness | None = None,
     ) -> None:
         self._config = config
         self._secret = secret
@@ -48,6 +54,11 @@
         self._store = store
         self._instance_list = instance_list
         self._clock = clock
+        self._fresh = fresh or freshness.Freshness(
+            clock, lambda: store.revision
+        )
+        self._fetches = fetching.FetchPacer(clock, lambda: store.revision)
+        self._state_arrived = asyncio.Event()
         self._links: dict[str, client_lib.SidecarLink] = {}
         self._tasks = supervisor.Supervisor("links", clock)
 
@@ -136,7 +147,7 @@
         """Handles configuration and notices."""
         match message:
             case messages.ConfigState():
-                self._store.adopt(message.state)
+                self._adopt(message)
             case messages.ConfigFetch():
                 await self._send_state(link, message.revision)
             case messages.Leaving():
@@ -148,23 +159,63 @@
         self, link: client_lib.SidecarLink, revision: int
     ) -> None:
         """Fetches a newer configuration from the sidecar that has it."""
-        del revision
+        self._fresh.note_revision(revision)
+        since = self._fetches.next_fetch(revision)
+        if since is None:
+            return
         try:
-            await link.send(messages.ConfigFetch(self._store.revision))
+            await link.send(messages.ConfigFetch(since))
         except connection_lib.ConnectionLost:
             return
 
+    def on_answer(self, asked_s: float) -> None:
+        """Counts a sidecar's answer as a confirmation of the revision."""
+        self._fresh.confirm(asked_s)
+
+    async def confirm(self, patience: datetime.timedelta) -> bool:
+        """Asks a few sidecars for their revision and catches up with them.
+
+        Args:
+            patience: How long to wait for them and for a newer state.
+
+        Returns:
+            Whether the configuration in force is known to be the newest.
+        """
+        timeout_s = patience.total_seconds()
+        usable = [link for link in self._links.values() if link.usable]
+        await asyncio.gather(
+            *(link.probe(timeout_s) for link in usable[:_PROBED_LINKS])
+        )
+        try:
+            async with asyncio.timeout(timeout_s):
+                while usable and self._fresh.is_behind:
+                    self._state_arrived.clear()
+                    await self._state_arrived.wait()
+        except TimeoutError:
+            return False
+        return self._fresh.is_fresh
+
+    def _adopt(self, message: messages.ConfigState) -> None:
+        result = self._store.adopt(message.state, message.digest)
+        refused = isinstance(result, store_lib.AdoptionRefused)
+        self._fetches.note_answer(refused)
+        self._state_arrived.set()
+
     async def _send_state(
         self, link: client_lib.SidecarLink, revision: int
     ) -> None:
-        if self._store.revision > revision:
-            await link.send(
-                messages.ConfigState(
-                    self._store.revision,
-                    self._store.digest,
-                    self._store.snapshot(),
-                )
+        if self._store.revision <= revision:
+            return
+        try:
+            state = self._store.snapshot(revision)
+        except snapshot_lib.SnapshotError as error:
+            _log.error("snapshot_not_sent reason={!r}", str(error))
+            return
+        await link.send(
+            messages.ConfigState(
+                self._store.revision, self._store.digest, state
             )
+        )
 
     def _view(self, link: client_lib.SidecarLink) -> policies.RunnerView:
         zone = link.info.zone if link.info else ""
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -51,6 +51,9 @@
     async def on_revision(self, link: SidecarLink, revision: int) -> None:
         """Handles a revision newer than the one in force here."""
 
+    def on_answer(self, asked_s: float) -> None:
+        """Notes an answer to a question sent at this monotonic time."""
+
 
 class AttemptChannel:
     """Receives the messages of one attempt, in the order they arrived."""
@@ -125,6 +128,7 @@
         self._connection: connection_lib.PeerConnection | None = None
         self._channels: dict[str, AttemptChannel] = {}
         self._replies: dict[int, asyncio.Future[messages.PeerMessage]] = {}
+        self._asked_s: dict[int, float] = {}
         self._numbers = itertools.count(1)
         self._misses = 0
         self._load = 0
@@ -225,6 +229,12 @@
         self._load_at_s = self._clock.monotonic()
         return reply
 
+    async def probe(self, timeout_s: float) -> bool:
+        """Sends a ping; False when no answer came in time."""
+        number = self.next_number()
+        reply = await self._ask(messages.Ping(number), number, timeout_s)
+        return reply is not None
+
     def next_number(self) -> int:
         """Returns a fresh number for a question on this link."""
         return next(self._numbers)
@@ -246,6 +256,7 @@
             asyncio.get_running_loop().create_future()
         )
         self._replies[number] = future
+        self._asked_s[number] = self._clock.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 await self.send(question)
@@ -257,6 +268,7 @@
             return None
         finally:
             del self._replies[number]
+            del self._asked_s[number]
         self._misses = 0
         return reply
 
@@ -308,7 +320,7 @@
         elif isinstance(message, messages.ClaimAnswer):
             self._resolve(message.query_id, message)
         elif isinstance(message, messages.Pong):
-            return
+            self._resolve(message.number, message)
         elif (attempt_id := getattr(message, "attempt_id", None)) is not None:
             channel = self._channels.get(attempt_id)
             if channel is not None and not channel.deliver(message):
@@ -319,6 +331,7 @@
     def _resolve(self, number: int, message: messages.PeerMessage) -> None:
         future = self._replies.get(number)
         if future is not None and not future.done():
+            self._observer.on_answer(self._asked_s[number])
             future.set_result(message)
 
     def _forget_connection(self) -> None:
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -17,6 +17,7 @@
     supervisor,
 )
 from hibiscusstile.configuration import follower as follower_lib
+from hibiscusstile.configuration import freshness, snapshot_stream
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.entry import (
     calls,
@@ -50,7 +51,7 @@
         self._clock = clock
         self._incarnation = identity.new_id("inc")
         self._leaving = False
-        self._store = store_lib.ConfigurationStore()
+        self._store = store_lib.ConfigurationStore(author=config.peer_id)
         self._log = platform.get_log_client_by_name(config.platform.log.kind)(
             config.platform.log.url
         )
@@ -58,6 +59,10 @@
         self._instance_list = platform.get_instance_list_by_name(listing.kind)(
             listing.url
         )
+        self._fresh = freshness.Freshness(clock, lambda: self._store.revision)
+        self._follower = follower_lib.LogFollower(
+            self._log, self._store, clock, self._fresh
+        )
         self._fleet = fleet.Fleet(
             config,
             config.peer_secret.read(),
@@ -65,6 +70,7 @@
             self._store,
             self._instance_list,
             clock,
+            self._fresh,
         )
         router = routing.Router(self._fleet, self._store)
         self._front = front.Front(
@@ -98,6 +104,7 @@
             "incarnation": self._incarnation,
             "revision": self._store.revision,
             "digest": self._store.digest,
+            "fresh": self._fresh.is_fresh,
             "leaving": self._leaving,
             "active_requests": self._front.active,
             "backend_servers": [
@@ -113,9 +120,15 @@
 
     def build(self, root: supervisor.Supervisor) -> None:
         """Adds the role's children to the root."""
-        follower = follower_lib.LogFollower(self._log, self._store, self._clock)
+        snapshotter = snapshot_stream.Snapshotter(
+            self._log,
+            self._store,
+            self._clock,
+            self._config.platform.log_retention,
+        )
         specs = [
-            ("configuration", follower.run),
+            ("configuration", self._follower.run),
+            ("snapshots", snapshotter.run),
             ("links", self._fleet.tasks.run),
             ("fleet", self._fleet.run),
             ("operators", self._operators.run),
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -20,6 +20,7 @@
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
+from hibiscusstile.configuration import fetching, snapshot_stream
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import handshake, messages
@@ -49,7 +50,7 @@
         self._incarnation = identity.new_id("inc")
         self._leaving = False
         self._model = ""
-        self._store = store_lib.ConfigurationStore()
+        self._store = store_lib.ConfigurationStore(author=config.peer_id)
         self._view = cacheview.CacheView()
         self._backend = backends.get_backend_kind_by_name(config.backend.kind)(
             config.backend.url
@@ -77,6 +78,7 @@
             self._turns,
             self._view,
             config.queue.prefill_tokens_per_s,
+            fetching.FetchPacer(clock, lambda: self._store.revision),
         )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
@@ -117,6 +119,7 @@
         """Adds the role's children to the root."""
         specs = [
             ("configuration", self._follower().run),
+            ("snapshots", self._snapshotter().run),
             ("attempts", self._attempts.run),
             ("turns", self._turns.run),
             ("executor", self._executor.run),
@@ -156,6 +159,14 @@
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
+    def _snapshotter(self) -> snapshot_stream.Snapshotter:
+        return snapshot_stream.Snapshotter(
+            self._log,
+            self._store,
+            self._clock,
+            self._config.platform.log_retention,
+        )
+
     async def _run_engine(self) -> None:
         if isinstance(self._backend, backends.EngineBackend):
             health = await self._backend.health()
--- a/hibiscusstile/settings.py
+++ b/hibiscusstile/settings.py
@@ -121,10 +121,26 @@
 
 
 class PlatformSettings(_Model):
-    """The platform's services."""
+    """The platform's services.
+
+    Attributes:
+        log: The log service.
+        instance_list: The list of instances.
+        log_retention_s: Seconds that the log keeps an entry at least. A
+            value below the real one costs more snapshots; a value above it
+            loses configuration.
+    """
 
     log: ServiceSettings
     instance_list: ServiceSettings
+    log_retention_s: Annotated[float, pydantic.Field(ge=60, le=31_536_000)] = (
+        172_800.0
+    )
+
+    @property
+    def log_retention(self) -> datetime.timedelta:
+        """Time that the log keeps an entry at least."""
+        return datetime.timedelta(seconds=self.log_retention_s)
 
 
 class LoggingSettings(_Model):
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -4,7 +4,11 @@
 
 from collections.abc import Callable
 
+import logbook
+
 from hibiscusstile import cacheview, identity, outcome, request
+from hibiscusstile.configuration import fetching
+from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import codec, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
@@ -13,6 +17,8 @@
 
 __all__ = ["SidecarService"]
 
+_log = logbook.Logger("sidecar")
+
 
 class SidecarService:
     """Answers the messages of connected peers.
@@ -24,6 +30,7 @@
         turns: The admission queue's turns.
         view: What the engine holds in cache.
         prefill_tokens_per_s: The engine's speed.
+        fetches: Paces fetches of a newer configuration.
     """
 
     def __init__(
@@ -34,6 +41,7 @@
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
         prefill_tokens_per_s: float,
+        fetches: fetching.FetchPacer,
     ) -> None:
         self._info = info
         self._store = store
@@ -41,6 +49,7 @@
         self._turns = turns
         self._view = view
         self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._fetches = fetches
         self._connections: set[connection_lib.PeerConnection] = set()
 
     @property
@@ -60,10 +69,9 @@
             await connection.send(messages.Hello(self._info()))
             while True:
                 envelope = await connection.receive()
-                if envelope.revision > self._store.revision:
-                    await connection.send(
-                        messages.ConfigFetch(self._store.revision)
-                    )
+                since = self._fetches.next_fetch(envelope.revision)
+                if since is not None:
+                    await connection.send(messages.ConfigFetch(since))
                 await self._handle(connection, envelope)
         finally:
             self._connections.discard(connection)
@@ -101,7 +109,9 @@
             case messages.ConfigFetch():
                 await self._send_state(connection, message.revision)
             case messages.ConfigState():
-                self._store.adopt(message.state)
+                result = self._store.adopt(message.state, message.digest)
+                refused = isinstance(result, store_lib.AdoptionRefused)
+                self._fetches.note_answer(refused)
             case _:
                 return
 
@@ -186,11 +196,15 @@
     async def _send_state(
         self, connection: connection_lib.PeerConnection, revision: int
     ) -> None:
-        if self._store.revision > revision:
-            await connection.send(
-                messages.ConfigState(
-                    self._store.revision,
-                    self._store.digest,
-                    self._store.snapshot(),
-                )
+        if self._store.revision <= revision:
+            return
+        try:
+            state = self._store.snapshot(revision)
+        except snapshot_lib.SnapshotError as error:
+            _log.error("snapshot_not_sent reason={!r}", str(error))
+            return
+        await connection.send(
+            messages.ConfigState(
+                self._store.revision, self._store.digest, state
             )
+        )
--- /dev/null
+++ b/tests/configuration/test_follower.py
@@ -0,0 +1,184 @@
+"""Tests of following the log and of crossing gaps by snapshots."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import json
+import random
+
+import pytest
+
+from hibiscusstile.configuration import follower as follower_lib
+from hibiscusstile.configuration import (
+    freshness,
+    snapshot,
+    snapshot_stream,
+)
+from hibiscusstile.configuration import store as store_lib
+from tests import builders
+
+_RETENTION = datetime.timedelta(days=2)
+_STREAM = follower_lib.CONFIG_STREAM
+
+
+@dataclasses.dataclass
+class _Process:
+    clock: builders.ManualClock
+    log: builders.FakeLog
+    store: store_lib.ConfigurationStore
+
+    def catch_up(self) -> follower_lib.Step:
+        follower = follower_lib.LogFollower(self.log, self.store, self.clock)
+        return builders.run_now(follower.catch_up())
+
+    @property
+    def snapshotter(self) -> snapshot_stream.Snapshotter:
+        return snapshot_stream.Snapshotter(
+            self.log, self.store, self.clock, _RETENTION
+        )
+
+
+@pytest.fixture
+def process() -> _Process:
+    """A process that followed a log with 30 records."""
+    clock = builders.ManualClock()
+    log = builders.FakeLog(clock)
+    for number in range(30):
+        body = builders.workspace_body(f"key-{number}", models=["m" * 40_000])
+        log.put(
+            _STREAM,
+            json.dumps(
+                builders.record("workspace", f"w{number}", **body)
+            ).encode(),
+        )
+    result = _Process(clock, log, builders.config_store(author="one"))
+    assert result.catch_up() is follower_lib.Step.CAUGHT_UP
+    return result
+
+
+def _late(process: _Process) -> _Process:
+    return _Process(process.clock, process.log, builders.config_store())
+
+
+def _drop_records(process: _Process) -> None:
+    process.clock.advance(_RETENTION.total_seconds())
+    process.log.retain(_RETENTION / 2)
+
+
+def test_a_gap_is_never_crossed_without_a_snapshot(process: _Process) -> None:
+    """Guards against a state that lacks what retention dropped."""
+    _drop_records(process)
+    late = _late(process)
+    assert late.catch_up() is follower_lib.Step.GAP
+    assert late.store.revision == -1
+
+
+def test_a_late_follower_recovers_by_a_snapshot(process: _Process) -> None:
+    """Guards invariant 8 after retention, with a snapshot in many parts."""
+    process.clock.advance(_RETENTION.total_seconds())
+    assert builders.run_now(process.snapshotter.write_if_due())
+    process.log.put(_STREAM, b"not a record")
+    process.log.retain(_RETENTION / 2)
+    late = _late(process)
+    assert late.catch_up() is follower_lib.Step.CAUGHT_UP
+    assert late.store.digest == process.store.digest
+    assert late.store.next_offset == 31
+    assert len(process.log.payloads(snapshot_stream.SNAPSHOT_STREAM)) >= 1
+
+
+def test_parts_of_several_writers_may_alternate(process: _Process) -> None:
+    """Guards against writers that spoil each other's snapshots."""
+    stream = snapshot_stream.SNAPSHOT_STREAM
+    for name in ("a", "b"):
+        body = {"text": random.Random(name).randbytes(120_000).hex()}
+        process.log.put(
+            _STREAM, json.dumps(builders.record("rank", name, **body)).encode()
+        )
+    process.catch_up()
+    for _ in range(2):
+        assert builders.run_now(process.snapshotter.write())
+    parts = process.log.payloads(stream)
+    assert len(parts) >= 4
+    mixed = builders.FakeLog(process.clock)
+    half = len(parts) // 2
+    for pair in zip(parts[:half], parts[half:], strict=True):
+        for payload in pair:
+            mixed.put(stream, payload)
+    found = builders.run_now(snapshot_stream.read_snapshots(mixed))
+    assert found is not None and len(found) == 2
+
+
+def test_a_recent_snapshot_of_another_process_is_enough(
+    process: _Process,
+) -> None:
+    """Guards the log against a snapshot from each of 1,560 processes."""
+    assert builders.run_now(process.snapshotter.write_if_due())
+    second = dataclasses.replace(process)
+    assert not builders.run_now(second.snapshotter.write_if_due())
+    process.clock.advance(_RETENTION.total_seconds() / 2)
+    assert builders.run_now(second.snapshotter.write_if_due())
+
+
+def test_a_false_snapshot_is_corrected_and_outvoted(process: _Process) -> None:
+    """Guards against a writer whose snapshot is sound but untrue."""
+    assert builders.run_now(process.snapshotter.write())
+    urgent = builders.record("rank", "urgent", level=0)
+    other = builders.config_store(urgent, author="liar").fold
+    lie = dataclasses.replace(
+        snapshot.take(other, "liar"), next_offset=process.store.next_offset
+    )
+    header = b'{"snapshot_id":"x","part":0,"parts":1}\n'
+    stream = snapshot_stream.SNAPSHOT_STREAM
+    for payload in (header + snapshot.encode(lie), header + b"?", b"\x00"):
+        process.log.put(stream, payload)
+    second = _late(process)
+    second.store = builders.config_store(author="two")
+    second.catch_up()
+    assert builders.run_now(second.snapshotter.write_if_due())
+    found = builders.run_now(snapshot_stream.read_snapshots(process.log))
+    assert found is not None and len(found) == 3
+    best = snapshot_stream.most_confirmed(found)
+    assert best.snapshot.digest == process.store.digest
+
+
+def test_an_hour_without_the_log_changes_nothing_in_force(
+    process: _Process,
+) -> None:
+    """Guards the state in force against an outage."""
+    before = process.store.digest
+    process.log.down = True
+    process.clock.advance(3600)
+    assert process.catch_up() is follower_lib.Step.UNAVAILABLE
+    assert not builders.run_now(process.snapshotter.write_if_due())
+    assert process.store.digest == before
+    process.log.down = False
+    process.log.put(
+        _STREAM, json.dumps(builders.record("rank", "a", level=1)).encode()
+    )
+    assert process.catch_up() is follower_lib.Step.CAUGHT_UP
+    assert process.store.revision == 30
+
+
+def test_a_log_that_lost_its_end_does_not_take_the_state_back(
+    process: _Process,
+) -> None:
+    """Guards against a replaced log service."""
+    process.log = builders.FakeLog(process.clock)
+    assert process.catch_up() is follower_lib.Step.UNAVAILABLE
+    assert process.store.revision == 29
+
+
+def test_each_read_to_the_end_confirms_the_revision(process: _Process) -> None:
+    """Guards the link from the log to the guard against old state."""
+    guard = freshness.Freshness(process.clock, lambda: process.store.revision)
+    follower = follower_lib.LogFollower(
+        process.log, process.store, process.clock, guard
+    )
+    assert not guard.is_fresh
+    builders.run_now(follower.catch_up())
+    assert guard.is_fresh
+    process.clock.advance(600)
+    process.log.down = True
+    builders.run_now(follower.catch_up())
+    assert not guard.is_fresh
