Add hibiscusctl check and records append, list and show

Operators had no way to find faults in a file before use or to learn what became of a record. check names every fault of settings or records by its path, with unknown references and key ids given twice. append validates first, signs each record with a nonce in the author field, and reads the log back, so that it finds the record also when the append's answer was lost, or says that its fate is unknown. list and show mark records without effect and those superseded by a newer schema version.

Paths of faults in settings no longer start with the role, which is not part of the path in the file.

--- a/hibiscusstile/configuration/store.py
+++ b/hibiscusstile/configuration/store.py
@@ -89,6 +89,10 @@
         """References to records that are not in force."""
         return self._builder.faults
 
+    def judge(self, record: fold_lib.StoredRecord) -> bool | None:
+        """Tells whether a body is valid, None for an unknown schema."""
+        return self._builder.judge(record)
+
     def apply(
         self, entries: tuple[platform.LogEntry, ...]
     ) -> tuple[fold_lib.Accepted | fold_lib.Rejected, ...]:
--- a/hibiscusstile/ctl/__init__.py
+++ b/hibiscusstile/ctl/__init__.py
@@ -54,7 +54,13 @@
 commands: registry.Registry[Command] = registry.Registry(
     "command",
     CommandNotFound,
-    (f"{__name__}.demo",),
+    (
+        f"{__name__}.check",
+        f"{__name__}.demo",
+        f"{__name__}.records_append",
+        f"{__name__}.records_list",
+        f"{__name__}.records_show",
+    ),
 )
 
 
--- /dev/null
+++ b/hibiscusstile/ctl/check.py
@@ -0,0 +1,68 @@
+"""`hibiscusctl check`: finds the faults of a file."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from collections.abc import Callable
+
+from hibiscusstile import ctl
+from hibiscusstile.ctl import checking, files, log_access, output
+
+__all__ = ["CheckCommand", "check"]
+
+
+@ctl.commands.register()
+class CheckCommand(ctl.Command):
+    """Checks a file."""
+
+    name = "check"
+
+    @property
+    def handler(self) -> Callable[..., int]:
+        """Function that the command line calls."""
+        return check
+
+
+def check(
+    file: pathlib.Path, *, log: log_access.LogUrl = "", json: bool = False
+) -> int:
+    """Checks a file of settings or of records and prints every fault.
+
+    Args:
+        file: YAML settings, or one or more records as YAML or JSON.
+        log: Also look for named records on this log.
+        json: Print the result as JSON.
+    """
+    try:
+        faults = _find_faults(file, log)
+    except log_access.LogUnusable as error:
+        output.print_error(str(error))
+        return ctl.EXIT_REFUSED
+    if json:
+        output.print_json(
+            {
+                "file": str(file),
+                "good": not faults,
+                "faults": [dataclasses.asdict(fault) for fault in faults],
+            }
+        )
+    output.print_faults(faults)
+    if faults:
+        return ctl.EXIT_BAD_USAGE
+    if not json:
+        print(f"{file}: good")
+    return ctl.EXIT_DONE
+
+
+def _find_faults(file: pathlib.Path, log_url: str) -> list[files.FileFault]:
+    try:
+        documents = files.read_documents(file)
+    except files.FileUnreadable as error:
+        return [files.FileFault("(file)", str(error))]
+    if not files.is_records(documents):
+        return checking.check_settings(file)
+    published = None
+    if log_url:
+        published = log_access.with_log(log_url, log_access.read_state)
+    return checking.check_records(checking.read_records(documents), published)
--- /dev/null
+++ b/hibiscusstile/ctl/state.py
@@ -0,0 +1,79 @@
+"""The records of a state as commands show them."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping
+from typing import Any
+
+from hibiscusstile import records
+from hibiscusstile.configuration import fold as fold_lib
+from hibiscusstile.configuration import store as store_lib
+
+__all__ = ["Row", "rows"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Row:
+    """The newest accepted record of one kind, name and schema version.
+
+    Attributes:
+        kind: The kind.
+        name: The name.
+        schema_version: The body's schema version.
+        revision: The record's offset.
+        status: `in_force`, `superseded` by a newer schema version,
+            `no_effect` for a body that its schema rejects (an earlier one
+            stays in force), or `unknown_schema`.
+        body: The body.
+    """
+
+    kind: str
+    name: str
+    schema_version: int
+    revision: int
+    status: str
+    body: Mapping[str, Any]
+
+    @property
+    def summary(self) -> dict[str, Any]:
+        """All but the body."""
+        fields = dataclasses.asdict(self)
+        del fields["body"]
+        return fields
+
+
+def rows(store: store_lib.ConfigurationStore) -> list[Row]:
+    """Returns the records of a state, by kind, name and schema version."""
+    statuses = {r.key: _own_status(store, r) for r in store.fold.records}
+    result = []
+    for record in store.fold.records:
+        status = statuses[record.key]
+        if status == "in_force" and any(
+            statuses.get((record.kind, record.name, version)) == "in_force"
+            for version in range(
+                record.schema_version + 1,
+                records.newest_schema_version(record.kind) + 1,
+            )
+        ):
+            status = "superseded"
+        result.append(
+            Row(
+                record.kind,
+                record.name,
+                record.schema_version,
+                record.offset,
+                status,
+                record.body,
+            )
+        )
+    return result
+
+
+def _own_status(
+    store: store_lib.ConfigurationStore, record: fold_lib.StoredRecord
+) -> str:
+    valid = store.judge(record)
+    if valid is None:
+        return "unknown_schema"
+    return "in_force" if valid else "no_effect"
--- a/hibiscusstile/settings.py
+++ b/hibiscusstile/settings.py
@@ -300,7 +300,26 @@
     try:
         return _ADAPTER.validate_python(data)
     except pydantic.ValidationError as error:
-        raise SettingsError(faults_of(error)) from None
+        raise SettingsError(_without_role(faults_of(error))) from None
+
+
+def _without_role(faults: list[SettingsFault]) -> list[SettingsFault]:
+    """Drops the role that a tagged union puts before each path."""
+    roles = [f"{name}." for name in ("entry", "sidecar")]
+    return [
+        dataclasses.replace(
+            fault,
+            path=next(
+                (
+                    fault.path.removeprefix(role)
+                    for role in roles
+                    if fault.path.startswith(role)
+                ),
+                fault.path,
+            ),
+        )
+        for fault in faults
+    ]
 
 
 def load_settings(path: pathlib.Path) -> EntrySettings | SidecarSettings:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -2,14 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 import datetime
 import json
-from collections.abc import Coroutine
+import threading
+from collections.abc import Coroutine, Iterator
 from typing import Any, TypeVar
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import platform, records, request
 from hibiscusstile.configuration import store as store_lib
+from hibiscusstile_standins import log as log_standin
 
 __all__ = [
     "FakeLog",
@@ -19,6 +23,7 @@
     "config_store",
     "record",
     "run_now",
+    "running_log",
     "work_item",
     "workspace_body",
 ]
@@ -138,7 +143,8 @@
 
     Attributes:
         down: Whether it is in an outage.
-        lose_answers: Whether appends take effect without an answer.
+        lose_answers: Whether appends get no answer.
+        drop_appends: Whether appends without an answer have no effect.
     """
 
     name = "fake"
@@ -150,6 +156,7 @@
         self._earliest: dict[str, int] = {}
         self.down = False
         self.lose_answers = False
+        self.drop_appends = False
 
     def payloads(self, stream: str) -> list[bytes]:
         """Returns all payloads ever appended."""
@@ -175,6 +182,8 @@
         """Appends one entry."""
         if self.down:
             return platform.AppendRefused("outage")
+        if self.lose_answers and self.drop_appends:
+            return platform.AppendUnknown("no answer")
         offset = self.put(stream, payload)
         if self.lose_answers:
             return platform.AppendUnknown("no answer")
@@ -201,3 +210,20 @@
 
     async def close(self) -> None:
         """Does nothing."""
+
+
+@contextlib.contextmanager
+def running_log() -> Iterator[log_standin.LogService]:
+    """Serves a log stand-in on loopback from a thread of its own."""
+    loop = asyncio.new_event_loop()
+    service = log_standin.LogService()
+    loop.run_until_complete(service.start())
+    thread = threading.Thread(target=loop.run_forever)
+    thread.start()
+    try:
+        yield service
+    finally:
+        loop.call_soon_threadsafe(loop.stop)
+        thread.join()
+        loop.run_until_complete(service.close())
+        loop.close()
--- /dev/null
+++ b/tests/ctl/test_records.py
@@ -0,0 +1,144 @@
+"""Tests of `hibiscusctl records`."""
+
+from __future__ import annotations
+
+import json
+import pathlib
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+import yaml
+
+from hibiscusstile import ctl
+from hibiscusstile.configuration import follower
+from hibiscusstile.ctl import appending
+from hibiscusstile_standins import log as log_standin
+from tests import builders
+
+_Run = Callable[..., tuple[object, str, str]]
+_RANK = builders.record("rank", "routine", level=1)
+
+
+@pytest.fixture
+def log() -> Iterator[log_standin.LogService]:
+    """A log that answers."""
+    with builders.running_log() as service:
+        yield service
+
+
+@pytest.fixture
+def run(
+    log: log_standin.LogService,
+    tmp_path: pathlib.Path,
+    capfd: pytest.CaptureFixture[str],
+) -> _Run:
+    """Runs `records WORD`; returns exit code, output and errors."""
+
+    def call(word: str, *arguments: Any) -> tuple[object, str, str]:
+        texts = []
+        for each in arguments:
+            if not isinstance(each, str):
+                path = tmp_path / "file.yaml"
+                path.write_text(yaml.safe_dump(each))
+                each = str(path)
+            texts.append(each)
+        with pytest.raises(SystemExit) as ended:
+            ctl.main(["records", word, *texts, "--log", log.url])
+        captured = capfd.readouterr()
+        return ended.value.code, captured.out, captured.err
+
+    return call
+
+
+def test_accepted_records_are_listed_and_shown(run: _Run) -> None:
+    """Guards the way from a file to the log and back."""
+    code, out, err = run("append", [_RANK, {**_RANK, "name": "late"}])
+    assert (code, err) == (0, "")
+    assert out.splitlines() == [
+        "accepted rank routine at offset 0",
+        "accepted rank late at offset 1",
+    ]
+    listed = json.loads(run("list", "--json")[1])
+    assert [r["name"] for r in listed["records"]] == ["late", "routine"]
+    assert "in_force" in run("list", "--kind", "rank")[1]
+    assert json.loads(run("show", "rank", "late", "--json")[1])[0]["body"] == {
+        "level": 1
+    }
+    assert run("show", "rank", "none")[0] == 1
+
+
+def test_the_loser_of_a_race_sees_reason_and_offset(run: _Run) -> None:
+    """Guards racing operators."""
+    assert run("append", _RANK, "--expect-revision", "-1")[0] == 0
+    code, _, err = run("append", _RANK, "--expect-revision", "-1")
+    assert code == 1
+    assert "rejected rank routine at offset 1: expected revision -1" in err
+    assert run("append", _RANK, "--expect-revision", "0", "--json")[0] == 0
+
+
+def test_bad_input_is_not_appended(run: _Run) -> None:
+    """Guards the log against bodies without effect."""
+    wrong = [
+        [_RANK, {**_RANK, "body": {"level": "high"}}],
+        [builders.record("workspace", "w", **builders.workspace_body())],
+        [],
+    ]
+    for each in wrong:
+        assert run("append", each)[0] == 2
+    assert run("append", [_RANK, _RANK], "--expect-revision", "0")[0] == 2
+    assert run("append", "missing.yaml")[0] == 2
+    assert json.loads(run("list", "--json")[1])["records"] == []
+
+
+def test_a_log_that_is_down_refuses(
+    run: _Run, log: log_standin.LogService
+) -> None:
+    """Guards the exit code during an outage."""
+    log.set_down(True)
+    for arguments in (("append", _RANK), ("list",), ("show", "rank", "x")):
+        code, _, err = run(*arguments)
+        assert code == 1
+        assert len(err.splitlines()) == 1
+
+
+def test_records_without_effect_are_marked(
+    run: _Run, log: log_standin.LogService
+) -> None:
+    """Guards an operator's view of what is in force."""
+    v2 = {"schema_version": 2, "name": "p", "kind": "routing_policy"}
+    v2["body"] = {"primary": {"algorithm": "bidding"}}
+    v1 = builders.record("routing_policy", "p", algorithm="bidding")
+    assert run("append", [_RANK, v2])[0] == 0
+    code, out, _ = run("append", v1)
+    assert code == 0
+    assert "only in processes that do not know schema version 2" in out
+    out = run("list")[1]
+    assert "routing_policy p schema_version=1 revision=2 superseded" in out
+    assert "routing_policy p schema_version=2 revision=1 in_force" in out
+
+
+@pytest.mark.parametrize(
+    ("appears", "outcome"),
+    [(True, appending.Outcome.ACCEPTED), (False, appending.Outcome.UNKNOWN)],
+)
+def test_an_append_without_an_answer_is_looked_up(
+    appears: bool, outcome: appending.Outcome
+) -> None:
+    """Guards against appending twice, and against a claim without proof."""
+    clock = builders.ManualClock()
+    fake = builders.FakeLog(clock)
+    fake.lose_answers = True
+    fake.drop_appends = not appears
+    store = builders.config_store()
+    # Another operator's record of the same content is not taken for ours.
+    twin = json.dumps(appending.sign(_RANK, "ana")).encode()
+    fake.put(follower.CONFIG_STREAM, twin)
+    result = builders.run_now(
+        appending.append_record(
+            fake, store, appending.sign(_RANK, "ana"), clock
+        )
+    )
+    assert result.outcome is outcome
+    assert result.offset == (1 if appears else None)
+    assert bool(result.reason) is not appears
