Order admission by rank, workspace and caller

The queue served first come, first served, so one flooding caller or rank set the wait of all others, and its estimate of the wait ignored the observed speed.

Ranks are served by level, with a balance of owed tokens that keeps each rank's share. Within a rank, start-time fair queueing over workspaces and then callers divides tokens by weight. Lower ranks start only while headroom remains in the running slots and tokens. A full queue displaces the newest request of the caller with the most waiting, and work whose expected wait is too long for its queue time is refused at once with a Retry-After from the observed rate.

--- /dev/null
+++ b/hibiscusstile/admission/__init__.py
@@ -0,0 +1,8 @@
+"""A sidecar's bounded queue: who runs next, who waits, who is refused."""
+
+from __future__ import annotations
+
+from hibiscusstile.admission.limits import QueueLimits
+from hibiscusstile.admission.queue import AdmissionQueue, Shed
+
+__all__ = ["AdmissionQueue", "QueueLimits", "Shed"]
--- /dev/null
+++ b/hibiscusstile/admission/fairness.py
@@ -0,0 +1,179 @@
+"""Fair order of one rank's waiting requests: by workspace, then by caller."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+
+from hibiscusstile import request
+from hibiscusstile.admission import flows
+
+__all__ = ["FairQueue", "Waiting"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Waiting:
+    """A waiting request.
+
+    Attributes:
+        work: The request.
+        cost: Its tokens as estimated before it runs.
+        number: Position in the order of arrival.
+        offered_s: Monotonic time of arrival.
+        deadline_s: Monotonic time after which it is not to start.
+    """
+
+    work: request.WorkItem
+    cost: int
+    number: int
+    offered_s: float
+    deadline_s: float
+
+
+class _Caller(flows.Flow):
+    __slots__ = ("waiting",)
+
+    def __init__(self, key: str) -> None:
+        super().__init__(key, 1.0)
+        self.waiting: collections.OrderedDict[str, Waiting] = (
+            collections.OrderedDict()
+        )
+
+
+class _Workspace(flows.Flow):
+    __slots__ = ("callers",)
+
+    def __init__(self, key: str, weight: float) -> None:
+        super().__init__(key, weight)
+        self.callers: flows.FlowSet[_Caller] = flows.FlowSet()
+
+
+class FairQueue:
+    """Waiting requests of one rank, fair in tokens."""
+
+    def __init__(self) -> None:
+        self._workspaces: flows.FlowSet[_Workspace] = flows.FlowSet()
+        self._tokens = 0
+        self._requests = 0
+
+    def __len__(self) -> int:
+        return self._requests
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that wait."""
+        return self._tokens
+
+    def add(self, waiting: Waiting, weight: float) -> None:
+        """Adds a request at the end of its caller's line.
+
+        Args:
+            waiting: The request.
+            weight: Its workspace's weight, above 0. It takes effect when the
+                workspace has no other request waiting.
+        """
+        work = waiting.work
+        workspace = self._workspaces.get(work.workspace)
+        if workspace is None:
+            workspace = _Workspace(work.workspace, weight)
+        elif not workspace.requests:
+            workspace.weight = weight
+        caller = workspace.callers.get(work.caller)
+        if caller is None:
+            caller = _Caller(work.caller)
+        caller.waiting[work.work_id] = waiting
+        workspace.callers.grow(caller, waiting.cost)
+        self._workspaces.grow(workspace, waiting.cost)
+        self._tokens += waiting.cost
+        self._requests += 1
+
+    def remove(self, waiting: Waiting) -> None:
+        """Removes a request that waits."""
+        work = waiting.work
+        workspace = self._workspaces.get(work.workspace)
+        caller = workspace.callers.get(work.caller) if workspace else None
+        if workspace is None or caller is None:
+            raise ValueError(f"request {work.work_id!r} does not wait")
+        del caller.waiting[work.work_id]
+        workspace.callers.shrink(caller, waiting.cost)
+        self._workspaces.shrink(workspace, waiting.cost)
+        self._tokens -= waiting.cost
+        self._requests -= 1
+
+    def first(self) -> Waiting | None:
+        """Returns the request whose turn it is."""
+        workspace = self._workspaces.first()
+        caller = workspace.callers.first() if workspace else None
+        return next(iter(caller.waiting.values())) if caller else None
+
+    def start(self, waiting: Waiting) -> None:
+        """Removes a request that starts and charges for it."""
+        work = waiting.work
+        workspace = self._workspaces.get(work.workspace)
+        caller = workspace.callers.get(work.caller) if workspace else None
+        if workspace is not None and caller is not None:
+            workspace.callers.start(caller, waiting.cost)
+            self._workspaces.start(workspace, waiting.cost)
+        self.remove(waiting)
+
+    def charge_apart(self, waiting: Waiting) -> None:
+        """Charges for a request that starts without waiting in this queue."""
+        self._charge(waiting.work, waiting.cost, 0)
+
+    def correct(self, waiting: Waiting, served_tokens: int) -> None:
+        """Charges the difference between served and estimated tokens.
+
+        A refund leaves the flow at most this one request ahead of the others.
+        Refunds of all the requests that it ran on an idle engine would
+        otherwise let it pass callers that arrive later.
+        """
+        tokens = served_tokens - waiting.cost
+        self._charge(waiting.work, tokens, waiting.cost)
+
+    def newest_of_largest(self) -> Waiting | None:
+        """Returns the newest request of the caller who exceeds most."""
+        workspace = self._workspaces.largest()
+        caller = workspace.callers.largest() if workspace else None
+        return next(reversed(caller.waiting.values())) if caller else None
+
+    def workspace_size(self, name: str) -> tuple[int, int, float]:
+        """Returns a workspace's waiting tokens, requests and weight."""
+        workspace = self._workspaces.get(name)
+        if workspace is None:
+            return 0, 0, 1.0
+        return workspace.tokens, workspace.requests, workspace.weight
+
+    def caller_size(self, workspace: str, name: str) -> tuple[int, int]:
+        """Returns a caller's waiting tokens and requests."""
+        found = self._workspaces.get(workspace)
+        caller = found.callers.get(name) if found else None
+        return (caller.tokens, caller.requests) if caller else (0, 0)
+
+    def tokens_ahead(self, work: request.WorkItem, weight: float) -> float:
+        """Returns the tokens that start before a new request would.
+
+        An estimate in O(1): every other ready flow receives as much per
+        weight as the request's own flow until it is the request's turn.
+        """
+        workspace = self._workspaces.get(work.workspace)
+        if workspace is None:
+            return 0.0
+        caller = workspace.callers.get(work.caller)
+        own = lag = 0.0
+        others = workspace.callers.ready
+        if caller is not None:
+            own = caller.tokens
+            lag = workspace.callers.lag(caller)
+            others -= 1 if caller.requests else 0
+        within = own + min(workspace.tokens - own, (own + lag) * others)
+        reach = within + self._workspaces.lag(workspace)
+        rest = self._workspaces.ready_weight
+        rest -= workspace.weight if workspace.requests else 0.0
+        share = reach * max(0.0, rest) / weight
+        return within + min(self._tokens - workspace.tokens, share)
+
+    def _charge(self, work: request.WorkItem, tokens: int, credit: int) -> None:
+        workspace = self._workspaces.get(work.workspace)
+        if workspace is not None:
+            workspace.callers.charge(work.caller, tokens, credit)
+            self._workspaces.charge(work.workspace, tokens, credit)
--- /dev/null
+++ b/hibiscusstile/admission/shares.py
@@ -0,0 +1,147 @@
+"""State of one rank in the queue: what waits and what it is owed."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable
+
+from hibiscusstile import request
+from hibiscusstile.admission import fairness, meter
+
+__all__ = ["Booking", "RankState", "book_start", "cost_of", "settle"]
+
+
+class RankState:
+    """What waits in one rank.
+
+    Attributes:
+        name: The rank's name.
+        fair: Its waiting requests but for the suspects.
+        suspects: Its waiting suspects by work id, in order of arrival.
+        meter: Observed rate at which its requests start.
+        owed: Tokens that it is owed for its share; negative after service.
+    """
+
+    __slots__ = ("fair", "meter", "name", "owed", "suspects")
+
+    def __init__(self, name: str, prior_rate: float) -> None:
+        self.name = name
+        self.fair = fairness.FairQueue()
+        self.suspects: collections.OrderedDict[str, fairness.Waiting] = (
+            collections.OrderedDict()
+        )
+        self.meter = meter.ServiceMeter(prior_rate)
+        self.owed = 0.0
+
+    @property
+    def waiting(self) -> int:
+        """Requests that wait."""
+        return len(self.fair) + len(self.suspects)
+
+    def add(self, waiting: fairness.Waiting, weight: float) -> None:
+        """Adds a waiting request."""
+        if waiting.work.suspect:
+            self.suspects[waiting.work.work_id] = waiting
+        else:
+            self.fair.add(waiting, weight)
+
+    def remove(self, waiting: fairness.Waiting) -> None:
+        """Removes a request that does not start."""
+        if waiting.work.suspect:
+            del self.suspects[waiting.work.work_id]
+        else:
+            self.fair.remove(waiting)
+
+    def start(self, waiting: fairness.Waiting, now_s: float) -> None:
+        """Removes a request that starts."""
+        if waiting.work.suspect:
+            del self.suspects[waiting.work.work_id]
+            self.fair.charge_apart(waiting)
+        else:
+            self.fair.start(waiting)
+        if waiting.offered_s < now_s:
+            self.meter.add(waiting.cost, now_s)
+
+    def head(self, suspect_runs: bool) -> fairness.Waiting | None:
+        """Returns the request whose turn it is.
+
+        Args:
+            suspect_runs: Whether a suspect runs, so that no other may start.
+        """
+        first = self.fair.first()
+        if suspect_runs or not self.suspects:
+            return first
+        suspect = next(iter(self.suspects.values()))
+        if first is None or suspect.number < first.number:
+            return suspect
+        return first
+
+    def note_length(self, now_s: float) -> None:
+        """Follows a change of what waits.
+
+        A rank that has nothing waiting forfeits what it is owed.
+        """
+        if self.waiting:
+            self.meter.open(now_s)
+        else:
+            self.meter.close(now_s)
+            self.owed = min(self.owed, 0.0)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Booking:
+    """A change of what a rank is owed, made on an estimated cost."""
+
+    state: RankState
+    change: float
+
+
+def book_start(
+    started: RankState,
+    shares: Iterable[tuple[RankState, float]],
+    cost: int,
+    most_owed: float,
+) -> tuple[Booking, ...]:
+    """Books a start on the ranks with waiting requests.
+
+    Each waiting rank is owed its share of the tokens that others receive. A
+    start reduces the balance by the other ranks' part of its cost, yet leaves
+    no larger debt than that one start makes: a rank that used an idle engine
+    is not made to wait for it later.
+
+    Args:
+        started: The rank of the request that starts.
+        shares: The ranks with waiting requests and their shares, 0 to 1.
+        cost: Estimated tokens.
+        most_owed: Bound of a balance, in tokens.
+
+    Returns:
+        The changes, for `settle` once the true cost is known.
+    """
+    bookings = []
+    for state, share in shares:
+        before = state.owed
+        if state is started:
+            debt = (1.0 - share) * cost
+            state.owed = max(before - debt, min(before, -debt))
+        else:
+            state.owed = min(most_owed, before + share * cost)
+        bookings.append(Booking(state, state.owed - before))
+    return tuple(bookings)
+
+
+def settle(
+    bookings: Iterable[Booking], cost: int, served: int, most_owed: float
+) -> None:
+    """Corrects bookings once the served tokens are known."""
+    excess = 1.0 - served / cost if cost else 0.0
+    for booking in bookings:
+        state = booking.state
+        most = most_owed if state.waiting else 0.0
+        state.owed = min(most, state.owed - booking.change * excess)
+
+
+def cost_of(work: request.WorkItem) -> int:
+    """Returns a request's tokens as estimated before it runs."""
+    return max(1, work.prompt_tokens + work.max_tokens)
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -58,7 +58,10 @@
             config.platform.log.url
         )
         queue = admission.AdmissionQueue(
-            clock, admission.QueueLimits(**config.queue.model_dump())
+            clock,
+            admission.QueueLimits(**config.queue.model_dump()),
+            lambda: self._store.view.ranks,
+            lambda: self._store.view.workspaces,
         )
         self._turns = turns.Turns(queue, clock)
         self._attempts = supervisor.Supervisor("attempts", clock)
--- a/hibiscusstile/sidecar/turns.py
+++ b/hibiscusstile/sidecar/turns.py
@@ -49,6 +49,8 @@
             asyncio.get_running_loop().create_future()
         )
         self._futures[work.work_id] = future
+        for shed in self._queue.shed():
+            self._refuse(shed.work.work_id, shed.refusal)
         self._start_ready()
         try:
             await future
