Keep headroom for small callers and bound the prefill handed over

A caller with 20 times the others' work filled slots and the engine's own prefill order, out of reach of the queue's fairness.

The queue meters recent use by caller. Work of a caller above twice the mean starts only while headroom remains and reaches the engine at a lower priority than its rank's other work. The prompt tokens handed over and not yet computed are bounded; the executor reports each start. Costs leave out the cached part of the prompt.

--- a/hibiscusstile/admission/fairness.py
+++ b/hibiscusstile/admission/fairness.py
@@ -4,6 +4,7 @@
 
 import collections
 import dataclasses
+from collections.abc import Iterator
 
 from hibiscusstile import request
 from hibiscusstile.admission import flows
@@ -17,18 +18,26 @@
 
     Attributes:
         work: The request.
-        cost: Its tokens as estimated before it runs.
+        size: Tokens of its prompt and its longest answer.
+        cost: Tokens to compute, as estimated before it runs: its size without
+            the part of the prompt that the engine holds in cache.
         number: Position in the order of arrival.
         offered_s: Monotonic time of arrival.
         deadline_s: Monotonic time after which it is not to start.
     """
 
     work: request.WorkItem
+    size: int
     cost: int
     number: int
     offered_s: float
     deadline_s: float
 
+    @property
+    def prefill(self) -> int:
+        """Prompt tokens to compute."""
+        return max(0, self.cost - self.work.max_tokens)
+
 
 class _Caller(flows.Flow):
     __slots__ = ("waiting",)
@@ -100,11 +109,11 @@
         self._tokens -= waiting.cost
         self._requests -= 1
 
-    def first(self) -> Waiting | None:
-        """Returns the request whose turn it is."""
-        workspace = self._workspaces.first()
-        caller = workspace.callers.first() if workspace else None
-        return next(iter(caller.waiting.values())) if caller else None
+    def heads(self) -> Iterator[Waiting]:
+        """Yields the first request of each caller, in order of turn."""
+        for workspace in self._workspaces.in_order():
+            for caller in workspace.callers.in_order():
+                yield next(iter(caller.waiting.values()))
 
     def start(self, waiting: Waiting) -> None:
         """Removes a request that starts and charges for it."""
--- a/hibiscusstile/admission/flows.py
+++ b/hibiscusstile/admission/flows.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 from typing import Generic, TypeVar
 
 import sortedcontainers
@@ -71,9 +72,13 @@
         """Returns a flow, None if it neither waits nor owes."""
         return self._flows.get(key)
 
-    def first(self) -> _F | None:
-        """Returns the ready flow to serve next."""
-        return self._flows[self._ready[0][1]] if self._ready else None
+    def in_order(self) -> Iterator[_F]:
+        """Yields the ready flows in order of service.
+
+        The set must not change meanwhile.
+        """
+        for _, key in self._ready:
+            yield self._flows[key]
 
     def largest(self) -> _F | None:
         """Returns the ready flow with the most waiting tokens per weight."""
@@ -108,8 +113,11 @@
         self._keep_idle(flow)
 
     def start(self, flow: _F, tokens: int) -> None:
-        """Charges a ready flow for a request that starts."""
-        self._virtual = max(self._virtual, flow.tag)
+        """Charges a ready flow for a request that starts.
+
+        The virtual time does not pass a flow whose turn was skipped.
+        """
+        self._virtual = max(self._virtual, self._ready[0][0])
         self.charge(flow.key, tokens)
         while self._idle and self._idle[0][0] <= self._virtual:
             _, key = self._idle.pop(0)
--- a/hibiscusstile/admission/queue.py
+++ b/hibiscusstile/admission/queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import itertools
 from collections.abc import Callable, Mapping
 
 from hibiscusstile import clock as clock_lib
@@ -12,10 +13,10 @@
     fairness,
     limits,
     room,
-    running,
     shares,
     table,
 )
+from hibiscusstile.admission import running as running_lib
 from hibiscusstile.configuration import view
 
 __all__ = ["AdmissionQueue", "Shed"]
@@ -24,6 +25,9 @@
 # limit, since an estimate near the limit lets much of it expire.
 _SAFE_PART = 0.85
 
+# Callers whose turn may be skipped in one search, which bounds its cost.
+_MAX_SKIPPED = 7
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shed:
@@ -63,7 +67,7 @@
         self._limits = queue_limits
         self._policy = table.PolicyTable(ranks, workspaces)
         self._room = room.WaitingRoom(queue_limits, self._policy)
-        self._running = running.RunningSet(queue_limits)
+        self._running = running_lib.RunningSet(queue_limits)
         self._late: list[request.WorkItem] = []
         self._shed: list[Shed] = []
 
@@ -77,26 +81,42 @@
         """Requests that wait."""
         return len(self._room)
 
+    @property
+    def waiting_by_rank(self) -> Mapping[str, int]:
+        """Requests that wait, by rank; 0 for ranks that are empty again."""
+        return self._room.by_rank
+
     @property
     def load(self) -> int:
         """Running and waiting tokens, as estimated before they run."""
         return self._running.tokens + self._room.tokens
 
-    def check(self, work: request.WorkItem) -> outcome.Refusal | None:
-        """Returns the refusal that `offer` would give now, if any."""
+    def check(
+        self, work: request.WorkItem, cached_tokens: int = 0
+    ) -> outcome.Refusal | None:
+        """Returns the refusal that `offer` would give now, if any.
+
+        Args:
+            work: The request.
+            cached_tokens: Prompt tokens that the engine holds in cache.
+        """
+        cost = shares.cost_of(work, cached_tokens)
         now_s = self._clock.monotonic()
         limit_s = self._policy.rank(work.rank).queue_time.total_seconds()
-        refusal = self._early_refusal(work, limit_s, now_s)
+        refusal = self._early_refusal(work, cost, limit_s, now_s)
         if refusal is not None:
             return refusal
-        victims = self._room.make_room(work)
+        victims = self._room.make_room(work, cost)
         if victims is None:
-            return self._full(work)
+            return self._full(work, cost)
         self._room.put_back(victims)
         return None
 
     def offer(
-        self, work: request.WorkItem, deadline_s: float
+        self,
+        work: request.WorkItem,
+        deadline_s: float,
+        cached_tokens: int = 0,
     ) -> outcome.Refusal | None:
         """Takes a request into the queue, or refuses it.
 
@@ -106,22 +126,24 @@
             work: The request; its `work_id` must be fresh.
             deadline_s: Monotonic time after which it is not to start. The
                 rank's queue time may end earlier.
+            cached_tokens: Prompt tokens that the engine holds in cache.
         """
+        cost = shares.cost_of(work, cached_tokens)
         now_s = self._clock.monotonic()
         queue_time_s = self._policy.rank(work.rank).queue_time.total_seconds()
         limit_s = min(queue_time_s, deadline_s - now_s)
         refusal = self._misfit(work, limit_s)
         if refusal is None:
-            refusal = self._early_refusal(work, limit_s, now_s)
+            refusal = self._early_refusal(work, cost, limit_s, now_s)
         if refusal is not None:
             return refusal
-        victims = self._room.make_room(work)
+        victims = self._room.make_room(work, cost)
         if victims is None:
-            return self._full(work)
-        self._room.add(work, now_s, now_s + limit_s)
+            return self._full(work, cost)
+        self._room.add(work, cost, now_s, now_s + limit_s)
         for victim in victims:
             self._room.forget(victim, now_s)
-            self._shed.append(Shed(victim.work, self._displaced(victim.work)))
+            self._shed.append(Shed(victim.work, self._displaced(victim)))
         return None
 
     def shed(self) -> list[Shed]:
@@ -135,19 +157,40 @@
         self._drop_late(now_s)
         if self._running.full:
             return None
-        chosen = self._next()
+        chosen = self._next(now_s)
         if chosen is None:
             return None
         state, waiting = chosen
         # A smaller request does not overtake one that is due and too large
         # for the free tokens, which would otherwise never start.
-        if not self._running.has_room(waiting.cost):
+        if not self._running.has_room(waiting.size):
             return None
+        standing = self._standing(waiting.work, state, now_s)
         bookings = self._room.start(state, waiting, now_s)
-        lower = self._policy.is_lower(state.name)
-        self._running.add(running.Running(waiting, state, lower, bookings))
+        self._running.add(
+            running_lib.Running(waiting, state, standing, bookings)
+        )
         return waiting.work
 
+    def note_started(self, work_id: str) -> None:
+        """Notes that the engine has computed a request's prompt.
+
+        Args:
+            work_id: The request; unknown ones are ignored.
+        """
+        self._running.note_started(work_id)
+
+    def priority(self, work_id: str) -> int | None:
+        """Returns the priority for the engine, where lower runs first.
+
+        Within a rank, work of a caller who uses several times the others'
+        mean comes after theirs.
+
+        Args:
+            work_id: The request; None is returned if it does not run.
+        """
+        return self._running.priority(work_id)
+
     def finish(self, work_id: str, served_tokens: int) -> None:
         """Frees the place of a request that ended.
 
@@ -181,16 +224,24 @@
             self.cancel(work.work_id)
         return works
 
-    def wait_s(self, work: request.WorkItem) -> float:
-        """Returns the expected seconds until a new request would start."""
+    def wait_s(self, work: request.WorkItem, cached_tokens: int = 0) -> float:
+        """Returns the expected seconds until a new request would start.
+
+        Args:
+            work: The request.
+            cached_tokens: Prompt tokens that the engine holds in cache.
+        """
+        return self._wait_s(work, shares.cost_of(work, cached_tokens))
+
+    def _wait_s(self, work: request.WorkItem, cost: int) -> float:
         now_s = self._clock.monotonic()
         state = self._room.state(work.rank)
-        cost = shares.cost_of(work)
         higher = self._room.tokens_above(work.rank)
-        lower = self._policy.is_lower(work.rank)
         none_ahead = not state.waiting and not higher
         if none_ahead and self._running.may_start(
-            cost, lower=lower, suspect=work.suspect
+            work,
+            max(0, cost - work.max_tokens),
+            self._standing(work, state, now_s),
         ):
             return 0.0
         if work.suspect:
@@ -225,10 +276,10 @@
         return None
 
     def _early_refusal(
-        self, work: request.WorkItem, limit_s: float, now_s: float
+        self, work: request.WorkItem, cost: int, limit_s: float, now_s: float
     ) -> outcome.Refusal | None:
         self._drop_late(now_s)
-        wait_s = self.wait_s(work)
+        wait_s = self._wait_s(work, cost)
         safe_s = limit_s * _SAFE_PART
         if wait_s > safe_s:
             return estimate.overloaded(
@@ -236,40 +287,55 @@
                 f" {limit_s:.1f} s left",
                 wait_s - safe_s,
             )
-        if self._room.is_over_bound(work):
+        if self._room.is_over_bound(work, cost):
             return estimate.overloaded(
                 "the workspace or the caller has its part of the queue", wait_s
             )
         return None
 
-    def _full(self, work: request.WorkItem) -> outcome.Refusal:
-        return estimate.overloaded("the queue is full", self.wait_s(work))
+    def _full(self, work: request.WorkItem, cost: int) -> outcome.Refusal:
+        return estimate.overloaded(
+            "the queue is full", self._wait_s(work, cost)
+        )
 
-    def _displaced(self, work: request.WorkItem) -> outcome.Refusal:
+    def _displaced(self, victim: fairness.Waiting) -> outcome.Refusal:
         return estimate.overloaded(
             "the queue is full and this caller has the most waiting",
-            self.wait_s(work),
+            self._wait_s(victim.work, victim.cost),
         )
 
     def _drop_late(self, now_s: float) -> None:
         self._late += self._room.remove_late(now_s)
 
-    def _next(self) -> tuple[shares.RankState, fairness.Waiting] | None:
+    def _next(
+        self, now_s: float
+    ) -> tuple[shares.RankState, fairness.Waiting] | None:
         """Returns the most urgent head, or that of a rank that is owed."""
         first: tuple[shares.RankState, fairness.Waiting] | None = None
         for state in self._room.states:
-            head = state.head(self._running.has_suspect)
-            if head is None:
-                continue
-            if self._is_due(state, head, first[1].cost if first else 0):
-                return state, head
-            if first is None and (
-                not self._policy.is_lower(state.name)
-                or self._running.leaves_headroom(head.cost)
-            ):
-                first = state, head
+            heads = state.heads(self._running.has_suspect)
+            for head in itertools.islice(heads, _MAX_SKIPPED + 1):
+                standing = self._standing(head.work, state, now_s)
+                if not self._running.accepts_prefill(head.prefill, standing):
+                    continue
+                if self._is_due(state, head, first[1].cost if first else 0):
+                    return state, head
+                if first is not None:
+                    break
+                if self._running.leaves_headroom(head.size, standing):
+                    first = state, head
+                    break
         return first
 
+    def _standing(
+        self, work: request.WorkItem, state: shares.RankState, now_s: float
+    ) -> running_lib.Standing:
+        return running_lib.Standing(
+            self._policy.rank(work.rank).level,
+            self._policy.is_lower(work.rank),
+            state.usage.is_large(work.workspace, work.caller, now_s),
+        )
+
     def _is_due(
         self, state: shares.RankState, head: fairness.Waiting, first_cost: int
     ) -> bool:
@@ -282,5 +348,5 @@
         return (
             share > 0
             and state.owed + share * first_cost > 0
-            and self._running.may_pass_headroom(head.cost)
+            and self._running.may_pass_headroom(head.size)
         )
--- a/hibiscusstile/admission/room.py
+++ b/hibiscusstile/admission/room.py
@@ -4,6 +4,7 @@
 
 import heapq
 import itertools
+from collections.abc import Mapping
 
 from hibiscusstile import request
 from hibiscusstile.admission import fairness, limits, meter, shares, table
@@ -52,6 +53,11 @@
             states.sort(key=lambda s: (self._policy.rank(s.name).level, s.name))
         return states
 
+    @property
+    def by_rank(self) -> Mapping[str, int]:
+        """Requests that wait, by rank; 0 for ranks that are empty again."""
+        return {name: each.waiting for name, each in self._states.items()}
+
     @property
     def works(self) -> list[request.WorkItem]:
         """The waiting requests in order of arrival."""
@@ -81,13 +87,16 @@
         )
 
     def add(
-        self, work: request.WorkItem, now_s: float, deadline_s: float
+        self,
+        work: request.WorkItem,
+        cost: int,
+        now_s: float,
+        deadline_s: float,
     ) -> None:
         """Adds a request."""
         number = next(self._numbers)
-        waiting = fairness.Waiting(
-            work, shares.cost_of(work), number, now_s, deadline_s
-        )
+        size = work.prompt_tokens + work.max_tokens
+        waiting = fairness.Waiting(work, size, cost, number, now_s, deadline_s)
         state = self.state(work.rank)
         state.add(waiting, self._policy.weight(work.workspace))
         state.note_length(now_s)
@@ -135,20 +144,20 @@
                 late.append(waiting.work)
         return late
 
-    def is_over_bound(self, work: request.WorkItem) -> bool:
+    def is_over_bound(self, work: request.WorkItem, cost: int) -> bool:
         """Whether the workspace or caller has its part of the queue."""
         state = self.state(work.rank)
         if work.suspect:
             most = self._limits.queued_requests * self._limits.caller_share
             return len(state.suspects) >= max(1, most)
         tokens, requests, _ = state.fair.workspace_size(work.workspace)
-        if self._exceeds(tokens, requests, work, self._limits.workspace_share):
+        if self._exceeds(tokens, requests, cost, self._limits.workspace_share):
             return True
         tokens, requests = state.fair.caller_size(work.workspace, work.caller)
-        return self._exceeds(tokens, requests, work, self._limits.caller_share)
+        return self._exceeds(tokens, requests, cost, self._limits.caller_share)
 
     def make_room(
-        self, work: request.WorkItem
+        self, work: request.WorkItem, cost: int
     ) -> list[fairness.Waiting] | None:
         """Removes requests from their ranks until one more fits.
 
@@ -156,7 +165,6 @@
             The removed ones, for `forget` or `put_back`; None, with nothing
             removed, if the new request has no better claim than they.
         """
-        cost = shares.cost_of(work)
         victims: list[fairness.Waiting] = []
         tokens = self._tokens + cost
         requests = len(self._waiting) + 1
@@ -194,14 +202,14 @@
             heapq.heapify(self._deadlines)
 
     def _exceeds(
-        self, tokens: int, requests: int, work: request.WorkItem, part: float
+        self, tokens: int, requests: int, cost: int, part: float
     ) -> bool:
         """Whether one more request exceeds a part; one is always allowed."""
         if not requests:
             return False
         return (
             requests + 1 > self._limits.queued_requests * part
-            or tokens + shares.cost_of(work) > self._limits.queued_tokens * part
+            or tokens + cost > self._limits.queued_tokens * part
         )
 
     def _victim(
--- a/hibiscusstile/admission/shares.py
+++ b/hibiscusstile/admission/shares.py
@@ -4,10 +4,10 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from hibiscusstile import request
-from hibiscusstile.admission import fairness, meter
+from hibiscusstile.admission import fairness, meter, usage
 
 __all__ = ["Booking", "RankState", "book_start", "cost_of", "settle"]
 
@@ -20,10 +20,11 @@
         fair: Its waiting requests but for the suspects.
         suspects: Its waiting suspects by work id, in order of arrival.
         meter: Observed rate at which its requests start.
+        usage: Recent use by its callers.
         owed: Tokens that it is owed for its share; negative after service.
     """
 
-    __slots__ = ("fair", "meter", "name", "owed", "suspects")
+    __slots__ = ("fair", "meter", "name", "owed", "suspects", "usage")
 
     def __init__(self, name: str, prior_rate: float) -> None:
         self.name = name
@@ -32,6 +33,7 @@
             collections.OrderedDict()
         )
         self.meter = meter.ServiceMeter(prior_rate)
+        self.usage = usage.UsageMeter()
         self.owed = 0.0
 
     @property
@@ -60,22 +62,27 @@
             self.fair.charge_apart(waiting)
         else:
             self.fair.start(waiting)
+        work = waiting.work
+        self.usage.add(work.workspace, work.caller, waiting.cost, now_s)
         if waiting.offered_s < now_s:
             self.meter.add(waiting.cost, now_s)
 
-    def head(self, suspect_runs: bool) -> fairness.Waiting | None:
-        """Returns the request whose turn it is.
+    def heads(self, suspect_runs: bool) -> Iterator[fairness.Waiting]:
+        """Yields the first request of each caller, in order of turn.
 
         Args:
             suspect_runs: Whether a suspect runs, so that no other may start.
         """
-        first = self.fair.first()
-        if suspect_runs or not self.suspects:
-            return first
-        suspect = next(iter(self.suspects.values()))
-        if first is None or suspect.number < first.number:
-            return suspect
-        return first
+        suspect = None
+        if self.suspects and not suspect_runs:
+            suspect = next(iter(self.suspects.values()))
+        for head in self.fair.heads():
+            if suspect is not None and suspect.number < head.number:
+                yield suspect
+                suspect = None
+            yield head
+        if suspect is not None:
+            yield suspect
 
     def note_length(self, now_s: float) -> None:
         """Follows a change of what waits.
@@ -142,6 +149,12 @@
         state.owed = min(most, state.owed - booking.change * excess)
 
 
-def cost_of(work: request.WorkItem) -> int:
-    """Returns a request's tokens as estimated before it runs."""
-    return max(1, work.prompt_tokens + work.max_tokens)
+def cost_of(work: request.WorkItem, cached_tokens: int) -> int:
+    """Returns the tokens to compute, as estimated before a request runs.
+
+    Args:
+        work: The request.
+        cached_tokens: Prompt tokens that the engine holds in cache.
+    """
+    prefill = max(0, work.prompt_tokens - cached_tokens)
+    return max(1, prefill + work.max_tokens)
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -176,12 +176,16 @@
     ) -> None:
         order = self._order(dispatch)
         deadline_s = self._clock.monotonic() + dispatch.deadline_s
-        await self._turns.wait(dispatch.work, deadline_s)
+        work = dispatch.work
+        cached = self._view.cached_tokens(order.cache_salt, work.levels)
+        await self._turns.wait(work, deadline_s, cached)
+        order = self._with_priority(order, work.work_id)
         served = 0
         try:
             async for event in self._engine().generate(order):
                 if isinstance(event, backends.EngineStarted):
                     served += dispatch.work.prompt_tokens - event.cached_tokens
+                    self._turns.note_started(work.work_id)
                     self._note_start(order, dispatch, event)
                     await running.stream.send_started(event.cached_tokens)
                 elif isinstance(event, backends.EngineText):
@@ -219,6 +223,14 @@
             dispatch.resume_text,
         )
 
+    def _with_priority(
+        self, order: backends.GenerateOrder, work_id: str
+    ) -> backends.GenerateOrder:
+        priority = self._turns.queue.priority(work_id)
+        if priority is None:
+            return order
+        return dataclasses.replace(order, priority=priority)
+
     def _engine(self) -> backends.EngineBackend:
         if isinstance(self._backend, backends.EngineBackend):
             return self._backend
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -160,14 +160,14 @@
         )
         info = self._info()
         cached = self._cached_tokens(work)
-        refusal = self._turns.queue.check(work)
+        refusal = self._turns.queue.check(work, cached)
         reason = refusal.reason if refusal else None
         if info.leaving:
             reason = outcome.Reason.LEAVING
         return messages.BidReply(
             asked.bid_id,
             cached,
-            self._turns.queue.wait_s(work),
+            self._turns.queue.wait_s(work, cached),
             (work.prompt_tokens - cached) / self._prefill_tokens_per_s,
             self._turns.queue.load,
             reason,
--- a/hibiscusstile/sidecar/turns.py
+++ b/hibiscusstile/sidecar/turns.py
@@ -33,16 +33,26 @@
         """The queue."""
         return self._queue
 
-    async def wait(self, work: request.WorkItem, deadline_s: float) -> None:
+    async def wait(
+        self,
+        work: request.WorkItem,
+        deadline_s: float,
+        cached_tokens: int = 0,
+    ) -> None:
         """Waits until the request may start.
 
         The caller must call `finish` once this has returned.
 
+        Args:
+            work: The request.
+            deadline_s: Monotonic time after which it is not to start.
+            cached_tokens: Prompt tokens that the engine holds in cache.
+
         Raises:
             Refused: The queue refused it, it expired, or the queue was
                 drained; always `not_run`.
         """
-        refusal = self._queue.offer(work, deadline_s)
+        refusal = self._queue.offer(work, deadline_s, cached_tokens)
         if refusal is not None:
             raise outcome.Refused(refusal)
         future: asyncio.Future[None] = (
@@ -61,6 +71,11 @@
         finally:
             self._futures.pop(work.work_id, None)
 
+    def note_started(self, work_id: str) -> None:
+        """Notes that the engine has computed a request's prompt."""
+        self._queue.note_started(work_id)
+        self._start_ready()
+
     def finish(self, work_id: str, served_tokens: int) -> None:
         """Frees the place of a request that ended."""
         self._queue.finish(work_id, served_tokens)
@@ -92,7 +107,8 @@
                 self._queue.finish(work.work_id, 0)
             else:
                 future.set_result(None)
-        metrics.set_queue_length("all", self._queue.waiting)
+        for rank, requests in self._queue.waiting_by_rank.items():
+            metrics.set_queue_length(rank, requests)
 
     def _refuse(self, work_id: str, refusal: outcome.Refusal) -> None:
         future = self._futures.get(work_id)
