Measure routing on a virtual clock

Cause: the routing decision had no figures to improve on. Change: `python -m bench` drives the real policies, admission queue, cache view and bid decision (moved from the sidecar's service into `bidder`, so that the daemon and the bench share it) over fake engines. Every assumption is a field of bench/fleets/*.yaml. The baselines least_loaded and prefix_hash join round_robin.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measuring bench: the real decision classes on a virtual clock."""
--- /dev/null
+++ b/bench/assumptions.py
@@ -0,0 +1,197 @@
+"""The assumptions about a fleet, read from its YAML file."""
+
+from __future__ import annotations
+
+import pathlib
+from typing import Annotated
+
+import pydantic
+import yaml
+
+__all__ = ["Fleet", "RankShape", "fleet_names", "load_fleet"]
+
+_FOLDER = pathlib.Path(__file__).parent / "fleets"
+_Positive = Annotated[float, pydantic.Field(gt=0)]
+_Share = Annotated[float, pydantic.Field(ge=0, le=1)]
+_Count = Annotated[int, pydantic.Field(ge=1)]
+_Range = tuple[_Count, _Count]
+
+
+class _Model(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+
+class RankShape(_Model):
+    """Sizes and limits of the requests of one rank.
+
+    Attributes:
+        share: Share of all requests.
+        level: Order of service; 0 is served first.
+        served_share: Share of served tokens kept for it in a flood.
+        queue_time_s: How long it may wait before it expires.
+        reads_dossier: Whether the member level is the long dossier.
+        general_share: Share without any member level.
+        question_tokens: Least and most tokens of the unique last level.
+        output_tokens: Least and most generated tokens.
+    """
+
+    share: _Share
+    level: Annotated[int, pydantic.Field(ge=0)]
+    served_share: _Share
+    queue_time_s: _Positive
+    reads_dossier: bool
+    general_share: _Share
+    question_tokens: _Range
+    output_tokens: _Range
+
+
+class Traffic(_Model):
+    """The shape of the offered traffic.
+
+    Attributes:
+        load: Offered share of the fleet's capacity.
+        term_amplitude: Relative rise and fall of the rate with the terms.
+        term_period_s: Period of that rise and fall.
+        warmup_share: First share of the requests, not measured.
+        instruction_tokens: Tokens of the shared instructions.
+        tenant_tokens: Least and most tokens of a tenant's own level.
+        history_tokens: Least and most tokens of a member's history.
+        dossier_tokens: Least and most tokens of a dossier.
+        workspace_members: Members (or plots) of each workspace.
+        workspace_weights: Relative traffic of each workspace.
+        members_per_dossier: Members that share one dossier.
+        member_zipf: Exponent of the popularity of members.
+        callers: Callers per workspace.
+        caller_zipf: Exponent of the callers' activity.
+        hot_prefixes: Members that are very hot at one time.
+        hot_share: Share of the requests that go to them.
+        hot_requests: Requests after which the hot ones change.
+    """
+
+    load: _Share
+    term_amplitude: _Share
+    term_period_s: _Positive
+    warmup_share: _Share
+    instruction_tokens: _Count
+    tenant_tokens: _Range
+    history_tokens: _Range
+    dossier_tokens: _Range
+    workspace_members: tuple[_Count, ...]
+    workspace_weights: tuple[_Positive, ...]
+    members_per_dossier: _Count
+    member_zipf: _Positive
+    callers: _Count
+    caller_zipf: _Positive
+    hot_prefixes: _Count
+    hot_share: _Share
+    hot_requests: _Count
+
+
+class Engine(_Model):
+    """The model engines.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens computed in a second.
+        prefill_chunk_tokens: Prompt tokens computed in one step at most.
+        step_s: Duration of a step without prompt tokens and sequences.
+        decode_s: Further duration for each decoding sequence.
+        batch: Sequences at once.
+        block_tokens: Tokens of a cached block.
+        cache_blocks: Blocks that the cache holds.
+        weight_load_s: Seconds to load the weights.
+        weight_loads_at_once: Loads beyond which each takes longer.
+        event_delay_s: Lateness of cache events.
+        event_poll_s: How often the sidecar asks for cache events.
+        event_loss: Share of the cache events that are lost.
+    """
+
+    prefill_tokens_per_s: _Positive
+    prefill_chunk_tokens: _Count
+    step_s: _Positive
+    decode_s: _Positive
+    batch: _Count
+    block_tokens: _Count
+    cache_blocks: _Count
+    weight_load_s: _Positive
+    weight_loads_at_once: _Count
+    event_delay_s: _Positive
+    event_poll_s: _Positive
+    event_loss: _Share
+
+
+class Queue(_Model):
+    """Bounds of the sidecars' queues.
+
+    Attributes:
+        queued_tokens: Tokens that may wait.
+        queued_requests: Requests that may wait.
+        running_tokens: Tokens handed to the engine at once.
+    """
+
+    queued_tokens: _Count
+    queued_requests: _Count
+    running_tokens: _Count
+
+
+class Disturbances(_Model):
+    """What the scenarios do.
+
+    Attributes:
+        at_share: When, as a share of the requests.
+        flood_s: Duration of a flood.
+        crash_event_loss: Share of the cache events lost after crashes.
+        hot_share: Share of the requests for the hot prefixes in `hot_shift`.
+    """
+
+    at_share: _Share
+    flood_s: _Positive
+    crash_event_loss: _Share
+    hot_share: _Share
+
+
+class Fleet(_Model):
+    """Every assumption about a fleet and its traffic.
+
+    Attributes:
+        name: The fleet's name.
+        runners: Number of model engines.
+        entries: Number of entry instances.
+        zones: Availability zones; runners and entries alternate over them.
+        zone_delay_s: One-way latency between availability zones.
+        local_delay_s: One-way latency within a zone.
+        client_delay_s: One-way latency to clients.
+        engine: The model engines.
+        queue: Bounds of the sidecars' queues.
+        traffic: The offered traffic.
+        ranks: Shapes of the requests by rank.
+        disturbances: What the scenarios do.
+    """
+
+    name: str
+    runners: _Count
+    entries: _Count
+    zones: _Count
+    zone_delay_s: _Positive
+    local_delay_s: _Positive
+    client_delay_s: _Positive
+    engine: Engine
+    queue: Queue
+    traffic: Traffic
+    ranks: dict[str, RankShape]
+    disturbances: Disturbances
+
+
+def load_fleet(name: str) -> Fleet:
+    """Returns a fleet's validated assumptions.
+
+    Raises:
+        FileNotFoundError: There is no such fleet.
+        pydantic.ValidationError: The file has faults.
+    """
+    text = (_FOLDER / f"{name}.yaml").read_text(encoding="utf-8")
+    return Fleet.model_validate(yaml.safe_load(text))
+
+
+def fleet_names() -> list[str]:
+    """Returns the names of all fleets."""
+    return sorted(path.stem for path in _FOLDER.glob("*.yaml"))
--- /dev/null
+++ b/bench/entries.py
@@ -0,0 +1,183 @@
+"""Entry instances: the real policies, and the steps of the relay."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from bench import assumptions, simulation, traffic
+from bench import engine as engine_lib
+from bench import runner as runner_lib
+from hibiscusstile import policies
+
+__all__ = ["Entry", "Result"]
+
+_MAX_ATTEMPTS = 4  # as in entry/relay.py
+
+
+@dataclasses.dataclass(slots=True)
+class Result:
+    """What became of a request.
+
+    Attributes:
+        order: The request.
+        at_s: When it arrived at the load balancer.
+        first_token_s: Seconds to the first token, None without one.
+        accepted: Whether a sidecar queued it.
+        answered: Whether the whole answer came.
+        cached_tokens: Prompt tokens found in cache by the first attempt.
+        computed_tokens: Prompt tokens computed, over all attempts.
+        end_s: When the answer ended.
+        attempts: Attempts made.
+    """
+
+    order: traffic.Order
+    at_s: float
+    first_token_s: float | None = None
+    accepted: bool = False
+    answered: bool = False
+    cached_tokens: int = 0
+    computed_tokens: int = 0
+    end_s: float = 0.0
+    attempts: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Known:
+    load: int = 0
+    at_s: float = 0.0
+
+
+class Entry:
+    """One entry instance.
+
+    Args:
+        sim: The virtual clock.
+        fleet: The assumptions.
+        zone: Index of its availability zone.
+        runners: All runners.
+        policy_name: Name in the registry of policies.
+        options: The policy's options.
+    """
+
+    def __init__(
+        self,
+        sim: simulation.Simulation,
+        fleet: assumptions.Fleet,
+        zone: int,
+        runners: Sequence[runner_lib.Runner],
+        policy_name: str,
+        options: Mapping[str, Any],
+    ) -> None:
+        self._sim = sim
+        self._fleet = fleet
+        self._zone = zone
+        self._runners = {runner.name: runner for runner in runners}
+        self._policy_name = policy_name
+        self._options = options
+        self.restart()
+
+    def restart(self) -> None:
+        """Forgets everything that a process holds in memory."""
+        policy = policies.get_policy_by_name(self._policy_name)
+        self._policy = policy(self._options)
+        self._known = {name: _Known() for name in self._runners}
+
+    def handle(self, result: Result) -> simulation.Process:
+        """Takes a request to its end, as the relay does."""
+        yield self._fleet.client_delay_s
+        excluded: set[str] = set()
+        generated = 0
+        for number in range(1, _MAX_ATTEMPTS + 1):
+            views = self._views(excluded)
+            candidates = self._policy.candidates(result.order.work, views)
+            if self._policy.asks_for_bids:
+                yield from self._travel(candidates)
+                bids = [self._bid(result.order, view) for view in candidates]
+                yield from self._travel(candidates)
+            else:
+                bids = [policies.Bid(view.runner) for view in candidates]
+            choice = self._policy.choose(result.order.work, bids)
+            if choice is None:
+                return
+            runner = self._runners[choice.runner]
+            result.attempts = number
+            attempt = self._attempt(result.order, number, generated)
+            yield self._delay_s(runner)
+            if runner.start(attempt) is None:
+                yield from self._relay(result, runner, attempt)
+                if not attempt.failed:
+                    return
+            excluded.add(choice.runner)
+
+    def _relay(
+        self,
+        result: Result,
+        runner: runner_lib.Runner,
+        attempt: engine_lib.Attempt,
+    ) -> simulation.Process:
+        result.accepted = True
+        yield attempt.started
+        back_s = self._delay_s(runner) + self._fleet.client_delay_s
+        if not attempt.failed:
+            if result.first_token_s is None:
+                now_s = self._sim.monotonic()
+                result.first_token_s = now_s + back_s - result.at_s
+                result.cached_tokens = attempt.cached_tokens
+            result.computed_tokens += (
+                result.order.work.prompt_tokens - attempt.cached_tokens
+            )
+        yield attempt.ended
+        if not attempt.failed:
+            result.answered = True
+            result.end_s = self._sim.monotonic() + back_s
+
+    def _attempt(
+        self, order: traffic.Order, number: int, generated: int
+    ) -> engine_lib.Attempt:
+        return engine_lib.Attempt(
+            order,
+            f"{order.work.work_id}.{number}",
+            generated,
+            simulation.Signal(self._sim),
+            simulation.Signal(self._sim),
+        )
+
+    def _views(self, excluded: set[str]) -> list[policies.RunnerView]:
+        now_s = self._sim.monotonic()
+        return [
+            policies.RunnerView(
+                name,
+                2 * self._delay_s(self._runners[name]),
+                known.load,
+                now_s - known.at_s,
+            )
+            for name, known in self._known.items()
+            if name not in excluded
+        ]
+
+    def _bid(
+        self, order: traffic.Order, view: policies.RunnerView
+    ) -> policies.Bid:
+        offer = self._runners[view.runner].offer(order)
+        self._known[view.runner] = _Known(offer.load, self._sim.monotonic())
+        return policies.Bid(
+            view.runner,
+            offer.cached_tokens,
+            offer.wait_s,
+            offer.prefill_s,
+            offer.load,
+            view.zone_cost_s,
+            offer.refusal,
+        )
+
+    def _travel(
+        self, views: Sequence[policies.RunnerView]
+    ) -> simulation.Process:
+        yield max((view.zone_cost_s / 2 for view in views), default=0.0)
+
+    def _delay_s(self, runner: runner_lib.Runner) -> float:
+        if runner.zone == self._zone:
+            return self._fleet.local_delay_s
+        return self._fleet.zone_delay_s
--- /dev/null
+++ b/bench/queues.py
@@ -0,0 +1,32 @@
+"""Builds the real admission queue for a fake engine."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from bench import assumptions, simulation
+from bench import engine as engine_lib
+from hibiscusstile import admission, request
+
+__all__ = ["as_attempt", "build_queue"]
+
+
+def build_queue(
+    sim: simulation.Simulation, fleet: assumptions.Fleet
+) -> admission.AdmissionQueue:
+    """Returns an empty queue with the fleet's bounds."""
+    return admission.AdmissionQueue(
+        sim,
+        admission.QueueLimits(
+            running=fleet.engine.batch,
+            running_tokens=fleet.queue.running_tokens,
+            queued_tokens=fleet.queue.queued_tokens,
+            queued_requests=fleet.queue.queued_requests,
+            prefill_tokens_per_s=fleet.engine.prefill_tokens_per_s,
+        ),
+    )
+
+
+def as_attempt(attempt: engine_lib.Attempt) -> request.WorkItem:
+    """Returns the work under the attempt's own name, as the relay does."""
+    return dataclasses.replace(attempt.order.work, work_id=attempt.attempt_id)
--- /dev/null
+++ b/bench/runner.py
@@ -0,0 +1,175 @@
+"""A runner: the sidecar's real decision classes beside a fake engine."""
+
+from __future__ import annotations
+
+import random
+
+from bench import assumptions, queues, simulation, traffic
+from bench import engine as engine_lib
+from hibiscusstile import admission, backends, cacheview, outcome
+from hibiscusstile import bidder as bidder_lib
+
+__all__ = ["Runner"]
+
+_EXPIRY_INTERVAL_S = 0.1
+
+
+class Runner:
+    """Queue, cache view, bids and engine of one backend server.
+
+    Args:
+        sim: The virtual clock.
+        fleet: The assumptions.
+        name: The sidecar's peer id.
+        zone: Index of its availability zone.
+        chance: Decides which cache events are lost.
+    """
+
+    def __init__(
+        self,
+        sim: simulation.Simulation,
+        fleet: assumptions.Fleet,
+        name: str,
+        zone: int,
+        chance: random.Random,
+    ) -> None:
+        self._sim = sim
+        self._fleet = fleet
+        self._name = name
+        self._zone = zone
+        self._chance = chance
+        self._event_loss = fleet.engine.event_loss
+        self._engine = engine_lib.Engine(sim, fleet, name)
+        self._queue = queues.build_queue(sim, fleet)
+        self._view = cacheview.CacheView()
+        self._view.reset(self._engine.incarnation)
+        self._bidder = bidder_lib.Bidder(
+            self._queue, self._view, fleet.engine.prefill_tokens_per_s
+        )
+        self._attempts: dict[str, engine_lib.Attempt] = {}
+        self._down = False
+        self._stale_bids = 0
+        self._overstated_tokens = 0
+        sim.spawn(self._engine.run())
+        sim.spawn(self._follow_events())
+        sim.spawn(self._expire())
+
+    @property
+    def name(self) -> str:
+        """The sidecar's peer id."""
+        return self._name
+
+    @property
+    def zone(self) -> int:
+        """Index of the availability zone."""
+        return self._zone
+
+    @property
+    def queue(self) -> admission.AdmissionQueue:
+        """The sidecar's queue."""
+        return self._queue
+
+    @property
+    def stale_bids(self) -> int:
+        """Bids that relied on the cache of an engine that is gone."""
+        return self._stale_bids
+
+    @property
+    def overstated_tokens(self) -> int:
+        """Tokens that the view reported and the engine had evicted."""
+        return self._overstated_tokens
+
+    def offer(self, order: traffic.Order) -> bidder_lib.Offer:
+        """Returns the bid for a request."""
+        if self._down:
+            return bidder_lib.Offer(
+                0, 0.0, 0.0, 0, outcome.Reason.BACKEND_FAILED
+            )
+        offer = self._bidder.offer(order.work, order.salt)
+        if (
+            offer.cached_tokens
+            and self._view.incarnation != self._engine.incarnation
+        ):
+            self._stale_bids += 1
+        return offer
+
+    def start(self, attempt: engine_lib.Attempt) -> outcome.Refusal | None:
+        """Queues an attempt, or refuses it."""
+        work = queues.as_attempt(attempt)
+        rank = self._fleet.ranks[work.rank]
+        if self._down:
+            return outcome.Refusal(
+                outcome.Reason.BACKEND_FAILED, "the engine is down"
+            )
+        deadline_s = self._sim.monotonic() + rank.queue_time_s
+        refusal = self._queue.offer(work, deadline_s)
+        if refusal is None:
+            self._attempts[work.work_id] = attempt
+            self._start_ready()
+        return refusal
+
+    def crash(self, event_loss: float, loading_at_once: int) -> None:
+        """Loses the engine, which loads its weights again.
+
+        Args:
+            event_loss: Share of the cache events lost from now on.
+            loading_at_once: Runners that load their weights now.
+        """
+        self._event_loss = event_loss
+        self._down = True
+        self._view.reset("")
+        self._engine.crash()
+        engine = self._fleet.engine
+        slowdown = max(1.0, loading_at_once / engine.weight_loads_at_once)
+        self._sim.spawn(self._load_weights(engine.weight_load_s * slowdown))
+
+    def _load_weights(self, load_s: float) -> simulation.Process:
+        yield load_s
+        self._down = False
+        self._view.reset(self._engine.incarnation)
+        self._start_ready()
+
+    def _start_ready(self) -> None:
+        while not self._down and (work := self._queue.take()) is not None:
+            attempt = self._attempts.pop(work.work_id)
+            self._engine.submit(attempt)
+            self._sim.spawn(self._watch(attempt))
+
+    def _watch(self, attempt: engine_lib.Attempt) -> simulation.Process:
+        order = attempt.order
+        incarnation = self._engine.incarnation
+        held = self._view.cached_tokens(order.salt, order.work.levels)
+        yield attempt.started
+        if not attempt.failed:
+            self._overstated_tokens += max(0, held - attempt.cached_tokens)
+            self._view.admit(incarnation, order.salt, order.work.levels)
+        yield attempt.ended
+        served = 0
+        if not attempt.failed:
+            served = (
+                order.work.prompt_tokens
+                - attempt.cached_tokens
+                + attempt.generated
+            )
+        self._queue.finish(attempt.attempt_id, served)
+        self._start_ready()
+
+    def _expire(self) -> simulation.Process:
+        while True:
+            yield _EXPIRY_INTERVAL_S
+            for work in self._queue.expire():
+                self._attempts.pop(work.work_id).fail()
+            self._start_ready()
+
+    def _follow_events(self) -> simulation.Process:
+        while True:
+            yield self._fleet.engine.event_poll_s
+            if self._down:
+                continue
+            batch = self._engine.take_events()
+            kept = tuple(
+                event
+                for event in batch.events
+                if self._chance.random() >= self._event_loss
+            )
+            self._view.apply(backends.CacheEvents(batch.incarnation, kept))
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,90 @@
+"""Discrete-event kernel: processes are generators on a virtual clock."""
+
+from __future__ import annotations
+
+import datetime
+import heapq
+import itertools
+from collections.abc import Generator
+
+from hibiscusstile import clock as clock_lib
+
+__all__ = ["Process", "Signal", "Simulation"]
+
+_EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+class Signal:
+    """Something that happens once and that processes can wait for."""
+
+    def __init__(self, simulation: Simulation) -> None:
+        self._simulation = simulation
+        self._waiting: list[Process] = []
+        self._set = False
+
+    @property
+    def is_set(self) -> bool:
+        """Whether it has happened."""
+        return self._set
+
+    def set(self) -> None:
+        """Wakes all waiting processes; further calls do nothing."""
+        self._set = True
+        for process in self._waiting:
+            self._simulation.resume_at(process, self._simulation.monotonic())
+        self._waiting.clear()
+
+    def add_waiter(self, process: Process) -> None:
+        """Resumes a process when the signal is set."""
+        self._waiting.append(process)
+
+
+Process = Generator["float | Signal", None, None]
+
+
+class Simulation(clock_lib.Clock):
+    """Runs processes in the order of virtual time, ties in order of creation.
+
+    A process yields seconds to sleep for, or a `Signal` to wait for.
+    """
+
+    def __init__(self) -> None:
+        self._now_s = 0.0
+        self._counter = itertools.count()
+        self._events: list[tuple[float, int, Process]] = []
+
+    def now(self) -> datetime.datetime:
+        """Returns the virtual wall-clock time."""
+        return _EPOCH + datetime.timedelta(seconds=self._now_s)
+
+    def monotonic(self) -> float:
+        """Returns virtual seconds since the start."""
+        return self._now_s
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Is not available: processes yield their sleeps."""
+        raise NotImplementedError("processes of the bench yield seconds")
+
+    def spawn(self, process: Process, at_s: float | None = None) -> None:
+        """Starts a process now or at a later virtual time."""
+        self.resume_at(process, self._now_s if at_s is None else at_s)
+
+    def resume_at(self, process: Process, at_s: float) -> None:
+        """Continues a process at a virtual time."""
+        heapq.heappush(self._events, (at_s, next(self._counter), process))
+
+    def run(self, until_s: float) -> None:
+        """Runs until nothing is left to do or the time is reached."""
+        while self._events and self._events[0][0] <= until_s:
+            self._now_s, _, process = heapq.heappop(self._events)
+            self._advance(process)
+
+    def _advance(self, process: Process) -> None:
+        for waited in process:
+            if isinstance(waited, Signal):
+                if waited.is_set:
+                    continue
+                waited.add_waiter(process)
+            else:
+                self.resume_at(process, self._now_s + waited)
+            return
--- /dev/null
+++ b/bench/summary.py
@@ -0,0 +1,85 @@
+"""`python -m bench.summary --seeds 1-5`: several seeds beside each other."""
+
+from __future__ import annotations
+
+import argparse
+import concurrent.futures
+import statistics
+import sys
+
+from bench import assumptions, report
+
+__all__ = ["main"]
+
+_PROCESSES = 4
+
+
+def main() -> int:
+    """Prints means over the seeds, and how often each target is met."""
+    parser = argparse.ArgumentParser(prog="bench.summary", description=__doc__)
+    parser.add_argument("--seeds", default="1-5", help="first-last")
+    parser.add_argument("--fleet", action="append", default=[])
+    parser.add_argument("--requests", type=int, default=4000)
+    parser.add_argument("--scenario", action="append", default=[])
+    arguments = parser.parse_args()
+    first, last = map(int, arguments.seeds.split("-"))
+    fleets = arguments.fleet or assumptions.fleet_names()
+    jobs = [(f, s) for f in fleets for s in range(first, last + 1)]
+    with concurrent.futures.ProcessPoolExecutor(_PROCESSES) as pool:
+        futures = [
+            pool.submit(
+                _run, *job, arguments.requests, tuple(arguments.scenario)
+            )
+            for job in jobs
+        ]
+        reports = [future.result() for future in futures]
+    for fleet in fleets:
+        _print([each for each in reports if each.fleet == fleet])
+    return 0
+
+
+def _run(
+    fleet: str, seed: int, count: int, names: tuple[str, ...]
+) -> report.Report:
+    return report.run(assumptions.load_fleet(fleet), seed, count, names)
+
+
+def _print(reports: list[report.Report]) -> None:
+    seeds = ",".join(str(each.seed) for each in reports)
+    bound = statistics.fmean(each.bound_hit_rate for each in reports)
+    print(f"{reports[0].fleet}, seeds {seeds}, bound {bound:.4f}")
+    print(
+        f"{'policy':<14}{'hit rate':>9}{'recomputed':>12}"
+        f"{'urgent p95 s':>14}{'routine p95 s':>15}"
+    )
+    for name in reports[0].policies:
+        all_figures = [each.policies[name] for each in reports]
+        columns: list[list[float]] = [
+            [f.prefix_hit_rate for f in all_figures],
+            [f.recomputed_tokens for f in all_figures],
+            [f.ttft_p95_s["urgent"] or 0.0 for f in all_figures],
+            [f.ttft_p95_s["routine"] or 0.0 for f in all_figures],
+        ]
+        hit, recomputed, urgent, routine = (
+            statistics.fmean(column) for column in columns
+        )
+        print(
+            f"{name:<14}{hit:>9.4f}{recomputed:>12.0f}"
+            f"{urgent:>14.3f}{routine:>15.3f}"
+        )
+    for name, row in reports[0].rows.items():
+        for index, target in enumerate(row.targets):
+            same = [each.rows[name].targets[index] for each in reports]
+            values = " ".join(_pair(t.value, t.limit, t.met) for t in same)
+            met = sum(t.met for t in same)
+            print(f"{name:<14}{target.text:<46}{met}/{len(same)}  {values}")
+    print()
+
+
+def _pair(value: float | None, limit: float, met: bool) -> str:
+    shown = "-" if value is None else f"{value:.3g}"
+    return shown if met else f"{shown}!({limit:.3g})"
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/bench/traffic.py
@@ -0,0 +1,259 @@
+"""Synthetic traffic: prompts with nested prefixes, Zipf callers, hot spots."""
+
+from __future__ import annotations
+
+import bisect
+import dataclasses
+import itertools
+import math
+import random
+from collections.abc import Sequence
+
+import xxhash
+
+from bench import assumptions
+from hibiscusstile import identity, request
+
+__all__ = [
+    "MODEL",
+    "Order",
+    "Timed",
+    "TrafficSource",
+    "bound_cached",
+    "engine_seconds",
+    "timed",
+]
+
+MODEL = "m1"
+_WEIGHTS = "v1"
+_SHARE_OF_BOUND = 0.9  # the hit rate that the design page demands
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Order:
+    """A request before it has a time of arrival.
+
+    Attributes:
+        work: What routing and admission see.
+        salt: The cache salt of its scope.
+        output_tokens: Tokens that the engine will generate.
+        group: `base`, `flood` or `large`.
+    """
+
+    work: request.WorkItem
+    salt: str
+    output_tokens: int
+    group: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Timed:
+    """An order with its time of arrival at the load balancer."""
+
+    order: Order
+    at_s: float
+
+
+class _Zipf:
+    """Draws indices with probability proportional to 1/(1+i)^exponent."""
+
+    def __init__(self, size: int, exponent: float) -> None:
+        weights = ((1 + i) ** -exponent for i in range(size))
+        self._cumulated = list(itertools.accumulate(weights))
+
+    def draw(self, chance: random.Random) -> int:
+        """Returns an index."""
+        return bisect.bisect_left(
+            self._cumulated, chance.random() * self._cumulated[-1]
+        )
+
+
+class TrafficSource:
+    """Draws requests of a fleet; the same seed gives the same requests.
+
+    Args:
+        fleet: The assumptions.
+        seed: Seed of all draws.
+        label: Start of the work ids, different for each source of a run.
+    """
+
+    def __init__(
+        self, fleet: assumptions.Fleet, seed: int | str, label: str = "r"
+    ) -> None:
+        self._fleet = fleet
+        self._label = label
+        self._chance = random.Random(seed)
+        traffic = fleet.traffic
+        self._members = [
+            _Zipf(size, traffic.member_zipf)
+            for size in traffic.workspace_members
+        ]
+        self._callers = _Zipf(traffic.callers, traffic.caller_zipf)
+        self._numbers = itertools.count()
+        self._hot: list[tuple[int, int]] = []
+        self.shift_hot()
+
+    def shift_hot(self) -> None:
+        """Makes other members the hot ones."""
+        self._hot = []
+        for _ in range(self._fleet.traffic.hot_prefixes):
+            workspace = self._workspace()
+            size = self._fleet.traffic.workspace_members[workspace]
+            self._hot.append((workspace, self._chance.randrange(size)))
+
+    def draw(
+        self,
+        *,
+        group: str = "base",
+        rank: str = "",
+        hot_share: float | None = None,
+        caller: tuple[int, str] | None = None,
+    ) -> Order:
+        """Returns the next request.
+
+        Args:
+            group: Label for the measurement.
+            rank: Its rank; drawn if empty.
+            hot_share: Share of the hot prefixes; the fleet's if None.
+            caller: Workspace index and caller; drawn if None.
+        """
+        chance = self._chance
+        traffic = self._fleet.traffic
+        share = traffic.hot_share if hot_share is None else hot_share
+        rank = rank or self._rank()
+        if caller is None and chance.random() < share:
+            workspace, member = chance.choice(self._hot)
+            general = False
+        else:
+            workspace = caller[0] if caller else self._workspace()
+            member = self._members[workspace].draw(chance)
+            shape = self._fleet.ranks[rank]
+            general = chance.random() < shape.general_share
+        name = caller[1] if caller else f"c{self._callers.draw(chance)}"
+        return self._order(
+            workspace, None if general else member, rank, name, group
+        )
+
+    def _rank(self) -> str:
+        point = self._chance.random()
+        for name, shape in self._fleet.ranks.items():
+            point -= shape.share
+            if point < 0:
+                return name
+        return next(iter(self._fleet.ranks))
+
+    def _workspace(self) -> int:
+        weights = self._fleet.traffic.workspace_weights
+        return self._chance.choices(range(len(weights)), weights)[0]
+
+    def _order(
+        self,
+        workspace: int,
+        member: int | None,
+        rank: str,
+        caller: str,
+        group: str,
+    ) -> Order:
+        shape = self._fleet.ranks[rank]
+        traffic = self._fleet.traffic
+        scope = identity.CacheScope(f"ws{workspace}", MODEL, "", _WEIGHTS)
+        number = next(self._numbers)
+        names = [("instructions", traffic.instruction_tokens)]
+        names.append(("tenant", _size("tenant", scope, traffic.tenant_tokens)))
+        if member is not None:
+            if shape.reads_dossier:
+                name = f"dossier{member // traffic.members_per_dossier}"
+                sizes = traffic.dossier_tokens
+            else:
+                name = f"history{member}"
+                sizes = traffic.history_tokens
+            names.append((name, _size(name, scope, sizes)))
+        question = self._chance.randint(*shape.question_tokens)
+        names.append((f"question{self._label}{number}", question))
+        levels = _levels(scope.seed, names)
+        output = self._chance.randint(*shape.output_tokens)
+        work = request.WorkItem(
+            f"{self._label}{number}",
+            scope.workspace,
+            caller,
+            rank,
+            MODEL,
+            "",
+            levels,
+            levels[-1].tokens,
+            shape.output_tokens[1],
+        )
+        return Order(work, scope.salt, output, group)
+
+
+def _size(name: str, scope: identity.CacheScope, sizes: tuple[int, int]) -> int:
+    point = xxhash.xxh3_64_intdigest(name.encode(), seed=scope.seed)
+    return sizes[0] + point % (sizes[1] - sizes[0] + 1)
+
+
+def _levels(
+    seed: int, names: Sequence[tuple[str, int]]
+) -> tuple[request.PrefixLevel, ...]:
+    digest, tokens = seed, 0
+    levels = []
+    for name, size in names:
+        digest = xxhash.xxh3_64_intdigest(name.encode(), seed=digest)
+        tokens += size
+        levels.append(request.PrefixLevel(digest, tokens))
+    return tuple(levels)
+
+
+def bound_cached(orders: Sequence[Order], block_tokens: int) -> list[int]:
+    """Returns each request's cached tokens with one unlimited cache."""
+    seen: set[tuple[str, int]] = set()
+    cached = []
+    for order in orders:
+        held = 0
+        for level in order.work.levels:
+            key = (order.salt, level.digest)
+            if key in seen:
+                held = level.tokens
+            seen.add(key)
+        cached.append(held // block_tokens * block_tokens)
+    return cached
+
+
+def engine_seconds(
+    fleet: assumptions.Fleet, orders: Sequence[Order]
+) -> list[float]:
+    """Returns the engine time of each request at the demanded hit rate."""
+    engine = fleet.engine
+    prefill_s = (
+        1 / engine.prefill_tokens_per_s
+        + engine.step_s / engine.prefill_chunk_tokens
+    )
+    decode_s = engine.step_s / engine.batch + engine.decode_s
+    return [
+        (order.work.prompt_tokens - _SHARE_OF_BOUND * cached) * prefill_s
+        + order.output_tokens * decode_s
+        for order, cached in zip(
+            orders, bound_cached(orders, engine.block_tokens), strict=True
+        )
+    ]
+
+
+def timed(
+    fleet: assumptions.Fleet,
+    orders: Sequence[Order],
+    chance: random.Random,
+    rate: float,
+    start_s: float = 0.0,
+) -> list[Timed]:
+    """Returns the orders with Poisson arrivals around a mean rate per second.
+
+    The rate rises and falls with the terms.
+    """
+    traffic = fleet.traffic
+    at_s = start_s
+    result = []
+    for order in orders:
+        phase = math.sin(2 * math.pi * at_s / traffic.term_period_s)
+        now_rate = rate * (1 + traffic.term_amplitude * phase)
+        at_s += chance.expovariate(now_rate)
+        result.append(Timed(order, round(at_s, 6)))
+    return result
--- a/hibiscusstile/policies/__init__.py
+++ b/hibiscusstile/policies/__init__.py
@@ -122,7 +122,10 @@
 policies: registry.Registry[Policy] = registry.Registry(
     "policy",
     PolicyNotFound,
-    (f"{__name__}.bidding", f"{__name__}.round_robin"),
+    tuple(
+        f"{__name__}.{module}"
+        for module in ("bidding", "least_loaded", "prefix_hash", "round_robin")
+    ),
 )
 
 
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -10,6 +10,7 @@
 from hibiscusstile import (
     admission,
     backends,
+    bidder,
     cacheview,
     identity,
     operators,
@@ -74,9 +75,7 @@
             self._info,
             self._store,
             self._executor,
-            self._turns,
-            self._view,
-            config.queue.prefill_tokens_per_s,
+            bidder.Bidder(queue, self._view, config.queue.prefill_tokens_per_s),
         )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -4,12 +4,12 @@
 
 from collections.abc import Callable
 
-from hibiscusstile import cacheview, identity, outcome, request
+from hibiscusstile import bidder as bidder_lib
+from hibiscusstile import identity, outcome, request
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import codec, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.sidecar import executor as executor_lib
-from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["SidecarService"]
 
@@ -21,9 +21,7 @@
         info: Returns what the sidecar says of itself.
         store: The configuration in force.
         executor: Runs attempts.
-        turns: The admission queue's turns.
-        view: What the engine holds in cache.
-        prefill_tokens_per_s: The engine's speed.
+        bidder: Values requests for bids.
     """
 
     def __init__(
@@ -31,16 +29,12 @@
         info: Callable[[], messages.PeerInfo],
         store: store_lib.ConfigurationStore,
         executor: executor_lib.Executor,
-        turns: turns_lib.Turns,
-        view: cacheview.CacheView,
-        prefill_tokens_per_s: float,
+        bidder: bidder_lib.Bidder,
     ) -> None:
         self._info = info
         self._store = store
         self._executor = executor
-        self._turns = turns
-        self._view = view
-        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._bidder = bidder
         self._connections: set[connection_lib.PeerConnection] = set()
 
     @property
@@ -159,29 +153,24 @@
             asked.suspect,
         )
         info = self._info()
-        cached = self._cached_tokens(work)
-        refusal = self._turns.queue.check(work)
-        reason = refusal.reason if refusal else None
-        if info.leaving:
-            reason = outcome.Reason.LEAVING
+        offer = self._bidder.offer(work, self._salt(work))
         return messages.BidReply(
             asked.bid_id,
-            cached,
-            self._turns.queue.wait_s(work),
-            (work.prompt_tokens - cached) / self._prefill_tokens_per_s,
-            self._turns.queue.load,
-            reason,
+            offer.cached_tokens,
+            offer.wait_s,
+            offer.prefill_s,
+            offer.load,
+            outcome.Reason.LEAVING if info.leaving else offer.refusal,
             info.leaving,
         )
 
-    def _cached_tokens(self, work: request.WorkItem) -> int:
+    def _salt(self, work: request.WorkItem) -> str:
         model = self._store.view.models.get(work.model)
         if model is None:
-            return 0
-        scope = identity.CacheScope(
+            return ""
+        return identity.CacheScope(
             work.workspace, work.model, work.adapter, model.weights_version
-        )
-        return self._view.cached_tokens(scope.salt, work.levels)
+        ).salt
 
     async def _send_state(
         self, connection: connection_lib.PeerConnection, revision: int
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,7 +8,13 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import request
 
-__all__ = ["ManualClock", "chat_messages", "record", "work_item"]
+__all__ = [
+    "BENCH_FIGURES",
+    "ManualClock",
+    "chat_messages",
+    "record",
+    "work_item",
+]
 
 
 class ManualClock(clock_lib.Clock):
@@ -70,3 +76,13 @@
         {"role": "system", "content": "You grade carob pods. " * 50},
         {"role": "user", "content": question},
     ]
+
+
+BENCH_FIGURES = {
+    "prefix_hit_rate",
+    "recomputed_tokens",
+    "ttft_p50_s",
+    "ttft_p95_s",
+    "ttft_p99_s",
+    "answered",
+}
