Count prompts at the engine in a bid's wait

Cause: a bid's wait was zero as long as the engine had a free place, though dozens of prompts could be ahead in its prefill. Change: the bidder counts the uncached tokens of prompts handed to the engine until their first token, by rank, since the engine serves ranks in order; divides by the speed it observes; and takes prefixes of prompts that are ahead as computed by then.

--- a/bench/runner.py
+++ b/bench/runner.py
@@ -44,7 +44,11 @@
         self._view = cacheview.CacheView()
         self._view.reset(self._engine.incarnation)
         self._bidder = bidder_lib.Bidder(
-            self._queue, self._view, fleet.engine.prefill_tokens_per_s
+            sim,
+            self._queue,
+            self._view,
+            fleet.engine.prefill_tokens_per_s,
+            lambda rank: fleet.ranks[rank].level,
         )
         self._attempts: dict[str, engine_lib.Attempt] = {}
         self._down = False
@@ -132,6 +136,7 @@
     def _start_ready(self) -> None:
         while not self._down and (work := self._queue.take()) is not None:
             attempt = self._attempts.pop(work.work_id)
+            self._bidder.note_handed(work, attempt.order.salt)
             self._engine.submit(attempt)
             self._sim.spawn(self._watch(attempt))
 
@@ -142,8 +147,13 @@
         yield attempt.started
         if not attempt.failed:
             self._overstated_tokens += max(0, held - attempt.cached_tokens)
+            self._bidder.note_started(
+                attempt.attempt_id,
+                order.work.prompt_tokens - attempt.cached_tokens,
+            )
             self._view.admit(incarnation, order.salt, order.work.levels)
         yield attempt.ended
+        self._bidder.note_ended(attempt.attempt_id)
         served = 0
         if not attempt.failed:
             served = (
--- a/hibiscusstile/bidder.py
+++ b/hibiscusstile/bidder.py
@@ -3,11 +3,18 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Callable, Sequence
 
 from hibiscusstile import admission, cacheview, outcome, request
+from hibiscusstile import clock as clock_lib
 
 __all__ = ["Bidder", "Offer"]
 
+_SPEED_WINDOW_S = 2.0
+_SPEED_WEIGHT = 0.2  # of a new sample in the moving average
+_LEAST_SAMPLE_TOKENS = 4000  # shorter ones measure the engine's step time
+_LEAST_SPEED_SHARE = 0.1  # of the configured speed
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Offer:
@@ -28,24 +35,53 @@
     refusal: outcome.Reason | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Prefill:
+    """A prompt at the engine whose first token has not come yet."""
+
+    salt: str
+    rank_level: int
+    levels: tuple[request.PrefixLevel, ...]
+    tokens: int
+
+
 class Bidder:
-    """Values requests against the local queue and cache.
+    """Values requests against the local queue, engine and cache.
+
+    The engine's own load report lags, so the prompts handed to it are
+    counted here until their first token comes.
 
     Args:
+        clock: Measures the engine's speed.
         queue: The sidecar's queue.
         view: What the engine holds in cache.
-        prefill_tokens_per_s: The engine's speed.
+        prefill_tokens_per_s: The engine's speed before any was observed.
+        rank_level: Returns a rank's order of service; 0 is served first.
     """
 
     def __init__(
         self,
+        clock: clock_lib.Clock,
         queue: admission.AdmissionQueue,
         view: cacheview.CacheView,
         prefill_tokens_per_s: float,
+        rank_level: Callable[[str], int],
     ) -> None:
+        self._clock = clock
         self._queue = queue
         self._view = view
-        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._configured_speed = prefill_tokens_per_s
+        self._speed = prefill_tokens_per_s
+        self._rank_level = rank_level
+        self._prefills: dict[str, _Prefill] = {}
+        self._busy_from_s = 0.0
+        self._busy_tokens = 0
+        self._progress_from_s = 0.0
+
+    @property
+    def prefill_tokens_per_s(self) -> float:
+        """The engine's observed speed while it also decodes."""
+        return self._speed
 
     def offer(self, work: request.WorkItem, salt: str) -> Offer:
         """Returns what the sidecar can offer now.
@@ -54,12 +90,91 @@
             work: The request.
             salt: The cache salt of its scope, empty for an unknown model.
         """
+        rank_level = self._rank_level(work.rank)
         cached = self._view.cached_tokens(salt, work.levels) if salt else 0
+        reused = max(cached, self._soon_cached(work, salt, rank_level))
         refusal = self._queue.check(work)
         return Offer(
             cached,
-            self._queue.wait_s(work),
-            (work.prompt_tokens - cached) / self._prefill_tokens_per_s,
+            self._queue.wait_s(work) + self._backlog_s(rank_level),
+            (work.prompt_tokens - reused) / self._speed,
             self._queue.load,
             refusal.reason if refusal else None,
         )
+
+    def note_handed(self, work: request.WorkItem, salt: str) -> None:
+        """Notes that the engine has been handed a prompt."""
+        rank_level = self._rank_level(work.rank)
+        reused = max(
+            self._view.cached_tokens(salt, work.levels),
+            self._soon_cached(work, salt, rank_level),
+        )
+        now_s = self._clock.monotonic()
+        if not self._prefills:
+            self._busy_from_s = self._progress_from_s = now_s
+            self._busy_tokens = 0
+        self._prefills[work.work_id] = _Prefill(
+            salt, rank_level, work.levels, work.prompt_tokens - reused
+        )
+
+    def note_started(self, work_id: str, computed_tokens: int) -> None:
+        """Notes a first token.
+
+        Args:
+            work_id: The request.
+            computed_tokens: Prompt tokens that were not in cache.
+        """
+        if self._prefills.pop(work_id, None) is None:
+            return
+        self._progress_from_s = self._clock.monotonic()
+        self._busy_tokens += computed_tokens
+        self._observe_speed()
+
+    def note_ended(self, work_id: str) -> None:
+        """Notes an end; a prompt without a first token is forgotten."""
+        self._prefills.pop(work_id, None)
+
+    def _observe_speed(self) -> None:
+        now_s = self._clock.monotonic()
+        elapsed_s = now_s - self._busy_from_s
+        if self._prefills and elapsed_s < _SPEED_WINDOW_S:
+            return
+        if elapsed_s > 0 and self._busy_tokens >= _LEAST_SAMPLE_TOKENS:
+            sample = self._busy_tokens / elapsed_s
+            self._speed += _SPEED_WEIGHT * (sample - self._speed)
+            least = _LEAST_SPEED_SHARE * self._configured_speed
+            self._speed = max(self._speed, least)
+        self._busy_from_s = now_s
+        self._busy_tokens = 0
+
+    def _backlog_s(self, rank_level: int) -> float:
+        tokens = sum(
+            each.tokens
+            for each in self._prefills.values()
+            if each.rank_level <= rank_level
+        )
+        progress_s = self._clock.monotonic() - self._progress_from_s
+        return max(0.0, tokens / self._speed - progress_s)
+
+    def _soon_cached(
+        self, work: request.WorkItem, salt: str, rank_level: int
+    ) -> int:
+        """Returns tokens that prompts ahead of the work will have cached."""
+        shared = (
+            _shared_tokens(work.levels, each.levels)
+            for each in self._prefills.values()
+            if each.salt == salt and each.rank_level <= rank_level
+        )
+        return max(shared, default=0)
+
+
+def _shared_tokens(
+    levels: Sequence[request.PrefixLevel],
+    others: Sequence[request.PrefixLevel],
+) -> int:
+    tokens = 0
+    for level, other in zip(levels, others, strict=False):
+        if level.digest != other.digest:
+            break
+        tokens = level.tokens
+    return tokens
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -63,11 +63,19 @@
         )
         self._turns = turns.Turns(queue, clock)
         self._attempts = supervisor.Supervisor("attempts", clock)
+        self._bidder = bidder.Bidder(
+            clock,
+            queue,
+            self._view,
+            config.queue.prefill_tokens_per_s,
+            self._rank_level,
+        )
         self._executor = executor.Executor(
             self._attempts,
             self._backend,
             self._turns,
             self._view,
+            self._bidder,
             self._store,
             clock,
         )
@@ -75,7 +83,7 @@
             self._info,
             self._store,
             self._executor,
-            bidder.Bidder(queue, self._view, config.queue.prefill_tokens_per_s),
+            self._bidder,
         )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
@@ -164,6 +172,10 @@
             ).run()
         await self._clock.sleep(datetime.timedelta.max / 1000)
 
+    def _rank_level(self, rank: str) -> int:
+        record = self._store.view.ranks.get(rank)
+        return record.level if record else 0
+
     def _info(self) -> messages.PeerInfo:
         return messages.PeerInfo(
             self._config.peer_id,
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -18,6 +18,7 @@
     request,
     supervisor,
 )
+from hibiscusstile import bidder as bidder_lib
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import connection as connection_lib
@@ -48,6 +49,7 @@
         backend: The engine or service.
         turns: The admission queue's turns.
         view: What the engine holds in cache.
+        bidder: Told what the engine is handed and has begun.
         store: The configuration in force.
         clock: Measures time.
     """
@@ -58,6 +60,7 @@
         backend: backends.Backend,
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
+        bidder: bidder_lib.Bidder,
         store: store_lib.ConfigurationStore,
         clock: clock_lib.Clock,
     ) -> None:
@@ -65,6 +68,7 @@
         self._backend = backend
         self._turns = turns
         self._view = view
+        self._bidder = bidder
         self._store = store
         self._clock = clock
         self._attempts: dict[str, _Running] = {}
@@ -177,6 +181,7 @@
         order = self._order(dispatch)
         deadline_s = self._clock.monotonic() + dispatch.deadline_s
         await self._turns.wait(dispatch.work, deadline_s)
+        self._bidder.note_handed(dispatch.work, order.cache_salt)
         served = 0
         try:
             async for event in self._engine().generate(order):
@@ -193,6 +198,7 @@
             await self._cancel_at_engine(dispatch.attempt_id)
             raise
         finally:
+            self._bidder.note_ended(dispatch.work.work_id)
             self._turns.finish(dispatch.work.work_id, served)
 
     def _order(self, dispatch: messages.Dispatch) -> backends.GenerateOrder:
@@ -247,6 +253,10 @@
         dispatch: messages.Dispatch,
         event: backends.EngineStarted,
     ) -> None:
+        self._bidder.note_started(
+            dispatch.work.work_id,
+            dispatch.work.prompt_tokens - event.cached_tokens,
+        )
         self._view.admit(
             self._view.incarnation, order.cache_salt, dispatch.work.levels
         )
