--- a/tests/builders.py
+++ b/tests/builders.py
@@ -16,6 +16,7 @@
 from hibiscusstile_standins import log as log_standin
 
 __all__ = [
+    "BENCH_FIGURES",
     "FakeLog",
     "ManualClock",
     "chat_messages",
@@ -227,3 +228,13 @@
         thread.join()
         loop.run_until_complete(service.close())
         loop.close()
+
+
+BENCH_FIGURES = {
+    "prefix_hit_rate",
+    "recomputed_tokens",
+    "ttft_p50_s",
+    "ttft_p95_s",
+    "ttft_p99_s",
+    "answered",
+}
