--- a/hibiscusstile/backends/__init__.py
+++ b/hibiscusstile/backends/__init__.py
@@ -42,6 +42,8 @@
         priority: Lower runs first.
         cache_salt: Keeps cached blocks of other scopes apart.
         resume_text: Text generated before, to be continued.
+        prefix_levels: The prompt's levels, by whose digests the engine's
+            cache events name prefixes.
     """
 
     attempt_id: str
@@ -50,13 +52,21 @@
     priority: int
     cache_salt: str
     resume_text: str = ""
+    prefix_levels: tuple[request.PrefixLevel, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineStarted:
-    """The engine has taken the work up."""
+    """The engine has taken the work up.
+
+    Attributes:
+        cached_tokens: Prompt tokens taken from the cache.
+        incarnation: The engine's incarnation that holds the prompt now,
+            empty when the engine does not say.
+    """
 
     cached_tokens: int
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,10 +117,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvents:
-    """A batch of cache events of one engine incarnation."""
+    """A batch of cache events of one engine incarnation.
+
+    Attributes:
+        incarnation: The incarnation.
+        events: In order of their numbers.
+        last_number: For a listing, the number of the last event that it
+            includes; -1 otherwise.
+    """
 
     incarnation: str
     events: tuple[BlockEvent, ...]
+    last_number: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/backends/engine_chat.py
+++ b/hibiscusstile/backends/engine_chat.py
@@ -29,6 +29,7 @@
 class _Events(pydantic.BaseModel):
     incarnation: str
     events: list[_Event]
+    last_number: int = -1
 
 
 class _Load(pydantic.BaseModel):
@@ -51,6 +52,7 @@
 
     event: str
     text: str = ""
+    incarnation: str = ""
     cached_tokens: int = 0
     prompt_tokens: int = 0
     completion_tokens: int = 0
@@ -213,6 +215,10 @@
         "priority": order.priority,
         "cache_salt": order.cache_salt,
         "resume_text": order.resume_text,
+        "prefix_levels": [
+            {"digest": level.digest, "tokens": level.tokens}
+            for level in order.prefix_levels
+        ],
         "stream": True,
     }
 
@@ -243,7 +249,7 @@
     except pydantic.ValidationError:
         raise outcome.Refused(_broken("malformed event")) from None
     if frame.event == "started":
-        return backends.EngineStarted(frame.cached_tokens)
+        return backends.EngineStarted(frame.cached_tokens, frame.incarnation)
     if frame.event == "text":
         return backends.EngineText(frame.text)
     if frame.event == "end":
@@ -287,4 +293,5 @@
     return backends.CacheEvents(
         page.incarnation,
         tuple(backends.BlockEvent(**e.model_dump()) for e in page.events),
+        page.last_number,
     )
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -217,6 +217,7 @@
             dispatch.priority,
             scope.salt,
             dispatch.resume_text,
+            dispatch.work.levels,
         )
 
     def _engine(self) -> backends.EngineBackend:
@@ -248,7 +249,9 @@
         event: backends.EngineStarted,
     ) -> None:
         self._view.admit(
-            self._view.incarnation, order.cache_salt, dispatch.work.levels
+            event.incarnation or self._view.incarnation,
+            order.cache_salt,
+            dispatch.work.levels,
         )
         _log.info(
             logs.decision_line(
--- /dev/null
+++ b/hibiscusstile_standins/__main__.py
@@ -0,0 +1,48 @@
+"""Runs one stand-in as a process of its own.
+
+`python -m hibiscusstile_standins --kind engine --port 0 ...` prints the port
+as its first line of output and serves until SIGTERM or SIGINT.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import signal
+import sys
+
+import hibiscusstile_standins
+
+
+def main(arguments: list[str]) -> None:
+    """Serves the stand-in that the arguments name."""
+    first = argparse.ArgumentParser(add_help=False)
+    first.add_argument(
+        "--kind",
+        required=True,
+        choices=hibiscusstile_standins.stand_ins.names,
+    )
+    first.add_argument("--port", type=int, default=0)
+    known, _ = first.parse_known_args(arguments)
+    kind = hibiscusstile_standins.get_stand_in_by_name(known.kind)
+    parser = argparse.ArgumentParser(parents=[first], description=__doc__)
+    kind.add_arguments(parser)
+    options = parser.parse_args(arguments)
+    asyncio.run(_serve(kind.from_arguments(options), known.port))
+
+
+async def _serve(
+    stand_in: hibiscusstile_standins.server.StandIn, port: int
+) -> None:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    await stand_in.start(port)
+    print(stand_in.port, flush=True)
+    await stop.wait()
+    await stand_in.close()
+
+
+if __name__ == "__main__":
+    main(sys.argv[1:])
--- /dev/null
+++ b/hibiscusstile_standins/batching.py
@@ -0,0 +1,171 @@
+"""Continuous batching of the stand-in engine: one step loop for all work."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import heapq
+import itertools
+from collections.abc import Callable
+from typing import Any
+
+__all__ = ["Batch", "Sequence", "Speed"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Speed:
+    """How fast an engine works.
+
+    Attributes:
+        prefill_tokens_per_s: Prompt tokens a second, shared by all.
+        step_s: Seconds of one decoding step.
+        sequence_s: Seconds that each decoding sequence adds to a step.
+        max_sequences: Sequences in the batch at once.
+        chunk_tokens: Prompt tokens computed in one step at most.
+    """
+
+    prefill_tokens_per_s: float = 50_000.0
+    step_s: float = 0.002
+    sequence_s: float = 0.00005
+    max_sequences: int = 64
+    chunk_tokens: int = 2048
+
+
+@dataclasses.dataclass(slots=True)
+class Sequence:
+    """A request in the engine.
+
+    Attributes:
+        attempt_id: The router's name for it.
+        priority: Lower runs first.
+        words: The whole answer.
+        position: Next word to emit.
+        prefill_left: Prompt tokens still to compute.
+        events: What the stream is to send; `end` comes last, None ends it
+            early.
+        on_prefilled: Called once the prompt is computed.
+        started: Whether its start has been reported.
+    """
+
+    attempt_id: str
+    priority: int
+    words: list[str]
+    position: int
+    prefill_left: int
+    events: asyncio.Queue[dict[str, Any] | None]
+    on_prefilled: Callable[[], dict[str, Any]]
+    started: bool = False
+
+
+class Batch:
+    """Runs sequences step by step, the lowest priority number first.
+
+    Args:
+        speed: How fast it works.
+        thawed: Cleared while the engine is frozen.
+    """
+
+    def __init__(self, speed: Speed, thawed: asyncio.Event) -> None:
+        self._speed = speed
+        self._thawed = thawed
+        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._running: list[Sequence] = []
+        self._order = itertools.count()
+        self._work = asyncio.Event()
+
+    @property
+    def running(self) -> int:
+        """Sequences in the batch."""
+        return len(self._running)
+
+    @property
+    def waiting(self) -> int:
+        """Sequences that wait for a place in the batch."""
+        return len(self._waiting)
+
+    @property
+    def prefill_tokens(self) -> int:
+        """Prompt tokens still to compute."""
+        waiting = sum(each.prefill_left for _, _, each in self._waiting)
+        return waiting + sum(each.prefill_left for each in self._running)
+
+    def add(self, sequence: Sequence) -> None:
+        """Lets a sequence wait for its place."""
+        heapq.heappush(
+            self._waiting, (sequence.priority, next(self._order), sequence)
+        )
+        self._work.set()
+
+    def remove(self, sequence: Sequence) -> None:
+        """Ends a sequence early; one that is not here is ignored."""
+        self._waiting = [w for w in self._waiting if w[2] is not sequence]
+        heapq.heapify(self._waiting)
+        self._running = [r for r in self._running if r is not sequence]
+        sequence.events.put_nowait(None)
+
+    def clear(self) -> None:
+        """Ends all sequences early."""
+        for sequence in [*self._running, *(w[2] for w in self._waiting)]:
+            sequence.events.put_nowait(None)
+        self._running.clear()
+        self._waiting.clear()
+
+    async def run(self) -> None:
+        """Steps while there is work, until cancelled."""
+        while True:
+            await self._work.wait()
+            self._fill()
+            if not self._running:
+                self._work.clear()
+                continue
+            prefill = self._plan_prefill()
+            await asyncio.sleep(self._step_s(prefill))
+            await self._thawed.wait()
+            self._step(prefill)
+
+    def _fill(self) -> None:
+        while self._waiting and len(self._running) < self._speed.max_sequences:
+            self._running.append(heapq.heappop(self._waiting)[2])
+        self._running.sort(key=lambda each: each.priority)
+
+    def _plan_prefill(self) -> list[tuple[Sequence, int]]:
+        plan = []
+        budget = self._speed.chunk_tokens
+        for sequence in self._running:
+            tokens = min(budget, sequence.prefill_left)
+            if tokens or not sequence.started:
+                plan.append((sequence, tokens))
+            budget -= tokens
+        return plan
+
+    def _step_s(self, prefill: list[tuple[Sequence, int]]) -> float:
+        tokens = sum(each for _, each in prefill)
+        decoding = sum(each.started for each in self._running)
+        return (
+            tokens / self._speed.prefill_tokens_per_s
+            + (self._speed.step_s if decoding else 0.0)
+            + decoding * self._speed.sequence_s
+        )
+
+    def _step(self, prefill: list[tuple[Sequence, int]]) -> None:
+        decoding = [each for each in self._running if each.started]
+        for sequence, tokens in prefill:
+            sequence.prefill_left -= tokens
+            if sequence.prefill_left == 0 and sequence in self._running:
+                sequence.started = True
+                sequence.events.put_nowait(sequence.on_prefilled())
+        for sequence in decoding:
+            self._decode(sequence)
+        for sequence in [r for r in self._running if _done(r)]:
+            self._running.remove(sequence)
+            sequence.events.put_nowait({"event": "end"})
+
+    def _decode(self, sequence: Sequence) -> None:
+        if not _done(sequence):
+            text = sequence.words[sequence.position]
+            sequence.position += 1
+            sequence.events.put_nowait({"event": "text", "text": text})
+
+
+def _done(sequence: Sequence) -> bool:
+    return sequence.started and sequence.position >= len(sequence.words)
--- /dev/null
+++ b/hibiscusstile_standins/blockcache.py
@@ -0,0 +1,156 @@
+"""Prefix cache of the stand-in engine, and its published events."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import random
+import time
+from collections.abc import Sequence
+from typing import Any
+
+__all__ = ["BlockCache", "EventFeed", "Level"]
+
+_MAX_EVENTS = 20_000
+_MAX_BATCH = 1000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Level:
+    """A prefix level as the request named it: digest and tokens."""
+
+    digest: int
+    tokens: int
+
+
+class EventFeed:
+    """Publishes cache events late and with gaps.
+
+    Args:
+        lag_s: Seconds from an event to its publication.
+        loss: Share of events never published, 0 to 1.
+        seed: Decides which events are lost.
+    """
+
+    def __init__(
+        self, lag_s: float = 0.05, loss: float = 0.0, seed: int = 1
+    ) -> None:
+        self.lag_s = lag_s
+        self.loss = loss
+        self._random = random.Random(seed)
+        self._events: collections.deque[tuple[float, dict[str, Any]]] = (
+            collections.deque(maxlen=_MAX_EVENTS)
+        )
+        self._next_number = 0
+
+    @property
+    def last_number(self) -> int:
+        """Number of the newest event, published or not; -1 for none."""
+        return self._next_number - 1
+
+    def add(self, kind: str, salt: str, digest: int, tokens: int) -> None:
+        """Numbers an event and queues it, unless it is lost."""
+        event = {
+            "number": self._next_number,
+            "kind": kind,
+            "salt": salt,
+            "digest": digest,
+            "tokens": tokens,
+        }
+        self._next_number += 1
+        if self._random.random() >= self.loss:
+            self._events.append((time.monotonic(), event))
+
+    def published(self, after: int) -> list[dict[str, Any]]:
+        """Returns published events numbered above `after`, in order."""
+        limit_s = time.monotonic() - self.lag_s
+        return [
+            event
+            for at_s, event in self._events
+            if at_s <= limit_s and event["number"] > after
+        ][:_MAX_BATCH]
+
+
+class BlockCache:
+    """Least-recently-used cache of prefix blocks.
+
+    A level counts as held while its whole blocks are; the tokens of its last,
+    partly filled block are always computed again. A prefix's blocks are
+    touched innermost first, so the block that leaves is never one that
+    another held block builds on.
+
+    Args:
+        feed: Where events go.
+        max_blocks: Blocks that fit in memory.
+        block_tokens: Tokens of a block.
+    """
+
+    def __init__(
+        self, feed: EventFeed, max_blocks: int, block_tokens: int
+    ) -> None:
+        self._feed = feed
+        self._max_blocks = max_blocks
+        self._block_tokens = block_tokens
+        self._blocks: collections.OrderedDict[str, set[tuple[str, int]]] = (
+            collections.OrderedDict()
+        )
+        self._levels: dict[tuple[str, int], list[str]] = {}
+
+    def __len__(self) -> int:
+        return len(self._blocks)
+
+    def cached_tokens(self, keys: Sequence[str]) -> int:
+        """Returns the tokens of the leading blocks that are held."""
+        count = 0
+        for key in keys:
+            if key not in self._blocks:
+                break
+            count += 1
+        return count * self._block_tokens
+
+    def store(
+        self, salt: str, keys: Sequence[str], levels: Sequence[Level]
+    ) -> None:
+        """Holds a prompt's blocks from now on."""
+        for key in reversed(keys):
+            self._blocks.setdefault(key, set())
+            self._blocks.move_to_end(key)
+        for level in levels:
+            count = min(level.tokens // self._block_tokens, len(keys))
+            name = (salt, level.digest)
+            if count == 0 or name in self._levels:
+                continue
+            self._levels[name] = list(keys[:count])
+            self._blocks[keys[count - 1]].add(name)
+            self._feed.add(
+                "stored", salt, level.digest, count * self._block_tokens
+            )
+        while len(self._blocks) > self._max_blocks:
+            self._evict()
+
+    def level_blocks(self, salt: str, digest: int) -> list[str] | None:
+        """Returns the block keys of a level, None when it is not held."""
+        return self._levels.get((salt, digest))
+
+    def listing(self) -> list[dict[str, Any]]:
+        """Returns a stored event for each level held."""
+        return [
+            {
+                "kind": "stored",
+                "salt": salt,
+                "digest": digest,
+                "tokens": len(keys) * self._block_tokens,
+            }
+            for (salt, digest), keys in self._levels.items()
+        ]
+
+    def clear(self) -> None:
+        """Removes all blocks, with an event for each level."""
+        while self._blocks:
+            self._evict()
+
+    def _evict(self) -> None:
+        _, names = self._blocks.popitem(last=False)
+        for salt, digest in names:
+            del self._levels[salt, digest]
+            self._feed.add("removed", salt, digest, 0)
--- a/hibiscusstile_standins/engine.py
+++ b/hibiscusstile_standins/engine.py
@@ -1,177 +1,391 @@
-"""Stand-in for a model engine.
-
-Its text depends on the prompt and the position only, so that a test can tell
-what the whole answer must be and check a continuation.
-"""
+"""Stand-in for a model engine."""
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import collections
-import hashlib
+import dataclasses
 import json
 import secrets
+import time
 from typing import Any
 
 from aiohttp import web
 
-from hibiscusstile_standins import server
+import hibiscusstile_standins
+from hibiscusstile import supervisor
+from hibiscusstile_standins import (
+    batching,
+    blockcache,
+    engineoptions,
+    loader,
+    server,
+    text,
+    weights,
+)
+from hibiscusstile_standins.engineoptions import EngineOptions, EngineRun
+from hibiscusstile_standins.text import expected_words
 
-__all__ = ["Engine", "expected_words"]
+__all__ = ["Engine", "EngineOptions", "EngineRun", "expected_words"]
 
-_CHARS_PER_TOKEN = 4
-_PREFILL_TOKENS_PER_S = 50_000.0
-_TOKEN_S = 0.002
-_MAX_PREFIXES = 400
+_LOAD_SAMPLES = 10_000
 
 
-def expected_words(messages: list[dict[str, Any]], count: int) -> list[str]:
-    """Returns the words that an engine generates for a prompt."""
-    seed = hashlib.sha256(_flatten(messages).encode()).hexdigest()
-    return [
-        hashlib.sha256(f"{seed}{i}".encode()).hexdigest()[:5] + " "
-        for i in range(count)
-    ]
+@hibiscusstile_standins.stand_ins.register()
+class Engine(server.StandIn):
+    """Generates deterministic text and caches prompt prefixes.
 
+    Args:
+        model: Loaded model, empty for none.
+        weights_version: Loaded version.
+        options: How it behaves.
+        weight_store: Where weights come from; engines may share one.
+    """
 
-class Engine(server.StandIn):
-    """Generates deterministic text and caches prompt prefixes."""
+    name = "engine"
 
-    def __init__(self, model: str = "m1", weights_version: str = "v1") -> None:
+    def __init__(
+        self,
+        model: str = "m1",
+        weights_version: str = "v1",
+        options: EngineOptions | None = None,
+        weight_store: weights.WeightStore | None = None,
+    ) -> None:
         super().__init__()
-        self._model = model
-        self._weights_version = weights_version
-        self._incarnation = secrets.token_hex(6)
-        self._prefixes: collections.OrderedDict[str, int] = (
-            collections.OrderedDict()
+        self._options = options or EngineOptions()
+        self._loader = loader.Loader(
+            model,
+            weights_version,
+            weight_store or weights.WeightStore(),
+            self._options.checks_fencing,
+            self._clear_cache,
+        )
+        self._batch = batching.Batch(self._options.speed, self._thawed)
+        self._sequences: dict[str, batching.Sequence] = {}
+        self._runs: list[EngineRun] = []
+        self._loads: collections.deque[tuple[float, dict[str, int]]] = (
+            collections.deque(maxlen=_LOAD_SAMPLES)
         )
-        self._running: dict[str, asyncio.Event] = {}
-        self._ran: list[str] = []
+        self._stale_events: tuple[float, dict[str, Any]] = (0.0, {})
+        self._event_faults = (
+            self._options.event_lag_s,
+            self._options.event_loss,
+        )
+        self._begin_incarnation()
+        self._tasks.add(supervisor.ChildSpec("batch", self._batch.run))
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Adds the engine's command-line options."""
+        parser.add_argument("--model", default="m1")
+        parser.add_argument("--weights-version", default="v1")
+        engineoptions.add_arguments(parser)
+
+    @classmethod
+    def from_arguments(cls, arguments: argparse.Namespace) -> Engine:
+        """Returns an engine configured from the command line."""
+        return cls(
+            arguments.model,
+            arguments.weights_version,
+            engineoptions.from_arguments(arguments),
+        )
+
+    @property
+    def incarnation(self) -> str:
+        """Fresh after each crash."""
+        return self._incarnation
 
     @property
     def ran(self) -> tuple[str, ...]:
         """Attempt ids that the engine has taken up, in order."""
-        return tuple(self._ran)
+        return tuple(run.attempt_id for run in self._runs)
+
+    @property
+    def runs(self) -> tuple[EngineRun, ...]:
+        """What the engine did, in order of arrival."""
+        return tuple(self._runs)
+
+    @property
+    def orders(self) -> tuple[dict[str, Any], ...]:
+        """The orders followed, in order."""
+        return self._loader.orders
+
+    @property
+    def cached_blocks(self) -> int:
+        """Blocks held in the cache."""
+        return len(self._cache)
 
     def application(self) -> web.Application:
         """Returns the application with its routes."""
-        app = web.Application(client_max_size=16 * 1024 * 1024)
+        app = server.new_application()
         app.router.add_post("/v1/chat/completions", self._chat)
         app.router.add_post("/v1/cancel/{attempt}", self._cancel)
-        app.router.add_get("/cache/events", self._events)
-        app.router.add_get("/cache/blocks", self._events)
-        app.router.add_get("/load", self._load)
-        app.router.add_get("/health", self._health)
+        app.router.add_get("/cache/events", self._get_events)
+        app.router.add_get("/cache/blocks", self._get_blocks)
+        app.router.add_get("/load", self._get_load)
+        app.router.add_get("/health", self._get_health)
+        app.router.add_post("/orders", self._order)
+        app.router.add_get("/kv/{digest}", self._export_kv)
+        app.router.add_put("/kv/{digest}", self._import_kv)
         return app
 
+    def record(self) -> dict[str, Any]:
+        """Returns what the engine ran."""
+        return {
+            "incarnation": self._incarnation,
+            "runs": [dataclasses.asdict(run) for run in self._runs],
+            "orders": list(self._loader.orders),
+        }
+
+    def lose_state(self) -> None:
+        """Forgets cache and running work, and takes a new incarnation."""
+        for run in self._runs:
+            if run.ended == "running":
+                run.ended = "crashed"
+        self._batch.clear()
+        self._sequences.clear()
+        self._begin_incarnation()
+
+    @server.fault
+    def set_event_faults(
+        self, lag_s: float = 0.05, loss: float = 0.0, stale_s: float = 0.0
+    ) -> None:
+        """Sets how late and how incomplete cache events are.
+
+        Args:
+            lag_s: Seconds from an event to its publication.
+            loss: Share of events that are lost, 0 to 1.
+            stale_s: Seconds for which the events that are published now are
+                served under the present incarnation, after a crash too.
+        """
+        self._event_faults = (lag_s, loss)
+        self._feed.lag_s, self._feed.loss = self._event_faults
+        if stale_s:
+            page = self._events_page(-1)
+            self._stale_events = (time.monotonic() + stale_s, page)
+
+    def _begin_incarnation(self) -> None:
+        self._incarnation = secrets.token_hex(6)
+        self._feed = blockcache.EventFeed(*self._event_faults)
+        self._cache = blockcache.BlockCache(
+            self._feed, self._options.max_blocks, self._options.block_tokens
+        )
+
+    def _clear_cache(self) -> None:
+        self._cache.clear()
+
     async def _chat(self, request: web.Request) -> web.StreamResponse:
         body = await request.json()
-        if body["weights_version"] != self._weights_version:
-            return web.json_response(
-                {"message": "weights are not loaded"}, status=409
-            )
-        stop = asyncio.Event()
-        self._running[body["attempt_id"]] = stop
-        self._ran.append(body["attempt_id"])
-        response = web.StreamResponse(
-            headers={"Content-Type": "text/event-stream"}
+        refusal = self._loader.refusal(body)
+        if refusal:
+            return web.json_response({"message": refusal}, status=409)
+        run = EngineRun(
+            body["attempt_id"],
+            self._loader.model,
+            self._loader.weights_version,
+            body["cache_salt"],
+            body["priority"],
+            text.prompt_tokens(body["messages"]),
         )
+        self._runs.append(run)
+        sequence = self._sequence(body, run)
+        self._sequences[run.attempt_id] = sequence
+        self._batch.add(sequence)
+        self._note_load()
         try:
-            await response.prepare(request)
-            await self._generate(response, body, stop)
+            return await self._stream(request, run, sequence)
         finally:
-            del self._running[body["attempt_id"]]
-        await response.write_eof()
-        return response
+            if run.ended == "running":
+                run.ended = "dropped"
+            self._batch.remove(sequence)
+            self._sequences.pop(run.attempt_id, None)
+            self._note_load()
 
-    async def _generate(
-        self,
-        response: web.StreamResponse,
-        body: dict[str, Any],
-        stop: asyncio.Event,
-    ) -> None:
-        prompt_tokens, cached = self._prefill(body)
-        await asyncio.sleep((prompt_tokens - cached) / _PREFILL_TOKENS_PER_S)
-        await _send(response, {"event": "started", "cached_tokens": cached})
+    def _sequence(
+        self, body: dict[str, Any], run: EngineRun
+    ) -> batching.Sequence:
         words = expected_words(body["messages"], body["max_tokens"])
-        done = len(body["resume_text"].split())
-        for word in words[done:]:
-            if stop.is_set():
-                return
-            await asyncio.sleep(_TOKEN_S)
-            await _send(response, {"event": "text", "text": word})
-        await _send(
-            response,
-            {
-                "event": "end",
-                "finish_reason": "length",
-                "prompt_tokens": prompt_tokens,
-                "cached_tokens": cached,
-                "completion_tokens": len(words),
-            },
+        salt = body["cache_salt"]
+        keys = text.block_keys(
+            salt, body["messages"], self._options.block_tokens
         )
+        levels = [
+            blockcache.Level(each["digest"], each["tokens"])
+            for each in body.get("prefix_levels", [])
+        ]
+        run.cached_tokens = self._cache.cached_tokens(keys)
+        incarnation = self._incarnation
+        marked = self._options.crash_mark in text.prompt_text(body["messages"])
 
-    def _prefill(self, body: dict[str, Any]) -> tuple[int, int]:
-        cached = 0
-        tokens = 0
-        text = body["cache_salt"]
-        for message in body["messages"]:
-            flat = _flatten([message])
-            text += flat
-            tokens += max(1, len(flat) // _CHARS_PER_TOKEN)
-            digest = hashlib.sha256(text.encode()).hexdigest()
-            if digest in self._prefixes:
-                cached = tokens
-            self._prefixes[digest] = tokens
-            self._prefixes.move_to_end(digest)
-        while len(self._prefixes) > _MAX_PREFIXES:
-            self._prefixes.popitem(last=False)
-        return tokens, cached
+        def on_prefilled() -> dict[str, Any]:
+            if marked:
+                self.crash(self._options.restart_s)
+            else:
+                self._cache.store(salt, keys, levels)
+            return {
+                "event": "started",
+                "cached_tokens": run.cached_tokens,
+                "incarnation": incarnation,
+            }
+
+        return batching.Sequence(
+            run.attempt_id,
+            run.priority,
+            words,
+            min(len(body["resume_text"].split()), len(words)),
+            run.prompt_tokens - run.cached_tokens,
+            asyncio.Queue(),
+            on_prefilled,
+        )
+
+    async def _stream(
+        self,
+        request: web.Request,
+        run: EngineRun,
+        sequence: batching.Sequence,
+    ) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream"}
+        )
+        await response.prepare(request)
+        while (event := await sequence.events.get()) is not None:
+            await self._thawed.wait()
+            if event["event"] == "text":
+                run.words += 1
+            elif event["event"] == "end":
+                run.ended = "end"
+                event = _end_event(run, sequence)
+            await response.write(f"data: {json.dumps(event)}\n\n".encode())
+            if event["event"] == "end":
+                await response.write_eof()
+                return response
+        if run.ended == "crashed":
+            server.drop_connection(request)
+        else:
+            await response.write_eof()
+        return response
 
     async def _cancel(self, request: web.Request) -> web.Response:
-        stop = self._running.get(request.match_info["attempt"])
-        if stop is not None:
-            stop.set()
+        attempt_id = request.match_info["attempt"]
+        sequence = self._sequences.get(attempt_id)
+        if sequence is not None:
+            for run in reversed(self._runs):
+                if run.attempt_id == attempt_id:
+                    run.ended = "cancelled"
+                    break
+            self._batch.remove(sequence)
         return web.json_response({})
 
-    async def _events(self, request: web.Request) -> web.Response:
-        del request
-        return web.json_response(
-            {"incarnation": self._incarnation, "events": []}
-        )
+    async def _get_events(self, request: web.Request) -> web.Response:
+        until_s, stale = self._stale_events
+        if time.monotonic() < until_s:
+            return web.json_response(stale)
+        after = int(request.query.get("after", "-1"))
+        return web.json_response(self._events_page(after))
 
-    async def _load(self, request: web.Request) -> web.Response:
+    def _events_page(self, after: int) -> dict[str, Any]:
+        return {
+            "incarnation": self._incarnation,
+            "events": self._feed.published(after),
+        }
+
+    async def _get_blocks(self, request: web.Request) -> web.Response:
         del request
         return web.json_response(
             {
-                "running": len(self._running),
-                "waiting": 0,
-                "prefill_tokens": 0,
+                "incarnation": self._incarnation,
+                "events": self._cache.listing(),
+                "last_number": self._feed.last_number,
             }
         )
 
-    async def _health(self, request: web.Request) -> web.Response:
+    def _note_load(self) -> None:
+        self._loads.append(
+            (
+                time.monotonic(),
+                {
+                    "running": self._batch.running,
+                    "waiting": self._batch.waiting,
+                    "prefill_tokens": self._batch.prefill_tokens,
+                },
+            )
+        )
+
+    async def _get_load(self, request: web.Request) -> web.Response:
+        del request
+        limit_s = time.monotonic() - self._options.load_lag_s
+        seen = {"running": 0, "waiting": 0, "prefill_tokens": 0}
+        for at_s, load in self._loads:
+            if at_s > limit_s:
+                break
+            seen = load
+        return web.json_response(seen)
+
+    async def _get_health(self, request: web.Request) -> web.Response:
         del request
         return web.json_response(
             {
                 "incarnation": self._incarnation,
-                "model": self._model,
-                "weights_version": self._weights_version,
-                "adapters": [],
-                "role": "mixed",
-                "fencing_number": -1,
+                **self._loader.state(),
             }
         )
 
+    async def _order(self, request: web.Request) -> web.Response:
+        refusal = await self._loader.follow(await request.json())
+        if refusal:
+            return web.json_response({"message": refusal}, status=409)
+        return web.json_response({})
+
+    async def _export_kv(self, request: web.Request) -> web.Response:
+        salt = request.query.get("salt", "")
+        keys = self._cache.level_blocks(salt, _digest_of(request))
+        if keys is None:
+            return web.json_response(
+                {"message": "the prefix is not held"}, status=404
+            )
+        body = {
+            "model": self._loader.model,
+            "weights_version": self._loader.weights_version,
+            "salt": salt,
+            "block_tokens": self._options.block_tokens,
+            "blocks": keys,
+        }
+        return web.Response(body=json.dumps(body).encode())
+
+    async def _import_kv(self, request: web.Request) -> web.Response:
+        try:
+            data = json.loads(await request.read())
+            blocks = [str(key) for key in data["blocks"]]
+        except (ValueError, KeyError, TypeError):
+            return web.json_response(
+                {"message": "the KV cache is malformed"}, status=400
+            )
+        wanted = {
+            "model": self._loader.model,
+            "weights_version": self._loader.weights_version,
+            "salt": request.query.get("salt", ""),
+            "block_tokens": self._options.block_tokens,
+        }
+        if any(data.get(name) != value for name, value in wanted.items()):
+            return web.json_response(
+                {"message": "the KV cache is of another scope"}, status=409
+            )
+        tokens = len(blocks) * self._options.block_tokens
+        level = blockcache.Level(_digest_of(request), tokens)
+        self._cache.store(data["salt"], blocks, [level])
+        return web.json_response({}, status=201)
+
 
-async def _send(response: web.StreamResponse, event: dict[str, Any]) -> None:
-    await response.write(f"data: {json.dumps(event)}\n\n".encode())
+def _digest_of(request: web.Request) -> int:
+    return int(request.match_info["digest"])
 
 
-def _flatten(messages: list[dict[str, Any]]) -> str:
-    texts = []
-    for message in messages:
-        texts.append(message["role"])
-        for part in message["content"]:
-            texts.append(part.get("text") or part["image_url"]["url"])
-    return "\x1f".join(texts)
+def _end_event(run: EngineRun, sequence: batching.Sequence) -> dict[str, Any]:
+    return {
+        "event": "end",
+        "finish_reason": "length",
+        "prompt_tokens": run.prompt_tokens,
+        "cached_tokens": run.cached_tokens,
+        "completion_tokens": len(sequence.words),
+    }
--- a/hibiscusstile_standins/instancelist.py
+++ b/hibiscusstile_standins/instancelist.py
@@ -2,20 +2,46 @@
 
 from __future__ import annotations
 
+import argparse
+import time
+
 from aiohttp import web
 
+import hibiscusstile_standins
 from hibiscusstile_standins import server
 
 __all__ = ["InstanceListService"]
 
 
+@hibiscusstile_standins.stand_ins.register()
 class InstanceListService(server.StandIn):
-    """Shows the instances that a test has registered."""
+    """Shows the instances that a test has registered, after a lag.
+
+    Args:
+        lag_s: Seconds until a change shows.
+    """
 
-    def __init__(self) -> None:
+    name = "instances"
+
+    def __init__(self, lag_s: float = 0.0) -> None:
         super().__init__()
-        self._instances: dict[str, dict[str, object]] = {}
+        self._lag_s = lag_s
+        self._down = False
+        self._changes: list[tuple[float, str, dict[str, object] | None]] = []
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Adds the list's command-line options."""
+        parser.add_argument("--lag-s", type=float, default=0.0)
 
+    @classmethod
+    def from_arguments(
+        cls, arguments: argparse.Namespace
+    ) -> InstanceListService:
+        """Returns a list configured from the command line."""
+        return cls(arguments.lag_s)
+
+    @server.fault
     def put(
         self,
         peer_id: str,
@@ -25,8 +51,8 @@
         region: str,
         leaving: bool = False,
     ) -> None:
-        """Lists an instance on loopback."""
-        self._instances[peer_id] = {
+        """Lists an instance on loopback, or changes it."""
+        instance = {
             "peer_id": peer_id,
             "role": role,
             "host": "127.0.0.1",
@@ -35,13 +61,39 @@
             "region": region,
             "leaving": leaving,
         }
+        self._changes.append((time.monotonic(), peer_id, instance))
+
+    @server.fault
+    def remove(self, peer_id: str) -> None:
+        """Takes an instance off the list."""
+        self._changes.append((time.monotonic(), peer_id, None))
+
+    @server.fault
+    def set_lag(self, lag_s: float) -> None:
+        """Sets how long a change takes to show."""
+        self._lag_s = lag_s
+
+    @server.fault
+    def set_down(self, down: bool) -> None:
+        """Starts or ends an outage."""
+        self._down = down
 
     def application(self) -> web.Application:
         """Returns the application with its routes."""
-        app = web.Application()
+        app = server.new_application()
         app.router.add_get("/instances", self._list)
         return app
 
     async def _list(self, request: web.Request) -> web.Response:
         del request
-        return web.json_response({"instances": list(self._instances.values())})
+        if self._down:
+            raise web.HTTPServiceUnavailable
+        limit_s = time.monotonic() - self._lag_s
+        shown: dict[str, dict[str, object]] = {}
+        for at_s, peer_id, instance in self._changes:
+            if at_s > limit_s:
+                break
+            shown.pop(peer_id, None)
+            if instance is not None:
+                shown[peer_id] = instance
+        return web.json_response({"instances": list(shown.values())})
--- /dev/null
+++ b/hibiscusstile_standins/loader.py
@@ -0,0 +1,106 @@
+"""What a stand-in engine has loaded, and the orders that change it."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from hibiscusstile_standins import weights
+
+__all__ = ["Loader"]
+
+
+class Loader:
+    """Follows orders, one load at a time.
+
+    Args:
+        model: Loaded model, empty for none.
+        weights_version: Loaded version.
+        weight_store: Where weights come from.
+        checks_fencing: Whether an order with an older number is refused.
+        clear_cache: Called when other weights are in place.
+    """
+
+    def __init__(
+        self,
+        model: str,
+        weights_version: str,
+        weight_store: weights.WeightStore,
+        checks_fencing: bool,
+        clear_cache: Callable[[], None],
+    ) -> None:
+        self._model = model
+        self._weights_version = weights_version
+        self._weight_store = weight_store
+        self._checks_fencing = checks_fencing
+        self._clear_cache = clear_cache
+        self._adapters: tuple[str, ...] = ()
+        self._role = "mixed"
+        self._fencing_number = -1
+        self._loading = False
+        self._orders: list[dict[str, Any]] = []
+
+    @property
+    def model(self) -> str:
+        """The loaded model."""
+        return self._model
+
+    @property
+    def weights_version(self) -> str:
+        """The loaded version."""
+        return self._weights_version
+
+    @property
+    def orders(self) -> tuple[dict[str, Any], ...]:
+        """The orders followed, in order."""
+        return tuple(self._orders)
+
+    def state(self) -> dict[str, Any]:
+        """Returns the health page's fields."""
+        return {
+            "model": "" if self._loading else self._model,
+            "weights_version": self._weights_version,
+            "adapters": list(self._adapters),
+            "role": self._role,
+            "fencing_number": self._fencing_number,
+        }
+
+    def refusal(self, body: dict[str, Any]) -> str:
+        """Returns why a chat body cannot run now, empty if it can."""
+        if self._loading:
+            return "weights are loading"
+        if body["model"] != self._model:
+            return f"model {body['model']!r} is not loaded"
+        if body["weights_version"] != self._weights_version:
+            return f"weights {body['weights_version']!r} are not loaded"
+        if body["adapter"] and body["adapter"] not in self._adapters:
+            return f"adapter {body['adapter']!r} is not loaded"
+        return ""
+
+    async def follow(self, order: dict[str, Any]) -> str:
+        """Follows an order; returns why it is refused, empty when done."""
+        number = order["fencing_number"]
+        if self._checks_fencing and number < self._fencing_number:
+            return f"number {number} is older than {self._fencing_number}"
+        if self._loading:
+            return "another load is running"
+        self._fencing_number = max(self._fencing_number, number)
+        self._orders.append(order)
+        adapters = tuple(order["adapters"])
+        weights_wanted = (order["model"], order["weights_version"])
+        weights_held = (self._model, self._weights_version)
+        if (weights_wanted, adapters) != (weights_held, self._adapters):
+            await self._load()
+        if weights_wanted != weights_held:
+            self._clear_cache()
+        self._model, self._weights_version = weights_wanted
+        self._adapters = adapters
+        self._role = order["role"]
+        return ""
+
+    async def _load(self) -> None:
+        self._loading = True
+        try:
+            await self._weight_store.load()
+        finally:
+            self._loading = False
--- a/hibiscusstile_standins/server.py
+++ b/hibiscusstile_standins/server.py
@@ -1,18 +1,74 @@
-"""Base of the stand-ins: an aiohttp application on a loopback port."""
+"""Base of the stand-ins: an aiohttp application that can be made to fail."""
 
 from __future__ import annotations
 
+import argparse
+import asyncio
+import contextlib
+import inspect
+from collections.abc import Awaitable, Callable
+from typing import Any, ClassVar, TypeVar
+
 from aiohttp import web
 
-__all__ = ["StandIn"]
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import supervisor
+
+__all__ = ["StandIn", "drop_connection", "fault", "new_application"]
+
+_MAX_BODY_BYTES = 16 * 1024 * 1024
+_CONTROL_PATHS = ("/fault", "/record")
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+_F = TypeVar("_F", bound=Callable[..., Any])
+
+
+def fault(method: _F) -> _F:
+    """Makes a method callable by its name through `POST /fault`."""
+    setattr(method, "_is_fault", True)  # noqa: B010 - mypy knows no attribute
+    return method
+
+
+def drop_connection(request: web.Request) -> None:
+    """Closes a request's connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
 
 
 class StandIn:
-    """Serves an application on 127.0.0.1 until closed."""
+    """Serves an application on 127.0.0.1 until closed.
+
+    `POST /fault` with `{"name": ..., "arguments": {...}}` calls a method
+    marked with `fault`; `GET /record` returns what the stand-in ran. Both are
+    answered while the stand-in is frozen.
+
+    Attributes:
+        name: The kind's name on the command line.
+        aliases: Further names.
+    """
+
+    name: ClassVar[str] = ""
+    aliases: ClassVar[tuple[str, ...]] = ()
 
     def __init__(self) -> None:
         self._runner: web.AppRunner | None = None
         self._port = 0
+        self._thawed = asyncio.Event()
+        self._thawed.set()
+        self._clock = clock_lib.SystemClock()
+        self._tasks = supervisor.Supervisor(
+            f"stand-in {self.name}", self._clock
+        )
+        self._root: asyncio.Future[None] | None = None
+
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Adds the kind's command-line options."""
+
+    @classmethod
+    def from_arguments(cls, arguments: argparse.Namespace) -> StandIn:
+        """Returns a stand-in configured from the command line."""
+        del arguments
+        return cls()
 
     @property
     def port(self) -> int:
@@ -24,14 +80,73 @@
         """Base URL without a trailing slash."""
         return f"http://127.0.0.1:{self._port}"
 
+    @property
+    def frozen(self) -> bool:
+        """Whether it accepts connections without answering."""
+        return not self._thawed.is_set()
+
     def application(self) -> web.Application:
         """Returns the application with its routes."""
         raise NotImplementedError
 
+    def record(self) -> dict[str, Any]:
+        """Returns what the stand-in ran, as JSON values."""
+        return {}
+
     async def start(self, port: int = 0) -> None:
         """Opens the port; 0 takes a free one."""
+        self._root = asyncio.ensure_future(self._tasks.run())
+        await self._open(port)
+
+    async def close(self) -> None:
+        """Closes the port and all connections."""
+        if self._root is not None:
+            self._root.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await self._root
+            self._root = None
+        await self._shut()
+
+    @fault
+    def freeze(self) -> None:
+        """Accepts connections from now on without answering."""
+        self._thawed.clear()
+
+    @fault
+    def thaw(self) -> None:
+        """Answers again, the requests that waited included."""
+        self._thawed.set()
+
+    @fault
+    def crash(self, delay_s: float = 0.5) -> None:
+        """Drops all connections and comes back after a delay."""
+        if "restart" in self._tasks.children:
+            return
+        self.lose_state()
+        self._tasks.add(
+            supervisor.ChildSpec(
+                "restart",
+                lambda: self._restart(delay_s),
+                supervisor.Restart.TEMPORARY,
+            )
+        )
+
+    def lose_state(self) -> None:
+        """Forgets what a crash of the system loses."""
+
+    async def _restart(self, delay_s: float) -> None:
+        await self._shut()
+        await asyncio.sleep(delay_s)
+        self._thawed.set()
+        await self._open(self._port)
+
+    async def _open(self, port: int) -> None:
+        app = self.application()
+        app.middlewares.append(self._hold_while_frozen)
+        app.router.add_post("/fault", self._post_fault)
+        app.router.add_get("/record", self._get_record)
         self._runner = web.AppRunner(
-            self.application(),
+            app,
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=0.1,
@@ -41,8 +156,41 @@
         await site.start()
         self._port = self._runner.addresses[0][1]
 
-    async def close(self) -> None:
-        """Closes the port and all connections."""
-        if self._runner is not None:
-            await self._runner.cleanup()
-            self._runner = None
+    async def _shut(self) -> None:
+        runner, self._runner = self._runner, None
+        if runner is None:
+            return
+        if runner.server is not None:
+            for connection in runner.server.connections:
+                if connection.transport is not None:
+                    connection.transport.abort()
+        await runner.cleanup()
+
+    @web.middleware
+    async def _hold_while_frozen(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        if request.path not in _CONTROL_PATHS:
+            await self._thawed.wait()
+        return await handler(request)
+
+    async def _post_fault(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        method = getattr(self, str(body["name"]), None)
+        if not getattr(method, "_is_fault", False) or method is None:
+            return web.json_response(
+                {"message": f"unknown fault {body['name']!r}"}, status=404
+            )
+        result = method(**body.get("arguments", {}))
+        if inspect.isawaitable(result):
+            await result
+        return web.json_response({})
+
+    async def _get_record(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(self.record())
+
+
+def new_application() -> web.Application:
+    """Returns an application that takes bodies up to 16 MiB."""
+    return web.Application(client_max_size=_MAX_BODY_BYTES)
--- a/hibiscusstile_standins/service.py
+++ b/hibiscusstile_standins/service.py
@@ -2,36 +2,91 @@
 
 from __future__ import annotations
 
+import asyncio
+import dataclasses
 import json
+from typing import Any
 
 from aiohttp import web
 
+import hibiscusstile_standins
 from hibiscusstile_standins import server
 
-__all__ = ["PaymentService"]
+__all__ = ["PaymentService", "ServiceRun"]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceRun:
+    """One call that took effect: method, path and body."""
+
+    method: str
+    path: str
+    body: str
+
+
+@hibiscusstile_standins.stand_ins.register()
 class PaymentService(server.StandIn):
-    """Takes `POST payments` and `GET balance`, and keeps what it ran."""
+    """Takes `POST payments` and `GET balance`, and keeps what it ran.
+
+    Payments outlive a crash, as in a database.
+    """
+
+    name = "service"
 
     def __init__(self) -> None:
         super().__init__()
         self._payments: list[int] = []
+        self._runs: list[ServiceRun] = []
+        self._delay_s = 0.0
+        self._answers_to_lose = 0
+        self._refusals = 0
+        self._refusal_status = 503
 
     @property
     def payments(self) -> tuple[int, ...]:
         """Amounts of the payments that ran, in order."""
         return tuple(self._payments)
 
+    @property
+    def runs(self) -> tuple[ServiceRun, ...]:
+        """The calls that ran, in order."""
+        return tuple(self._runs)
+
+    @server.fault
+    def set_delay(self, delay_s: float) -> None:
+        """Makes each call slow, before its effect."""
+        self._delay_s = delay_s
+
+    @server.fault
+    def lose_answers(self, count: int) -> None:
+        """Closes the next calls' connections after their effect."""
+        self._answers_to_lose = count
+
+    @server.fault
+    def refuse(self, count: int, status: int = 503) -> None:
+        """Refuses the next calls without an effect."""
+        self._refusals = count
+        self._refusal_status = status
+
     def application(self) -> web.Application:
         """Returns the application with its routes."""
-        app = web.Application()
+        app = server.new_application()
         app.router.add_post("/payments", self._pay)
         app.router.add_get("/balance", self._balance)
         app.router.add_get("/health", self._health)
         return app
 
+    def record(self) -> dict[str, Any]:
+        """Returns the calls that ran."""
+        return {
+            "payments": list(self._payments),
+            "runs": [dataclasses.asdict(run) for run in self._runs],
+        }
+
     async def _pay(self, request: web.Request) -> web.Response:
+        refusal = await self._begin()
+        if refusal is not None:
+            return refusal
         try:
             amount = (await request.json())["amount"]
         except (json.JSONDecodeError, KeyError, TypeError):
@@ -43,14 +98,34 @@
                 {"message": "amount must be an integer"}, status=400
             )
         self._payments.append(amount)
+        await self._finish(request)
         return web.json_response(
             {"receipt": len(self._payments), "amount": amount}, status=201
         )
 
     async def _balance(self, request: web.Request) -> web.Response:
-        del request
+        refusal = await self._begin()
+        if refusal is not None:
+            return refusal
+        await self._finish(request)
         return web.json_response({"balance": sum(self._payments)})
 
     async def _health(self, request: web.Request) -> web.Response:
         del request
         return web.json_response({"ok": True})
+
+    async def _begin(self) -> web.Response | None:
+        await asyncio.sleep(self._delay_s)
+        if not self._refusals:
+            return None
+        self._refusals -= 1
+        return web.json_response(
+            {"message": "refused by request"}, status=self._refusal_status
+        )
+
+    async def _finish(self, request: web.Request) -> None:
+        body = (await request.read()).decode(errors="replace")
+        self._runs.append(ServiceRun(request.method, request.path, body))
+        if self._answers_to_lose:
+            self._answers_to_lose -= 1
+            server.drop_connection(request)
--- /dev/null
+++ b/hibiscusstile_standins/text.py
@@ -0,0 +1,91 @@
+"""Prompts and texts of the stand-in engine.
+
+Its text depends on the prompt and the position only, so that a test can tell
+what the whole answer must be and check a continuation.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Iterator
+from typing import Any
+
+__all__ = ["block_keys", "expected_words", "prompt_text", "prompt_tokens"]
+
+_CHARS_PER_TOKEN = 4
+_IMAGE_TOKENS = 600
+
+
+def expected_words(messages: list[dict[str, Any]], count: int) -> list[str]:
+    """Returns the words that an engine generates for a prompt.
+
+    Args:
+        messages: Chat messages; content is text or a list of parts.
+        count: How many words.
+    """
+    seed = hashlib.sha256(prompt_text(messages).encode()).hexdigest()
+    return [
+        hashlib.sha256(f"{seed}{i}".encode()).hexdigest()[:5] + " "
+        for i in range(count)
+    ]
+
+
+def prompt_text(messages: list[dict[str, Any]]) -> str:
+    """Returns roles and contents as one text."""
+    texts = []
+    for message in messages:
+        texts.append(message["role"])
+        texts += [text for text, _ in _parts(message)]
+    return "\x1f".join(texts)
+
+
+def prompt_tokens(messages: list[dict[str, Any]]) -> int:
+    """Returns the tokens of a prompt."""
+    return sum(tokens for message in messages for _, tokens in _parts(message))
+
+
+def block_keys(
+    salt: str, messages: list[dict[str, Any]], block_tokens: int
+) -> list[str]:
+    """Returns a key for each whole block of a prompt, outermost first.
+
+    A key covers the salt and all content up to the end of its block, so that
+    equal keys mean equal prefixes.
+
+    Args:
+        salt: The request's `cache_salt`.
+        messages: The prompt.
+        block_tokens: Tokens of a block.
+    """
+    digest = hashlib.sha256(salt.encode())
+    keys = []
+    room = block_tokens
+    for message in messages:
+        digest.update(f"\x1f{message['role']}".encode())
+        for text, tokens in _parts(message):
+            digest.update(b"\x1f")
+            start = 0
+            left = tokens
+            while left >= room:
+                end = start + room * _CHARS_PER_TOKEN
+                digest.update(text[start:end].encode())
+                keys.append(digest.copy().hexdigest())
+                start = end
+                left -= room
+                room = block_tokens
+            digest.update(text[start:].encode())
+            room -= left
+    return keys
+
+
+def _parts(message: dict[str, Any]) -> Iterator[tuple[str, int]]:
+    content = message["content"]
+    if isinstance(content, str):
+        content = [{"type": "text", "text": content}]
+    for part in content:
+        if "image_url" in part:
+            # An image's tokens follow from its digest, not from its length.
+            yield part["image_url"]["url"], _IMAGE_TOKENS
+        else:
+            text = part["text"]
+            yield text, max(1, -(-len(text) // _CHARS_PER_TOKEN))
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -8,7 +8,14 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import request
 
-__all__ = ["ManualClock", "chat_messages", "record", "work_item"]
+__all__ = [
+    "ManualClock",
+    "chat_messages",
+    "engine_body",
+    "long_prompt",
+    "record",
+    "work_item",
+]
 
 
 class ManualClock(clock_lib.Clock):
@@ -70,3 +77,28 @@
         {"role": "system", "content": "You grade carob pods. " * 50},
         {"role": "user", "content": question},
     ]
+
+
+def engine_body(
+    messages: list[Any], attempt_id: str = "a1", **fields: Any
+) -> dict[str, Any]:
+    """Returns a chat body of the engines' protocol."""
+    return {
+        "attempt_id": attempt_id,
+        "model": "m1",
+        "adapter": "",
+        "weights_version": "v1",
+        "messages": messages,
+        "max_tokens": 4,
+        "priority": 1,
+        "cache_salt": "salt-a",
+        "resume_text": "",
+        "prefix_levels": [],
+        **fields,
+    }
+
+
+def long_prompt(tokens: int, mark: str = "a") -> list[Any]:
+    """Returns one message of a number of engine tokens."""
+    text = (mark + " moisture ") * (tokens * 4)
+    return [{"role": "user", "content": text[: tokens * 4]}]
--- /dev/null
+++ b/tests/test_standins.py
@@ -0,0 +1,286 @@
+"""Tests of the stand-ins: a wrong oracle would let faults of the product by."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import pytest
+
+from hibiscusstile_standins import (
+    batching,
+    blockcache,
+    engine,
+    instancelist,
+    log,
+    server,
+    service,
+    text,
+    weights,
+)
+from tests import builders
+
+
+@contextlib.asynccontextmanager
+async def _served(
+    stand_in: server.StandIn,
+) -> AsyncIterator[aiohttp.ClientSession]:
+    await stand_in.start()
+    try:
+        async with aiohttp.ClientSession(
+            stand_in.url,
+            connector=aiohttp.TCPConnector(force_close=True),
+            timeout=aiohttp.ClientTimeout(total=10),
+        ) as session:
+            yield session
+    finally:
+        await stand_in.close()
+
+
+async def _generate(
+    session: aiohttp.ClientSession, body: dict[str, Any]
+) -> list[dict[str, Any]]:
+    events = []
+    async with session.post("/v1/chat/completions", json=body) as response:
+        assert response.status == 200, await response.text()
+        async for line in response.content:
+            if line.startswith(b"data: "):
+                events.append(json.loads(line[6:]))
+    return events
+
+
+async def test_a_resumed_answer_continues_the_first() -> None:
+    """Guards against an engine whose continuation cannot be checked."""
+    prompt = builders.chat_messages()
+    words = text.expected_words(prompt, 6)
+    async with _served(engine.Engine()) as session:
+        events = await _generate(
+            session,
+            builders.engine_body(
+                prompt, max_tokens=6, resume_text="".join(words[:4])
+            ),
+        )
+    assert [e["text"] for e in events if e["event"] == "text"] == words[4:]
+    assert events[-1]["event"] == "end"
+
+
+async def test_blocks_are_reused_within_a_salt_only() -> None:
+    """Guards against hits across workspaces in the oracle itself."""
+    prompt = builders.long_prompt(5000)
+    async with _served(engine.Engine()) as session:
+        first = await _generate(session, builders.engine_body(prompt))
+        again = await _generate(session, builders.engine_body(prompt))
+        other = await _generate(
+            session, builders.engine_body(prompt, cache_salt="salt-b")
+        )
+    cached = [events[0]["cached_tokens"] for events in (first, again, other)]
+    assert cached == [0, 4096, 0]
+
+
+def test_eviction_removes_the_levels_that_need_the_block() -> None:
+    """Guards against a listing that names prefixes no longer held."""
+    feed = blockcache.EventFeed(lag_s=0.0)
+    cache = blockcache.BlockCache(feed, max_blocks=2, block_tokens=10)
+    cache.store("s", ["a", "ab"], [blockcache.Level(1, 10)])
+    cache.store("s", ["a", "ab"], [blockcache.Level(2, 25)])
+    cache.store("s", ["a", "ac"], [blockcache.Level(3, 20)])
+    assert {e["digest"] for e in cache.listing()} == {1, 3}
+    kinds = [(e["kind"], e["digest"]) for e in feed.published(-1)]
+    assert kinds == [
+        ("stored", 1),
+        ("stored", 2),
+        ("stored", 3),
+        ("removed", 2),
+    ]
+
+
+async def test_lost_events_leave_a_jump_in_the_numbers() -> None:
+    """Guards against a loss that no consumer could notice."""
+    feed = blockcache.EventFeed(lag_s=0.0, loss=0.5, seed=3)
+    for digest in range(20):
+        feed.add("stored", "s", digest, 2048)
+    numbers = [event["number"] for event in feed.published(-1)]
+    assert 0 < len(numbers) < 20
+    assert feed.last_number == 19
+
+
+async def test_urgent_work_overtakes_in_the_batch() -> None:
+    """Guards against an engine that ignores priority."""
+    options = engine.EngineOptions(speed=batching.Speed(max_sequences=1))
+    stand_in = engine.Engine(options=options)
+    order: list[str] = []
+
+    async def ask(name: str, priority: int) -> None:
+        await _generate(
+            session,
+            builders.engine_body(
+                builders.chat_messages(name),
+                name,
+                priority=priority,
+                max_tokens=40,
+            ),
+        )
+        order.append(name)
+
+    async with _served(stand_in) as session, asyncio.TaskGroup() as group:
+        group.create_task(ask("running", 1))
+        await asyncio.sleep(0.03)
+        group.create_task(ask("routine", 1))
+        await asyncio.sleep(0.01)
+        group.create_task(ask("urgent", 0))
+    assert order == ["running", "urgent", "routine"]
+
+
+async def test_a_marked_prompt_crashes_the_engine() -> None:
+    """Guards against a crash that keeps the cache or the incarnation."""
+    stand_in = engine.Engine(options=engine.EngineOptions(restart_s=0.1))
+    async with _served(stand_in) as session:
+        await _generate(
+            session, builders.engine_body(builders.long_prompt(5000))
+        )
+        before = stand_in.incarnation
+        with pytest.raises(aiohttp.ClientError):
+            await _generate(
+                session,
+                builders.engine_body(
+                    builders.chat_messages("CRASH-THE-ENGINE"), "a2"
+                ),
+            )
+        await asyncio.sleep(0.3)
+        async with session.get("/health") as response:
+            assert (await response.json())["incarnation"] != before
+    assert stand_in.cached_blocks == 0
+    assert [run.ended for run in stand_in.runs] == ["end", "crashed"]
+
+
+async def test_cancel_stops_generation() -> None:
+    """Guards against an engine that goes on after a cancel."""
+    stand_in = engine.Engine()
+    async with _served(stand_in) as session:
+        body = builders.engine_body(builders.chat_messages(), max_tokens=5000)
+        answer = asyncio.ensure_future(_generate(session, body))
+        await asyncio.sleep(0.1)
+        await session.post("/v1/cancel/a1")
+        events = await answer
+    assert events[-1]["event"] != "end"
+    assert stand_in.runs[0].ended == "cancelled"
+
+
+@pytest.mark.parametrize(("checks", "status"), [(True, 409), (False, 200)])
+async def test_an_old_fencing_number(checks: bool, status: int) -> None:
+    """Guards against the two engine kinds behaving alike."""
+    options = engine.EngineOptions(checks_fencing=checks)
+    store = weights.WeightStore(load_s=0.05)
+    async with _served(engine.Engine("m1", "v1", options, store)) as session:
+        order = {
+            "fencing_number": 7,
+            "model": "m2",
+            "weights_version": "v1",
+            "adapters": [],
+            "role": "mixed",
+        }
+        async with session.post("/orders", json=order) as response:
+            assert response.status == 200
+        older = {**order, "fencing_number": 6, "model": "m3"}
+        async with session.post("/orders", json=older) as response:
+            assert response.status == status
+
+
+async def test_more_than_three_loads_are_slower() -> None:
+    """Guards against a weight store without its limit."""
+
+    async def load_all(count: int) -> float:
+        store = weights.WeightStore(load_s=0.2)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        await asyncio.gather(*(store.load() for _ in range(count)))
+        return loop.time() - started
+
+    assert await load_all(6) > 1.5 * await load_all(3)
+
+
+async def test_kv_cache_moves_to_another_engine() -> None:
+    """Guards against an import that does not make a later hit."""
+    prompt = builders.long_prompt(5000)
+    levels = [{"digest": 9, "tokens": 5000}]
+    body = builders.engine_body(prompt, prefix_levels=levels)
+    async with (
+        _served(engine.Engine()) as one,
+        _served(engine.Engine()) as two,
+    ):
+        await _generate(one, body)
+        async with one.get("/kv/9?salt=salt-a") as response:
+            data = await response.read()
+        async with two.put("/kv/9?salt=salt-b", data=data) as response:
+            assert response.status == 409
+        async with two.put("/kv/9?salt=salt-a", data=data) as response:
+            assert response.status == 201
+        events = await _generate(two, body)
+    assert events[0]["cached_tokens"] == 4096
+
+
+async def test_the_log_caps_drops_and_loses_answers() -> None:
+    """Guards against a log stand-in that never fails."""
+    stand_in = log.LogService(keep_entries=2)
+    async with _served(stand_in) as session:
+        for number in range(3):
+            await session.post("/streams/s", data=str(number))
+        stand_in.lose_answers(1)
+        with pytest.raises(aiohttp.ClientError):
+            await session.post("/streams/s", data=b"lost")
+        async with session.get("/streams/s?offset=0") as response:
+            page = await response.json()
+        assert (page["earliest"], page["end"]) == (2, 4)
+        stand_in.set_appends_per_s(1)
+        statuses = [
+            (await session.post("/streams/s", data=b"x")).status
+            for _ in range(2)
+        ]
+        assert statuses == [201, 429]
+        await session.post(
+            "/fault", json={"name": "set_down", "arguments": {"down": True}}
+        )
+        async with session.get("/streams/s?offset=0") as response:
+            assert response.status == 503
+
+
+async def test_the_instance_list_lags() -> None:
+    """Guards against a list that shows changes at once."""
+    stand_in = instancelist.InstanceListService(lag_s=0.2)
+    async with _served(stand_in) as session:
+        stand_in.put("s1", "sidecar", 1, "az-1", "demo")
+        async with session.get("/instances") as response:
+            assert (await response.json())["instances"] == []
+        await asyncio.sleep(0.25)
+        async with session.get("/instances") as response:
+            assert len((await response.json())["instances"]) == 1
+
+
+async def test_a_lost_answer_still_took_effect() -> None:
+    """Guards against a service whose lost answers did nothing."""
+    stand_in = service.PaymentService()
+    async with _served(stand_in) as session:
+        stand_in.lose_answers(1)
+        with pytest.raises(aiohttp.ClientError):
+            await session.post("/payments", json={"amount": 3})
+        stand_in.refuse(1)
+        async with session.post("/payments", json={"amount": 4}) as response:
+            assert response.status == 503
+    assert stand_in.payments == (3,)
+
+
+async def test_a_frozen_stand_in_answers_after_the_thaw() -> None:
+    """Guards against a freeze that refuses instead of staying silent."""
+    stand_in = service.PaymentService()
+    async with _served(stand_in) as session:
+        stand_in.freeze()
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await session.get("/balance")
+        await session.post("/fault", json={"name": "thaw"})
+        async with session.get("/balance") as response:
+            assert response.status == 200
