--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -233,6 +233,7 @@
             dispatch.priority,
             scope.salt,
             dispatch.resume_text,
+            dispatch.work.levels,
         )
 
     def _with_priority(
@@ -276,7 +277,9 @@
             dispatch.work.prompt_tokens - event.cached_tokens,
         )
         self._view.admit(
-            self._view.incarnation, order.cache_salt, dispatch.work.levels
+            event.incarnation or self._view.incarnation,
+            order.cache_salt,
+            dispatch.work.levels,
         )
         _log.info(
             logs.decision_line(
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -22,6 +22,8 @@
     "chat_messages",
     "config_entry",
     "config_store",
+    "engine_body",
+    "long_prompt",
     "record",
     "run_now",
     "running_log",
@@ -238,3 +240,28 @@
     "ttft_p99_s",
     "answered",
 }
+
+
+def engine_body(
+    messages: list[Any], attempt_id: str = "a1", **fields: Any
+) -> dict[str, Any]:
+    """Returns a chat body of the engines' protocol."""
+    return {
+        "attempt_id": attempt_id,
+        "model": "m1",
+        "adapter": "",
+        "weights_version": "v1",
+        "messages": messages,
+        "max_tokens": 4,
+        "priority": 1,
+        "cache_salt": "salt-a",
+        "resume_text": "",
+        "prefix_levels": [],
+        **fields,
+    }
+
+
+def long_prompt(tokens: int, mark: str = "a") -> list[Any]:
+    """Returns one message of a number of engine tokens."""
+    text = (mark + " moisture ") * (tokens * 4)
+    return [{"role": "user", "content": text[: tokens * 4]}]
