Confirm the configuration before a request is served

Cause: an entry instance that wakes from a pause answered under the revision it had before.

Change: the front asks the freshness guard, which probes peers when neither they nor the log confirmed the revision in the last 3 s; without sidecars the callers' port opens after 10 s all the same.

--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -30,6 +30,7 @@
 
 _LIST_INTERVAL = datetime.timedelta(seconds=10)
 _PREPARE_POLL = datetime.timedelta(milliseconds=10)
+_PREPARE_LIMIT = datetime.timedelta(seconds=10)
 _PREPARE_WAIT = datetime.timedelta(seconds=1)
 _PROBED_LINKS = 3
 
@@ -115,9 +116,13 @@
         """Waits until requests can be served as well as ever.
 
         That is when a configuration is known and the known sidecars have
-        said hello, or a second after the first one did.
+        said hello, or a second after the first one did. Without any sidecar
+        the wait ends too, so that callers are told and not left hanging.
         """
+        limit_s = self._clock.monotonic() + _PREPARE_LIMIT.total_seconds()
         while self._store.revision < 0 or not self._usable():
+            if self._clock.monotonic() >= limit_s:
+                return
             await self._clock.sleep(_PREPARE_POLL)
         limit_s = self._clock.monotonic() + _PREPARE_WAIT.total_seconds()
         while self._clock.monotonic() < limit_s:
--- a/hibiscusstile/entry/front.py
+++ b/hibiscusstile/entry/front.py
@@ -34,6 +34,7 @@
 _KEY_HEADER = "Idempotency-Key"
 _MAX_KEY_LENGTH = 255
 _SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+_CONFIRM_RETRY = datetime.timedelta(seconds=1)
 _WRITE_TIMEOUT = datetime.timedelta(seconds=30)
 _DEFAULT_RANK = view_lib.Rank(
     "routine",
@@ -54,6 +55,8 @@
         answers: Carries model requests.
         service_calls: Carries plain-service calls.
         ready: Returns whether the load balancer may send requests.
+        confirm: Returns whether the configuration in force is the newest
+            that any reachable process knows.
         clock: Dates the answers.
     """
 
@@ -64,6 +67,7 @@
         answers: relay.Relay,
         service_calls: calls.Calls,
         ready: Callable[[], bool],
+        confirm: Callable[[], Awaitable[bool]],
         clock: clock_lib.Clock,
     ) -> None:
         self._limits = limits
@@ -71,6 +75,7 @@
         self._answers = answers
         self._calls = service_calls
         self._ready = ready
+        self._confirm = confirm
         self._clock = clock
         self._active = 0
 
@@ -155,6 +160,7 @@
         )
 
     async def _post_chat(self, request: web.Request) -> web.StreamResponse:
+        await self._check_configuration()
         caller = self._authenticate(request)
         body = await self._read_body(request)
         chat = parsing.parse_chat(body, image_bytes=self._limits.image_bytes)
@@ -165,6 +171,7 @@
             return await _whole(work, answer)
 
     async def _call_service(self, request: web.Request) -> web.Response:
+        await self._check_configuration()
         caller = self._authenticate(request)
         name = request.match_info["application"]
         application = self._application(caller.workspace, name)
@@ -209,6 +216,19 @@
             },
         )
 
+    async def _check_configuration(self) -> None:
+        """Refuses to serve on a configuration that may have been replaced.
+
+        Raises:
+            Refused: `not_ready`, when no peer and no log confirms it.
+        """
+        if not await self._confirm():
+            raise _refused(
+                outcome.Reason.NOT_READY,
+                "the configuration in force cannot be confirmed",
+                _CONFIRM_RETRY,
+            )
+
     def _authenticate(self, request: web.Request) -> auth.Caller:
         if self._store.revision < 0:
             raise _refused(
@@ -401,8 +421,14 @@
     }
 
 
-def _refused(reason: outcome.Reason, message: str) -> outcome.Refused:
-    return outcome.Refused(outcome.Refusal(reason, message))
+def _refused(
+    reason: outcome.Reason,
+    message: str,
+    retry_after: datetime.timedelta | None = None,
+) -> outcome.Refused:
+    return outcome.Refused(
+        outcome.Refusal(reason, message, retry_after=retry_after)
+    )
 
 
 def _internal(error: Exception) -> outcome.Refusal:
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -33,6 +33,7 @@
 
 _log = logbook.Logger("entry")
 
+_CONFIRM_PATIENCE = datetime.timedelta(milliseconds=500)
 _DRAIN_POLL = datetime.timedelta(milliseconds=50)
 _ROLE = "entry"
 
@@ -79,6 +80,7 @@
             relay.Relay(self._fleet, router, clock),
             calls.Calls(self._fleet, clock),
             lambda: not self._leaving and self._store.revision >= 0,
+            self._confirm,
             clock,
         )
         self._listener = listener.Listener(
@@ -162,6 +164,11 @@
         await self._log.close()
         await self._instance_list.close()
 
+    async def _confirm(self) -> bool:
+        if self._fresh.is_fresh:
+            return True
+        return await self._fleet.confirm(_CONFIRM_PATIENCE)
+
     async def _serve_http(self) -> None:
         """Opens the callers' port once requests can be served."""
         await self._fleet.wait_prepared()
