Bound what a frozen peer can hold up

Cause: a send to a frozen peer waited without limit once its socket was full, a frozen entry instance kept its attempts running, and closing a websocket waited 10 s for the other side.

Change: sends time out after 1 s and drop the connection; a sidecar drops a peer that is silent for 25 s; entries ping at least every 10 s; closing waits 1 s; a sidecar waits for the sender's revision before it starts an attempt; prefix digests no longer change with a weights rollout.

--- a/hibiscusstile/identity.py
+++ b/hibiscusstile/identity.py
@@ -41,5 +41,10 @@
 
     @property
     def seed(self) -> int:
-        """A 64-bit seed for digests of prefixes under this scope."""
-        return int(self.salt[:16], 16)
+        """A 64-bit seed for digests of prefixes under this scope.
+
+        The weights version is left out, so that a rollout does not move
+        prefixes to other runners. Cached blocks are told apart by the salt.
+        """
+        parts = (self.workspace, self.model, self.adapter)
+        return xxhash.xxh3_64_intdigest("\x1f".join(parts).encode())
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -11,6 +11,7 @@
 __all__ = [
     "count_control_bytes",
     "count_hit",
+    "count_peer_rejection",
     "count_prompt",
     "count_refusal",
     "observe_first_token",
@@ -46,6 +47,9 @@
 _processor = collectors.Gauge(
     "hibiscusstile_processor_seconds", "Processor time of the process"
 )
+_peer_rejections = collectors.Counter(
+    "hibiscusstile_peer_rejections", "Peers' connections refused, by cause"
+)
 _revision = collectors.Gauge(
     "hibiscusstile_revision", "Configuration revision in force"
 )
@@ -63,6 +67,11 @@
         _recomputed_tokens.add({}, expected_tokens - cached_tokens)
 
 
+def count_peer_rejection(cause: str) -> None:
+    """Counts a peer's connection closed for its handshake or a frame."""
+    _peer_rejections.inc({"cause": cause})
+
+
 def observe_first_token(rank: str, seconds: float) -> None:
     """Records a time to first token."""
     _first_token.observe({"rank": rank}, seconds)
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -24,7 +24,9 @@
 _log = logbook.Logger("peers")
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=2)
-_PING_INTERVAL = datetime.timedelta(seconds=10)
+_CLOSE_TIMEOUT = datetime.timedelta(seconds=1)
+_SEND_TIMEOUT = datetime.timedelta(seconds=1)
+_PING_INTERVAL_S = 10.0
 _PONG_TIMEOUT = datetime.timedelta(seconds=1.5)
 _MIN_BACKOFF = datetime.timedelta(milliseconds=100)
 _MAX_BACKOFF = datetime.timedelta(seconds=1)
@@ -140,6 +142,7 @@
         self._misses = 0
         self._load = 0
         self._load_at_s = 0.0
+        self._sent_s = 0.0
         self._ready = asyncio.Event()
 
     @property
@@ -218,12 +221,22 @@
     async def send(self, message: messages.PeerMessage) -> None:
         """Sends a message.
 
+        A peer that is frozen stops reading, and a long message then waits
+        for room; that drops the connection, so that no caller waits for it.
+
         Raises:
             ConnectionLost: There is no connection, or it has ended.
         """
-        if self._connection is None:
+        connection = self._connection
+        if connection is None:
             raise connection_lib.ConnectionLost("not connected")
-        await self._connection.send(message)
+        self._sent_s = self._clock.monotonic()
+        try:
+            async with asyncio.timeout(_SEND_TIMEOUT.total_seconds()):
+                await connection.send(message)
+        except TimeoutError:
+            connection.abort()
+            raise connection_lib.ConnectionLost("send timed out") from None
 
     async def ask_bid(
         self, bid_request: messages.BidRequest, timeout_s: float
@@ -298,6 +311,7 @@
             max_queue=_MAX_QUEUE_FRAMES,
             write_limit=_WRITE_LIMIT_BYTES,
             open_timeout=_CONNECT_TIMEOUT.total_seconds(),
+            close_timeout=_CLOSE_TIMEOUT.total_seconds(),
             compression=None,
             ping_interval=None,
             proxy=None,
@@ -313,17 +327,24 @@
     async def _read(self, connection: connection_lib.PeerConnection) -> None:
         while True:
             try:
-                async with asyncio.timeout(_PING_INTERVAL.total_seconds()):
+                async with asyncio.timeout(_PING_INTERVAL_S):
                     envelope = await connection.receive()
             except TimeoutError:
-                await connection.send(messages.Ping(self.next_number()))
+                await self._ping(connection)
                 async with asyncio.timeout(_PONG_TIMEOUT.total_seconds()):
                     envelope = await connection.receive()
             self._misses = 0
+            if self._clock.monotonic() - self._sent_s > _PING_INTERVAL_S:
+                await self._ping(connection)
             if envelope.revision > self._revision():
                 await self._observer.on_revision(self, envelope.revision)
             await self._route(connection, envelope.message)
 
+    async def _ping(self, connection: connection_lib.PeerConnection) -> None:
+        """Shows the sidecar that this process lives, and asks the same."""
+        self._sent_s = self._clock.monotonic()
+        await connection.send(messages.Ping(self.next_number()))
+
     async def _route(
         self,
         connection: connection_lib.PeerConnection,
--- a/hibiscusstile/peers/connection.py
+++ b/hibiscusstile/peers/connection.py
@@ -69,6 +69,10 @@
             raise codec.FrameError("text frame")
         return codec.decode(frame)
 
+    def abort(self) -> None:
+        """Drops the connection without a closing handshake."""
+        self._socket.transport.abort()
+
     async def close(self, reason: str = "") -> None:
         """Closes the connection; `reason` is for the other side's log."""
         await self._socket.close(reason=reason[:100])
--- a/hibiscusstile/peers/server.py
+++ b/hibiscusstile/peers/server.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 from collections.abc import Awaitable, Callable
 
 import logbook
 from websockets.asyncio import server as ws_server
 
+from hibiscusstile import metrics
 from hibiscusstile.peers import codec, handshake
 from hibiscusstile.peers import connection as connection_lib
 
@@ -15,6 +17,9 @@
 
 _log = logbook.Logger("peers")
 
+_OPEN_TIMEOUT = datetime.timedelta(seconds=3)
+_CLOSE_TIMEOUT = datetime.timedelta(seconds=1)
+_MAX_CONNECTIONS = 1000
 _MAX_QUEUE_FRAMES = 32
 _WRITE_LIMIT_BYTES = 256 * 1024
 
@@ -51,6 +56,7 @@
         self._revision = revision
         self._handler = handler
         self._listening = asyncio.Event()
+        self._connections = 0
 
     @property
     def port(self) -> int:
@@ -72,6 +78,8 @@
             write_limit=_WRITE_LIMIT_BYTES,
             compression=None,
             ping_interval=None,
+            open_timeout=_OPEN_TIMEOUT.total_seconds(),
+            close_timeout=_CLOSE_TIMEOUT.total_seconds(),
         ) as server:
             self._port = server.sockets[0].getsockname()[1]
             self._listening.set()
@@ -81,15 +89,21 @@
         self, socket: ws_server.ServerConnection
     ) -> None:
         connection = connection_lib.PeerConnection(socket, self._revision)
+        if self._connections >= _MAX_CONNECTIONS:
+            await connection.close("too many connections")
+            return
+        self._connections += 1
         try:
             other = await handshake.accept(connection, self._me, self._secret)
             await self._handler(connection, other)
         except (handshake.HandshakeError, TimeoutError) as error:
+            metrics.count_peer_rejection("handshake")
             _log.warn(
                 "peer_rejected remote={} error={!r}", connection.remote, error
             )
             await connection.close("handshake failed")
         except codec.FrameError as error:
+            metrics.count_peer_rejection("frame")
             _log.warn(
                 "peer_frame_refused remote={} error={}",
                 connection.remote,
@@ -98,3 +112,5 @@
             await connection.close("malformed frame")
         except connection_lib.ConnectionLost as error:
             _log.debug("peer_lost remote={} error={}", connection.remote, error)
+        finally:
+            self._connections -= 1
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -30,6 +30,8 @@
 
 _log = logbook.Logger("sidecar")
 
+_REVISION_WAIT = datetime.timedelta(seconds=1)
+_REVISION_POLL = datetime.timedelta(milliseconds=10)
 _KEEP_ENDED = datetime.timedelta(seconds=5)
 _WATCH_INTERVAL = datetime.timedelta(milliseconds=200)
 
@@ -82,8 +84,15 @@
         self,
         connection: connection_lib.PeerConnection,
         dispatch: messages.Dispatch,
+        revision: int,
     ) -> None:
-        """Starts an attempt; one that is known already is ignored."""
+        """Starts an attempt; one that is known already is ignored.
+
+        Args:
+            connection: Where its chunks go.
+            dispatch: The attempt.
+            revision: The revision under which it was sent.
+        """
         if dispatch.attempt_id in self._attempts:
             return
         stream = attempt_lib.AttemptStream(
@@ -94,7 +103,7 @@
         self._tasks.add(
             supervisor.ChildSpec(
                 dispatch.attempt_id,
-                lambda: self._run(running, dispatch),
+                lambda: self._run(running, dispatch, revision),
                 supervisor.Restart.TEMPORARY,
             )
         )
@@ -162,25 +171,39 @@
                     await running.stream.send_progress_if_idle()
 
     async def _run(
-        self, running: _Running, dispatch: messages.Dispatch
+        self, running: _Running, dispatch: messages.Dispatch, revision: int
     ) -> None:
         try:
-            await self._answer(running, dispatch)
+            await self._answer(running, dispatch, revision)
             running.ended = True
             await self._clock.sleep(_KEEP_ENDED)
         finally:
             del self._attempts[dispatch.attempt_id]
 
     async def _answer(
-        self, running: _Running, dispatch: messages.Dispatch
+        self, running: _Running, dispatch: messages.Dispatch, revision: int
     ) -> None:
         try:
+            await self._wait_for_revision(revision)
             await self._generate(running, dispatch)
         except outcome.Refused as refused:
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
 
+    async def _wait_for_revision(self, revision: int) -> None:
+        """Waits until the configuration of the sender is in force here."""
+        limit_s = self._clock.monotonic() + _REVISION_WAIT.total_seconds()
+        while self._store.revision < revision:
+            if self._clock.monotonic() >= limit_s:
+                raise outcome.Refused(
+                    outcome.Refusal(
+                        outcome.Reason.STALE_REVISION,
+                        f"revision {revision} has not arrived here yet",
+                    )
+                )
+            await self._clock.sleep(_REVISION_POLL)
+
     async def _generate(
         self, running: _Running, dispatch: messages.Dispatch
     ) -> None:
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import datetime
 from collections.abc import Callable
 
 import logbook
@@ -19,6 +21,10 @@
 
 _log = logbook.Logger("sidecar")
 
+# Entry instances send a ping every 10 s when they have nothing else to send.
+_PEER_SILENCE = datetime.timedelta(seconds=25)
+_NOTICE_TIMEOUT = datetime.timedelta(seconds=1)
+
 
 class SidecarService:
     """Answers the messages of connected peers.
@@ -60,27 +66,36 @@
         other: handshake.Identity,
     ) -> None:
         """Runs one connection until it ends."""
-        del other
         self._connections.add(connection)
         try:
             await connection.send(messages.Hello(self._info()))
             while True:
-                envelope = await connection.receive()
+                async with asyncio.timeout(_PEER_SILENCE.total_seconds()):
+                    envelope = await connection.receive()
                 since = self._fetches.next_fetch(envelope.revision)
                 if since is not None:
                     await connection.send(messages.ConfigFetch(since))
                 await self._handle(connection, envelope)
+        except TimeoutError:
+            # A frozen entry instance would keep its attempts running.
+            _log.warn("peer_silent peer_id={}", other.peer_id)
+            connection.abort()
         finally:
             self._connections.discard(connection)
             self._executor.detach(connection)
 
     async def announce_leaving(self) -> None:
         """Tells all peers that no new work is taken."""
-        for connection in list(self._connections):
-            try:
-                await connection.send(messages.Leaving(self._info().peer_id))
-            except connection_lib.ConnectionLost:
-                continue
+        await self._send_to_all(messages.Leaving(self._info().peer_id))
+
+    async def announce_info(self) -> None:
+        """Tells all peers what the sidecar now says of itself."""
+        await self._send_to_all(messages.Hello(self._info()))
+
+    async def _send_to_all(self, message: messages.PeerMessage) -> None:
+        await asyncio.gather(
+            *(_try_send(each, message) for each in self._connections)
+        )
 
     async def _handle(
         self,
@@ -124,7 +139,7 @@
     ) -> None:
         refusal = self._refusal(revision)
         if refusal is None:
-            self._executor.start(connection, dispatch)
+            self._executor.start(connection, dispatch, revision)
             return
         await connection.send(
             executor_lib.failed_message(dispatch.attempt_id, refusal)
@@ -204,3 +219,14 @@
                 self._store.revision, self._store.digest, state
             )
         )
+
+
+async def _try_send(
+    connection: connection_lib.PeerConnection, message: messages.PeerMessage
+) -> None:
+    """Sends to a peer, which may be frozen or gone."""
+    try:
+        async with asyncio.timeout(_NOTICE_TIMEOUT.total_seconds()):
+            await connection.send(message)
+    except (TimeoutError, connection_lib.ConnectionLost):
+        _log.info("notice_not_sent remote={}", connection.remote)
