Show the whole path in the demo, with checks

The demo sent three requests through one entry and always exited with 0. It now runs two entries and four sidecars, sends 48 streamed chats of two workspaces with nested prefixes and one payment twice with one key through different entries, compares each answer with the expected words, and prints outcomes, hit rate and first-token times by rank. Any failed check gives exit code 1.

--- a/hibiscusstile/ctl/demo.py
+++ b/hibiscusstile/ctl/demo.py
@@ -3,190 +3,126 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
-import json
-import os
-import secrets
-from collections.abc import AsyncIterator
-from typing import Any
-
-import aiohttp
+import collections
+import signal
+import statistics
+import sys
+from collections.abc import Sequence
+from typing import Annotated
+
 import aiomisc
+import cyclopts
 
-from hibiscusstile import clock as clock_lib
-from hibiscusstile import daemon, logs, settings
-from hibiscusstile.entry import auth
-from hibiscusstile_standins import engine, instancelist, log, service
+from hibiscusstile import logs
+from hibiscusstile.ctl import demofleet, demoload
 
 __all__ = ["demo"]
 
-_SECRET_VARIABLE = "HIBISCUSSTILE_DEMO_SECRET"
-_MODEL = "m1"
-_APPLICATION = "accounts"
-
-
-def demo() -> int:
-    """Runs stand-ins, two entries and four sidecars, and a short load."""
+_TIMEOUT_S = 50.0
+_EXIT_DONE = 0
+_EXIT_FAILED = 1
+_EXIT_USAGE = 2
+
+
+def demo(
+    *,
+    serve: Annotated[bool, cyclopts.Parameter(negative="")] = False,
+    port: int = 0,
+) -> int:
+    """Runs stand-ins, two entries, four sidecars and a short mixed load.
+
+    Args:
+        serve: Keep serving until SIGTERM instead of sending a load.
+        port: Callers' port with --serve; 0 takes a free one.
+    """
+    if port and not serve:
+        print("--port needs --serve", file=sys.stderr)
+        return _EXIT_USAGE
     logs.start_logging(logs.LogFormat.KEY_VALUE, "WARNING")
     with aiomisc.entrypoint(log_config=False) as loop:
-        return loop.run_until_complete(_demo())
-
-
-async def _demo() -> int:
-    async with (
-        _fleet() as (url, key),
-        aiohttp.ClientSession(
-            headers={"Authorization": f"Bearer {key}"}
-        ) as session,
-    ):
-        messages = [
-            {"role": "system", "content": "You grade carob pods. " * 50},
-            {"role": "user", "content": "Is 12% moisture fine?"},
-        ]
-        for _ in range(2):
-            async with session.post(
-                f"{url}/v1/chat/completions",
-                json={
-                    "model": _MODEL,
-                    "messages": messages,
-                    "stream": True,
-                    "max_tokens": 8,
-                },
-            ) as response:
-                print(response.status)
-                print(await response.text())
-        async with session.post(
-            f"{url}/v1/services/{_APPLICATION}/payments",
-            json={"amount": 5},
-            headers={"Idempotency-Key": "k1"},
-        ) as response:
-            print(response.status, await response.text())
-    return 0
-
-
-@contextlib.asynccontextmanager
-async def _fleet() -> AsyncIterator[tuple[str, str]]:
-    os.environ[_SECRET_VARIABLE] = secrets.token_hex(16)
-    platform_log = log.LogService()
-    instances = instancelist.InstanceListService()
-    engines = [engine.Engine(), engine.Engine()]
-    payments = service.PaymentService()
-    for each in (platform_log, instances, *engines, payments):
-        await each.start()
-    secret = secrets.token_urlsafe(18)
-    for record in _records(secret):
-        await platform_log.append("config", json.dumps(record).encode())
-    stop = asyncio.Event()
-    tasks = []
-    for number, each in enumerate([*engines, payments]):
-        kind = "plain_service" if each is payments else "engine_chat"
-        config = _sidecar_settings(
-            f"sidecar-{number}", kind, each.url, platform_log, instances
-        )
-        process = daemon.Process(config, clock_lib.SystemClock())
-        tasks.append(asyncio.ensure_future(process.run(stop)))
-        await process.role.wait_ready()
-        instances.put(
-            config.peer_id,
-            "sidecar",
-            process.role.ports["peers"],
-            "az-1",
-            "demo",
-        )
-    entry = _entry_settings("entry-1", platform_log, instances)
-    process = daemon.Process(entry, clock_lib.SystemClock())
-    tasks.append(asyncio.ensure_future(process.run(stop)))
-    await process.role.wait_ready()
-    await asyncio.sleep(1.0)
-    try:
-        yield (
-            f"http://127.0.0.1:{process.role.ports['http']}",
-            f"hs_demo_{secret}",
-        )
-    finally:
-        stop.set()
-        await asyncio.gather(*tasks)
-        for each in (platform_log, instances, *engines, payments):
-            await each.close()
-
-
-def _records(secret: str) -> list[dict[str, Any]]:
-    salt = secrets.token_hex(16)
+        try:
+            return loop.run_until_complete(_serve(port) if serve else _run())
+        except (demofleet.FleetNotReady, OSError) as error:
+            print(f"demo: {error}", file=sys.stderr)
+            return _EXIT_FAILED
 
-    def record(kind: str, name: str, **body: Any) -> dict[str, Any]:
-        return {
-            "kind": kind,
-            "name": name,
-            "schema_version": 1,
-            "body": body,
-        }
 
-    return [
-        record("rank", "urgent", level=0),
-        record("rank", "routine", level=1, share=0.1),
-        record("routing_policy", "default", algorithm="bidding"),
-        record("model", _MODEL, weights_version="v1"),
-        record("application", _APPLICATION),
-        record(
-            "workspace",
-            "growers",
-            keys=[
-                {
-                    "key_id": "demo",
-                    "salt": salt,
-                    "digest": auth.key_digest(salt, secret),
-                }
-            ],
-        ),
-    ]
+async def _serve(port: int) -> int:
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with demofleet.run_fleet(port) as fleet:
+        print(
+            f"ready url={fleet.urls[0]} key={fleet.tenants[0].key} "
+            f"model={demofleet.MODEL} application={demofleet.APPLICATION}",
+            flush=True,
+        )
+        await stop.wait()
+    return _EXIT_DONE
 
 
-def _common(
-    name: str,
-    platform_log: log.LogService,
-    instances: instancelist.InstanceListService,
-) -> dict[str, Any]:
-    return {
-        "peer_id": name,
-        "zone": "az-1",
-        "region": "demo",
-        "operators": {"host": "127.0.0.1", "port": 0},
-        "platform": {
-            "log": {"url": platform_log.url},
-            "instance_list": {"url": instances.url},
-        },
-        "peer_secret": {"environment": _SECRET_VARIABLE},
-        "stop": {"balancer_delay_s": 0.1, "deadline_s": 5},
-    }
-
-
-def _sidecar_settings(
-    name: str,
-    kind: str,
-    url: str,
-    platform_log: log.LogService,
-    instances: instancelist.InstanceListService,
-) -> settings.SidecarSettings:
-    application = _APPLICATION if kind == "plain_service" else ""
-    return settings.SidecarSettings.model_validate(
-        {
-            **_common(name, platform_log, instances),
-            "role": "sidecar",
-            "peers": {"host": "127.0.0.1", "port": 0},
-            "backend": {"kind": kind, "url": url, "application": application},
-        }
+async def _run() -> int:
+    try:
+        async with asyncio.timeout(_TIMEOUT_S), demofleet.run_fleet() as fleet:
+            chats = await demoload.run_chats(fleet)
+            payment = await demoload.run_payment(fleet)
+    except TimeoutError:
+        print(f"demo: not done in {_TIMEOUT_S:g} s", file=sys.stderr)
+        return _EXIT_FAILED
+    faults = [*_print_chats(chats), *_print_payment(payment)]
+    for fault in faults:
+        print(f"demo: {fault}", file=sys.stderr)
+    return _EXIT_FAILED if faults else _EXIT_DONE
+
+
+def _print_chats(chats: Sequence[demoload.ChatResult]) -> list[str]:
+    outcomes = collections.Counter(
+        (chat.workspace, chat.rank, chat.outcome) for chat in chats
     )
-
-
-def _entry_settings(
-    name: str,
-    platform_log: log.LogService,
-    instances: instancelist.InstanceListService,
-) -> settings.EntrySettings:
-    return settings.EntrySettings.model_validate(
-        {
-            **_common(name, platform_log, instances),
-            "role": "entry",
-            "http": {"host": "127.0.0.1", "port": 0},
-        }
+    print("outcomes")
+    for (workspace, rank, outcome), count in sorted(outcomes.items()):
+        print(f"  {workspace} {rank} {outcome}: {count}")
+    prompt_tokens = sum(chat.prompt_tokens for chat in chats)
+    cached_tokens = sum(chat.cached_tokens for chat in chats)
+    hit_rate = cached_tokens / max(1, prompt_tokens)
+    print(f"prefix hit rate: {hit_rate:.2f}")
+    print("time to first token")
+    for rank in (demofleet.URGENT, demofleet.ROUTINE):
+        _print_first_token(rank, chats)
+    faults = []
+    failed = sum(chat.outcome != "answered" for chat in chats)
+    if failed:
+        faults.append(f"{failed} of {len(chats)} chats got no whole answer")
+    if hit_rate == 0.0:
+        faults.append("no prompt token came from a cache")
+    return faults
+
+
+def _print_first_token(rank: str, chats: Sequence[demoload.ChatResult]) -> None:
+    times_s = [
+        chat.first_token_s
+        for chat in chats
+        if chat.rank == rank and chat.outcome == "answered"
+    ]
+    if not times_s:
+        print(f"  {rank}: no answer")
+        return
+    median_ms = 1000 * statistics.median(times_s)
+    print(f"  {rank}: median {median_ms:.0f} ms", end="")
+    print(f", slowest {1000 * max(times_s):.0f} ms")
+
+
+def _print_payment(payment: demoload.PaymentResult) -> list[str]:
+    statuses = " and ".join(str(status) for status in payment.statuses)
+    times = len(payment.ran)
+    print(
+        f"payment sent twice with one key: answered {statuses}, ran "
+        + ("once" if times == 1 else f"{times} times")
     )
+    if payment.ran_once:
+        return []
+    return [
+        f"the payment ran {times} times and was answered with "
+        f"{len(set(payment.bodies))} different bodies"
+    ]
--- /dev/null
+++ b/hibiscusstile/ctl/demofleet.py
@@ -0,0 +1,274 @@
+"""A whole fleet in one process on loopback, for the demo.
+
+Stand-ins for the log, the instance list, engines and a plain service, with
+the sidecars and entry instances of the product between them. They talk
+through sockets, as separate processes would.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import secrets
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import daemon, settings
+from hibiscusstile.entry import auth
+from hibiscusstile_standins import engine, instancelist, log, service
+
+__all__ = [
+    "APPLICATION",
+    "MODEL",
+    "ROUTINE",
+    "URGENT",
+    "DemoFleet",
+    "FleetNotReady",
+    "Tenant",
+    "run_fleet",
+]
+
+MODEL = "m1"
+APPLICATION = "accounts"
+URGENT = "urgent"
+ROUTINE = "routine"
+
+_SECRET_VARIABLE = "HIBISCUSSTILE_DEMO_SECRET"
+_ENGINES = 3
+_ENTRIES = 2
+_ZONES = ("az-1", "az-2")
+_REGION = "demo"
+_READY_TRIES = 100
+_READY_PAUSE_S = 0.1
+_CLIENT_TIMEOUT = aiohttp.ClientTimeout(total=20)
+
+
+class FleetNotReady(RuntimeError):  # noqa: N818 - an outcome, not a bug
+    """The fleet did not answer its first requests in time."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Tenant:
+    """A workspace of the demo: its name, the rank of its key, and the key."""
+
+    workspace: str
+    rank: str
+    key_id: str
+    secret: str
+
+    @property
+    def key(self) -> str:
+        """The key that callers send."""
+        return f"hs_{self.key_id}_{self.secret}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemoFleet:
+    """What the demo's callers need.
+
+    Attributes:
+        urls: Base URLs of the entry instances.
+        tenants: The workspaces, the urgent one first.
+        payments: The plain service's stand-in, for its own record.
+    """
+
+    urls: tuple[str, ...]
+    tenants: tuple[Tenant, ...]
+    payments: service.PaymentService
+
+
+class _Builder:
+    """Starts the parts in order and stops them in reverse order."""
+
+    def __init__(self, port: int) -> None:
+        self._port = port
+        self._log = log.LogService()
+        self._instances = instancelist.InstanceListService()
+        self._payments = service.PaymentService()
+        self._engines = [engine.Engine(MODEL) for _ in range(_ENGINES)]
+        self._running: list[tuple[asyncio.Event, asyncio.Future[None]]] = []
+
+    async def start(self) -> DemoFleet:
+        """Starts stand-ins, sidecars and entry instances."""
+        os.environ[_SECRET_VARIABLE] = secrets.token_hex(16)
+        for each in self._stand_ins():
+            await each.start()
+        tenants = (
+            Tenant("buyers", URGENT, "buyers", secrets.token_hex(16)),
+            Tenant("contracts", ROUTINE, "contracts", secrets.token_hex(16)),
+        )
+        for record in _records(tenants):
+            await self._log.append("config", json.dumps(record).encode())
+        for number, each in enumerate(self._engines):
+            await self._start_sidecar(number, "engine_chat", each.url, "")
+        await self._start_sidecar(
+            _ENGINES, "plain_service", self._payments.url, APPLICATION
+        )
+        urls = [await self._start_entry(number) for number in range(_ENTRIES)]
+        return DemoFleet(tuple(urls), tenants, self._payments)
+
+    async def stop(self) -> None:
+        """Drains entry instances, then sidecars, then stops stand-ins."""
+        for stop, process in reversed(self._running):
+            stop.set()
+            await process
+        for each in reversed(self._stand_ins()):
+            await each.close()
+
+    def _stand_ins(
+        self,
+    ) -> list[
+        log.LogService
+        | instancelist.InstanceListService
+        | service.PaymentService
+        | engine.Engine
+    ]:
+        return [self._log, self._instances, self._payments, *self._engines]
+
+    async def _start_sidecar(
+        self, number: int, kind: str, url: str, application: str
+    ) -> None:
+        config = settings.SidecarSettings.model_validate(
+            {
+                **self._common(f"sidecar-{number + 1}", number),
+                "role": "sidecar",
+                "peers": {"host": "127.0.0.1", "port": 0},
+                "backend": {
+                    "kind": kind,
+                    "url": url,
+                    "application": application,
+                },
+            }
+        )
+        process = await self._run(config)
+        self._instances.put(
+            config.peer_id,
+            "sidecar",
+            process.role.ports["peers"],
+            config.zone,
+            config.region,
+        )
+
+    async def _start_entry(self, number: int) -> str:
+        port = self._port if number == 0 else 0
+        config = settings.EntrySettings.model_validate(
+            {
+                **self._common(f"entry-{number + 1}", number),
+                "role": "entry",
+                "http": {"host": "127.0.0.1", "port": port},
+            }
+        )
+        process = await self._run(config)
+        return f"http://127.0.0.1:{process.role.ports['http']}"
+
+    async def _run(
+        self, config: settings.EntrySettings | settings.SidecarSettings
+    ) -> daemon.Process:
+        process = daemon.Process(config, clock_lib.SystemClock())
+        stop = asyncio.Event()
+        running = asyncio.ensure_future(process.run(stop))
+        self._running.append((stop, running))
+        waiting = asyncio.ensure_future(process.role.wait_ready())
+        await asyncio.wait(
+            {waiting, running}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if not waiting.done():
+            waiting.cancel()
+            await running
+        return process
+
+    def _common(self, name: str, number: int) -> dict[str, Any]:
+        return {
+            "peer_id": name,
+            "zone": _ZONES[number % len(_ZONES)],
+            "region": _REGION,
+            "operators": {"host": "127.0.0.1", "port": 0},
+            "platform": {
+                "log": {"url": self._log.url},
+                "instance_list": {"url": self._instances.url},
+            },
+            "peer_secret": {"environment": _SECRET_VARIABLE},
+            "stop": {"balancer_delay_s": 0.1, "deadline_s": 5},
+        }
+
+
+@contextlib.asynccontextmanager
+async def run_fleet(port: int = 0) -> AsyncIterator[DemoFleet]:
+    """Runs the fleet; it answers requests once this has yielded.
+
+    Args:
+        port: Callers' port of the first entry instance; 0 takes a free one.
+
+    Raises:
+        FleetNotReady: It did not answer in time.
+    """
+    builder = _Builder(port)
+    try:
+        fleet = await builder.start()
+        await _wait_answering(fleet)
+        yield fleet
+    finally:
+        await builder.stop()
+
+
+async def _wait_answering(fleet: DemoFleet) -> None:
+    async with aiohttp.ClientSession(timeout=_CLIENT_TIMEOUT) as session:
+        for url in fleet.urls:
+            for _ in range(_READY_TRIES):
+                if await _answers(session, url, fleet.tenants[0]):
+                    break
+                await asyncio.sleep(_READY_PAUSE_S)
+            else:
+                raise FleetNotReady(f"{url} does not answer")
+
+
+async def _answers(
+    session: aiohttp.ClientSession, url: str, tenant: Tenant
+) -> bool:
+    headers = {"Authorization": f"Bearer {tenant.key}"}
+    body = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": "Are you there?"}],
+        "max_tokens": 1,
+    }
+    async with session.post(
+        f"{url}/v1/chat/completions", json=body, headers=headers
+    ) as response:
+        if response.status != 200:
+            return False
+    async with session.get(
+        f"{url}/v1/services/{APPLICATION}/balance", headers=headers
+    ) as response:
+        return response.status == 200
+
+
+def _records(tenants: tuple[Tenant, ...]) -> list[dict[str, Any]]:
+    return [
+        _record("rank", URGENT, level=0),
+        _record("rank", ROUTINE, level=1, share=0.1),
+        _record("routing_policy", "default", algorithm="bidding"),
+        _record("model", MODEL, weights_version="v1"),
+        _record("application", APPLICATION),
+        *(_workspace(tenant) for tenant in tenants),
+    ]
+
+
+def _workspace(tenant: Tenant) -> dict[str, Any]:
+    salt = secrets.token_hex(16)
+    key = {
+        "key_id": tenant.key_id,
+        "salt": salt,
+        "digest": auth.key_digest(salt, tenant.secret),
+        "rank": tenant.rank,
+    }
+    return _record("workspace", tenant.workspace, keys=[key])
+
+
+def _record(kind: str, name: str, **body: Any) -> dict[str, Any]:
+    return {"kind": kind, "name": name, "schema_version": 1, "body": body}
--- /dev/null
+++ b/hibiscusstile/ctl/demoload.py
@@ -0,0 +1,191 @@
+"""The demo's short mixed load, and what became of it."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import json
+import secrets
+import time
+from typing import Any
+
+import aiohttp
+
+from hibiscusstile.ctl import demofleet
+from hibiscusstile_standins import text
+
+__all__ = ["ChatResult", "PaymentResult", "run_chats", "run_payment"]
+
+_CHATS_PER_TENANT = 24
+_CONCURRENCY = 4
+_MEMBERS = 3
+_ANSWER_WORDS = 12
+_AMOUNT = 125
+_LEVEL_CHARS = 12_000
+_TIMEOUT = aiohttp.ClientTimeout(total=30)
+
+
+@dataclasses.dataclass(slots=True)
+class ChatResult:
+    """What a caller saw of one streamed answer.
+
+    Attributes:
+        workspace: The caller's workspace.
+        rank: The rank of its key.
+        outcome: `answered`, `wrong_answer`, or the refusal's type.
+        first_token_s: Seconds to the first text; 0.0 without one.
+        prompt_tokens: Tokens of the prompt.
+        cached_tokens: Prompt tokens taken from a cache.
+    """
+
+    workspace: str
+    rank: str
+    outcome: str = "no_answer"
+    first_token_s: float = 0.0
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PaymentResult:
+    """What came of one payment sent twice with one key.
+
+    Attributes:
+        statuses: HTTP status of each answer.
+        bodies: Body of each answer.
+        ran: Amounts that the service recorded.
+    """
+
+    statuses: tuple[int, ...]
+    bodies: tuple[str, ...]
+    ran: tuple[int, ...]
+
+    @property
+    def ran_once(self) -> bool:
+        """Whether it ran once and both senders got its one answer."""
+        return (
+            self.ran == (_AMOUNT,)
+            and all(status == 201 for status in self.statuses)
+            and len(set(self.bodies)) == 1
+        )
+
+
+async def run_chats(fleet: demofleet.DemoFleet) -> list[ChatResult]:
+    """Sends streamed chats of all tenants and returns what came back."""
+    async with aiohttp.ClientSession(timeout=_TIMEOUT) as session:
+        works = collections.deque(
+            (tenant, number)
+            for number in range(_CHATS_PER_TENANT)
+            for tenant in fleet.tenants
+        )
+        results: list[ChatResult] = []
+
+        async def send() -> None:
+            while works:
+                tenant, number = works.popleft()
+                url = fleet.urls[number % len(fleet.urls)]
+                results.append(await _chat(session, url, tenant, number))
+
+        async with asyncio.TaskGroup() as group:
+            for _ in range(_CONCURRENCY):
+                group.create_task(send())
+    return results
+
+
+async def run_payment(fleet: demofleet.DemoFleet) -> PaymentResult:
+    """Sends one payment twice, through different entry instances."""
+    tenant = fleet.tenants[0]
+    headers = {
+        "Authorization": f"Bearer {tenant.key}",
+        "Idempotency-Key": f"demo-{secrets.token_hex(8)}",
+    }
+    statuses = []
+    bodies = []
+    async with aiohttp.ClientSession(
+        timeout=_TIMEOUT, headers=headers
+    ) as session:
+        for url in fleet.urls[:2]:
+            async with session.post(
+                f"{url}/v1/services/{demofleet.APPLICATION}/payments",
+                json={"amount": _AMOUNT},
+            ) as response:
+                statuses.append(response.status)
+                bodies.append(await response.text())
+    return PaymentResult(
+        tuple(statuses), tuple(bodies), fleet.payments.payments
+    )
+
+
+async def _chat(
+    session: aiohttp.ClientSession,
+    url: str,
+    tenant: demofleet.Tenant,
+    number: int,
+) -> ChatResult:
+    result = ChatResult(tenant.workspace, tenant.rank)
+    messages = _prompt(tenant.workspace, number)
+    body = {
+        "model": demofleet.MODEL,
+        "messages": messages,
+        "stream": True,
+        "max_tokens": _ANSWER_WORDS,
+    }
+    started_s = time.monotonic()
+    words: list[str] = []
+    try:
+        async with session.post(
+            f"{url}/v1/chat/completions",
+            json=body,
+            headers={"Authorization": f"Bearer {tenant.key}"},
+        ) as response:
+            if response.status != 200:
+                refusal = json.loads(await response.text())
+                result.outcome = refusal["error"]["type"]
+                return result
+            async for line in response.content:
+                if not words:
+                    result.first_token_s = time.monotonic() - started_s
+                _take_line(line, words, result)
+    except (aiohttp.ClientError, TimeoutError) as error:
+        result.outcome = type(error).__name__
+        return result
+    expected = text.expected_words(messages, _ANSWER_WORDS)
+    if result.outcome == "done":
+        result.outcome = "answered" if words == expected else "wrong_answer"
+    return result
+
+
+def _take_line(line: bytes, words: list[str], result: ChatResult) -> None:
+    if not line.startswith(b"data: "):
+        return
+    data = line[len(b"data: ") :].strip()
+    if data == b"[DONE]":
+        result.outcome = "done"
+        return
+    event: dict[str, Any] = json.loads(data)
+    if "error" in event:
+        result.outcome = event["error"]["type"]
+        return
+    for choice in event["choices"]:
+        if "content" in choice["delta"]:
+            words.append(choice["delta"]["content"])
+    if "usage" in event:
+        usage = event["usage"]
+        result.prompt_tokens = usage["prompt_tokens"]
+        result.cached_tokens = usage["prompt_tokens_details"]["cached_tokens"]
+
+
+def _prompt(workspace: str, number: int) -> list[dict[str, Any]]:
+    """Returns a prompt nested in instructions, tenant and member."""
+    member = number % _MEMBERS
+    return [
+        {"role": "system", "content": _pad("Grade carob pods with care.")},
+        {"role": "system", "content": _pad(f"Rules of {workspace}.")},
+        {"role": "user", "content": _pad(f"Deliveries of member {member}.")},
+        {"role": "user", "content": f"Question {number}: is 12% fine?"},
+    ]
+
+
+def _pad(sentence: str) -> str:
+    return (f"{sentence} " * (_LEVEL_CHARS // len(sentence)))[:_LEVEL_CHARS]
