--- /dev/null
+++ b/hibiscusstile/claims/ledger.py
@@ -0,0 +1,381 @@
+"""One sidecar's decisions about calls that carry an idempotency key."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+import enum
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import identity, outcome, platform, request
+from hibiscusstile.claims import (
+    answers,
+    entries,
+    fold,
+    refusals,
+    replica,
+    tickets,
+)
+from hibiscusstile.claims import outbox as outbox_lib
+
+__all__ = ["Ledger", "LedgerLimits"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LedgerLimits:
+    """Bounds of a ledger.
+
+    Attributes:
+        keys: Remembered keys above which no new one is claimed.
+        answer_bytes: Bytes of answers kept in memory.
+        claim_time: How long an append and its reading back may take.
+    """
+
+    # A key took 444 bytes with 100,000 of them, so these take 111 MB of the
+    # 256 MB that a node allows.
+    keys: int = 250_000
+    answer_bytes: int = 16 * 1024 * 1024
+    claim_time: datetime.timedelta = datetime.timedelta(seconds=2)
+
+
+class _ClaimState(enum.Enum):
+    PENDING = enum.auto()
+    IN_FORCE = enum.auto()
+    VOID = enum.auto()
+    REFUSED = enum.auto()
+    STARTED = enum.auto()
+
+
+class Ledger:
+    """Decides who runs a key; the log's order decides between sidecars.
+
+    A claim is run only by the incarnation that made it, and only once the
+    log was read up to the claim and showed it in force. Whoever gives a claim
+    up promises, by a release in the log, never to start it; until then nobody
+    else can take the key over. A holder that is frozen at any point is
+    therefore harmless when it wakes.
+
+    Args:
+        peer_id: This sidecar.
+        incarnation: This process.
+        clock: Measures deadlines.
+        limits: Bounds.
+    """
+
+    def __init__(
+        self,
+        peer_id: str,
+        incarnation: str,
+        clock: clock_lib.Clock,
+        limits: LedgerLimits,
+    ) -> None:
+        self._peer_id = peer_id
+        self._incarnation = incarnation
+        self._clock = clock
+        self._limits = limits
+        self._replica = replica.ClaimReplica(clock)
+        self._outbox = outbox_lib.Outbox(clock)
+        self._answers = answers.AnswerStore(limits.answer_bytes)
+        self._own: dict[str, _ClaimState] = {}
+        self._pending: collections.Counter[bytes] = collections.Counter()
+        self._changed: set[bytes] = set()
+        self._readable = True
+
+    def __len__(self) -> int:
+        """Keys, releases, own claims and unsaved records in memory."""
+        return len(self._replica) + len(self._own) + len(self._outbox)
+
+    @property
+    def next_offset(self) -> int:
+        """Log offset to read from."""
+        return self._replica.next_offset
+
+    @property
+    def outbox(self) -> outbox_lib.Outbox:
+        """Records on their way to the log."""
+        return self._outbox
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the stream was read to its end once."""
+        return self._replica.caught_up
+
+    def knows(self, key: bytes) -> bool:
+        """Returns whether a claim holds the key or is on its way."""
+        return self._replica.get(key) is not None or key in self._pending
+
+    def take_changed(self) -> set[bytes]:
+        """Returns the keys that changed since the last look, once."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def open(
+        self,
+        call: entries.KeyedCall,
+        start_time: datetime.timedelta,
+        run_time: datetime.timedelta,
+    ) -> tickets.Ticket:
+        """Takes a call in.
+
+        Args:
+            call: Its digests.
+            start_time: How long it may wait before it starts.
+            run_time: How long a run may take, from claim to answer.
+        """
+        now_s = self._clock.monotonic()
+        claim_s = self._limits.claim_time.total_seconds()
+        return tickets.Ticket(
+            call,
+            now_s + claim_s + start_time.total_seconds(),
+            now_s + run_time.total_seconds(),
+            run_time,
+        )
+
+    def decide(self, ticket: tickets.Ticket) -> tickets.Decision:
+        """Returns what the sender's task does next.
+
+        After a refusal or an answer the ticket is closed.
+        """
+        held = self._replica.get(ticket.call.key)
+        if held is None:
+            return self._decide_free(ticket)
+        if held.claim_id == ticket.claim_id:
+            if self._replica.blocked:
+                return self._give_up(ticket, refusals.cannot_claim())
+            if self._clock.monotonic() >= ticket.start_until_s:
+                return self._give_up(ticket, refusals.not_started())
+            return tickets.Start()
+        if not self._replica.caught_up:
+            return self._wait_for_log(ticket)
+        if held.content != ticket.call.content:
+            self.abandon(ticket)
+            return refusals.key_conflict()
+        if held.verdict is not None:
+            self.abandon(ticket)
+            return self._known(held)
+        return self._wait_for_holder(ticket, held)
+
+    def start(self, ticket: tickets.Ticket) -> outcome.Refusal | None:
+        """Checks once more, right before the first byte is sent.
+
+        Returns None when the call must be sent now. The check by the clock
+        stops a process that was frozen since `decide`.
+        """
+        held = self._replica.get(ticket.call.key)
+        if (
+            held is None
+            or held.claim_id != ticket.claim_id
+            or self._own.get(ticket.claim_id) is not _ClaimState.IN_FORCE
+            or self._replica.blocked
+            or self._clock.monotonic() >= ticket.start_until_s
+        ):
+            return self._give_up(ticket, refusals.not_started())
+        self._own[ticket.claim_id] = _ClaimState.STARTED
+        return None
+
+    def note_unsent(self, ticket: tickets.Ticket) -> None:
+        """Notes that no byte of a started call left this process."""
+        if self._own.get(ticket.claim_id) is _ClaimState.STARTED:
+            self._own[ticket.claim_id] = _ClaimState.IN_FORCE
+
+    def finish(
+        self,
+        ticket: tickets.Ticket,
+        verdict: outcome.Verdict,
+        reply: request.ServiceReply | None = None,
+    ) -> None:
+        """Notes how a started run ended, here at once and for the log."""
+        if self._own.pop(ticket.claim_id, None) is not _ClaimState.STARTED:
+            return
+        key = ticket.call.key
+        held = self._replica.get(key)
+        if held is not None and held.claim_id == ticket.claim_id:
+            held.verdict = verdict
+        logged = reply
+        if reply is not None:
+            self._answers.put(ticket.claim_id, reply)
+            if len(reply.body) > entries.MAX_LOGGED_BODY_BYTES:
+                logged = None
+        self._outbox.put(
+            entries.Completed(ticket.claim_id, key, verdict, logged)
+        )
+        self._changed.add(key)
+
+    def abandon(self, ticket: tickets.Ticket) -> None:
+        """Promises never to start the ticket's claim, unless it has started.
+
+        The claim is withdrawn if it was never handed to the log, and released
+        through the log otherwise.
+        """
+        state = self._own.get(ticket.claim_id)
+        if state is None or state is _ClaimState.STARTED:
+            return
+        del self._own[ticket.claim_id]
+        key = ticket.call.key
+        if state is _ClaimState.PENDING:
+            self._forget_pending(key)
+        appended = self._outbox.withdraw(ticket.claim_id)
+        if state is _ClaimState.IN_FORCE or (
+            state is _ClaimState.PENDING and appended
+        ):
+            self._outbox.put(entries.Release(ticket.claim_id, key))
+        self._changed.add(key)
+
+    def note_append(
+        self,
+        batch: outbox_lib.Batch,
+        result: platform.Appended
+        | platform.AppendRefused
+        | platform.AppendUnknown,
+    ) -> None:
+        """Takes the log's answer to a batch."""
+        for claim in self._outbox.note(batch, result):
+            if self._own.get(claim.claim_id) is _ClaimState.PENDING:
+                self._own[claim.claim_id] = _ClaimState.REFUSED
+                self._forget_pending(claim.call.key)
+                self._changed.add(claim.call.key)
+
+    def note_unreadable(self) -> None:
+        """Notes that a read failed: claims could not be read back."""
+        self._readable = False
+
+    def apply(self, page: platform.LogEntries) -> None:
+        """Folds a page read from `next_offset`."""
+        self._readable = True
+        for record in self._replica.apply(page):
+            match record:
+                case entries.Claim():
+                    self._note_claim(record)
+                    self._changed.add(record.call.key)
+                case entries.Release():
+                    self._changed.add(record.key)
+                case entries.Completed():
+                    if record.reply is not None:
+                        self._answers.put(record.claim_id, record.reply)
+                    self._changed.add(record.key)
+            self._outbox.note_seen(record)
+
+    def _note_claim(self, record: entries.Claim) -> None:
+        held = self._replica.get(record.call.key)
+        in_force = held is not None and held.claim_id == record.claim_id
+        if record.incarnation != self._incarnation:
+            return
+        state = self._own.get(record.claim_id)
+        if state is _ClaimState.PENDING:
+            self._forget_pending(record.call.key)
+            self._own[record.claim_id] = (
+                _ClaimState.IN_FORCE if in_force else _ClaimState.VOID
+            )
+        elif in_force and state is not _ClaimState.IN_FORCE:
+            self._release_late(record, state)
+
+    def _release_late(
+        self, record: entries.Claim, state: _ClaimState | None
+    ) -> None:
+        """Releases a given-up claim that came into force after all."""
+        held = self._replica.get(record.call.key)
+        if state is _ClaimState.STARTED or held is None or held.verdict:
+            return
+        self._own.pop(record.claim_id, None)
+        self._outbox.put(entries.Release(record.claim_id, record.call.key))
+
+    def _decide_free(self, ticket: tickets.Ticket) -> tickets.Decision:
+        now_s = self._clock.monotonic()
+        state = self._own.get(ticket.claim_id)
+        if state is _ClaimState.REFUSED:
+            return self._give_up(ticket, refusals.cannot_claim())
+        if state is _ClaimState.PENDING:
+            if now_s >= ticket.claim_until_s:
+                return self._give_up(ticket, refusals.cannot_claim())
+            return tickets.Wait(ticket.claim_until_s)
+        self.abandon(ticket)
+        if now_s >= ticket.start_until_s:
+            return refusals.cannot_claim()
+        if not self._replica.caught_up or self._pending[ticket.call.key]:
+            return tickets.Wait(ticket.start_until_s)
+        refusal = self._refuse_claim()
+        if refusal is None:
+            self._claim(ticket)
+            return tickets.Wait(ticket.claim_until_s)
+        return refusal
+
+    def _claim(self, ticket: tickets.Ticket) -> None:
+        claim_s = self._limits.claim_time.total_seconds()
+        ticket.claim_until_s = self._clock.monotonic() + claim_s
+        ticket.claim_id = identity.new_id("clm")
+        self._own[ticket.claim_id] = _ClaimState.PENDING
+        self._pending[ticket.call.key] += 1
+        self._outbox.put(
+            entries.Claim(
+                ticket.claim_id, ticket.call, self._peer_id, self._incarnation
+            )
+        )
+
+    def _refuse_claim(self) -> outcome.Refusal | None:
+        log_usable = self._readable and not self._outbox.failing
+        if not log_usable or self._replica.blocked:
+            return refusals.cannot_claim()
+        if len(self._replica) >= self._limits.keys or self._outbox.full:
+            return refusals.cannot_claim(outcome.Reason.OVERLOADED)
+        return None
+
+    def _wait_for_log(self, ticket: tickets.Ticket) -> tickets.Decision:
+        """Waits until the claims read so far can be judged."""
+        if self._clock.monotonic() < ticket.start_until_s:
+            return tickets.Wait(ticket.start_until_s)
+        return self._give_up(
+            ticket,
+            refusals.cannot_claim(verdict=outcome.Verdict.MAY_HAVE_RUN),
+        )
+
+    def _wait_for_holder(
+        self, ticket: tickets.Ticket, held: fold.HeldKey
+    ) -> tickets.Decision:
+        """Waits for the run of another claim, as long as it can still end."""
+        state = self._ours(held)
+        if state is _ClaimState.VOID:
+            if self._clock.monotonic() < ticket.start_until_s:
+                return tickets.Wait(ticket.start_until_s)
+            return self._give_up(ticket, refusals.cannot_claim())
+        until_s = ticket.answer_until_s
+        if state is None:
+            age_s = self._clock.now().timestamp() - held.time_s
+            left_s = ticket.run_time.total_seconds() - age_s
+            if held.peer_id == self._peer_id:
+                left_s = 0.0
+            until_s = min(until_s, self._clock.monotonic() + left_s)
+        if self._clock.monotonic() < until_s:
+            return tickets.Wait(until_s)
+        self.abandon(ticket)
+        return refusals.may_have_run()
+
+    def _known(self, held: fold.HeldKey) -> tickets.Decision:
+        if held.verdict is not outcome.Verdict.RAN:
+            return refusals.may_have_run()
+        reply = self._answers.get(held.claim_id)
+        if reply is not None:
+            return tickets.Answer(reply)
+        if held.answer_offset >= 0:
+            return tickets.ReadAnswer(held.claim_id, held.answer_offset)
+        return refusals.answer_gone()
+
+    def _ours(self, held: fold.HeldKey) -> _ClaimState | None:
+        """Returns the state of a claim of this process, None for others.
+
+        A claim of this process that it has given up counts as void.
+        """
+        if held.incarnation != self._incarnation:
+            return None
+        return self._own.get(held.claim_id, _ClaimState.VOID)
+
+    def _give_up(
+        self, ticket: tickets.Ticket, refusal: outcome.Refusal
+    ) -> outcome.Refusal:
+        self.abandon(ticket)
+        return refusal
+
+    def _forget_pending(self, key: bytes) -> None:
+        self._pending[key] -= 1
+        if self._pending[key] <= 0:
+            del self._pending[key]
--- /dev/null
+++ b/hibiscusstile/claims/outbox.py
@@ -0,0 +1,166 @@
+"""Records on their way to the log, in bounded batches, one at a time."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import platform
+from hibiscusstile.claims import entries
+
+__all__ = ["Batch", "Outbox"]
+
+_MAX_RECORDS = 4096
+_BATCH_RECORDS = 128
+_BATCH_BYTES = 64 * 1024
+_RECORD_BYTES = 300
+# Ten batches a second from each sidecar of a service leave most of the log's
+# several hundred appends a second to everything else.
+_BATCH_INTERVAL = datetime.timedelta(milliseconds=100)
+_MIN_BACKOFF = datetime.timedelta(milliseconds=200)
+_MAX_BACKOFF = datetime.timedelta(seconds=2)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """The records of one append."""
+
+    records: tuple[entries.ClaimRecord, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class _Waiting:
+    record: entries.ClaimRecord
+    may_be_appended: bool = False
+
+
+class Outbox:
+    """Keeps each record until the log has it for certain.
+
+    A record whose append got no answer is appended again; the fold takes no
+    harm from duplicates.
+
+    Args:
+        clock: Paces appends.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._waiting: dict[tuple[type, str], _Waiting] = {}
+        self._next_append_s = clock.monotonic()
+        self._backoff_s = 0.0
+        self._in_flight: Batch | None = None
+
+    def __len__(self) -> int:
+        """Records that the log may not have."""
+        return len(self._waiting)
+
+    @property
+    def failing(self) -> bool:
+        """Whether the last append failed and the next try is not yet due."""
+        return (
+            self._backoff_s > 0.0
+            and self._clock.monotonic() < self._next_append_s
+        )
+
+    @property
+    def full(self) -> bool:
+        """Whether no new claim may be taken."""
+        return len(self._waiting) >= _MAX_RECORDS
+
+    @property
+    def next_append_s(self) -> float:
+        """Monotonic time of the next append, if there are records."""
+        return self._next_append_s
+
+    def put(self, record: entries.ClaimRecord) -> None:
+        """Takes a record; one that is known already is ignored."""
+        self._waiting.setdefault(_name(record), _Waiting(record))
+
+    def holds(self, claim_id: str) -> bool:
+        """Returns whether a claim is still on its way."""
+        return (entries.Claim, claim_id) in self._waiting
+
+    def withdraw(self, claim_id: str) -> bool:
+        """Drops a claim; returns whether the log may have or get it."""
+        waiting = self._waiting.pop((entries.Claim, claim_id), None)
+        if waiting is None or waiting.may_be_appended:
+            return True
+        in_flight = self._in_flight
+        return in_flight is not None and waiting.record in in_flight.records
+
+    def next_batch(self) -> Batch | None:
+        """Returns what to append now, None if nothing or not yet."""
+        if self._in_flight is not None or not self._waiting:
+            return None
+        if self._clock.monotonic() < self._next_append_s:
+            return None
+        records: list[entries.ClaimRecord] = []
+        size = 0
+        for waiting in self._waiting.values():
+            size += _size(waiting.record)
+            if records and size > _BATCH_BYTES:
+                break
+            records.append(waiting.record)
+            if len(records) >= _BATCH_RECORDS:
+                break
+        self._in_flight = Batch(tuple(records))
+        return self._in_flight
+
+    def note(
+        self,
+        batch: Batch,
+        result: platform.Appended
+        | platform.AppendRefused
+        | platform.AppendUnknown,
+    ) -> list[entries.Claim]:
+        """Takes the log's answer; returns claims that it never got."""
+        self._in_flight = None
+        now_s = self._clock.monotonic()
+        if isinstance(result, platform.Appended):
+            self._backoff_s = 0.0
+            self._next_append_s = now_s + _BATCH_INTERVAL.total_seconds()
+            for record in batch.records:
+                self._waiting.pop(_name(record), None)
+            return []
+        self._backoff_s = min(
+            max(2 * self._backoff_s, _MIN_BACKOFF.total_seconds()),
+            _MAX_BACKOFF.total_seconds(),
+        )
+        self._next_append_s = now_s + self._backoff_s
+        if isinstance(result, platform.AppendRefused):
+            return self._drop_unsent_claims(batch)
+        for record in batch.records:
+            if (waiting := self._waiting.get(_name(record))) is not None:
+                waiting.may_be_appended = True
+        return []
+
+    def note_seen(self, record: entries.ClaimRecord) -> None:
+        """Drops a record that was read back from the log."""
+        self._waiting.pop(_name(record), None)
+
+    def _drop_unsent_claims(self, batch: Batch) -> list[entries.Claim]:
+        dropped = []
+        for record in batch.records:
+            waiting = self._waiting.get(_name(record))
+            if waiting is None or waiting.may_be_appended:
+                continue
+            if isinstance(record, entries.Claim):
+                del self._waiting[_name(record)]
+                dropped.append(record)
+        return dropped
+
+
+def _name(record: entries.ClaimRecord) -> tuple[type, str]:
+    return type(record), record.claim_id
+
+
+def _size(record: entries.ClaimRecord) -> int:
+    if isinstance(record, entries.Completed) and record.reply is not None:
+        # Base64 adds a third, JSON escapes of the type a little.
+        reply = record.reply
+        return (
+            _RECORD_BYTES + len(reply.body) * 4 // 3 + len(reply.content_type)
+        )
+    return _RECORD_BYTES
--- /dev/null
+++ b/hibiscusstile/claims/replica.py
@@ -0,0 +1,131 @@
+"""A sidecar's copy of the folded claims stream, and how far it is read."""
+
+from __future__ import annotations
+
+import datetime
+import math
+from collections.abc import Iterator
+
+import logbook
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import platform
+from hibiscusstile.claims import encoding, entries, fold
+
+__all__ = ["ClaimReplica"]
+
+_log = logbook.Logger("claims")
+
+
+class ClaimReplica:
+    """Folds the stream page by page and notices what it has missed.
+
+    The log is required to keep entries for longer than a key's lifetime, so
+    entries that it has dropped say nothing of keys that are still remembered:
+    a sidecar that starts may begin with the first entry kept. A gap that
+    proves the contrary blocks new runs until whatever was lost has expired.
+
+    Args:
+        clock: Compared with log times to end a block.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._fold = fold.ClaimFold()
+        self._next_offset = 0
+        self._newest: datetime.datetime | None = None
+        self._gap_after: datetime.datetime | None = None
+        self._blocked_until_s = -math.inf
+        self._caught_up = False
+
+    def __len__(self) -> int:
+        """Keys and released claims that are remembered."""
+        return len(self._fold)
+
+    @property
+    def next_offset(self) -> int:
+        """Log offset to read from."""
+        return self._next_offset
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the stream was read to its end once."""
+        return self._caught_up
+
+    @property
+    def blocked(self) -> bool:
+        """Whether entries that still count are known to be lost."""
+        return self._clock.now().timestamp() < self._blocked_until_s
+
+    def get(self, key: bytes) -> fold.HeldKey | None:
+        """Returns the claim in force for a key, None if there is none."""
+        return self._fold.get(key)
+
+    def apply(self, page: platform.LogEntries) -> Iterator[entries.ClaimRecord]:
+        """Folds a page read from `next_offset`.
+
+        Yields:
+            Each record once it is folded.
+        """
+        if page.earliest > self._next_offset:
+            _log.warn(
+                "claims_entries_dropped from={} to={}",
+                self._next_offset,
+                page.earliest,
+            )
+            self._gap_after = self._newest
+            self._next_offset = page.earliest
+        for entry in page.entries:
+            if entry.offset == self._next_offset:
+                yield from self._fold_entry(entry)
+                self._next_offset += 1
+        self._check_end(page.end)
+
+    def _fold_entry(
+        self, entry: platform.LogEntry
+    ) -> Iterator[entries.ClaimRecord]:
+        self._fold.advance(entry.time)
+        self._check_gap(entry.time)
+        self._newest = entry.time
+        try:
+            records = encoding.decode(entry.payload)
+        except encoding.MalformedBatchError as error:
+            _log.warn(
+                "claims_entry_skipped offset={} error={}", entry.offset, error
+            )
+            return
+        for record in records:
+            self._fold_record(record, entry.offset)
+            yield record
+
+    def _fold_record(self, record: entries.ClaimRecord, offset: int) -> None:
+        match record:
+            case entries.Claim():
+                self._fold.claim(record)
+            case entries.Release():
+                self._fold.release(record)
+            case entries.Completed():
+                self._fold.complete(record, offset)
+
+    def _check_gap(self, time: datetime.datetime) -> None:
+        if self._gap_after is None:
+            return
+        if time - self._gap_after < fold.KEY_LIFETIME:
+            _log.error("claims_retention_too_short lost_before={}", time)
+            self._block(time)
+        self._gap_after = None
+
+    def _check_end(self, end: int) -> None:
+        if end < self._next_offset:
+            _log.error(
+                "claims_stream_shrank next_offset={} end={}",
+                self._next_offset,
+                end,
+            )
+            self._block(self._clock.now())
+        elif end == self._next_offset:
+            self._caught_up = True
+
+    def _block(self, time: datetime.datetime) -> None:
+        until = time + fold.KEY_LIFETIME
+        self._blocked_until_s = max(self._blocked_until_s, until.timestamp())
--- /dev/null
+++ b/hibiscusstile/claims/tickets.py
@@ -0,0 +1,64 @@
+"""A sender's call while a sidecar has it, and what its task does next."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+
+from hibiscusstile import outcome, request
+from hibiscusstile.claims import entries
+
+__all__ = ["Answer", "Decision", "ReadAnswer", "Start", "Ticket", "Wait"]
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class Ticket:
+    """One sender's keyed call.
+
+    Attributes:
+        call: The call's digests.
+        start_until_s: Monotonic time after which it must not start.
+        answer_until_s: Monotonic time at which waiting for the answer of
+            another sender's run ends.
+        run_time: How long a run of the application may take in all.
+        claim_until_s: Monotonic time at which a claim that the log does not
+            show is given up.
+        claim_id: The sender's own claim, empty before it has one.
+    """
+
+    call: entries.KeyedCall
+    start_until_s: float
+    answer_until_s: float
+    run_time: datetime.timedelta
+    claim_until_s: float = 0.0
+    claim_id: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Ask again once the key has changed, at `until_s` at the latest."""
+
+    until_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Start:
+    """This sender's claim is in force: it may run the call."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """Another sender's run has this answer."""
+
+    reply: request.ServiceReply
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadAnswer:
+    """The answer of `claim_id`'s run is in the log entry at `offset`."""
+
+    claim_id: str
+    offset: int
+
+
+Decision = Wait | Start | Answer | ReadAnswer | outcome.Refusal
--- a/hibiscusstile/entry/calls.py
+++ b/hibiscusstile/entry/calls.py
@@ -9,7 +9,14 @@
 import xxhash
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import identity, logs, outcome, rendezvous, request
+from hibiscusstile import (
+    identity,
+    logs,
+    outcome,
+    rendezvous,
+    request,
+    retrybudget,
+)
 from hibiscusstile.configuration import view as view_lib
 from hibiscusstile.entry import fleet as fleet_lib
 from hibiscusstile.entry import refusals
@@ -22,8 +29,17 @@
 _log = logbook.Logger("calls")
 
 _MAX_ATTEMPTS = 3
-_ANSWER_MARGIN = datetime.timedelta(seconds=2)
+# The sidecar may spend 2 s on a claim before the call's own time begins.
+_ANSWER_MARGIN = datetime.timedelta(seconds=5)
 _QUEUE_TIME = datetime.timedelta(seconds=5)
+# A sidecar tells every 0.5 s that it is at work on a call.
+_SILENCE = datetime.timedelta(milliseconds=1500)
+_FINAL_REASONS = (
+    outcome.Reason.KEY_CONFLICT,
+    outcome.Reason.LOG_UNAVAILABLE,
+    outcome.Reason.EXPIRED,
+    outcome.Reason.NOT_FOUND,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,6 +67,11 @@
         """Whether the call may run more than once."""
         return self.call.method in self.application.idempotent_methods
 
+    @property
+    def keyed(self) -> bool:
+        """Whether a ledger keeps the call from running twice."""
+        return self.call.idempotency_key is not None
+
     @property
     def routing_key(self) -> int:
         """Retries with the same key go to the same sidecar first."""
@@ -59,15 +80,26 @@
 
 
 class Calls:
-    """Routes calls and repeats only what certainly has not run.
+    """Routes calls and repeats only what cannot run twice by it.
+
+    A keyed call whose sidecar is lost may be asked for at another sidecar:
+    the ledger there runs it only if the lost one never will. An unkeyed call
+    is repeated after `not_run`, or if its method is idempotent.
 
     Args:
         fleet: The links.
+        budget: Limits retries.
         clock: Measures deadlines.
     """
 
-    def __init__(self, fleet: fleet_lib.Fleet, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self,
+        fleet: fleet_lib.Fleet,
+        budget: retrybudget.RetryBudget,
+        clock: clock_lib.Clock,
+    ) -> None:
         self._fleet = fleet
+        self._budget = budget
         self._clock = clock
 
     async def run(self, work: CallWork) -> messages.CallReply:
@@ -78,23 +110,28 @@
         """
         names = [v.runner for v in self._fleet.servers(work.call.application)]
         order = rendezvous.top_nodes(work.routing_key, names, _MAX_ATTEMPTS)
-        refusal = outcome.Refusal(
-            outcome.Reason.NO_BACKEND,
-            f"no backend server serves {work.call.application!r} now",
-            retry_after=datetime.timedelta(seconds=1),
-        )
-        for server in order:
+        if not order:
+            raise outcome.Refused(_no_backend(work))
+        self._budget.note_first()
+        may_have_run = False
+        for number, server in enumerate(order, 1):
             try:
                 reply = await self._attempt(work, server)
             except outcome.Refused as refused:
                 refusal = refused.refusal
-                self._log(work, server, refusal.reason.value)
-                if not _may_repeat(work, refusal):
-                    raise
             else:
                 self._log(work, server, "answered")
                 return reply
-        raise outcome.Refused(refusal)
+            self._log(work, server, refusal.reason.value)
+            if refusal.verdict is not outcome.Verdict.NOT_RUN:
+                may_have_run = True
+            if (
+                number == len(order)
+                or not _may_repeat(work, refusal)
+                or not self._budget.take(refusal)
+            ):
+                break
+        raise outcome.Refused(_combined(refusal, may_have_run))
 
     async def _attempt(self, work: CallWork, server: str) -> messages.CallReply:
         link = self._fleet.link(server)
@@ -102,7 +139,6 @@
             raise outcome.Refused(refusals.peer_lost(outcome.Verdict.NOT_RUN))
         attempt_id = identity.new_id("att")
         channel = link.open_channel(attempt_id)
-        limit = work.application.call_timeout + _QUEUE_TIME + _ANSWER_MARGIN
         try:
             await link.send(
                 messages.Call(
@@ -114,7 +150,7 @@
                     _QUEUE_TIME.total_seconds(),
                 )
             )
-            message = await channel.receive(limit.total_seconds())
+            message = await self._receive(work, channel)
         except (
             connection_lib.ConnectionLost,
             client_lib.ChannelLost,
@@ -131,6 +167,25 @@
             raise outcome.Refused(refusals.refusal_of(message))
         raise outcome.Refused(refusals.peer_lost(outcome.Verdict.MAY_HAVE_RUN))
 
+    async def _receive(
+        self, work: CallWork, channel: client_lib.AttemptChannel
+    ) -> messages.PeerMessage:
+        """Returns the first message that is no sign of life.
+
+        A sidecar that falls silent is given up early when another one can be
+        asked; otherwise its answer is worth the whole wait.
+        """
+        limit = work.application.call_timeout + _QUEUE_TIME + _ANSWER_MARGIN
+        silence = _SILENCE if work.repeatable or work.keyed else limit
+        until_s = self._clock.monotonic() + limit.total_seconds()
+        while True:
+            left_s = until_s - self._clock.monotonic()
+            message = await channel.receive(
+                min(left_s, silence.total_seconds())
+            )
+            if not isinstance(message, messages.Progress):
+                return message
+
     def _log(self, work: CallWork, server: str, reason: str) -> None:
         _log.info(
             logs.decision_line(
@@ -147,6 +202,32 @@
 
 
 def _may_repeat(work: CallWork, refusal: outcome.Refusal) -> bool:
+    if refusal.reason in _FINAL_REASONS:
+        return False
     if refusal.verdict is outcome.Verdict.NOT_RUN:
         return True
-    return work.repeatable and refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+    if refusal.verdict is outcome.Verdict.RAN:
+        return False
+    if work.keyed:
+        return refusal.reason is outcome.Reason.PEER_LOST
+    return work.repeatable
+
+
+def _combined(refusal: outcome.Refusal, may_have_run: bool) -> outcome.Refusal:
+    """Returns the last refusal with a verdict that holds for all attempts.
+
+    What a second sidecar knows to be `not_run` may still run at the first.
+    """
+    if may_have_run and refusal.verdict is outcome.Verdict.NOT_RUN:
+        return dataclasses.replace(
+            refusal, verdict=outcome.Verdict.MAY_HAVE_RUN
+        )
+    return refusal
+
+
+def _no_backend(work: CallWork) -> outcome.Refusal:
+    return outcome.Refusal(
+        outcome.Reason.NO_BACKEND,
+        f"no backend server serves {work.call.application!r} now",
+        retry_after=datetime.timedelta(seconds=1),
+    )
--- /dev/null
+++ b/hibiscusstile/retrybudget.py
@@ -0,0 +1,63 @@
+"""Limits the load that retries add."""
+
+from __future__ import annotations
+
+from hibiscusstile import outcome
+
+__all__ = ["RetryBudget"]
+
+_SHARE = 0.1
+_INITIAL_TOKENS = 10.0
+_MAX_TOKENS = 50.0
+# Left for streams that a caller is already reading: cutting one wastes the
+# work that was done for it.
+_STARTED_TOKENS = 5.0
+_REDIRECTS = (outcome.Reason.LEAVING, outcome.Reason.STALE_REVISION)
+
+
+class RetryBudget:
+    """Token bucket that first attempts fill and retries empty.
+
+    Over any time, retries are at most a tenth of the first attempts plus the
+    initial tokens. A request that a leaving or newer sidecar turned away
+    costs no token: nothing was done for it, and a planned stop that returns
+    its whole queue at once must not fail any request.
+    """
+
+    def __init__(self) -> None:
+        self._tokens = _INITIAL_TOKENS
+        self._denied = 0
+
+    @property
+    def tokens(self) -> float:
+        """Retries that are left now."""
+        return self._tokens
+
+    @property
+    def denied(self) -> int:
+        """Retries denied since the start."""
+        return self._denied
+
+    def note_first(self) -> None:
+        """Counts a request's first attempt."""
+        self._tokens = min(_MAX_TOKENS, self._tokens + _SHARE)
+
+    def take(self, refusal: outcome.Refusal, *, started: bool = False) -> bool:
+        """Returns whether a request may be tried again, and counts it.
+
+        Args:
+            refusal: How the attempt before ended.
+            started: Whether the caller has part of the answer.
+        """
+        if (
+            refusal.verdict is outcome.Verdict.NOT_RUN
+            and refusal.reason in _REDIRECTS
+        ):
+            return True
+        floor = 0.0 if started else _STARTED_TOKENS
+        # Ten times 0.1 is less than 1 in binary fractions.
+        if self._tokens - floor < 1.0 - 1e-6:
+            self._denied += 1
+            return False
+        self._tokens -= 1.0
+        return True
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -12,6 +12,7 @@
     identity,
     operators,
     platform,
+    retrybudget,
     roles,
     settings,
     supervisor,
@@ -67,11 +68,12 @@
             clock,
         )
         router = routing.Router(self._fleet, self._store)
+        budget = retrybudget.RetryBudget()
         self._front = front.Front(
             config.limits,
             self._store,
             relay.Relay(self._fleet, router, clock),
-            calls.Calls(self._fleet, clock),
+            calls.Calls(self._fleet, budget, clock),
             lambda: not self._leaving and self._store.revision >= 0,
             clock,
         )
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -20,11 +20,19 @@
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
+from hibiscusstile.claims import ledger as ledger_lib
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import handshake, messages
 from hibiscusstile.peers import server as server_lib
-from hibiscusstile.sidecar import cachefeed, executor, service, turns
+from hibiscusstile.sidecar import (
+    cachefeed,
+    calls,
+    executor,
+    ledger,
+    service,
+    turns,
+)
 
 __all__ = ["SidecarRole"]
 
@@ -70,10 +78,21 @@
             self._store,
             clock,
         )
+        self._ledger = self._open_ledger()
+        self._calls = calls.CallRunner(
+            self._attempts,
+            self._backend,
+            config.backend.application,
+            self._turns,
+            self._store,
+            self._ledger,
+            clock,
+        )
         self._service = service.SidecarService(
             self._info,
             self._store,
             self._executor,
+            self._calls,
             self._turns,
             self._view,
             config.queue.prefill_tokens_per_s,
@@ -120,10 +139,14 @@
             ("attempts", self._attempts.run),
             ("turns", self._turns.run),
             ("executor", self._executor.run),
+            ("calls", self._calls.run),
             ("engine", self._run_engine),
             ("peers", self._server.run),
             ("operators", self._operators.run),
         ]
+        if self._ledger is not None:
+            specs.insert(1, ("claims_follower", self._ledger.follow))
+            specs.insert(2, ("claims_appender", self._ledger.append))
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
 
@@ -145,7 +168,7 @@
         limit_s = (
             self._clock.monotonic() + self._config.stop.deadline.total_seconds()
         )
-        while self._executor.active and self._clock.monotonic() < limit_s:
+        while self._active and self._clock.monotonic() < limit_s:
             await self._clock.sleep(_DRAIN_POLL)
 
     async def close(self) -> None:
@@ -153,6 +176,24 @@
         await self._backend.close()
         await self._log.close()
 
+    @property
+    def _active(self) -> int:
+        return self._executor.active + self._calls.active
+
+    def _open_ledger(self) -> ledger.LedgerTasks | None:
+        application = self._config.backend.application
+        if not application:
+            return None
+        decisions = ledger_lib.Ledger(
+            self._config.peer_id,
+            self._incarnation,
+            self._clock,
+            ledger_lib.LedgerLimits(),
+        )
+        return ledger.LedgerTasks(
+            self._log, ledger.claims_stream(application), decisions, self._clock
+        )
+
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
--- /dev/null
+++ b/hibiscusstile/sidecar/calls.py
@@ -0,0 +1,252 @@
+"""Runs plain-service calls, keyed ones at most once, one task each."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+import datetime
+
+from hibiscusstile import backends, outcome, request, supervisor
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.claims import entries, tickets
+from hibiscusstile.configuration import store as store_lib
+from hibiscusstile.configuration import view as view_lib
+from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.peers import messages
+from hibiscusstile.sidecar import executor
+from hibiscusstile.sidecar import ledger as ledger_tasks
+from hibiscusstile.sidecar import turns as turns_lib
+
+__all__ = ["CallRunner"]
+
+_PROGRESS_INTERVAL = datetime.timedelta(milliseconds=500)
+_RUN_MARGIN = datetime.timedelta(seconds=3)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    connection: connection_lib.PeerConnection
+    call: messages.Call
+
+
+class CallRunner:
+    """Owns the plain-service calls of a sidecar.
+
+    Args:
+        tasks: Supervisor that owns the calls' tasks.
+        backend: The service; an engine refuses all calls.
+        application: The application that the service is of, empty for none.
+        turns: The admission queue's turns.
+        store: The configuration in force.
+        ledger: Decides who runs a key; None without an application.
+        clock: Measures time.
+    """
+
+    def __init__(
+        self,
+        tasks: supervisor.Supervisor,
+        backend: backends.Backend,
+        application: str,
+        turns: turns_lib.Turns,
+        store: store_lib.ConfigurationStore,
+        ledger: ledger_tasks.LedgerTasks | None,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._tasks = tasks
+        self._backend = backend
+        self._application = application
+        self._turns = turns
+        self._store = store
+        self._ledger = ledger
+        self._clock = clock
+        self._running: dict[str, _Running] = {}
+
+    @property
+    def active(self) -> int:
+        """Calls that have not ended, and records not yet in the log."""
+        unsaved = self._ledger.unsaved if self._ledger is not None else 0
+        return len(self._running) + unsaved
+
+    def start(
+        self,
+        connection: connection_lib.PeerConnection,
+        call: messages.Call,
+    ) -> None:
+        """Starts a call; one that is known already is ignored."""
+        if call.attempt_id in self._running:
+            return
+        running = _Running(connection, call)
+        self._running[call.attempt_id] = running
+        self._tasks.add(
+            supervisor.ChildSpec(
+                call.attempt_id,
+                lambda: self._run(running),
+                supervisor.Restart.TEMPORARY,
+            )
+        )
+
+    async def run(self) -> None:
+        """Tells the entries that their calls are alive, until cancelled."""
+        while True:
+            await self._clock.sleep(_PROGRESS_INTERVAL)
+            for attempt_id, running in list(self._running.items()):
+                with contextlib.suppress(connection_lib.ConnectionLost):
+                    await running.connection.send(messages.Progress(attempt_id))
+
+    async def _run(self, running: _Running) -> None:
+        call = running.call
+        answer: messages.PeerMessage
+        try:
+            answer = await self._answer(call)
+        except outcome.Refused as refused:
+            answer = executor.failed_message(call.attempt_id, refused.refusal)
+        finally:
+            del self._running[call.attempt_id]
+        with contextlib.suppress(connection_lib.ConnectionLost):
+            await running.connection.send(answer)
+
+    async def _answer(self, call: messages.Call) -> messages.CallReply:
+        application = self._store.view.applications.get(call.call.application)
+        if call.call.application != self._application:
+            raise outcome.Refused(_not_served(call))
+        if application is None:
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.NOT_FOUND,
+                    f"application {call.call.application!r} is not configured",
+                )
+            )
+        if call.call.idempotency_key is not None:
+            return await self._answer_keyed(call, application)
+        deadline_s = self._clock.monotonic() + call.deadline_s
+        await self._turns.wait(_work_item(call), deadline_s)
+        try:
+            reply = await self._send(call, application)
+        finally:
+            self._turns.finish(call.attempt_id, 1)
+        return messages.CallReply(call.attempt_id, reply)
+
+    async def _answer_keyed(
+        self, call: messages.Call, application: view_lib.Application
+    ) -> messages.CallReply:
+        """Runs a keyed call, or answers as the run of its key was answered."""
+        tasks = self._open_ledger(call)
+        keyed = entries.keyed_call(call.workspace, call.call)
+        if not tasks.ledger.knows(keyed.key):
+            refusal = self._turns.queue.check(_work_item(call))
+            if refusal is not None:
+                raise outcome.Refused(refusal)
+        wait_time = datetime.timedelta(seconds=call.deadline_s)
+        ticket = tasks.ledger.open(
+            keyed, wait_time, application.call_timeout + wait_time + _RUN_MARGIN
+        )
+        try:
+            while True:
+                decision = tasks.ledger.decide(ticket)
+                tasks.notify()
+                match decision:
+                    case tickets.Wait():
+                        await tasks.wait(keyed.key, decision.until_s)
+                    case tickets.Start():
+                        reply = await self._run_claim(call, application, ticket)
+                        return messages.CallReply(call.attempt_id, reply)
+                    case tickets.Answer():
+                        return messages.CallReply(
+                            call.attempt_id, decision.reply, replayed=True
+                        )
+                    case tickets.ReadAnswer():
+                        reply = await self._read_answer(tasks, decision)
+                        return messages.CallReply(
+                            call.attempt_id, reply, replayed=True
+                        )
+                    case outcome.Refusal():
+                        raise outcome.Refused(decision)
+        finally:
+            tasks.ledger.abandon(ticket)
+            tasks.notify()
+
+    async def _run_claim(
+        self,
+        call: messages.Call,
+        application: view_lib.Application,
+        ticket: tickets.Ticket,
+    ) -> request.ServiceReply:
+        tasks = self._open_ledger(call)
+        await self._turns.wait(_work_item(call), ticket.start_until_s)
+        verdict = outcome.Verdict.MAY_HAVE_RUN
+        reply = None
+        try:
+            refusal = tasks.ledger.start(ticket)
+            if refusal is not None:
+                raise outcome.Refused(refusal)
+            reply = await self._send(call, application)
+            verdict = outcome.Verdict.RAN
+        except outcome.Refused as refused:
+            verdict = refused.refusal.verdict
+            raise
+        finally:
+            if verdict is outcome.Verdict.NOT_RUN:
+                tasks.ledger.note_unsent(ticket)
+            else:
+                tasks.ledger.finish(ticket, verdict, reply)
+            tasks.notify()
+            self._turns.finish(call.attempt_id, 1)
+        return reply
+
+    async def _send(
+        self, call: messages.Call, application: view_lib.Application
+    ) -> request.ServiceReply:
+        if not isinstance(self._backend, backends.ServiceBackend):
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.NO_BACKEND,
+                    "no plain service runs beside this sidecar",
+                )
+            )
+        return await self._backend.call(
+            call.call, timeout_s=application.call_timeout.total_seconds()
+        )
+
+    async def _read_answer(
+        self,
+        tasks: ledger_tasks.LedgerTasks,
+        decision: tickets.ReadAnswer,
+    ) -> request.ServiceReply:
+        reply = await tasks.read_answer(decision.claim_id, decision.offset)
+        if reply is None:
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.LOG_UNAVAILABLE,
+                    "an earlier call with this Idempotency-Key ran; "
+                    "its answer cannot be read now",
+                    outcome.Verdict.RAN,
+                    datetime.timedelta(seconds=1),
+                )
+            )
+        return reply
+
+    def _open_ledger(self, call: messages.Call) -> ledger_tasks.LedgerTasks:
+        if self._ledger is None:
+            raise outcome.Refused(_not_served(call))
+        return self._ledger
+
+
+def _not_served(call: messages.Call) -> outcome.Refusal:
+    return outcome.Refusal(
+        outcome.Reason.NO_BACKEND,
+        f"this sidecar does not serve {call.call.application!r}",
+    )
+
+
+def _work_item(call: messages.Call) -> request.WorkItem:
+    return request.WorkItem(
+        call.attempt_id,
+        call.workspace,
+        call.caller,
+        call.rank,
+        model="",
+        adapter="",
+        levels=(),
+        prompt_tokens=1,
+        max_tokens=0,
+    )
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import datetime
 
@@ -15,7 +14,6 @@
     identity,
     logs,
     outcome,
-    request,
     supervisor,
 )
 from hibiscusstile import clock as clock_lib
@@ -25,7 +23,7 @@
 from hibiscusstile.sidecar import attempt as attempt_lib
 from hibiscusstile.sidecar import turns as turns_lib
 
-__all__ = ["Executor"]
+__all__ = ["Executor", "failed_message"]
 
 _log = logbook.Logger("sidecar")
 
@@ -95,20 +93,6 @@
             )
         )
 
-    def start_call(
-        self,
-        connection: connection_lib.PeerConnection,
-        call: messages.Call,
-    ) -> None:
-        """Starts a plain-service call."""
-        self._tasks.add(
-            supervisor.ChildSpec(
-                call.attempt_id,
-                lambda: self._run_call(connection, call),
-                supervisor.Restart.TEMPORARY,
-            )
-        )
-
     async def resume(
         self,
         connection: connection_lib.PeerConnection,
@@ -228,16 +212,6 @@
             )
         )
 
-    def _service(self) -> backends.ServiceBackend:
-        if isinstance(self._backend, backends.ServiceBackend):
-            return self._backend
-        raise outcome.Refused(
-            outcome.Refusal(
-                outcome.Reason.NO_BACKEND,
-                "no plain service runs beside this sidecar",
-            )
-        )
-
     async def _cancel_at_engine(self, attempt_id: str) -> None:
         await self._engine().cancel(attempt_id)
 
@@ -265,50 +239,6 @@
             )
         )
 
-    async def _call(self, call: messages.Call) -> request.ServiceReply:
-        service = self._service()
-        application = self._store.view.applications.get(call.call.application)
-        if application is None:
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.NOT_FOUND,
-                    f"application {call.call.application!r} is not configured",
-                )
-            )
-        work = request.WorkItem(
-            call.attempt_id,
-            call.workspace,
-            call.caller,
-            call.rank,
-            model="",
-            adapter="",
-            levels=(),
-            prompt_tokens=1,
-            max_tokens=0,
-        )
-        await self._turns.wait(work, self._clock.monotonic() + call.deadline_s)
-        try:
-            return await service.call(
-                call.call, timeout_s=application.call_timeout.total_seconds()
-            )
-        finally:
-            self._turns.finish(work.work_id, 1)
-
-    async def _run_call(
-        self,
-        connection: connection_lib.PeerConnection,
-        call: messages.Call,
-    ) -> None:
-        try:
-            reply = await self._call(call)
-            answer: messages.PeerMessage = messages.CallReply(
-                call.attempt_id, reply
-            )
-        except outcome.Refused as refused:
-            answer = failed_message(call.attempt_id, refused.refusal)
-        with contextlib.suppress(connection_lib.ConnectionLost):
-            await connection.send(answer)
-
 
 def failed_message(
     attempt_id: str, refusal: outcome.Refusal
--- /dev/null
+++ b/hibiscusstile/sidecar/ledger.py
@@ -0,0 +1,162 @@
+"""Tasks that join a sidecar's ledger with the claims stream of the log."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import datetime
+
+import logbook
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import platform, request
+from hibiscusstile.claims import encoding, entries, outbox
+from hibiscusstile.claims import ledger as ledger_lib
+
+__all__ = ["LedgerTasks", "claims_stream"]
+
+_log = logbook.Logger("claims")
+
+_POLL_WAIT = datetime.timedelta(seconds=20)
+_READ_RETRY = datetime.timedelta(milliseconds=500)
+# An entry is at most 64 KiB, a little more in base64, so a page stays under
+# 9 MB.
+_PAGE_ENTRIES = 100
+
+
+def claims_stream(application: str) -> str:
+    """Returns the name of an application's claims stream."""
+    return f"claims.{application}"
+
+
+class LedgerTasks:
+    """Reads the stream, appends batches, and wakes the calls that wait.
+
+    Args:
+        log: The log service.
+        stream: The claims stream's name.
+        ledger: The decisions.
+        clock: Paces appends and retries.
+    """
+
+    def __init__(
+        self,
+        log: platform.LogClient,
+        stream: str,
+        ledger: ledger_lib.Ledger,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._platform_log = log
+        self._stream = stream
+        self._ledger = ledger
+        self._clock = clock
+        self._waiters: collections.defaultdict[bytes, set[asyncio.Event]] = (
+            collections.defaultdict(set)
+        )
+        self._work = asyncio.Event()
+
+    @property
+    def ledger(self) -> ledger_lib.Ledger:
+        """The decisions."""
+        return self._ledger
+
+    @property
+    def unsaved(self) -> int:
+        """Records that the log may not have."""
+        return len(self._ledger.outbox)
+
+    async def follow(self) -> None:
+        """Reads the stream in order until cancelled."""
+        wait = datetime.timedelta(0)
+        while True:
+            page = await self._platform_log.read(
+                self._stream,
+                self._ledger.next_offset,
+                limit=_PAGE_ENTRIES,
+                wait=wait,
+            )
+            if isinstance(page, platform.LogUnavailable):
+                wait = datetime.timedelta(0)
+                _log.warn("log_unavailable reason={}", page.message)
+                self._ledger.note_unreadable()
+                await self._clock.sleep(_READ_RETRY)
+                continue
+            wait = _POLL_WAIT
+            caught_up = self._ledger.caught_up
+            self._ledger.apply(page)
+            if self._ledger.caught_up and not caught_up:
+                self._wake_all()
+            self.notify()
+
+    async def append(self) -> None:
+        """Appends batches, one at a time, until cancelled."""
+        while True:
+            self._work.clear()
+            batch = self._ledger.outbox.next_batch()
+            if batch is not None:
+                await self._append(batch)
+            elif self.unsaved:
+                due_s = self._ledger.outbox.next_append_s
+                wait_s = max(0.001, due_s - self._clock.monotonic())
+                await self._clock.sleep(datetime.timedelta(seconds=wait_s))
+            else:
+                await self._work.wait()
+
+    async def wait(self, key: bytes, until_s: float) -> None:
+        """Waits until a key changes or a monotonic time has come."""
+        changed = asyncio.Event()
+        self._waiters[key].add(changed)
+        try:
+            async with asyncio.timeout(until_s - self._clock.monotonic()):
+                await changed.wait()
+        except TimeoutError:
+            return
+        finally:
+            self._waiters[key].discard(changed)
+            if not self._waiters[key]:
+                del self._waiters[key]
+
+    def notify(self) -> None:
+        """Wakes whoever waits for something that the ledger has changed."""
+        for key in self._ledger.take_changed():
+            for changed in self._waiters.get(key, ()):
+                changed.set()
+        if self.unsaved:
+            self._work.set()
+
+    async def read_answer(
+        self, claim_id: str, offset: int
+    ) -> request.ServiceReply | None:
+        """Returns an answer kept in the log, None when it cannot be read."""
+        page = await self._platform_log.read(self._stream, offset, limit=1)
+        if isinstance(page, platform.LogUnavailable):
+            return None
+        for entry in page.entries:
+            if entry.offset != offset:
+                continue
+            for record in encoding.decode(entry.payload):
+                if (
+                    isinstance(record, entries.Completed)
+                    and record.claim_id == claim_id
+                ):
+                    return record.reply
+        return None
+
+    async def _append(self, batch: outbox.Batch) -> None:
+        result: (
+            platform.Appended | platform.AppendRefused | platform.AppendUnknown
+        ) = platform.AppendUnknown("the append was cancelled")
+        try:
+            result = await self._platform_log.append(
+                self._stream, encoding.encode(batch.records)
+            )
+        finally:
+            self._ledger.note_append(batch, result)
+            self.notify()
+        if not isinstance(result, platform.Appended):
+            _log.warn("claims_append_failed reason={}", result.message)
+
+    def _wake_all(self) -> None:
+        for waiters in self._waiters.values():
+            for changed in waiters:
+                changed.set()
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -8,6 +8,7 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import codec, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
 from hibiscusstile.sidecar import turns as turns_lib
 
@@ -21,6 +22,7 @@
         info: Returns what the sidecar says of itself.
         store: The configuration in force.
         executor: Runs attempts.
+        calls: Runs plain-service calls.
         turns: The admission queue's turns.
         view: What the engine holds in cache.
         prefill_tokens_per_s: The engine's speed.
@@ -31,6 +33,7 @@
         info: Callable[[], messages.PeerInfo],
         store: store_lib.ConfigurationStore,
         executor: executor_lib.Executor,
+        calls: calls_lib.CallRunner,
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
         prefill_tokens_per_s: float,
@@ -38,6 +41,7 @@
         self._info = info
         self._store = store
         self._executor = executor
+        self._calls = calls
         self._turns = turns
         self._view = view
         self._prefill_tokens_per_s = prefill_tokens_per_s
@@ -127,7 +131,7 @@
     ) -> None:
         refusal = self._refusal(revision)
         if refusal is None:
-            self._executor.start_call(connection, call)
+            self._calls.start(connection, call)
             return
         await connection.send(
             executor_lib.failed_message(call.attempt_id, refusal)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -6,9 +6,17 @@
 from typing import Any
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import request
+from hibiscusstile import platform, request
 
-__all__ = ["ManualClock", "chat_messages", "record", "work_item"]
+__all__ = [
+    "ManualClock",
+    "StreamLog",
+    "chat_messages",
+    "record",
+    "service_call",
+    "service_reply",
+    "work_item",
+]
 
 
 class ManualClock(clock_lib.Clock):
@@ -70,3 +78,48 @@
         {"role": "system", "content": "You grade carob pods. " * 50},
         {"role": "user", "content": question},
     ]
+
+
+class StreamLog:
+    """One stream of the log service in memory, with outages and retention."""
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._entries: list[platform.LogEntry] = []
+        self._end = 0
+        self.down = False
+
+    def append(self, payload: bytes) -> int:
+        """Appends an entry and returns its offset."""
+        self._entries.append(
+            platform.LogEntry(self._end, self._clock.now(), payload)
+        )
+        self._end += 1
+        return self._end - 1
+
+    def read(self, offset: int, limit: int = 500) -> platform.LogEntries:
+        """Returns entries from `offset` on."""
+        kept = [e for e in self._entries if e.offset >= offset][:limit]
+        earliest = self._entries[0].offset if self._entries else self._end
+        return platform.LogEntries(tuple(kept), earliest, self._end)
+
+    def drop_older_than(self, age: datetime.timedelta) -> None:
+        """Applies a retention period."""
+        limit = self._clock.now() - age
+        self._entries = [e for e in self._entries if e.time > limit]
+
+
+def service_call(
+    key: str | None = "k1", *, body: bytes = b"5", method: str = "POST"
+) -> request.ServiceCall:
+    """Returns a payment, keyed unless `key` is None."""
+    return request.ServiceCall(
+        "accounts", method, "payments", "", "application/json", body, key
+    )
+
+
+def service_reply(receipt: int, size: int = 0) -> request.ServiceReply:
+    """Returns a receipt, padded by `size` bytes."""
+    return request.ServiceReply(
+        201, "application/json", b"%d" % receipt + b" " * size
+    )
