--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -15,6 +15,7 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import codec, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
 
 __all__ = ["SidecarService"]
@@ -33,6 +34,7 @@
         info: Returns what the sidecar says of itself.
         store: The configuration in force.
         executor: Runs attempts.
+        calls: Runs plain-service calls.
         bidder: Values requests for bids.
         known_peers: Returns the sidecars that this one knows.
         fetches: Paces fetches of a newer configuration.
@@ -43,6 +45,7 @@
         info: Callable[[], messages.PeerInfo],
         store: store_lib.ConfigurationStore,
         executor: executor_lib.Executor,
+        calls: calls_lib.CallRunner,
         bidder: bidder_lib.Bidder,
         known_peers: Callable[[], tuple[messages.PeerAddress, ...]],
         fetches: fetching.FetchPacer,
@@ -50,6 +53,7 @@
         self._info = info
         self._store = store
         self._executor = executor
+        self._calls = calls
         self._bidder = bidder
         self._known_peers = known_peers
         self._fetches = fetches
@@ -153,7 +157,7 @@
     ) -> None:
         refusal = self._refusal(revision)
         if refusal is None:
-            self._executor.start_call(connection, call)
+            self._calls.start(connection, call)
             return
         await connection.send(
             executor_lib.failed_message(call.attempt_id, refusal)
