Weigh wasted recomputation and prefer a prefix's first home

Cause: with true waits, work moved to a runner drawn by load whenever its first token came a little sooner there. The prefix was computed where no later request looks for it, and each such copy delayed other requests. Change: a second of prefill counts again by a weight, higher for routine work than for urgent work. What every bidder would have to compute does not count at the first home, so a new prefix is computed where it is found again. The home of the outer level is no longer asked. The candidate by load is the best of four. Options: recompute_weights, homes, by_load.

--- a/hibiscusstile/options.py
+++ b/hibiscusstile/options.py
@@ -12,6 +12,7 @@
     "get_choice",
     "get_duration",
     "get_float",
+    "get_float_by_name",
     "get_int",
 ]
 
@@ -72,6 +73,28 @@
     return float(value)
 
 
+def get_float_by_name(
+    options: Mapping[str, Any],
+    name: str,
+    default: Mapping[str, float],
+    *,
+    least: float | None = None,
+    most: float | None = None,
+) -> dict[str, float]:
+    """Returns a mapping to numbers within [least, most].
+
+    Raises:
+        OptionError: The value is no mapping, or a number is out of range.
+    """
+    value = options.get(name, default)
+    if not isinstance(value, Mapping):
+        raise OptionError(f"option {name!r} must be a mapping")
+    return {
+        str(key): get_float({name: number}, name, 0.0, least=least, most=most)
+        for key, number in value.items()
+    }
+
+
 def get_duration(
     options: Mapping[str, Any], name: str, default: datetime.timedelta
 ) -> datetime.timedelta:
--- a/hibiscusstile/policies/bidding.py
+++ b/hibiscusstile/policies/bidding.py
@@ -13,18 +13,22 @@
 __all__ = ["Bidding"]
 
 _DEFAULT_HOMES = 2
-_DEFAULT_BY_LOAD = 2
+_DEFAULT_BY_LOAD = 4
+_DEFAULT_WEIGHTS = {"urgent": 1.0, "routine": 5.0}
+_OTHER_RANKS_WEIGHT = 2.0
 
 
 @policies.policies.register()
 class Bidding(policies.Policy):
-    """Candidates by rendezvous hashing on prefix levels, plus one by load.
+    """Candidates by rendezvous hashing on a prefix level, plus one by load.
 
     The whole prompt is never shared, so it is not hashed: the innermost
-    level before it has `homes` candidates, the next outer one has one.
+    level before it has `homes` candidates, of which the first is preferred.
 
-    Options: `homes` (1 to 8) and `by_load` (1 to 8), how many runners are
-    compared for the candidate by load.
+    Options: `homes` (1 to 8); `by_load` (1 to 8), how many runners are
+    compared for the candidate by load; `recompute_weights`, by rank (0 to
+    20), how much a second of recomputation counts beyond the request's own
+    delay: more for work that can wait.
     """
 
     name = "bidding"
@@ -39,6 +43,9 @@
         self._by_load = options_lib.get_int(
             options, "by_load", _DEFAULT_BY_LOAD, least=1, most=8
         )
+        self._weights = options_lib.get_float_by_name(
+            options, "recompute_weights", _DEFAULT_WEIGHTS, least=0.0, most=20.0
+        )
 
     def candidates(
         self,
@@ -47,30 +54,33 @@
     ) -> list[policies.RunnerView]:
         """Returns the homes of the prefix and one runner by load."""
         by_name = {view.runner: view for view in fleet}
-        names = self._homes_of(work, by_name)
-        if len(work.levels) > 2:
-            names += rendezvous.top_nodes(work.levels[-3].digest, by_name, 1)
+        names = _homes(work, by_name, self._homes)
         names += self._least_loaded(work, by_name)
         return [by_name[name] for name in dict.fromkeys(names)]
 
     def choose(
         self, work: request.WorkItem, bids: Sequence[policies.Bid]
     ) -> policies.Choice | None:
-        """Returns the runner where the first token is expected soonest."""
-        able = [bid for bid in bids if bid.refusal is None]
+        """Returns the runner with the soonest first token and least waste."""
+        able = {bid.runner: bid for bid in bids if bid.refusal is None}
         if not able:
             return None
-        best = min(able, key=lambda bid: (bid.first_token_s, bid.runner))
+        preferred = _homes(work, able, 1)
+        least_prefill_s = min(bid.prefill_s for bid in able.values())
+        weight = self._weights.get(work.rank, _OTHER_RANKS_WEIGHT)
+
+        def cost_s(bid: policies.Bid) -> float:
+            # Recomputed tokens delay other requests too. What no bidder has
+            # is computed in any case, but it is found again only where the
+            # next request for it looks first.
+            wasted_s = bid.prefill_s
+            if bid.runner in preferred:
+                wasted_s -= least_prefill_s
+            return bid.first_token_s + weight * wasted_s
+
+        best = min(able.values(), key=lambda bid: (cost_s(bid), bid.runner))
         return policies.Choice(best.runner, "soonest_first_token")
 
-    def _homes_of(
-        self, work: request.WorkItem, names: Collection[str]
-    ) -> list[str]:
-        shared = work.levels[:-1] or work.levels
-        if not shared:
-            return []
-        return rendezvous.top_nodes(shared[-1].digest, names, self._homes)
-
     def _least_loaded(
         self,
         work: request.WorkItem,
@@ -87,3 +97,12 @@
         if not drawn:
             return []
         return [min(drawn, key=lambda name: by_name[name].load)]
+
+
+def _homes(
+    work: request.WorkItem, names: Collection[str], count: int
+) -> list[str]:
+    shared = work.levels[:-1] or work.levels
+    if not shared:
+        return []
+    return rendezvous.top_nodes(shared[-1].digest, names, count)
