Report only what the engine would reuse from its cache

Cause: the view counted the deepest known level even when an outer one was evicted, counted partly filled blocks, refreshed entries on mere bids, and kept entries for ever whose removal event was lost. Change: a level counts only behind an unbroken prefix and in whole blocks, whose size is learned from the events. The view keeps the engine's order of use and estimates the capacity from the removals it sees. Entries are packed into integers. The fake engine publishes one event a level, as the protocol says.

A state machine proves invariant 1 against an oracle cache.

--- a/bench/engine.py
+++ b/bench/engine.py
@@ -70,9 +70,11 @@
         self._ranks = fleet.ranks
         self._name = name
         self._starts = 0
-        self._blocks: collections.OrderedDict[_Key, None] = (
+        # Blocks with the levels that end in them.
+        self._blocks: collections.OrderedDict[_Key, list[tuple[str, int]]] = (
             collections.OrderedDict()
         )
+        self._levels: dict[tuple[str, int], int] = {}
         self._events: list[tuple[float, backends.BlockEvent]] = []
         self._event_numbers = itertools.count()
         self._prefills: list[tuple[int, int, Attempt]] = []
@@ -97,6 +99,7 @@
         """Loses the cache, the events and everything that runs."""
         self._starts += 1
         self._blocks.clear()
+        self._levels.clear()
         self._events.clear()
         self._event_numbers = itertools.count()
         lost = [item[2] for item in (*self._prefills, *self._decoding)]
@@ -176,17 +179,34 @@
     def _store(self, order: traffic.Order) -> None:
         # The outer blocks are touched last, so that a prompt's inner blocks
         # are evicted before the outer ones that they depend on.
-        for key in reversed(self._keys(order)):
-            if key not in self._blocks:
-                self._note(backends.BlockEventKind.STORED, key)
-            self._blocks[key] = None
+        keys = self._keys(order)
+        for key in reversed(keys):
+            self._blocks.setdefault(key, [])
             self._blocks.move_to_end(key)
+        size = self._engine.block_tokens
+        for level in order.work.levels:
+            count = level.tokens // size
+            name = (order.salt, level.digest)
+            if count == 0 or name in self._levels:
+                continue
+            self._levels[name] = count * size
+            self._blocks[keys[count - 1]].append(name)
+            self._note(backends.BlockEventKind.STORED, name, count * size)
         while len(self._blocks) > self._engine.cache_blocks:
-            key, _ = self._blocks.popitem(last=False)
-            self._note(backends.BlockEventKind.REMOVED, key)
+            _, names = self._blocks.popitem(last=False)
+            for name in names:
+                tokens = self._levels.pop(name)
+                self._note(backends.BlockEventKind.REMOVED, name, tokens)
 
-    def _note(self, kind: backends.BlockEventKind, key: _Key) -> None:
-        event = backends.BlockEvent(next(self._event_numbers), kind, *key)
+    def _note(
+        self,
+        kind: backends.BlockEventKind,
+        name: tuple[str, int],
+        tokens: int,
+    ) -> None:
+        event = backends.BlockEvent(
+            next(self._event_numbers), kind, *name, tokens
+        )
         self._events.append((self._sim.monotonic(), event))
 
     def _keys(self, order: traffic.Order) -> list[_Key]:
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -54,6 +54,7 @@
         self._down = False
         self._stale_bids = 0
         self._overstated_tokens = 0
+        self._understated_tokens = 0
         sim.spawn(self._engine.run())
         sim.spawn(self._follow_events())
         sim.spawn(self._expire())
@@ -83,6 +84,11 @@
         """Tokens that the view reported and the engine had evicted."""
         return self._overstated_tokens
 
+    @property
+    def understated_tokens(self) -> int:
+        """Tokens that the engine reused and the view did not report."""
+        return self._understated_tokens
+
     def offer(self, order: traffic.Order) -> bidder_lib.Offer:
         """Returns the bid for a request."""
         if self._down:
@@ -146,7 +152,9 @@
         held = self._view.cached_tokens(order.salt, order.work.levels)
         yield attempt.started
         if not attempt.failed:
-            self._overstated_tokens += max(0, held - attempt.cached_tokens)
+            excess = held - attempt.cached_tokens
+            self._overstated_tokens += max(0, excess)
+            self._understated_tokens += max(0, -excess)
             self._bidder.note_started(
                 attempt.attempt_id,
                 order.work.prompt_tokens - attempt.cached_tokens,
--- a/bench/scenarios/steady.py
+++ b/bench/scenarios/steady.py
@@ -60,6 +60,7 @@
         ]
         values = dataclasses.asdict(own)
         values["overstated_tokens"] = context.default.overstated_tokens
+        values["understated_tokens"] = context.default.understated_tokens
         return scenarios.Row(values, targets)
 
 
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -44,11 +44,13 @@
         results: One for each request, in order of arrival.
         stale_bids: Bids that relied on a dead engine's cache.
         overstated_tokens: Tokens that views reported and engines lacked.
+        understated_tokens: Tokens that engines reused, not reported.
     """
 
     results: Sequence[entries.Result]
     stale_bids: int
     overstated_tokens: int
+    understated_tokens: int
 
 
 class Plant:
@@ -160,6 +162,7 @@
         results,
         sum(each.stale_bids for each in plant.runners),
         sum(each.overstated_tokens for each in plant.runners),
+        sum(each.understated_tokens for each in plant.runners),
     )
 
 
--- a/hibiscusstile/cacheview.py
+++ b/hibiscusstile/cacheview.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import math
 from collections.abc import Sequence
 
 from hibiscusstile import backends, request
@@ -10,6 +11,11 @@
 __all__ = ["CacheView"]
 
 _MAX_ENTRIES = 200_000
+_MAX_SALTS = 20_000  # 860 workspaces with many models and weights versions
+_CAPACITY_GROWTH = 1.01  # for each removal that the estimate foresaw
+_SPAN_BITS = 32
+_SPAN_MASK = (1 << _SPAN_BITS) - 1
+_DIGEST_BITS = 64
 
 
 class CacheView:
@@ -19,6 +25,10 @@
     prefixes of other scopes never match. A new incarnation of the engine
     empties the view.
 
+    Removals whose events are lost would leave entries behind for ever. The
+    view therefore keeps the engine's order of use and estimates its capacity
+    from the removals that are seen: entries beyond it count as evicted.
+
     Args:
         max_entries: Bound of the prefixes remembered.
     """
@@ -27,7 +37,15 @@
         self._max_entries = max_entries
         self._incarnation = ""
         self._last_number = -1
-        self._tokens: collections.OrderedDict[tuple[str, int], int] = (
+        self._lost_events = 0
+        self._block_tokens = 0
+        self._held_tokens = 0
+        self._capacity_tokens = math.inf
+        self._salt_ids: dict[str, int] = {}
+        # Salt id and digest to the prefix's tokens and, in the low bits,
+        # its span: the tokens beyond the next outer level. One integer for
+        # each keeps 100,000 entries small.
+        self._entries: collections.OrderedDict[int, int] = (
             collections.OrderedDict()
         )
 
@@ -41,14 +59,27 @@
         """Number of the last cache event seen; -1 for none."""
         return self._last_number
 
+    @property
+    def lost_events(self) -> int:
+        """Events of this incarnation that never came."""
+        return self._lost_events
+
+    @property
+    def capacity_tokens(self) -> float:
+        """Estimate of the engine's cache size; infinite before any removal."""
+        return self._capacity_tokens
+
     def __len__(self) -> int:
-        return len(self._tokens)
+        return len(self._entries)
 
     def reset(self, incarnation: str) -> None:
         """Forgets everything; the engine has started anew."""
         self._incarnation = incarnation
         self._last_number = -1
-        self._tokens.clear()
+        self._lost_events = 0
+        self._held_tokens = 0
+        self._salt_ids.clear()
+        self._entries.clear()
 
     def admit(
         self,
@@ -59,8 +90,13 @@
         """Notes the levels of a prompt that the engine has computed."""
         if incarnation != self._incarnation:
             return
-        for level in levels:
-            self._store(salt, level.digest, level.tokens)
+        # The outer levels are touched last, as the engine does: they are
+        # evicted after the inner ones that depend on them.
+        for index in range(len(levels) - 1, -1, -1):
+            level = levels[index]
+            outer = levels[index - 1].tokens if index else 0
+            self._store(salt, level.digest, level.tokens, level.tokens - outer)
+        self._evict()
 
     def apply(self, batch: backends.CacheEvents) -> None:
         """Applies cache events; those of another incarnation are dropped."""
@@ -69,26 +105,83 @@
         for event in batch.events:
             if event.number <= self._last_number:
                 continue
+            self._lost_events += event.number - self._last_number - 1
             self._last_number = event.number
             if event.kind is backends.BlockEventKind.STORED:
-                self._store(event.salt, event.digest, event.tokens)
+                self._block_tokens = math.gcd(self._block_tokens, event.tokens)
+                self._note_stored(event)
             else:
-                self._tokens.pop((event.salt, event.digest), None)
+                self._note_removed(event)
+        self._evict()
 
     def cached_tokens(
         self, salt: str, levels: Sequence[request.PrefixLevel]
     ) -> int:
-        """Returns tokens of the deepest level that is held."""
-        for level in reversed(levels):
-            key = (salt, level.digest)
-            if key in self._tokens:
-                self._tokens.move_to_end(key)
-                return min(level.tokens, self._tokens[key])
-        return 0
-
-    def _store(self, salt: str, digest: int, tokens: int) -> None:
-        key = (salt, digest)
-        self._tokens[key] = tokens
-        self._tokens.move_to_end(key)
-        if len(self._tokens) > self._max_entries:
-            self._tokens.popitem(last=False)
+        """Returns the tokens of a prompt that the engine would reuse.
+
+        The engine reuses whole blocks of an unbroken prefix, so a level
+        counts only if all outer ones that fill blocks are held.
+        """
+        salt_id = self._salt_ids.get(salt)
+        if salt_id is None:
+            return 0
+        held = 0
+        for level in levels:
+            tokens = self._whole_blocks(level.tokens)
+            if tokens <= held:
+                continue
+            entry = self._entries.get(salt_id << _DIGEST_BITS | level.digest)
+            if entry is None:
+                break
+            held = max(held, min(tokens, entry >> _SPAN_BITS))
+        return held
+
+    def _whole_blocks(self, tokens: int) -> int:
+        if not self._block_tokens:
+            return tokens
+        return tokens // self._block_tokens * self._block_tokens
+
+    def _key(self, salt: str, digest: int) -> int:
+        if len(self._salt_ids) >= _MAX_SALTS and salt not in self._salt_ids:
+            self._salt_ids.clear()
+            self._entries.clear()
+            self._held_tokens = 0
+        salt_id = self._salt_ids.setdefault(salt, len(self._salt_ids))
+        return salt_id << _DIGEST_BITS | digest
+
+    def _store(self, salt: str, digest: int, tokens: int, span: int) -> None:
+        key = self._key(salt, digest)
+        old = self._entries.get(key)
+        if old is not None:
+            self._held_tokens -= old & _SPAN_MASK
+        self._entries[key] = tokens << _SPAN_BITS | span
+        self._entries.move_to_end(key)
+        self._held_tokens += span
+
+    def _note_stored(self, event: backends.BlockEvent) -> None:
+        key = self._key(event.salt, event.digest)
+        old = self._entries.get(key)
+        if old is None:
+            self._store(event.salt, event.digest, event.tokens, event.tokens)
+        else:
+            # Known from its own admission, whose place in the order of use
+            # is newer than a late event's.
+            span = old & _SPAN_MASK
+            self._entries[key] = event.tokens << _SPAN_BITS | span
+
+    def _note_removed(self, event: backends.BlockEvent) -> None:
+        held = self._held_tokens
+        entry = self._entries.pop(self._key(event.salt, event.digest), None)
+        if entry is None:
+            self._capacity_tokens *= _CAPACITY_GROWTH
+            return
+        self._held_tokens -= entry & _SPAN_MASK
+        self._capacity_tokens = min(self._capacity_tokens, held)
+
+    def _evict(self) -> None:
+        while self._entries and (
+            self._held_tokens > self._capacity_tokens
+            or len(self._entries) > self._max_entries
+        ):
+            _, entry = self._entries.popitem(last=False)
+            self._held_tokens -= entry & _SPAN_MASK
--- a/tests/test_cacheview.py
+++ b/tests/test_cacheview.py
@@ -5,6 +5,7 @@
 import pytest
 
 from hibiscusstile import cacheview, request
+from tests import builders
 
 
 @pytest.mark.fuzz
@@ -26,3 +27,58 @@
     view.reset("two")
     view.admit("one", "salt-a", levels)
     assert view.cached_tokens("salt-a", levels) == 0
+
+
+def test_a_hole_in_the_prefix_ends_it() -> None:
+    """Guards against counting inner blocks whose outer ones are evicted."""
+    view = cacheview.CacheView()
+    view.reset("one")
+    levels = (request.PrefixLevel(1, 100), request.PrefixLevel(2, 200))
+    view.admit("one", "salt", levels)
+    view.apply(builders.cache_events("one", ("removed", 0, 1, 100)))
+    assert view.cached_tokens("salt", levels) == 0
+
+
+def test_only_whole_blocks_count() -> None:
+    """Guards against a hit on the partly filled block of a longer prompt."""
+    view = cacheview.CacheView()
+    view.reset("one")
+    view.apply(
+        builders.cache_events(
+            "one", ("stored", 0, 1, 64), ("stored", 1, 2, 160)
+        )
+    )
+    levels = (request.PrefixLevel(1, 70), request.PrefixLevel(2, 165))
+    view.admit("one", "salt", levels)
+    assert view.cached_tokens("salt", levels) == 160
+    assert view.cached_tokens("salt", levels[:1]) == 64
+
+
+def test_lost_removals_do_not_leave_entries_for_ever() -> None:
+    """Guards against a view that grows with each lost event."""
+    view = cacheview.CacheView()
+    view.reset("one")
+    for number in range(10):
+        view.admit("one", "salt", (request.PrefixLevel(number, 100),))
+    view.apply(builders.cache_events("one", ("removed", 7, 0, 100)))
+    for number in range(10, 1000):
+        view.admit("one", "salt", (request.PrefixLevel(number, 100),))
+    assert view.lost_events == 7
+    assert len(view) == 10
+    newest = (request.PrefixLevel(999, 100),)
+    oldest = (request.PrefixLevel(5, 100),)
+    assert view.cached_tokens("salt", newest) == 100
+    assert view.cached_tokens("salt", oldest) == 0
+
+
+def test_a_bid_does_not_keep_blocks_in_use() -> None:
+    """Guards against an order of use that the engine does not have."""
+    view = cacheview.CacheView(max_entries=2)
+    view.reset("one")
+    first, second = request.PrefixLevel(1, 100), request.PrefixLevel(2, 100)
+    view.admit("one", "salt", (first,))
+    view.admit("one", "salt", (second,))
+    view.cached_tokens("salt", (first,))
+    view.admit("one", "salt", (request.PrefixLevel(3, 100),))
+    assert view.cached_tokens("salt", (first,)) == 0
+    assert view.cached_tokens("salt", (second,)) == 100
--- /dev/null
+++ b/tests/test_cacheview_fuzz.py
@@ -0,0 +1,94 @@
+"""Proves invariant 1 for the cache view against a simple engine cache."""
+
+from __future__ import annotations
+
+import hypothesis
+import hypothesis.strategies as st
+import pytest
+from hypothesis import stateful
+
+from hibiscusstile import backends, cacheview
+from tests import builders
+
+_PROMPTS = st.integers(0, 5)
+_SALTS = st.sampled_from(["growers/v1", "keepers/v1", "growers/v2"])
+
+
+class CacheViewMachine(stateful.RuleBasedStateMachine):
+    """Engine restarts, losses, late batches, evictions and rollouts."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._view = cacheview.CacheView()
+        self._engine = builders.OracleCache(block_tokens=16)
+        self._view.reset(self._engine.incarnation)
+        self._in_flight: list[tuple[str, str, int]] = []
+        self._late: list[backends.CacheEvents] = []
+
+    @stateful.rule(salt=_SALTS, prompt=_PROMPTS)
+    def start(self, salt: str, prompt: int) -> None:
+        """The engine takes a prompt up; its first token comes later."""
+        self._in_flight.append((self._engine.incarnation, salt, prompt))
+
+    @stateful.precondition(lambda self: self._in_flight)
+    @stateful.rule(index=st.integers(0, 100))
+    def first_token(self, index: int) -> None:
+        """A first token, perhaps of an engine that has crashed since."""
+        incarnation, salt, prompt = self._in_flight.pop(
+            index % len(self._in_flight)
+        )
+        levels = builders.nested_levels(salt, prompt)
+        if incarnation == self._engine.incarnation:
+            self._engine.store(salt, levels)
+        self._view.admit(incarnation, salt, levels)
+
+    @stateful.rule(salt=_SALTS, prompt=_PROMPTS)
+    def serve(self, salt: str, prompt: int) -> None:
+        """The engine computes a prompt at once."""
+        levels = builders.nested_levels(salt, prompt)
+        self._engine.store(salt, levels)
+        self._view.admit(self._engine.incarnation, salt, levels)
+
+    @stateful.rule(count=st.integers(1, 4))
+    def evict(self, count: int) -> None:
+        """Memory pressure at the engine."""
+        self._engine.evict(count)
+
+    @stateful.rule(mask=st.sampled_from([255, 255, 254, 170, 85, 0]))
+    def publish(self, mask: int) -> None:
+        """Takes events from the engine; those masked out are lost."""
+        self._late.append(self._engine.take_events(mask))
+
+    @stateful.precondition(lambda self: self._late)
+    @stateful.rule(index=st.integers(0, 100), again=st.booleans())
+    def deliver(self, index: int, again: bool) -> None:
+        """Delivers a batch in any order, perhaps twice."""
+        batch = self._late[index % len(self._late)]
+        if not again:
+            self._late.remove(batch)
+        self._view.apply(batch)
+        self._engine.delivered(batch)
+
+    @stateful.rule()
+    def crash(self) -> None:
+        """The engine returns empty; the sidecar learns its incarnation."""
+        self._engine.crash()
+        self._view.reset(self._engine.incarnation)
+
+    @stateful.invariant()
+    def never_overstates(self) -> None:
+        """No prefix counts that this incarnation never held in the scope."""
+        for salt in ("growers/v1", "keepers/v1", "growers/v2"):
+            for prompt in range(6):
+                levels = builders.nested_levels(salt, prompt)
+                told = self._view.cached_tokens(salt, levels)
+                assert told <= self._engine.possible_tokens(salt, levels)
+
+
+TestCacheView = pytest.mark.fuzz(CacheViewMachine.TestCase)
+TestCacheView.settings = hypothesis.settings(
+    max_examples=300,
+    stateful_step_count=max(
+        50, hypothesis.settings.default.stateful_step_count
+    ),
+)
