--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -22,14 +22,13 @@
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
 from hibiscusstile.sidecar import attempt as attempt_lib
+from hibiscusstile.sidecar import revision as revision_lib
 from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["Executor", "failed_message"]
 
 _log = logbook.Logger("sidecar")
 
-_REVISION_WAIT = datetime.timedelta(seconds=1)
-_REVISION_POLL = datetime.timedelta(milliseconds=10)
 _KEEP_ENDED = datetime.timedelta(seconds=5)
 _WATCH_INTERVAL = datetime.timedelta(milliseconds=200)
 
@@ -168,26 +167,15 @@
         self, running: _Running, dispatch: messages.Dispatch, revision: int
     ) -> None:
         try:
-            await self._wait_for_revision(revision)
+            await revision_lib.wait_for_revision(
+                self._store, self._clock, revision
+            )
             await self._generate(running, dispatch)
         except outcome.Refused as refused:
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
 
-    async def _wait_for_revision(self, revision: int) -> None:
-        """Waits until the configuration of the sender is in force here."""
-        limit_s = self._clock.monotonic() + _REVISION_WAIT.total_seconds()
-        while self._store.revision < revision:
-            if self._clock.monotonic() >= limit_s:
-                raise outcome.Refused(
-                    outcome.Refusal(
-                        outcome.Reason.STALE_REVISION,
-                        f"revision {revision} has not arrived here yet",
-                    )
-                )
-            await self._clock.sleep(_REVISION_POLL)
-
     async def _generate(
         self, running: _Running, dispatch: messages.Dispatch
     ) -> None:
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -157,7 +157,7 @@
     ) -> None:
         refusal = self._refusal(revision)
         if refusal is None:
-            self._calls.start(connection, call)
+            self._calls.start(connection, call, revision)
             return
         await connection.send(
             executor_lib.failed_message(call.attempt_id, refusal)
