--- a/hibiscusstile/ctl/demo.py
+++ b/hibiscusstile/ctl/demo.py
@@ -7,21 +7,30 @@
 import signal
 import statistics
 import sys
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import Annotated
 
 import aiomisc
 import cyclopts
 
-from hibiscusstile import logs
+from hibiscusstile import ctl, logs
 from hibiscusstile.ctl import demofleet, demoload
 
-__all__ = ["demo"]
+__all__ = ["DemoCommand", "demo"]
 
 _TIMEOUT_S = 50.0
-_EXIT_DONE = 0
-_EXIT_FAILED = 1
-_EXIT_USAGE = 2
+
+
+@ctl.commands.register()
+class DemoCommand(ctl.Command):
+    """Runs the demo."""
+
+    name = "demo"
+
+    @property
+    def handler(self) -> Callable[..., int]:
+        """Function that the command line calls."""
+        return demo
 
 
 def demo(
@@ -37,14 +46,14 @@
     """
     if port and not serve:
         print("--port needs --serve", file=sys.stderr)
-        return _EXIT_USAGE
+        return ctl.EXIT_BAD_USAGE
     logs.start_logging(logs.LogFormat.KEY_VALUE, "WARNING")
     with aiomisc.entrypoint(log_config=False) as loop:
         try:
             return loop.run_until_complete(_serve(port) if serve else _run())
         except (demofleet.FleetNotReady, OSError) as error:
             print(f"demo: {error}", file=sys.stderr)
-            return _EXIT_FAILED
+            return ctl.EXIT_REFUSED
 
 
 async def _serve(port: int) -> int:
@@ -59,7 +68,7 @@
             flush=True,
         )
         await stop.wait()
-    return _EXIT_DONE
+    return ctl.EXIT_DONE
 
 
 async def _run() -> int:
@@ -69,11 +78,11 @@
             payment = await demoload.run_payment(fleet)
     except TimeoutError:
         print(f"demo: not done in {_TIMEOUT_S:g} s", file=sys.stderr)
-        return _EXIT_FAILED
+        return ctl.EXIT_REFUSED
     faults = [*_print_chats(chats), *_print_payment(payment)]
     for fault in faults:
         print(f"demo: {fault}", file=sys.stderr)
-    return _EXIT_FAILED if faults else _EXIT_DONE
+    return ctl.EXIT_REFUSED if faults else ctl.EXIT_DONE
 
 
 def _print_chats(chats: Sequence[demoload.ChatResult]) -> list[str]:
--- a/hibiscusstile/entry/front.py
+++ b/hibiscusstile/entry/front.py
@@ -3,20 +3,28 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import json
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncGenerator, Awaitable, Callable
 from typing import Any
 
 import logbook
 from aiohttp import hdrs, web
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import identity, outcome, prefix, settings
+from hibiscusstile import identity, metrics, outcome, prefix, settings
 from hibiscusstile import request as request_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.configuration import view as view_lib
-from hibiscusstile.entry import auth, calls, parsing, refusals, relay
+from hibiscusstile.entry import (
+    auth,
+    calls,
+    chunkreader,
+    parsing,
+    refusals,
+    relay,
+)
 
 __all__ = ["Front"]
 
@@ -26,6 +34,8 @@
 _KEY_HEADER = "Idempotency-Key"
 _MAX_KEY_LENGTH = 255
 _SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
+_CONFIRM_RETRY = datetime.timedelta(seconds=1)
+_WRITE_TIMEOUT = datetime.timedelta(seconds=30)
 _DEFAULT_RANK = view_lib.Rank(
     "routine",
     level=1,
@@ -45,6 +55,8 @@
         answers: Carries model requests.
         service_calls: Carries plain-service calls.
         ready: Returns whether the load balancer may send requests.
+        confirm: Returns whether the configuration in force is the newest
+            that any reachable process knows.
         clock: Dates the answers.
     """
 
@@ -55,6 +67,7 @@
         answers: relay.Relay,
         service_calls: calls.Calls,
         ready: Callable[[], bool],
+        confirm: Callable[[], Awaitable[bool]],
         clock: clock_lib.Clock,
     ) -> None:
         self._limits = limits
@@ -62,6 +75,7 @@
         self._answers = answers
         self._calls = service_calls
         self._ready = ready
+        self._confirm = confirm
         self._clock = clock
         self._active = 0
 
@@ -76,6 +90,7 @@
             client_max_size=self._limits.body_bytes,
             middlewares=[self._guard],
         )
+        app.on_response_prepare.append(self._close_if_leaving)
         app.router.add_post("/v1/chat/completions", self._post_chat)
         app.router.add_get("/v1/models", self._get_models)
         app.router.add_get("/ready", self._get_ready)
@@ -102,9 +117,20 @@
             return refusals.to_response(refused.refusal, request_id)
         except web.HTTPException as error:
             return refusals.to_response(_from_http(error), request_id)
+        except Exception as error:
+            _log.exception("request_failed request={}", request_id)
+            return refusals.to_response(_internal(error), request_id)
         finally:
             self._active -= 1
 
+    async def _close_if_leaving(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Lets the load balancer open its next connection elsewhere."""
+        del request
+        if not self._ready():
+            response.force_close()
+
     async def _get_live(self, request: web.Request) -> web.Response:
         del request
         return web.json_response({"live": True})
@@ -134,16 +160,18 @@
         )
 
     async def _post_chat(self, request: web.Request) -> web.StreamResponse:
+        await self._check_configuration()
         caller = self._authenticate(request)
         body = await self._read_body(request)
         chat = parsing.parse_chat(body, image_bytes=self._limits.image_bytes)
         work = self._chat_work(request["request_id"], caller, chat)
-        answer = self._answers.run(work)
-        if chat.stream:
-            return await _stream(request, work, answer)
-        return await _whole(request, work, answer)
+        async with contextlib.aclosing(self._answers.run(work)) as answer:
+            if chat.stream:
+                return await _stream(request, work, answer)
+            return await _whole(work, answer)
 
     async def _call_service(self, request: web.Request) -> web.Response:
+        await self._check_configuration()
         caller = self._authenticate(request)
         name = request.match_info["application"]
         application = self._application(caller.workspace, name)
@@ -188,6 +216,19 @@
             },
         )
 
+    async def _check_configuration(self) -> None:
+        """Refuses to serve on a configuration that may have been replaced.
+
+        Raises:
+            Refused: `not_ready`, when no peer and no log confirms it.
+        """
+        if not await self._confirm():
+            raise _refused(
+                outcome.Reason.NOT_READY,
+                "the configuration in force cannot be confirmed",
+                _CONFIRM_RETRY,
+            )
+
     def _authenticate(self, request: web.Request) -> auth.Caller:
         if self._store.revision < 0:
             raise _refused(
@@ -283,7 +324,7 @@
 async def _stream(
     request: web.Request,
     work: relay.ChatWork,
-    answer: AsyncIterator[relay.AnswerText | relay.AnswerEnd],
+    answer: AsyncGenerator[chunkreader.AnswerEvent],
 ) -> web.StreamResponse:
     """Answers with server-sent events, begun at the first text."""
     first = await anext(answer)
@@ -296,26 +337,39 @@
     )
     await response.prepare(request)
     try:
-        await response.write(_event(work, first))
+        await _write(response, _event(work, first))
         async for event in answer:
-            await response.write(_event(work, event))
-        await response.write(b"data: [DONE]\n\n")
+            await _write(response, _event(work, event))
+        await _write(response, b"data: [DONE]\n\n")
     except outcome.Refused as refused:
+        metrics.count_refusal(refused.refusal)
         body = refusals.error_body(refused.refusal)
-        await response.write(f"event: error\ndata: {body}\n\n".encode())
+        await _write(response, f"event: error\ndata: {body}\n\n".encode())
+    except TimeoutError:
+        if request.transport is not None:
+            request.transport.abort()
+        return response
     await response.write_eof()
     return response
 
 
+async def _write(response: web.StreamResponse, data: bytes) -> None:
+    """Writes to a caller, cutting it off when it does not read.
+
+    A caller that stops reading would otherwise hold its place at the engine.
+    """
+    async with asyncio.timeout(_WRITE_TIMEOUT.total_seconds()):
+        await response.write(data)
+
+
 async def _whole(
-    request: web.Request,
     work: relay.ChatWork,
-    answer: AsyncIterator[relay.AnswerText | relay.AnswerEnd],
+    answer: AsyncGenerator[chunkreader.AnswerEvent],
 ) -> web.Response:
     texts: list[str] = []
-    end: relay.AnswerEnd | None = None
+    end: chunkreader.AnswerEnd | None = None
     async for event in answer:
-        if isinstance(event, relay.AnswerText):
+        if isinstance(event, chunkreader.AnswerText):
             texts.append(event.text)
         else:
             end = event
@@ -331,18 +385,15 @@
         "choices": [choice],
         "usage": _usage(end),
     }
-    del request
     return web.json_response(
         body, headers={refusals.REQUEST_ID_HEADER: work.item.work_id}
     )
 
 
-def _event(
-    work: relay.ChatWork, event: relay.AnswerText | relay.AnswerEnd
-) -> bytes:
+def _event(work: relay.ChatWork, event: chunkreader.AnswerEvent) -> bytes:
     choice: dict[str, Any] = {"index": 0, "delta": {}, "finish_reason": None}
     body = _common(work, "chat.completion.chunk")
-    if isinstance(event, relay.AnswerText):
+    if isinstance(event, chunkreader.AnswerText):
         choice["delta"] = {"content": event.text}
     else:
         choice["finish_reason"] = event.finish_reason
@@ -360,7 +411,7 @@
     }
 
 
-def _usage(end: relay.AnswerEnd) -> dict[str, Any]:
+def _usage(end: chunkreader.AnswerEnd) -> dict[str, Any]:
     usage = end.usage
     return {
         "prompt_tokens": usage.prompt_tokens,
@@ -370,8 +421,22 @@
     }
 
 
-def _refused(reason: outcome.Reason, message: str) -> outcome.Refused:
-    return outcome.Refused(outcome.Refusal(reason, message))
+def _refused(
+    reason: outcome.Reason,
+    message: str,
+    retry_after: datetime.timedelta | None = None,
+) -> outcome.Refused:
+    return outcome.Refused(
+        outcome.Refusal(reason, message, retry_after=retry_after)
+    )
+
+
+def _internal(error: Exception) -> outcome.Refusal:
+    return outcome.Refusal(
+        outcome.Reason.INTERNAL,
+        f"internal error: {type(error).__name__}",
+        outcome.Verdict.MAY_HAVE_RUN,
+    )
 
 
 def _from_http(error: web.HTTPException) -> outcome.Refusal:
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -17,6 +17,7 @@
     supervisor,
 )
 from hibiscusstile.configuration import follower as follower_lib
+from hibiscusstile.configuration import freshness, snapshot_stream
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.entry import (
     calls,
@@ -32,6 +33,7 @@
 
 _log = logbook.Logger("entry")
 
+_CONFIRM_PATIENCE = datetime.timedelta(milliseconds=500)
 _DRAIN_POLL = datetime.timedelta(milliseconds=50)
 _ROLE = "entry"
 
@@ -50,7 +52,7 @@
         self._clock = clock
         self._incarnation = identity.new_id("inc")
         self._leaving = False
-        self._store = store_lib.ConfigurationStore()
+        self._store = store_lib.ConfigurationStore(author=config.peer_id)
         self._log = platform.get_log_client_by_name(config.platform.log.kind)(
             config.platform.log.url
         )
@@ -58,6 +60,10 @@
         self._instance_list = platform.get_instance_list_by_name(listing.kind)(
             listing.url
         )
+        self._fresh = freshness.Freshness(clock, lambda: self._store.revision)
+        self._follower = follower_lib.LogFollower(
+            self._log, self._store, clock, self._fresh
+        )
         self._fleet = fleet.Fleet(
             config,
             config.peer_secret.read(),
@@ -65,6 +71,7 @@
             self._store,
             self._instance_list,
             clock,
+            self._fresh,
         )
         router = routing.Router(self._fleet, self._store)
         self._front = front.Front(
@@ -73,6 +80,7 @@
             relay.Relay(self._fleet, router, clock),
             calls.Calls(self._fleet, clock),
             lambda: not self._leaving and self._store.revision >= 0,
+            self._confirm,
             clock,
         )
         self._listener = listener.Listener(
@@ -98,6 +106,7 @@
             "incarnation": self._incarnation,
             "revision": self._store.revision,
             "digest": self._store.digest,
+            "fresh": self._fresh.is_fresh,
             "leaving": self._leaving,
             "active_requests": self._front.active,
             "backend_servers": [
@@ -113,13 +122,19 @@
 
     def build(self, root: supervisor.Supervisor) -> None:
         """Adds the role's children to the root."""
-        follower = follower_lib.LogFollower(self._log, self._store, self._clock)
+        snapshotter = snapshot_stream.Snapshotter(
+            self._log,
+            self._store,
+            self._clock,
+            self._config.platform.log_retention,
+        )
         specs = [
-            ("configuration", follower.run),
+            ("configuration", self._follower.run),
+            ("snapshots", snapshotter.run),
             ("links", self._fleet.tasks.run),
             ("fleet", self._fleet.run),
             ("operators", self._operators.run),
-            ("http", self._listener.run),
+            ("http", self._serve_http),
         ]
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
@@ -149,6 +164,16 @@
         await self._log.close()
         await self._instance_list.close()
 
+    async def _confirm(self) -> bool:
+        if self._fresh.is_fresh:
+            return True
+        return await self._fleet.confirm(_CONFIRM_PATIENCE)
+
+    async def _serve_http(self) -> None:
+        """Opens the callers' port once requests can be served."""
+        await self._fleet.wait_prepared()
+        await self._listener.run()
+
     def _hello(self) -> messages.Hello:
         return messages.Hello(
             messages.PeerInfo(
@@ -160,5 +185,6 @@
                 self._config.zone,
                 self._config.region,
                 leaving=self._leaving,
-            )
+            ),
+            wants_peers=self._fleet.wants_peers,
         )
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -10,6 +10,7 @@
 from hibiscusstile import (
     admission,
     backends,
+    bidder,
     cacheview,
     identity,
     operators,
@@ -20,11 +21,12 @@
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
+from hibiscusstile.configuration import fetching, snapshot_stream
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import handshake, messages
 from hibiscusstile.peers import server as server_lib
-from hibiscusstile.sidecar import cachefeed, executor, service, turns
+from hibiscusstile.sidecar import cachefeed, discovery, executor, service, turns
 
 __all__ = ["SidecarRole"]
 
@@ -49,7 +51,7 @@
         self._incarnation = identity.new_id("inc")
         self._leaving = False
         self._model = ""
-        self._store = store_lib.ConfigurationStore()
+        self._store = store_lib.ConfigurationStore(author=config.peer_id)
         self._view = cacheview.CacheView()
         self._backend = backends.get_backend_kind_by_name(config.backend.kind)(
             config.backend.url
@@ -57,16 +59,34 @@
         self._log = platform.get_log_client_by_name(config.platform.log.kind)(
             config.platform.log.url
         )
+        listing = config.platform.instance_list
+        self._instance_list = platform.get_instance_list_by_name(listing.kind)(
+            listing.url
+        )
+        self._discovery = discovery.Discovery(
+            config.region, self._instance_list, clock
+        )
         queue = admission.AdmissionQueue(
-            clock, admission.QueueLimits(**config.queue.model_dump())
+            clock,
+            admission.QueueLimits(**config.queue.model_dump()),
+            lambda: self._store.view.ranks,
+            lambda: self._store.view.workspaces,
         )
         self._turns = turns.Turns(queue, clock)
         self._attempts = supervisor.Supervisor("attempts", clock)
+        self._bidder = bidder.Bidder(
+            clock,
+            queue,
+            self._view,
+            config.queue.prefill_tokens_per_s,
+            self._rank_level,
+        )
         self._executor = executor.Executor(
             self._attempts,
             self._backend,
             self._turns,
             self._view,
+            self._bidder,
             self._store,
             clock,
         )
@@ -74,9 +94,9 @@
             self._info,
             self._store,
             self._executor,
-            self._turns,
-            self._view,
-            config.queue.prefill_tokens_per_s,
+            self._bidder,
+            lambda: self._discovery.peers,
+            fetching.FetchPacer(clock, lambda: self._store.revision),
         )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
@@ -117,10 +137,12 @@
         """Adds the role's children to the root."""
         specs = [
             ("configuration", self._follower().run),
+            ("snapshots", self._snapshotter().run),
             ("attempts", self._attempts.run),
             ("turns", self._turns.run),
             ("executor", self._executor.run),
             ("engine", self._run_engine),
+            ("discovery", self._discovery.run),
             ("peers", self._server.run),
             ("operators", self._operators.run),
         ]
@@ -152,10 +174,19 @@
         """Closes clients, once the children have stopped."""
         await self._backend.close()
         await self._log.close()
+        await self._instance_list.close()
 
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
+    def _snapshotter(self) -> snapshot_stream.Snapshotter:
+        return snapshot_stream.Snapshotter(
+            self._log,
+            self._store,
+            self._clock,
+            self._config.platform.log_retention,
+        )
+
     async def _run_engine(self) -> None:
         if isinstance(self._backend, backends.EngineBackend):
             health = await self._backend.health()
@@ -165,6 +196,10 @@
             ).run()
         await self._clock.sleep(datetime.timedelta.max / 1000)
 
+    def _rank_level(self, rank: str) -> int:
+        record = self._store.view.ranks.get(rank)
+        return record.level if record else 0
+
     def _info(self) -> messages.PeerInfo:
         return messages.PeerInfo(
             self._config.peer_id,
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -18,6 +18,7 @@
     request,
     supervisor,
 )
+from hibiscusstile import bidder as bidder_lib
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import connection as connection_lib
@@ -48,6 +49,7 @@
         backend: The engine or service.
         turns: The admission queue's turns.
         view: What the engine holds in cache.
+        bidder: Told what the engine is handed and has begun.
         store: The configuration in force.
         clock: Measures time.
     """
@@ -58,6 +60,7 @@
         backend: backends.Backend,
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
+        bidder: bidder_lib.Bidder,
         store: store_lib.ConfigurationStore,
         clock: clock_lib.Clock,
     ) -> None:
@@ -65,6 +68,7 @@
         self._backend = backend
         self._turns = turns
         self._view = view
+        self._bidder = bidder
         self._store = store
         self._clock = clock
         self._attempts: dict[str, _Running] = {}
@@ -134,10 +138,9 @@
         if running is not None:
             running.stream.acknowledge(ack.next_number)
 
-    async def cancel(self, attempt_id: str) -> None:
-        """Stops an attempt, at the engine too."""
-        await self._tasks.remove(attempt_id)
-        self._attempts.pop(attempt_id, None)
+    def cancel(self, attempt_id: str) -> None:
+        """Stops an attempt, at the engine too, without waiting for it."""
+        self._tasks.cancel(attempt_id)
 
     def detach(self, connection: connection_lib.PeerConnection) -> None:
         """Notes that a connection has ended."""
@@ -154,12 +157,22 @@
             await self._clock.sleep(_WATCH_INTERVAL)
             for attempt_id, running in list(self._attempts.items()):
                 if running.stream.orphaned:
-                    await self.cancel(attempt_id)
+                    self.cancel(attempt_id)
                 elif not running.ended:
                     await running.stream.send_progress_if_idle()
 
     async def _run(
         self, running: _Running, dispatch: messages.Dispatch
+    ) -> None:
+        try:
+            await self._answer(running, dispatch)
+            running.ended = True
+            await self._clock.sleep(_KEEP_ENDED)
+        finally:
+            del self._attempts[dispatch.attempt_id]
+
+    async def _answer(
+        self, running: _Running, dispatch: messages.Dispatch
     ) -> None:
         try:
             await self._generate(running, dispatch)
@@ -167,21 +180,23 @@
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
-        running.ended = True
-        await self._clock.sleep(_KEEP_ENDED)
-        self._attempts.pop(dispatch.attempt_id, None)
 
     async def _generate(
         self, running: _Running, dispatch: messages.Dispatch
     ) -> None:
         order = self._order(dispatch)
         deadline_s = self._clock.monotonic() + dispatch.deadline_s
-        await self._turns.wait(dispatch.work, deadline_s)
+        work = dispatch.work
+        cached = self._view.cached_tokens(order.cache_salt, work.levels)
+        await self._turns.wait(work, deadline_s, cached)
+        order = self._with_priority(order, work.work_id)
+        self._bidder.note_handed(work, order.cache_salt)
         served = 0
         try:
             async for event in self._engine().generate(order):
                 if isinstance(event, backends.EngineStarted):
                     served += dispatch.work.prompt_tokens - event.cached_tokens
+                    self._turns.note_started(work.work_id)
                     self._note_start(order, dispatch, event)
                     await running.stream.send_started(event.cached_tokens)
                 elif isinstance(event, backends.EngineText):
@@ -193,6 +208,7 @@
             await self._cancel_at_engine(dispatch.attempt_id)
             raise
         finally:
+            self._bidder.note_ended(dispatch.work.work_id)
             self._turns.finish(dispatch.work.work_id, served)
 
     def _order(self, dispatch: messages.Dispatch) -> backends.GenerateOrder:
@@ -220,6 +236,14 @@
             dispatch.work.levels,
         )
 
+    def _with_priority(
+        self, order: backends.GenerateOrder, work_id: str
+    ) -> backends.GenerateOrder:
+        priority = self._turns.queue.priority(work_id)
+        if priority is None:
+            return order
+        return dataclasses.replace(order, priority=priority)
+
     def _engine(self) -> backends.EngineBackend:
         if isinstance(self._backend, backends.EngineBackend):
             return self._backend
@@ -248,6 +272,10 @@
         dispatch: messages.Dispatch,
         event: backends.EngineStarted,
     ) -> None:
+        self._bidder.note_started(
+            dispatch.work.work_id,
+            dispatch.work.prompt_tokens - event.cached_tokens,
+        )
         self._view.admit(
             event.incarnation or self._view.incarnation,
             order.cache_salt,
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -4,15 +4,21 @@
 
 from collections.abc import Callable
 
-from hibiscusstile import cacheview, identity, outcome, request
+import logbook
+
+from hibiscusstile import bidder as bidder_lib
+from hibiscusstile import identity, outcome, request
+from hibiscusstile.configuration import fetching
+from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import codec, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.sidecar import executor as executor_lib
-from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["SidecarService"]
 
+_log = logbook.Logger("sidecar")
+
 
 class SidecarService:
     """Answers the messages of connected peers.
@@ -21,9 +27,9 @@
         info: Returns what the sidecar says of itself.
         store: The configuration in force.
         executor: Runs attempts.
-        turns: The admission queue's turns.
-        view: What the engine holds in cache.
-        prefill_tokens_per_s: The engine's speed.
+        bidder: Values requests for bids.
+        known_peers: Returns the sidecars that this one knows.
+        fetches: Paces fetches of a newer configuration.
     """
 
     def __init__(
@@ -31,16 +37,16 @@
         info: Callable[[], messages.PeerInfo],
         store: store_lib.ConfigurationStore,
         executor: executor_lib.Executor,
-        turns: turns_lib.Turns,
-        view: cacheview.CacheView,
-        prefill_tokens_per_s: float,
+        bidder: bidder_lib.Bidder,
+        known_peers: Callable[[], tuple[messages.PeerAddress, ...]],
+        fetches: fetching.FetchPacer,
     ) -> None:
         self._info = info
         self._store = store
         self._executor = executor
-        self._turns = turns
-        self._view = view
-        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._bidder = bidder
+        self._known_peers = known_peers
+        self._fetches = fetches
         self._connections: set[connection_lib.PeerConnection] = set()
 
     @property
@@ -60,10 +66,9 @@
             await connection.send(messages.Hello(self._info()))
             while True:
                 envelope = await connection.receive()
-                if envelope.revision > self._store.revision:
-                    await connection.send(
-                        messages.ConfigFetch(self._store.revision)
-                    )
+                since = self._fetches.next_fetch(envelope.revision)
+                if since is not None:
+                    await connection.send(messages.ConfigFetch(since))
                 await self._handle(connection, envelope)
         finally:
             self._connections.discard(connection)
@@ -84,6 +89,10 @@
     ) -> None:
         message = envelope.message
         match message:
+            case messages.Hello() if message.wants_peers:
+                await connection.send(
+                    messages.Hello(self._info(), peers=self._known_peers())
+                )
             case messages.BidRequest():
                 await connection.send(self._bid(message))
             case messages.Dispatch():
@@ -93,7 +102,7 @@
             case messages.Ack():
                 self._executor.acknowledge(message)
             case messages.Cancel():
-                await self._executor.cancel(message.attempt_id)
+                self._executor.cancel(message.attempt_id)
             case messages.Resume():
                 await self._executor.resume(connection, message)
             case messages.Ping():
@@ -101,7 +110,9 @@
             case messages.ConfigFetch():
                 await self._send_state(connection, message.revision)
             case messages.ConfigState():
-                self._store.adopt(message.state)
+                result = self._store.adopt(message.state, message.digest)
+                refused = isinstance(result, store_lib.AdoptionRefused)
+                self._fetches.note_answer(refused)
             case _:
                 return
 
@@ -159,38 +170,37 @@
             asked.suspect,
         )
         info = self._info()
-        cached = self._cached_tokens(work)
-        refusal = self._turns.queue.check(work)
-        reason = refusal.reason if refusal else None
-        if info.leaving:
-            reason = outcome.Reason.LEAVING
+        offer = self._bidder.offer(work, self._salt(work))
         return messages.BidReply(
             asked.bid_id,
-            cached,
-            self._turns.queue.wait_s(work),
-            (work.prompt_tokens - cached) / self._prefill_tokens_per_s,
-            self._turns.queue.load,
-            reason,
+            offer.cached_tokens,
+            offer.wait_s,
+            offer.prefill_s,
+            offer.load,
+            outcome.Reason.LEAVING if info.leaving else offer.refusal,
             info.leaving,
         )
 
-    def _cached_tokens(self, work: request.WorkItem) -> int:
+    def _salt(self, work: request.WorkItem) -> str:
         model = self._store.view.models.get(work.model)
         if model is None:
-            return 0
-        scope = identity.CacheScope(
+            return ""
+        return identity.CacheScope(
             work.workspace, work.model, work.adapter, model.weights_version
-        )
-        return self._view.cached_tokens(scope.salt, work.levels)
+        ).salt
 
     async def _send_state(
         self, connection: connection_lib.PeerConnection, revision: int
     ) -> None:
-        if self._store.revision > revision:
-            await connection.send(
-                messages.ConfigState(
-                    self._store.revision,
-                    self._store.digest,
-                    self._store.snapshot(),
-                )
+        if self._store.revision <= revision:
+            return
+        try:
+            state = self._store.snapshot(revision)
+        except snapshot_lib.SnapshotError as error:
+            _log.error("snapshot_not_sent reason={!r}", str(error))
+            return
+        await connection.send(
+            messages.ConfigState(
+                self._store.revision, self._store.digest, state
             )
+        )
--- a/hibiscusstile_standins/instancelist.py
+++ b/hibiscusstile_standins/instancelist.py
@@ -85,7 +85,7 @@
         return app
 
     async def _list(self, request: web.Request) -> web.Response:
-        del request
+        region = request.query.get("region")
         if self._down:
             raise web.HTTPServiceUnavailable
         limit_s = time.monotonic() - self._lag_s
@@ -96,4 +96,12 @@
             shown.pop(peer_id, None)
             if instance is not None:
                 shown[peer_id] = instance
-        return web.json_response({"instances": list(shown.values())})
+        return web.json_response(
+            {
+                "instances": [
+                    each
+                    for each in shown.values()
+                    if region in (None, each["region"])
+                ]
+            }
+        )
