--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,7 +7,7 @@
 import datetime
 import json
 import threading
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, TypeVar
 
 from hibiscusstile import clock as clock_lib
@@ -17,13 +17,16 @@
 
 __all__ = [
     "BENCH_FIGURES",
+    "FLEET_WORKSPACES",
     "FakeLog",
     "ManualClock",
     "chat_messages",
     "config_entry",
     "config_store",
     "engine_body",
+    "fleet_records",
     "long_prompt",
+    "nested_prompt",
     "record",
     "run_now",
     "running_log",
@@ -265,3 +268,53 @@
     """Returns one message of a number of engine tokens."""
     text = (mark + " moisture ") * (tokens * 4)
     return [{"role": "user", "content": text[: tokens * 4]}]
+
+
+FLEET_WORKSPACES = {"buyers": "urgent", "contracts": "routine"}
+
+
+def fleet_records(
+    key_digest: Callable[[str, str], str], secret: str
+) -> list[dict[str, Any]]:
+    """Returns the records of a fleet of separate processes.
+
+    Each workspace has one key, `hs_WORKSPACE_SECRET`; model `m2` is for
+    `contracts` only.
+    """
+    salt = "0123456789abcdef"
+    workspaces = [
+        record(
+            "workspace",
+            name,
+            keys=[
+                {
+                    "key_id": name,
+                    "salt": salt,
+                    "digest": key_digest(salt, secret),
+                    "rank": rank,
+                }
+            ],
+            models=["m1"] if name == "buyers" else ["m1", "m2"],
+        )
+        for name, rank in FLEET_WORKSPACES.items()
+    ]
+    return [
+        record("rank", "urgent", level=0),
+        record("rank", "routine", level=1, share=0.1),
+        record("routing_policy", "default", algorithm="bidding"),
+        record("model", "m1", weights_version="v1"),
+        record("model", "m2", weights_version="v1"),
+        record("application", "accounts"),
+        *workspaces,
+    ]
+
+
+def nested_prompt(workspace: str, member: int, question: str) -> list[Any]:
+    """Returns a prompt nested in instructions, workspace and member."""
+    pad = 9000
+    return [
+        {"role": "system", "content": ("Grade pods with care. " * 500)[:pad]},
+        {"role": "system", "content": (f"Rules of {workspace}. " * 500)[:pad]},
+        {"role": "user", "content": (f"Member {member} sold. " * 500)[:pad]},
+        {"role": "user", "content": question},
+    ]
--- /dev/null
+++ b/tests/callers.py
@@ -0,0 +1,96 @@
+"""Callers' side of tests: sends requests and reads whole answers."""
+
+from __future__ import annotations
+
+import dataclasses
+import json
+from typing import Any
+
+import aiohttp
+
+__all__ = ["Answer", "headers", "open_session", "send_chat"]
+
+_TIMEOUT = aiohttp.ClientTimeout(total=30)
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """What a caller got.
+
+    Attributes:
+        status: HTTP status.
+        words: Pieces of a stream, or the words of a whole answer.
+        done: Whether a stream ended in `[DONE]`.
+        error: The refusal's fields, empty without one.
+        usage: The usage's fields, empty without them.
+    """
+
+    status: int
+    words: list[str] = dataclasses.field(default_factory=list)
+    done: bool = False
+    error: dict[str, Any] = dataclasses.field(default_factory=dict)
+    usage: dict[str, Any] = dataclasses.field(default_factory=dict)
+
+
+def open_session() -> aiohttp.ClientSession:
+    """Returns a session without connection reuse."""
+    return aiohttp.ClientSession(
+        timeout=_TIMEOUT, connector=aiohttp.TCPConnector(force_close=True)
+    )
+
+
+def headers(key: str, **more: str) -> dict[str, str]:
+    """Returns the headers of a caller's request."""
+    return {"Authorization": f"Bearer {key}", **more}
+
+
+async def send_chat(
+    session: aiohttp.ClientSession,
+    url: str,
+    key: str,
+    messages: list[Any],
+    *,
+    stream: bool = True,
+    max_tokens: int = 8,
+    model: str = "m1",
+) -> Answer:
+    """Sends a chat and returns the answer, whole or not."""
+    body = {
+        "model": model,
+        "messages": messages,
+        "stream": stream,
+        "max_tokens": max_tokens,
+    }
+    async with session.post(
+        f"{url}/v1/chat/completions", json=body, headers=headers(key)
+    ) as response:
+        answer = Answer(response.status)
+        if response.status != 200:
+            answer.error = json.loads(await response.read())["error"]
+        elif stream:
+            async for line in response.content:
+                _take_line(line, answer)
+        else:
+            page = json.loads(await response.read())
+            text = page["choices"][0]["message"]["content"]
+            answer.words = [f"{word} " for word in text.split()]
+            answer.usage = page["usage"]
+            answer.done = True
+    return answer
+
+
+def _take_line(line: bytes, answer: Answer) -> None:
+    if not line.startswith(b"data: "):
+        return
+    data = line[len(b"data: ") :].strip()
+    if data == b"[DONE]":
+        answer.done = True
+        return
+    event = json.loads(data)
+    if "error" in event:
+        answer.error = event["error"]
+        return
+    for choice in event["choices"]:
+        if "content" in choice["delta"]:
+            answer.words.append(choice["delta"]["content"])
+    answer.usage = event.get("usage", answer.usage)
--- /dev/null
+++ b/tests/processes.py
@@ -0,0 +1,382 @@
+"""Starts the product's programs and the stand-ins as separate processes.
+
+Every process is stopped by its own id when the block ends. Settings files go
+to a temporary folder; ports come from the kernel.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import yaml
+
+from hibiscusstile.entry import auth
+from tests import builders
+
+__all__ = [
+    "Fleet",
+    "ManagedProcess",
+    "free_port",
+    "process_fleet",
+    "start_fleet",
+]
+
+_SECRET_VARIABLE = "HIBISCUSSTILE_TEST_PEER_SECRET"
+_SECRET = "processes-test-secret-0123456789"
+_READY_S = 15.0
+_STOP_S = 10.0
+_POLL_S = 0.05
+_ROOT = pathlib.Path(__file__).parent.parent
+KEY_SECRET = "tests-secret-part-of-the-key"
+
+
+def free_port() -> int:
+    """Returns a port that the kernel says is free."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+class ManagedProcess:
+    """One process, addressed by its own id only."""
+
+    def __init__(
+        self, name: str, arguments: list[str], folder: pathlib.Path
+    ) -> None:
+        self._name = name
+        self._arguments = arguments
+        self._log_path = folder / f"{name}.log"
+        self._process: subprocess.Popen[str] | None = None
+
+    @property
+    def name(self) -> str:
+        """The process's name in its fleet."""
+        return self._name
+
+    @property
+    def log(self) -> str:
+        """What it has written to standard error, over all starts."""
+        return self._log_path.read_text() if self._log_path.exists() else ""
+
+    @property
+    def returncode(self) -> int | None:
+        """The exit code, None while it runs."""
+        return self._process.poll() if self._process else None
+
+    def start(self) -> None:
+        """Starts the process, again after it ended."""
+        environment = {**os.environ, _SECRET_VARIABLE: _SECRET}
+        with self._log_path.open("a") as log:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", *self._arguments],
+                cwd=_ROOT,
+                env=environment,
+                stdout=subprocess.PIPE,
+                stderr=log,
+                text=True,
+            )
+
+    def first_line(self) -> str:
+        """Returns the first line of its output."""
+        assert self._process is not None and self._process.stdout is not None
+        return self._process.stdout.readline().strip()
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal, by the process's own id."""
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def terminate(self) -> None:
+        """Asks it to stop (SIGTERM)."""
+        self.send(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """Ends it at once (SIGKILL) and waits until it is gone."""
+        self.send(signal.SIGKILL)
+        if self._process is not None:
+            self._process.wait(_STOP_S)
+
+    def pause(self) -> None:
+        """Freezes it (SIGSTOP)."""
+        self.send(signal.SIGSTOP)
+
+    def resume(self) -> None:
+        """Thaws it (SIGCONT)."""
+        self.send(signal.SIGCONT)
+
+    async def wait(self, timeout_s: float = _STOP_S) -> int:
+        """Returns the exit code once it has ended."""
+        limit_s = time.monotonic() + timeout_s
+        while (code := self.returncode) is None:
+            if time.monotonic() > limit_s:
+                raise TimeoutError(f"{self._name} did not end")
+            await asyncio.sleep(_POLL_S)
+        return code
+
+    def close(self) -> None:
+        """Ends it in any state."""
+        if self._process is None:
+            return
+        self.send(signal.SIGCONT)
+        self.kill()
+        if self._process.stdout is not None:
+            self._process.stdout.close()
+
+
+@dataclasses.dataclass(slots=True)
+class Fleet:
+    """A running fleet of processes.
+
+    Attributes:
+        folder: Where settings and logs are.
+        log: The log's stand-in.
+        instances: The instance list's stand-in.
+        engines: The engines' stand-ins.
+        services: The plain services' stand-ins.
+        sidecars: Sidecars of the engines, then of the services.
+        entries: Entry instances.
+        urls: Base URL by process name; for entries, the callers' port.
+        peer_ports: Port for peers by sidecar name.
+        operators: URL of the operators' port by process name.
+        keys: Callers' key by workspace.
+    """
+
+    folder: pathlib.Path
+    log: ManagedProcess
+    instances: ManagedProcess
+    engines: list[ManagedProcess] = dataclasses.field(default_factory=list)
+    services: list[ManagedProcess] = dataclasses.field(default_factory=list)
+    sidecars: list[ManagedProcess] = dataclasses.field(default_factory=list)
+    entries: list[ManagedProcess] = dataclasses.field(default_factory=list)
+    urls: dict[str, str] = dataclasses.field(default_factory=dict)
+    peer_ports: dict[str, int] = dataclasses.field(default_factory=dict)
+    operators: dict[str, str] = dataclasses.field(default_factory=dict)
+    keys: dict[str, str] = dataclasses.field(default_factory=dict)
+
+    @property
+    def processes(self) -> list[ManagedProcess]:
+        """All processes in order of their start."""
+        stand_ins = [self.log, self.instances, *self.engines, *self.services]
+        return [*stand_ins, *self.sidecars, *self.entries]
+
+    async def fault(self, process: str, name: str, **arguments: Any) -> None:
+        """Makes a stand-in fail."""
+        await _post(
+            f"{self.urls[process]}/fault",
+            {"name": name, "arguments": arguments},
+        )
+
+    async def record(self, process: str) -> dict[str, Any]:
+        """Returns what a stand-in ran."""
+        return await get_json(f"{self.urls[process]}/record")
+
+    async def append(self, record: dict[str, Any]) -> None:
+        """Appends a configuration record to the log."""
+        await _post(f"{self.urls['log']}/streams/config", record)
+
+    async def wait_answering(self, entry: ManagedProcess) -> None:
+        """Waits until an entry instance is ready and sees every sidecar."""
+        limit_s = time.monotonic() + _READY_S
+        while not await self._sees_all(entry):
+            if time.monotonic() > limit_s or entry.returncode is not None:
+                raise TimeoutError(f"{entry.name} not ready: {entry.log}")
+            await asyncio.sleep(_POLL_S)
+
+    async def _sees_all(self, entry: ManagedProcess) -> bool:
+        try:
+            status = await get_json(f"{self.operators[entry.name]}/status")
+            ready = await get_json(f"{self.urls[entry.name]}/ready")
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+        usable = [s for s in status["backend_servers"] if s["usable"]]
+        return bool(ready["ready"]) and len(usable) >= len(self.sidecars)
+
+
+@contextlib.asynccontextmanager
+async def process_fleet(
+    folder: pathlib.Path,
+    *,
+    entries: int = 2,
+    engines: int = 2,
+    services: int = 1,
+    engine_arguments: tuple[str, ...] = (),
+    settings: dict[str, Any] | None = None,
+) -> AsyncIterator[Fleet]:
+    """Runs a fleet of separate processes and cleans up after it.
+
+    Args:
+        folder: Empty folder for settings and logs.
+        entries: Entry instances.
+        engines: Engines with their sidecars.
+        services: Plain services with their sidecars.
+        engine_arguments: Further options of the engines' stand-ins.
+        settings: Settings added to every process of the product.
+    """
+    fleet = Fleet(
+        folder,
+        _stand_in("log", "log", folder),
+        _stand_in("instances", "instances", folder),
+    )
+    try:
+        await start_fleet(
+            fleet, entries, engines, services, engine_arguments, settings or {}
+        )
+        yield fleet
+    finally:
+        for process in reversed(fleet.processes):
+            process.close()
+
+
+async def start_fleet(
+    fleet: Fleet,
+    entries: int,
+    engines: int,
+    services: int,
+    engine_arguments: tuple[str, ...],
+    settings: dict[str, Any],
+) -> None:
+    """Starts every process and waits until the entries answer."""
+    for number in range(1, engines + 1):
+        fleet.engines.append(
+            _stand_in(
+                f"engine-{number}", "engine", fleet.folder, engine_arguments
+            )
+        )
+    for number in range(1, services + 1):
+        fleet.services.append(
+            _stand_in(f"service-{number}", "service", fleet.folder)
+        )
+    for process in fleet.processes:
+        process.start()
+    for process in fleet.processes:
+        port = await asyncio.to_thread(process.first_line)
+        fleet.urls[process.name] = f"http://127.0.0.1:{port}"
+    for record in builders.fleet_records(auth.key_digest, KEY_SECRET):
+        await fleet.append(record)
+    for workspace in builders.FLEET_WORKSPACES:
+        fleet.keys[workspace] = f"hs_{workspace}_{KEY_SECRET}"
+    for backend in [*fleet.engines, *fleet.services]:
+        await _add_sidecar(fleet, backend, settings)
+    for number in range(1, entries + 1):
+        _add_entry(fleet, f"entry-{number}", settings)
+    for process in [*fleet.sidecars, *fleet.entries]:
+        process.start()
+    for entry in fleet.entries:
+        await fleet.wait_answering(entry)
+
+
+async def get_json(url: str) -> Any:
+    """Returns the JSON that a URL answers with, whatever its status."""
+    timeout = aiohttp.ClientTimeout(total=3)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.get(url) as response,
+    ):
+        return json.loads(await response.read())
+
+
+async def _post(url: str, body: Any) -> None:
+    timeout = aiohttp.ClientTimeout(total=3)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as session,
+        session.post(url, json=body) as response,
+    ):
+        assert response.status < 300, await response.text()
+
+
+def _stand_in(
+    name: str,
+    kind: str,
+    folder: pathlib.Path,
+    arguments: tuple[str, ...] = (),
+) -> ManagedProcess:
+    # A fixed port lets a killed stand-in come back at the same address.
+    return ManagedProcess(
+        name,
+        [
+            "hibiscusstile_standins",
+            *("--kind", kind, "--port", str(free_port())),
+            *arguments,
+        ],
+        folder,
+    )
+
+
+async def _add_sidecar(
+    fleet: Fleet, backend: ManagedProcess, settings: dict[str, Any]
+) -> None:
+    name = f"sidecar-{backend.name}"
+    port = free_port()
+    is_engine = backend in fleet.engines
+    config = {
+        **_common(fleet, name),
+        "role": "sidecar",
+        "peers": {"host": "127.0.0.1", "port": port},
+        "backend": {
+            "kind": "engine_chat" if is_engine else "plain_service",
+            "url": fleet.urls[backend.name],
+            "application": "" if is_engine else "accounts",
+        },
+        **settings,
+    }
+    fleet.peer_ports[name] = port
+    fleet.sidecars.append(_daemon(fleet, name, config))
+    await fleet.fault(
+        "instances",
+        "put",
+        peer_id=name,
+        role="sidecar",
+        port=port,
+        zone="az-1",
+        region="test",
+    )
+
+
+def _add_entry(fleet: Fleet, name: str, settings: dict[str, Any]) -> None:
+    port = free_port()
+    config = {
+        **_common(fleet, name),
+        "role": "entry",
+        "http": {"host": "127.0.0.1", "port": port},
+        **settings,
+    }
+    fleet.urls[name] = f"http://127.0.0.1:{port}"
+    fleet.entries.append(_daemon(fleet, name, config))
+
+
+def _common(fleet: Fleet, name: str) -> dict[str, Any]:
+    port = free_port()
+    fleet.operators[name] = f"http://127.0.0.1:{port}"
+    return {
+        "peer_id": name,
+        "zone": "az-1",
+        "region": "test",
+        "operators": {"host": "127.0.0.1", "port": port},
+        "platform": {
+            "log": {"url": fleet.urls["log"]},
+            "instance_list": {"url": fleet.urls["instances"]},
+        },
+        "peer_secret": {"environment": _SECRET_VARIABLE},
+        "stop": {"balancer_delay_s": 0.2, "deadline_s": 10},
+    }
+
+
+def _daemon(fleet: Fleet, name: str, config: dict[str, Any]) -> ManagedProcess:
+    path = fleet.folder / f"{name}.yaml"
+    path.write_text(yaml.safe_dump(config))
+    return ManagedProcess(
+        name, ["hibiscusstile.daemon", "--settings", str(path)], fleet.folder
+    )
