Report engine crashes and freezes, and tell exactly what was sent

Attempts at a frozen engine hung, a crash was noticed only by the streams it cut, and the model in a sidecar's hello was read once. A supervised watch now polls the engine's health every 500 ms, ends running attempts with backend_crashed or backend_failed, and announces model, weights version and adapters when they change. The cache feed takes a fresh listing after a jump in event numbers and ignores late batches of an earlier incarnation.

--- a/hibiscusstile/backends/__init__.py
+++ b/hibiscusstile/backends/__init__.py
@@ -25,6 +25,7 @@
     "EngineText",
     "GenerateOrder",
     "OrderResult",
+    "ProbeFailure",
     "ServiceBackend",
     "backend_kinds",
     "get_backend_kind_by_name",
@@ -188,10 +189,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderResult:
-    """Whether an engine followed an order, and its message if not."""
+    """What came of an order.
+
+    Attributes:
+        done: Whether the engine followed it.
+        message: Why not, empty when done.
+        may_be_done: Whether an order without a clear answer may still have
+            taken effect.
+    """
 
     done: bool
     message: str = ""
+    may_be_done: bool = False
+
+
+class ProbeFailure(enum.Enum):
+    """Why an engine did not say how it is."""
+
+    REFUSED = "refused"
+    """It accepts no connection, or dropped the one it had accepted."""
+    SILENT = "silent"
+    """It did not answer in time."""
+    MALFORMED = "malformed"
+    """Its answer is not of the protocol."""
 
 
 class Backend(abc.ABC):
@@ -251,6 +271,10 @@
     async def health(self) -> EngineHealth | None:
         """Returns the engine's state, None when unreachable."""
 
+    @abc.abstractmethod
+    async def probe(self, timeout_s: float) -> EngineHealth | ProbeFailure:
+        """Returns the engine's state, or why there is none in time."""
+
     @abc.abstractmethod
     async def order(self, order: EngineOrder) -> OrderResult:
         """Sends an order and waits until it is done or refused."""
--- a/hibiscusstile/backends/engine_chat.py
+++ b/hibiscusstile/backends/engine_chat.py
@@ -7,56 +7,18 @@
 from typing import Any
 
 import aiohttp
-import pydantic
 
-from hibiscusstile import backends, outcome, request
+from hibiscusstile import backends, outcome
+from hibiscusstile.backends import engine_protocol, wire
 
 __all__ = ["EngineChat", "EngineChatUnfenced"]
 
 _CONTROL_TIMEOUT = aiohttp.ClientTimeout(total=5.0)
+_CANCEL_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
 _ORDER_TIMEOUT = aiohttp.ClientTimeout(total=60.0)
-_STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, connect=2.0)
-
-
-class _Event(pydantic.BaseModel):
-    number: int = 0
-    kind: backends.BlockEventKind
-    salt: str
-    digest: int
-    tokens: int
-
-
-class _Events(pydantic.BaseModel):
-    incarnation: str
-    events: list[_Event]
-    last_number: int = -1
-
-
-class _Load(pydantic.BaseModel):
-    running: int
-    waiting: int
-    prefill_tokens: int
-
-
-class _Health(pydantic.BaseModel):
-    incarnation: str
-    model: str
-    weights_version: str
-    adapters: list[str]
-    role: str
-    fencing_number: int
-
-
-class _Frame(pydantic.BaseModel):
-    """One server-sent event of a generation."""
-
-    event: str
-    text: str = ""
-    incarnation: str = ""
-    cached_tokens: int = 0
-    prompt_tokens: int = 0
-    completion_tokens: int = 0
-    finish_reason: str = ""
+_STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=2.0)
+_DIAGNOSIS_TIMEOUT_S = 0.3
+_MAX_MESSAGE_CHARS = 200
 
 
 @backends.backend_kinds.register()
@@ -70,80 +32,105 @@
         super().__init__(url)
         self._url = url
         self._session: aiohttp.ClientSession | None = None
+        self._incarnation = ""
 
     async def generate(
         self, order: backends.GenerateOrder
     ) -> AsyncIterator[backends.EngineEvent]:
         """Yields one `EngineStarted`, texts, and one `EngineEnd`."""
+        sent = wire.Attempt()
+        incarnation = self._incarnation
         try:
             async with self._open_session().post(
                 f"{self._url}/v1/chat/completions",
-                json=_generate_body(order),
+                json=engine_protocol.generate_body(order),
                 timeout=_STREAM_TIMEOUT,
+                allow_redirects=False,
+                trace_request_ctx=sent,
             ) as response:
                 if response.status != 200:
                     raise outcome.Refused(await _status_refusal(response))
                 async for line in response.content:
-                    event = _parse_line(line)
+                    event = engine_protocol.parse_line(line)
                     if event is not None:
                         yield event
+                    if isinstance(event, backends.EngineStarted):
+                        incarnation = event.incarnation or incarnation
                     if isinstance(event, backends.EngineEnd):
                         return
-        except aiohttp.ClientConnectorError:
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.BACKEND_FAILED,
-                    "the engine accepts no connection",
-                )
-            ) from None
-        except (aiohttp.ClientError, TimeoutError) as error:
-            raise outcome.Refused(_broken(repr(error))) from None
-        raise outcome.Refused(_broken("ended early"))
+            error: Exception | None = None
+        # aiohttp raises ValueError for a line that exceeds its buffer.
+        except (aiohttp.ClientError, TimeoutError, ValueError) as caught:
+            error = caught
+        if not sent.connected:
+            raise outcome.Refused(_not_reached(error))
+        reason = await self._diagnose(incarnation)
+        raise outcome.Refused(
+            engine_protocol.stream_broken(
+                repr(error) if error else "ended early", reason
+            )
+        )
 
     async def cancel(self, attempt_id: str) -> None:
         """Cancels work; unknown or ended work is ignored."""
-        await self._post(f"/v1/cancel/{attempt_id}", {}, _CONTROL_TIMEOUT)
+        await self._post(f"/v1/cancel/{attempt_id}", {}, _CANCEL_TIMEOUT)
 
     async def cache_events(self, after: int) -> backends.CacheEvents | None:
         """Returns events numbered above `after`, None when unreachable."""
-        return _to_events(await self._get(f"/cache/events?after={after}"))
+        return engine_protocol.parse_events(
+            await self._get(f"/cache/events?after={after}")
+        )
 
     async def cache_blocks(self) -> backends.CacheEvents | None:
-        """Returns all cached blocks as stored events."""
-        return _to_events(await self._get("/cache/blocks"))
+        """Returns all cached prefixes as stored events."""
+        return engine_protocol.parse_events(await self._get("/cache/blocks"))
 
     async def load(self) -> backends.EngineLoad | None:
         """Returns the lagging load report, None when unreachable."""
-        body = await self._get("/load")
-        if body is None:
-            return None
-        return backends.EngineLoad(
-            **_Load.model_validate_json(body).model_dump()
-        )
+        return engine_protocol.parse_load(await self._get("/load"))
 
     async def health(self) -> backends.EngineHealth | None:
         """Returns the engine's state, None when unreachable."""
-        body = await self._get("/health")
-        if body is None:
-            return None
-        page = _Health.model_validate_json(body)
-        fields = page.model_dump()
-        fields["adapters"] = tuple(page.adapters)
-        return backends.EngineHealth(**fields)
+        result = await self.probe(_CONTROL_TIMEOUT.total or 0.0)
+        return result if isinstance(result, backends.EngineHealth) else None
+
+    async def probe(
+        self, timeout_s: float
+    ) -> backends.EngineHealth | backends.ProbeFailure:
+        """Returns the engine's state, or why there is none."""
+        try:
+            async with self._open_session().get(
+                f"{self._url}/health",
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+            ) as response:
+                body = await response.read()
+                status = response.status
+        except TimeoutError:
+            return backends.ProbeFailure.SILENT
+        except aiohttp.ClientError:
+            return backends.ProbeFailure.REFUSED
+        health = engine_protocol.parse_health(body)
+        if status != 200 or health is None:
+            return backends.ProbeFailure.MALFORMED
+        self._incarnation = health.incarnation
+        return health
 
     async def order(self, order: backends.EngineOrder) -> backends.OrderResult:
         """Sends an order and waits until it is done or refused."""
-        body = {
-            "fencing_number": order.fencing_number,
-            "model": order.model,
-            "weights_version": order.weights_version,
-            "adapters": list(order.adapters),
-            "role": order.role,
-        }
-        status, text = await self._post("/orders", body, _ORDER_TIMEOUT)
+        status, text, sent = await self._post(
+            "/orders", engine_protocol.order_body(order), _ORDER_TIMEOUT
+        )
         if status == 200:
             return backends.OrderResult(True)
-        return backends.OrderResult(False, f"engine answered {status}: {text}")
+        if status == 0:
+            return backends.OrderResult(
+                False, f"no answer: {text}", may_be_done=sent
+            )
+        return backends.OrderResult(
+            False,
+            f"engine answered {status}: {text}",
+            may_be_done=status >= 500,
+        )
 
     async def export_kv(self, salt: str, digest: int) -> bytes | None:
         """Returns the KV cache of a prefix, None when it is not held."""
@@ -156,6 +143,7 @@
                 f"{self._url}/kv/{digest}?salt={salt}",
                 data=data,
                 timeout=_CONTROL_TIMEOUT,
+                allow_redirects=False,
             ) as response:
                 return response.status in (200, 201, 204)
         except (aiohttp.ClientError, TimeoutError):
@@ -166,11 +154,22 @@
         if self._session is not None:
             await self._session.close()
 
+    async def _diagnose(self, incarnation: str) -> outcome.Reason:
+        """Tells an engine that crashed from one that cut a stream."""
+        health = await self.probe(_DIAGNOSIS_TIMEOUT_S)
+        if health is backends.ProbeFailure.REFUSED:
+            return outcome.Reason.BACKEND_CRASHED
+        if (
+            isinstance(health, backends.EngineHealth)
+            and incarnation
+            and health.incarnation != incarnation
+        ):
+            return outcome.Reason.BACKEND_CRASHED
+        return outcome.Reason.BACKEND_FAILED
+
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(limit=0)
-            )
+            self._session = wire.open_session()
         return self._session
 
     async def _get(self, path: str) -> bytes | None:
@@ -186,14 +185,20 @@
 
     async def _post(
         self, path: str, body: dict[str, Any], limits: aiohttp.ClientTimeout
-    ) -> tuple[int, str]:
+    ) -> tuple[int, str, bool]:
+        """Returns status, text, and whether bytes may have been sent."""
+        sent = wire.Attempt()
         try:
             async with self._open_session().post(
-                self._url + path, json=body, timeout=limits
+                self._url + path,
+                json=body,
+                timeout=limits,
+                allow_redirects=False,
+                trace_request_ctx=sent,
             ) as response:
-                return response.status, await response.text()
+                return response.status, await response.text(), True
         except (aiohttp.ClientError, TimeoutError) as error:
-            return 0, repr(error)
+            return 0, repr(error), sent.connected
 
 
 @backends.backend_kinds.register()
@@ -204,68 +209,17 @@
     checks_fencing = False
 
 
-def _generate_body(order: backends.GenerateOrder) -> dict[str, Any]:
-    return {
-        "attempt_id": order.attempt_id,
-        "model": order.chat.model,
-        "adapter": order.chat.adapter,
-        "weights_version": order.weights_version,
-        "messages": [_message_body(m) for m in order.chat.messages],
-        "max_tokens": order.chat.max_tokens,
-        "priority": order.priority,
-        "cache_salt": order.cache_salt,
-        "resume_text": order.resume_text,
-        "prefix_levels": [
-            {"digest": level.digest, "tokens": level.tokens}
-            for level in order.prefix_levels
-        ],
-        "stream": True,
-    }
-
-
-def _message_body(message: request.Message) -> dict[str, Any]:
-    return {
-        "role": message.role,
-        "content": [_part_body(part) for part in message.parts],
-    }
-
-
-def _part_body(part: request.ContentPart) -> dict[str, Any]:
-    body: dict[str, Any]
-    if part.kind is request.PartKind.IMAGE:
-        body = {"type": "image_url", "image_url": {"url": part.text}}
-    else:
-        body = {"type": "text", "text": part.text}
-    if part.breakpoint:
-        body["cache_control"] = {"type": "ephemeral"}
-    return body
-
-
-def _parse_line(line: bytes) -> backends.EngineEvent | None:
-    if not line.startswith(b"data: "):
-        return None
-    try:
-        frame = _Frame.model_validate_json(line[len(b"data: ") :])
-    except pydantic.ValidationError:
-        raise outcome.Refused(_broken("malformed event")) from None
-    if frame.event == "started":
-        return backends.EngineStarted(frame.cached_tokens, frame.incarnation)
-    if frame.event == "text":
-        return backends.EngineText(frame.text)
-    if frame.event == "end":
-        return backends.EngineEnd(
-            frame.finish_reason,
-            frame.prompt_tokens,
-            frame.cached_tokens,
-            frame.completion_tokens,
-        )
-    return None
+def _not_reached(error: Exception | None) -> outcome.Refusal:
+    return outcome.Refusal(
+        outcome.Reason.BACKEND_FAILED,
+        f"the engine accepts no connection: {type(error).__name__}",
+    )
 
 
 async def _status_refusal(
     response: aiohttp.ClientResponse,
 ) -> outcome.Refusal:
-    text = (await response.text())[:200]
+    text = (await response.text())[:_MAX_MESSAGE_CHARS]
     try:
         message = str(json.loads(text).get("message", ""))
     except (ValueError, AttributeError):
@@ -273,25 +227,10 @@
     reason = outcome.Reason.BACKEND_FAILED
     if response.status == 409:
         reason = outcome.Reason.NOT_LOADED
+    # A 4xx is the engine's own word that it took nothing up.
+    took_up = not 400 <= response.status < 500
     return outcome.Refusal(
-        reason, f"the engine answered {response.status} {message}".strip()
-    )
-
-
-def _broken(detail: str) -> outcome.Refusal:
-    return outcome.Refusal(
-        outcome.Reason.BACKEND_FAILED,
-        f"the engine's stream broke: {detail}",
-        outcome.Verdict.MAY_HAVE_RUN,
-    )
-
-
-def _to_events(body: bytes | None) -> backends.CacheEvents | None:
-    if body is None:
-        return None
-    page = _Events.model_validate_json(body)
-    return backends.CacheEvents(
-        page.incarnation,
-        tuple(backends.BlockEvent(**e.model_dump()) for e in page.events),
-        page.last_number,
+        reason,
+        f"the engine answered {response.status} {message}".strip(),
+        outcome.Verdict.MAY_HAVE_RUN if took_up else outcome.Verdict.NOT_RUN,
     )
--- /dev/null
+++ b/hibiscusstile/backends/engine_protocol.py
@@ -0,0 +1,189 @@
+"""JSON of the engines' protocol, to and from the inside's data classes."""
+
+from __future__ import annotations
+
+from typing import Any, TypeVar
+
+import pydantic
+
+from hibiscusstile import backends, outcome, request
+
+__all__ = [
+    "generate_body",
+    "order_body",
+    "parse_events",
+    "parse_health",
+    "parse_line",
+    "parse_load",
+    "stream_broken",
+]
+
+_DATA = b"data: "
+_M = TypeVar("_M", bound=pydantic.BaseModel)
+
+
+class _Event(pydantic.BaseModel):
+    number: int = 0
+    kind: backends.BlockEventKind
+    salt: str
+    digest: int
+    tokens: int
+
+
+class _Events(pydantic.BaseModel):
+    incarnation: str
+    events: list[_Event]
+    last_number: int = -1
+
+
+class _Load(pydantic.BaseModel):
+    running: int
+    waiting: int
+    prefill_tokens: int
+
+
+class _Health(pydantic.BaseModel):
+    incarnation: str
+    model: str
+    weights_version: str
+    adapters: tuple[str, ...]
+    role: str
+    fencing_number: int
+
+
+class _Frame(pydantic.BaseModel):
+    """One server-sent event of a generation."""
+
+    event: str
+    text: str = ""
+    incarnation: str = ""
+    cached_tokens: int = 0
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    finish_reason: str = ""
+
+
+def generate_body(order: backends.GenerateOrder) -> dict[str, Any]:
+    """Returns the body that asks for a generation."""
+    return {
+        "attempt_id": order.attempt_id,
+        "model": order.chat.model,
+        "adapter": order.chat.adapter,
+        "weights_version": order.weights_version,
+        "messages": [_message_body(m) for m in order.chat.messages],
+        "max_tokens": order.chat.max_tokens,
+        "priority": order.priority,
+        "cache_salt": order.cache_salt,
+        "resume_text": order.resume_text,
+        "prefix_levels": [
+            {"digest": level.digest, "tokens": level.tokens}
+            for level in order.prefix_levels
+        ],
+        "stream": True,
+    }
+
+
+def order_body(order: backends.EngineOrder) -> dict[str, Any]:
+    """Returns the body of an order."""
+    return {
+        "fencing_number": order.fencing_number,
+        "model": order.model,
+        "weights_version": order.weights_version,
+        "adapters": list(order.adapters),
+        "role": order.role,
+    }
+
+
+def parse_line(line: bytes) -> backends.EngineEvent | None:
+    """Returns the event in a line of a stream, None for other lines.
+
+    Raises:
+        Refused: The event is malformed; `may_have_run`.
+    """
+    if not line.startswith(_DATA):
+        return None
+    frame = _parse(_Frame, line[len(_DATA) :])
+    if frame is None:
+        raise outcome.Refused(stream_broken("malformed event"))
+    if frame.event == "started":
+        return backends.EngineStarted(frame.cached_tokens, frame.incarnation)
+    if frame.event == "text":
+        return backends.EngineText(frame.text)
+    if frame.event == "end":
+        return backends.EngineEnd(
+            frame.finish_reason,
+            frame.prompt_tokens,
+            frame.cached_tokens,
+            frame.completion_tokens,
+        )
+    return None
+
+
+def parse_events(body: bytes | None) -> backends.CacheEvents | None:
+    """Returns cache events, None for no or a malformed body."""
+    page = _parse(_Events, body)
+    if page is None:
+        return None
+    return backends.CacheEvents(
+        page.incarnation,
+        tuple(
+            backends.BlockEvent(e.number, e.kind, e.salt, e.digest, e.tokens)
+            for e in page.events
+        ),
+        page.last_number,
+    )
+
+
+def parse_health(body: bytes | None) -> backends.EngineHealth | None:
+    """Returns the health, None for no or a malformed body."""
+    page = _parse(_Health, body)
+    if page is None:
+        return None
+    return backends.EngineHealth(**page.model_dump())
+
+
+def parse_load(body: bytes | None) -> backends.EngineLoad | None:
+    """Returns the load, None for no or a malformed body."""
+    page = _parse(_Load, body)
+    if page is None:
+        return None
+    return backends.EngineLoad(**page.model_dump())
+
+
+def stream_broken(
+    detail: str,
+    reason: outcome.Reason = outcome.Reason.BACKEND_FAILED,
+) -> outcome.Refusal:
+    """Returns the refusal for a generation without its end."""
+    return outcome.Refusal(
+        reason,
+        f"the engine's stream broke: {detail}",
+        outcome.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _parse(model: type[_M], body: bytes | None) -> _M | None:
+    if body is None:
+        return None
+    try:
+        return model.model_validate_json(body)
+    except pydantic.ValidationError:
+        return None
+
+
+def _message_body(message: request.Message) -> dict[str, Any]:
+    return {
+        "role": message.role,
+        "content": [_part_body(part) for part in message.parts],
+    }
+
+
+def _part_body(part: request.ContentPart) -> dict[str, Any]:
+    body: dict[str, Any]
+    if part.kind is request.PartKind.IMAGE:
+        body = {"type": "image_url", "image_url": {"url": part.text}}
+    else:
+        body = {"type": "text", "text": part.text}
+    if part.breakpoint:
+        body["cache_control"] = {"type": "ephemeral"}
+    return body
--- a/hibiscusstile/backends/plain_service.py
+++ b/hibiscusstile/backends/plain_service.py
@@ -6,6 +6,7 @@
 import yarl
 
 from hibiscusstile import backends, outcome, request
+from hibiscusstile.backends import wire
 
 __all__ = ["PlainService"]
 
@@ -15,12 +16,7 @@
 
 @backends.backend_kinds.register()
 class PlainService(backends.ServiceBackend):
-    """A service reached over HTTP, one connection a call.
-
-    aiohttp repeats idempotent methods, PUT and DELETE among them, when a
-    kept-alive connection turns out closed. A fresh connection for each call
-    rules that out.
-    """
+    """A service reached over HTTP, one connection a call."""
 
     name = "plain_service"
 
@@ -41,6 +37,7 @@
         headers = {}
         if call.content_type:
             headers["Content-Type"] = call.content_type
+        sent = wire.Attempt()
         try:
             async with self._open_session().request(
                 call.method,
@@ -48,26 +45,14 @@
                 data=call.body or None,
                 headers=headers,
                 allow_redirects=False,
+                trace_request_ctx=sent,
                 timeout=aiohttp.ClientTimeout(
                     total=timeout_s, sock_connect=_CONNECT_TIMEOUT_S
                 ),
             ) as response:
                 return await _read_reply(response)
-        except aiohttp.ClientConnectorError:
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.BACKEND_FAILED,
-                    "the service accepts no connection",
-                )
-            ) from None
         except (aiohttp.ClientError, TimeoutError) as error:
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.BACKEND_FAILED,
-                    f"the service gave no whole answer: {error!r}",
-                    outcome.Verdict.MAY_HAVE_RUN,
-                )
-            ) from None
+            raise outcome.Refused(_no_answer(sent, error)) from None
 
     async def alive(self) -> bool:
         """Returns whether the service accepts connections."""
@@ -87,13 +72,23 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession(
-                connector=aiohttp.TCPConnector(force_close=True, limit=0),
-                auto_decompress=False,
-            )
+            self._session = wire.open_session(auto_decompress=False)
         return self._session
 
 
+def _no_answer(sent: wire.Attempt, error: Exception) -> outcome.Refusal:
+    if not sent.connected:
+        return outcome.Refusal(
+            outcome.Reason.BACKEND_FAILED,
+            f"the service accepts no connection: {type(error).__name__}",
+        )
+    return outcome.Refusal(
+        outcome.Reason.BACKEND_FAILED,
+        f"the service gave no whole answer: {error!r}",
+        outcome.Verdict.MAY_HAVE_RUN,
+    )
+
+
 async def _read_reply(
     response: aiohttp.ClientResponse,
 ) -> request.ServiceReply:
--- a/hibiscusstile/cacheview.py
+++ b/hibiscusstile/cacheview.py
@@ -75,6 +75,13 @@
             else:
                 self._tokens.pop((event.salt, event.digest), None)
 
+    def replace(self, listing: backends.CacheEvents) -> None:
+        """Takes a listing of all cached prefixes in place of what it knew."""
+        self.reset(listing.incarnation)
+        for event in listing.events:
+            self._store(event.salt, event.digest, event.tokens)
+        self._last_number = listing.last_number
+
     def cached_tokens(
         self, salt: str, levels: Sequence[request.PrefixLevel]
     ) -> int:
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -26,7 +26,14 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import handshake, messages
 from hibiscusstile.peers import server as server_lib
-from hibiscusstile.sidecar import cachefeed, discovery, executor, service, turns
+from hibiscusstile.sidecar import (
+    cachefeed,
+    discovery,
+    enginewatch,
+    executor,
+    service,
+    turns,
+)
 
 __all__ = ["SidecarRole"]
 
@@ -50,7 +57,6 @@
         self._clock = clock
         self._incarnation = identity.new_id("inc")
         self._leaving = False
-        self._model = ""
         self._store = store_lib.ConfigurationStore(author=config.peer_id)
         self._view = cacheview.CacheView()
         self._backend = backends.get_backend_kind_by_name(config.backend.kind)(
@@ -98,6 +104,15 @@
             lambda: self._discovery.peers,
             fetching.FetchPacer(clock, lambda: self._store.revision),
         )
+        self._watch: enginewatch.EngineWatch | None = None
+        if isinstance(self._backend, backends.EngineBackend):
+            self._watch = enginewatch.EngineWatch(
+                self._backend,
+                self._view,
+                self._executor.fail_running,
+                self._service.announce_info,
+                clock,
+            )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
             config.peers.host_text,
@@ -131,6 +146,7 @@
             "waiting": self._turns.queue.waiting,
             "running": self._turns.queue.running,
             "cached_prefixes": len(self._view),
+            "backend": self._backend_status(),
         }
 
     def build(self, root: supervisor.Supervisor) -> None:
@@ -141,11 +157,15 @@
             ("attempts", self._attempts.run),
             ("turns", self._turns.run),
             ("executor", self._executor.run),
-            ("engine", self._run_engine),
             ("discovery", self._discovery.run),
             ("peers", self._server.run),
             ("operators", self._operators.run),
         ]
+        if isinstance(self._backend, backends.EngineBackend):
+            feed = cachefeed.CacheFeed(self._backend, self._view, self._clock)
+            specs.append(("cache_feed", feed.run))
+        if self._watch is not None:
+            specs.append(("engine_watch", self._watch.run))
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
 
@@ -187,20 +207,22 @@
             self._config.platform.log_retention,
         )
 
-    async def _run_engine(self) -> None:
-        if isinstance(self._backend, backends.EngineBackend):
-            health = await self._backend.health()
-            self._model = health.model if health else ""
-            await cachefeed.CacheFeed(
-                self._backend, self._view, self._clock
-            ).run()
-        await self._clock.sleep(datetime.timedelta.max / 1000)
-
     def _rank_level(self, rank: str) -> int:
         record = self._store.view.ranks.get(rank)
         return record.level if record else 0
 
+    def _backend_status(self) -> dict[str, object]:
+        info = self._info()
+        return {
+            "kind": info.backend_kind,
+            "model": info.model,
+            "weights_version": info.weights_version,
+            "application": info.application,
+            "up": self._watch is None or self._watch.health is not None,
+        }
+
     def _info(self) -> messages.PeerInfo:
+        health = self._watch.health if self._watch else None
         return messages.PeerInfo(
             self._config.peer_id,
             self._incarnation,
@@ -210,7 +232,9 @@
             self._config.zone,
             self._config.region,
             backend_kind=self._config.backend.kind,
-            model=self._model,
+            model=health.model if health else "",
+            adapters=health.adapters if health else (),
+            weights_version=health.weights_version if health else "",
             application=self._config.backend.application,
             leaving=self._leaving,
         )
--- a/hibiscusstile/sidecar/cachefeed.py
+++ b/hibiscusstile/sidecar/cachefeed.py
@@ -3,18 +3,28 @@
 from __future__ import annotations
 
 import datetime
+import itertools
+
+import logbook
 
 from hibiscusstile import backends, cacheview
 from hibiscusstile import clock as clock_lib
 
 __all__ = ["CacheFeed"]
 
+_log = logbook.Logger("sidecar")
+
 _POLL_INTERVAL = datetime.timedelta(milliseconds=200)
 
 
 class CacheFeed:
     """Polls the engine's cache events.
 
+    Events arrive late and some never do. A jump in their numbers, or a batch
+    of another incarnation, leads to a fresh listing, and the listing alone
+    says which incarnation is the present one: a late batch of an earlier
+    incarnation changes nothing.
+
     Args:
         engine: The engine.
         view: Where the events go.
@@ -30,20 +40,49 @@
         self._engine = engine
         self._view = view
         self._clock = clock
+        self._incarnation = ""
+        self._position = -1
 
     async def run(self) -> None:
         """Polls until cancelled."""
         while True:
-            batch = await self._engine.cache_events(self._view.last_number)
-            if batch is not None:
-                await self._apply(batch)
+            await self.poll()
             await self._clock.sleep(_POLL_INTERVAL)
 
-    async def _apply(self, batch: backends.CacheEvents) -> None:
-        if batch.incarnation == self._view.incarnation:
-            self._view.apply(batch)
+    async def poll(self) -> None:
+        """Brings the view up to date once."""
+        batch = await self._engine.cache_events(self._position)
+        if batch is None:
+            return
+        if batch.incarnation != self._incarnation or self._jumps(batch):
+            await self._list_anew(batch)
             return
-        self._view.reset(batch.incarnation)
+        self._view.apply(batch)
+        if batch.events:
+            self._position = batch.events[-1].number
+
+    def _jumps(self, batch: backends.CacheEvents) -> bool:
+        expected = itertools.count(self._position + 1)
+        return any(
+            event.number != number
+            for event, number in zip(batch.events, expected, strict=False)
+        )
+
+    async def _list_anew(self, batch: backends.CacheEvents) -> None:
         listing = await self._engine.cache_blocks()
-        if listing is not None:
-            self._view.apply(listing)
+        if listing is None:
+            return
+        if (
+            listing.incarnation == self._incarnation
+            and batch.incarnation != self._incarnation
+        ):
+            return
+        _log.info(
+            "cache_listed incarnation={} prefixes={} after_event={}",
+            listing.incarnation,
+            len(listing.events),
+            self._position,
+        )
+        self._incarnation = listing.incarnation
+        self._position = listing.last_number
+        self._view.replace(listing)
--- /dev/null
+++ b/hibiscusstile/sidecar/enginewatch.py
@@ -0,0 +1,111 @@
+"""Notices that the local engine has crashed, frozen or changed."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+from collections.abc import Awaitable, Callable
+
+import logbook
+
+from hibiscusstile import backends, cacheview, outcome
+from hibiscusstile import clock as clock_lib
+
+__all__ = ["EngineWatch"]
+
+_log = logbook.Logger("sidecar")
+
+_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
+_SILENCE = datetime.timedelta(milliseconds=1500)
+
+
+class EngineWatch:
+    """Polls the engine's health.
+
+    Args:
+        engine: The engine.
+        view: Reset when the engine has a new incarnation.
+        fail_running: Ends running attempts with a refusal; the second
+            argument names the present incarnation, whose attempts go on.
+        announce: Tells peers that `health` has changed.
+        clock: Paces the polls.
+    """
+
+    def __init__(
+        self,
+        engine: backends.EngineBackend,
+        view: cacheview.CacheView,
+        fail_running: Callable[[outcome.Refusal, str], None],
+        announce: Callable[[], Awaitable[None]],
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._engine = engine
+        self._view = view
+        self._fail_running = fail_running
+        self._announce = announce
+        self._clock = clock
+        self._health: backends.EngineHealth | None = None
+        self._incarnation = ""
+
+    @property
+    def health(self) -> backends.EngineHealth | None:
+        """What the engine last said of itself, None while it is down."""
+        return self._health
+
+    async def run(self) -> None:
+        """Polls until cancelled."""
+        while True:
+            await self.poll()
+            await self._clock.sleep(_POLL_INTERVAL)
+
+    async def poll(self) -> None:
+        """Asks the engine once and acts on what it says."""
+        result = await self._engine.probe(_SILENCE.total_seconds())
+        if isinstance(result, backends.EngineHealth):
+            await self._note_health(result)
+        elif result is not backends.ProbeFailure.MALFORMED:
+            await self._note_down(result)
+
+    async def _note_health(self, health: backends.EngineHealth) -> None:
+        if health.incarnation != self._incarnation:
+            if self._incarnation:
+                _log.warn("engine_restarted incarnation={}", health.incarnation)
+                self._fail_running(_crashed(), health.incarnation)
+            if self._view.incarnation != health.incarnation:
+                self._view.reset(health.incarnation)
+            self._incarnation = health.incarnation
+        # The fencing number changes nothing that peers know.
+        known = self._health and dataclasses.replace(
+            self._health, fencing_number=health.fencing_number
+        )
+        self._health = health
+        if known != health:
+            await self._announce()
+
+    async def _note_down(self, failure: backends.ProbeFailure) -> None:
+        # Also while it is known to be down: an attempt that was on its way
+        # would hang on a frozen engine until the next change.
+        if failure is backends.ProbeFailure.REFUSED:
+            self._fail_running(_crashed(), "")
+        else:
+            self._fail_running(_frozen(), "")
+        if self._health is not None:
+            _log.warn("engine_down reason={}", failure.value)
+            self._health = None
+            await self._announce()
+
+
+def _crashed() -> outcome.Refusal:
+    return outcome.Refusal(
+        outcome.Reason.BACKEND_CRASHED,
+        "the engine crashed",
+        outcome.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def _frozen() -> outcome.Refusal:
+    return outcome.Refusal(
+        outcome.Reason.BACKEND_FAILED,
+        f"the engine did not answer for {_SILENCE.total_seconds():g} s",
+        outcome.Verdict.MAY_HAVE_RUN,
+    )
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -41,6 +41,9 @@
     stream: attempt_lib.AttemptStream
     work_id: str
     ended: bool = False
+    scope: asyncio.Timeout | None = None
+    failure: outcome.Refusal | None = None
+    incarnation: str = ""
 
 
 class Executor:
@@ -151,6 +154,25 @@
         """Stops an attempt, at the engine too, without waiting for it."""
         self._tasks.cancel(attempt_id)
 
+    def fail_running(
+        self, refusal: outcome.Refusal, incarnation: str = ""
+    ) -> None:
+        """Ends the attempts that the engine has been handed, at once.
+
+        Args:
+            refusal: What their entries are told.
+            incarnation: The engine's present incarnation when it has come
+                back already; attempts not known to be of an earlier one are
+                left alone then.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for running in self._attempts.values():
+            spared = incarnation and running.incarnation in ("", incarnation)
+            if running.scope is None or running.failure or spared:
+                continue
+            running.failure = refusal
+            running.scope.reschedule(now_s)
+
     def detach(self, connection: connection_lib.PeerConnection) -> None:
         """Notes that a connection has ended."""
         for running in self._attempts.values():
@@ -216,21 +238,30 @@
         self._bidder.note_handed(work, order.cache_salt)
         served = 0
         try:
-            async for event in self._engine().generate(order):
-                if isinstance(event, backends.EngineStarted):
-                    served += dispatch.work.prompt_tokens - event.cached_tokens
-                    self._turns.note_started(work.work_id)
-                    self._note_start(order, dispatch, event)
-                    await running.stream.send_started(event.cached_tokens)
-                elif isinstance(event, backends.EngineText):
-                    served += 1
-                    await running.stream.send_text(event.text)
-                else:
-                    await running.stream.send_end(event)
+            async with asyncio.timeout(None) as running.scope:
+                async for event in self._engine().generate(order):
+                    if isinstance(event, backends.EngineStarted):
+                        served += (
+                            dispatch.work.prompt_tokens - event.cached_tokens
+                        )
+                        running.incarnation = event.incarnation
+                        self._turns.note_started(work.work_id)
+                        self._note_start(order, dispatch, event)
+                        await running.stream.send_started(event.cached_tokens)
+                    elif isinstance(event, backends.EngineText):
+                        served += 1
+                        await running.stream.send_text(event.text)
+                    else:
+                        await running.stream.send_end(event)
+        except TimeoutError:
+            if running.failure is None:
+                raise
+            raise outcome.Refused(running.failure) from None
         except asyncio.CancelledError:
             await self._cancel_at_engine(dispatch.attempt_id)
             raise
         finally:
+            running.scope = None
             self._bidder.note_ended(dispatch.work.work_id)
             self._turns.finish(dispatch.work.work_id, served)
 
