--- a/hibiscusstile/cacheview.py
+++ b/hibiscusstile/cacheview.py
@@ -114,6 +114,15 @@
                 self._note_removed(event)
         self._evict()
 
+    def replace(self, listing: backends.CacheEvents) -> None:
+        """Takes a listing of all cached prefixes in place of what it knew."""
+        self.reset(listing.incarnation)
+        for event in listing.events:
+            self._block_tokens = math.gcd(self._block_tokens, event.tokens)
+            self._note_stored(event)
+        self._evict()
+        self._last_number = listing.last_number
+
     def cached_tokens(
         self, salt: str, levels: Sequence[request.PrefixLevel]
     ) -> int:
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -11,7 +11,6 @@
 from hibiscusstile import (
     backends,
     cacheview,
-    identity,
     logs,
     outcome,
     supervisor,
@@ -23,6 +22,7 @@
 from hibiscusstile.peers import messages
 from hibiscusstile.sidecar import attempt as attempt_lib
 from hibiscusstile.sidecar import revision as revision_lib
+from hibiscusstile.sidecar import scopes as scopes_lib
 from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["Executor", "failed_message"]
@@ -38,6 +38,9 @@
     stream: attempt_lib.AttemptStream
     work_id: str
     ended: bool = False
+    scope: asyncio.Timeout | None = None
+    failure: outcome.Refusal | None = None
+    incarnation: str = ""
 
 
 class Executor:
@@ -49,6 +52,7 @@
         turns: The admission queue's turns.
         view: What the engine holds in cache.
         bidder: Told what the engine is handed and has begun.
+        scopes: Finds the cache scopes of requests.
         store: The configuration in force.
         clock: Measures time.
     """
@@ -60,6 +64,7 @@
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
         bidder: bidder_lib.Bidder,
+        scopes: scopes_lib.Scopes,
         store: store_lib.ConfigurationStore,
         clock: clock_lib.Clock,
     ) -> None:
@@ -68,6 +73,7 @@
         self._turns = turns
         self._view = view
         self._bidder = bidder
+        self._scopes = scopes
         self._store = store
         self._clock = clock
         self._attempts: dict[str, _Running] = {}
@@ -134,6 +140,25 @@
         """Stops an attempt, at the engine too, without waiting for it."""
         self._tasks.cancel(attempt_id)
 
+    def fail_running(
+        self, refusal: outcome.Refusal, incarnation: str = ""
+    ) -> None:
+        """Ends the attempts that the engine has been handed, at once.
+
+        Args:
+            refusal: What their entries are told.
+            incarnation: The engine's present incarnation when it has come
+                back already; attempts not known to be of an earlier one are
+                left alone then.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for running in self._attempts.values():
+            spared = incarnation and running.incarnation in ("", incarnation)
+            if running.scope is None or running.failure or spared:
+                continue
+            running.failure = refusal
+            running.scope.reschedule(now_s)
+
     def detach(self, connection: connection_lib.PeerConnection) -> None:
         """Notes that a connection has ended."""
         for running in self._attempts.values():
@@ -184,47 +209,51 @@
         work = dispatch.work
         cached = self._view.cached_tokens(order.cache_salt, work.levels)
         await self._turns.wait(work, deadline_s, cached)
-        order = self._with_priority(order, work.work_id)
+        # An engine may have loaded other weights during the wait.
+        order = self._with_priority(self._order(dispatch), work.work_id)
         self._bidder.note_handed(work, order.cache_salt)
         served = 0
         try:
-            async for event in self._engine().generate(order):
-                if isinstance(event, backends.EngineStarted):
-                    served += dispatch.work.prompt_tokens - event.cached_tokens
-                    self._turns.note_started(work.work_id)
-                    self._note_start(order, dispatch, event)
-                    await running.stream.send_started(event.cached_tokens)
-                elif isinstance(event, backends.EngineText):
-                    served += 1
-                    await running.stream.send_text(event.text)
-                else:
-                    await running.stream.send_end(event)
+            async with asyncio.timeout(None) as running.scope:
+                async for event in self._engine().generate(order):
+                    if isinstance(event, backends.EngineStarted):
+                        served += (
+                            dispatch.work.prompt_tokens - event.cached_tokens
+                        )
+                        running.incarnation = event.incarnation
+                        self._turns.note_started(work.work_id)
+                        self._note_start(order, dispatch, event)
+                        await running.stream.send_started(event.cached_tokens)
+                    elif isinstance(event, backends.EngineText):
+                        served += 1
+                        await running.stream.send_text(event.text)
+                    else:
+                        await running.stream.send_end(event)
+        except TimeoutError:
+            if running.failure is None:
+                raise
+            raise outcome.Refused(running.failure) from None
         except asyncio.CancelledError:
             await self._cancel_at_engine(dispatch.attempt_id)
             raise
         finally:
+            running.scope = None
             self._bidder.note_ended(dispatch.work.work_id)
             self._turns.finish(dispatch.work.work_id, served)
 
     def _order(self, dispatch: messages.Dispatch) -> backends.GenerateOrder:
-        model = self._store.view.models.get(dispatch.chat.model)
-        if model is None:
+        scope = self._scopes.find(dispatch.work)
+        if scope is None:
             raise outcome.Refused(
                 outcome.Refusal(
                     outcome.Reason.NOT_FOUND,
                     f"model {dispatch.chat.model!r} is not configured",
                 )
             )
-        scope = identity.CacheScope(
-            dispatch.work.workspace,
-            dispatch.work.model,
-            dispatch.work.adapter,
-            model.weights_version,
-        )
         return backends.GenerateOrder(
             dispatch.attempt_id,
             dispatch.chat,
-            model.weights_version,
+            scope.weights_version,
             dispatch.priority,
             scope.salt,
             dispatch.resume_text,
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -9,7 +9,7 @@
 import logbook
 
 from hibiscusstile import bidder as bidder_lib
-from hibiscusstile import identity, outcome, request
+from hibiscusstile import outcome, request
 from hibiscusstile.configuration import fetching
 from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
@@ -17,6 +17,7 @@
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
+from hibiscusstile.sidecar import scopes as scopes_lib
 
 __all__ = ["SidecarService"]
 
@@ -36,6 +37,7 @@
         executor: Runs attempts.
         calls: Runs plain-service calls.
         bidder: Values requests for bids.
+        scopes: Finds the cache scopes of requests.
         known_peers: Returns the sidecars that this one knows.
         fetches: Paces fetches of a newer configuration.
     """
@@ -47,6 +49,7 @@
         executor: executor_lib.Executor,
         calls: calls_lib.CallRunner,
         bidder: bidder_lib.Bidder,
+        scopes: scopes_lib.Scopes,
         known_peers: Callable[[], tuple[messages.PeerAddress, ...]],
         fetches: fetching.FetchPacer,
     ) -> None:
@@ -55,6 +58,7 @@
         self._executor = executor
         self._calls = calls
         self._bidder = bidder
+        self._scopes = scopes
         self._known_peers = known_peers
         self._fetches = fetches
         self._connections: set[connection_lib.PeerConnection] = set()
@@ -189,7 +193,8 @@
             asked.suspect,
         )
         info = self._info()
-        offer = self._bidder.offer(work, self._salt(work))
+        scope = self._scopes.find(work)
+        offer = self._bidder.offer(work, scope.salt if scope else "")
         return messages.BidReply(
             asked.bid_id,
             offer.cached_tokens,
@@ -200,14 +205,6 @@
             info.leaving,
         )
 
-    def _salt(self, work: request.WorkItem) -> str:
-        model = self._store.view.models.get(work.model)
-        if model is None:
-            return ""
-        return identity.CacheScope(
-            work.workspace, work.model, work.adapter, model.weights_version
-        ).salt
-
     async def _send_state(
         self, connection: connection_lib.PeerConnection, revision: int
     ) -> None:
