--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -336,9 +336,11 @@
             self._misses = 0
             if self._clock.monotonic() - self._sent_s > _PING_INTERVAL_S:
                 await self._ping(connection)
+            # The hello must be known first: without it a fetch of the newer
+            # configuration finds no connection to go out on.
+            await self._route(connection, envelope.message)
             if envelope.revision > self._revision():
                 await self._observer.on_revision(self, envelope.revision)
-            await self._route(connection, envelope.message)
 
     async def _ping(self, connection: connection_lib.PeerConnection) -> None:
         """Shows the sidecar that this process lives, and asks the same."""
