--- a/hibiscusstile/configuration/snapshot_stream.py
+++ b/hibiscusstile/configuration/snapshot_stream.py
@@ -183,7 +183,7 @@
         Returns:
             Whether a whole snapshot was appended.
         """
-        if self._store.revision < 0:
+        if self._store.next_offset == 0:
             return False
         found = await read_snapshots(self._platform_log)
         if found is None:
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -7,7 +7,7 @@
 import datetime
 import json
 import threading
-from collections.abc import Coroutine, Iterator
+from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, TypeVar
 
 from hibiscusstile import clock as clock_lib
@@ -145,6 +145,7 @@
         down: Whether it is in an outage.
         lose_answers: Whether appends get no answer.
         drop_appends: Whether appends without an answer have no effect.
+        before_answer: Called once while the next answer is on its way.
     """
 
     name = "fake"
@@ -157,6 +158,7 @@
         self.down = False
         self.lose_answers = False
         self.drop_appends = False
+        self.before_answer: Callable[[], None] | None = None
 
     def payloads(self, stream: str) -> list[bytes]:
         """Returns all payloads ever appended."""
@@ -204,9 +206,13 @@
         entries = self._streams.get(stream, [])
         earliest = self._earliest.get(stream, 0)
         start = max(offset, earliest)
-        return platform.LogEntries(
+        page = platform.LogEntries(
             tuple(entries[start : start + limit]), earliest, len(entries)
         )
+        if self.before_answer is not None:
+            call, self.before_answer = self.before_answer, None
+            call()
+        return page
 
     async def close(self) -> None:
         """Does nothing."""
--- /dev/null
+++ b/tests/configuration/test_machine.py
@@ -0,0 +1,421 @@
+"""Stateful test of the configuration against a fold over a plain list."""
+
+from __future__ import annotations
+
+import datetime
+import json
+from typing import Any
+
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hibiscusstile.configuration import fold as fold_lib
+from hibiscusstile.configuration import follower as follower_lib
+from hibiscusstile.configuration import freshness, snapshot_stream
+from hibiscusstile.configuration import store as store_lib
+from hibiscusstile.ctl import appending
+from tests import builders
+
+_RETENTION = datetime.timedelta(days=2)
+_OUTAGE = datetime.timedelta(hours=1)
+_STREAM = follower_lib.CONFIG_STREAM
+_SCHEMA_VERSIONS = (1, 2, 2)
+_MAX_INVALID_IN_A_ROW = 3
+_PROCESSES = st.integers(0, len(_SCHEMA_VERSIONS) - 1)
+_NAMES = st.sampled_from(["growers", "keepers"])
+_JUNK = (b"\x00", b"{}", b"[1]", b'{"kind":"workspace"}', b"\xff" * 300_000)
+
+
+class _Process:
+    """The real classes of one process over the machine's log and clock."""
+
+    def __init__(
+        self, number: int, log: builders.FakeLog, clock: builders.ManualClock
+    ) -> None:
+        self.paused = False
+        self.highest = (-1, 0)
+        self.schema_versions = _SCHEMA_VERSIONS[number]
+        self.store = builders.config_store(
+            schema_versions=self.schema_versions, author=f"process-{number}"
+        )
+        self.fresh = freshness.Freshness(clock, lambda: self.store.revision)
+        self.follower = follower_lib.LogFollower(
+            log, self.store, clock, self.fresh
+        )
+        self.snapshotter = snapshot_stream.Snapshotter(
+            log, self.store, clock, _RETENTION
+        )
+
+
+class _Oracle:
+    """Folds a list of records from its start for every question."""
+
+    def __init__(self) -> None:
+        self.entries: list[dict[str, Any] | None] = []
+
+    def accepted(self, end: int) -> list[tuple[int, dict[str, Any]]]:
+        """Returns the accepted records below an offset."""
+        result: list[tuple[int, dict[str, Any]]] = []
+        for offset, record in enumerate(self.entries[:end]):
+            if record is None:
+                continue
+            expected = record.get("expect_revision")
+            current = self._newest(result, record)
+            if expected is None or expected == current:
+                result.append((offset, record))
+        return result
+
+    def state(self, end: int) -> dict[tuple[Any, ...], tuple[int, Any]]:
+        """Returns offset and body of the newest record of each key."""
+        return {
+            (r["kind"], r["name"], r["schema_version"]): (offset, r["body"])
+            for offset, r in self.accepted(end)
+        }
+
+    def weights(self, end: int, versions: int) -> dict[str, float]:
+        """Returns the weight in force of each workspace."""
+        result: dict[str, float] = {}
+        for version in range(1, versions + 1):
+            for _, record in self.accepted(end):
+                weight = record["body"]["weight"]
+                if record["schema_version"] == version and weight > 0:
+                    result[record["name"]] = weight
+        return result
+
+    def invalid_in_a_row(self, name: str, version: int) -> int:
+        """Returns how many newest bodies of a key are invalid."""
+        count = 0
+        for record in self.entries:
+            if record and (record["name"], record["schema_version"]) == (
+                name,
+                version,
+            ):
+                count = 0 if record["body"]["weight"] > 0 else count + 1
+        return count
+
+    @staticmethod
+    def _newest(
+        accepted: list[tuple[int, dict[str, Any]]], record: dict[str, Any]
+    ) -> int:
+        return max(
+            (
+                offset
+                for offset, other in accepted
+                if other["name"] == record["name"]
+            ),
+            default=-1,
+        )
+
+
+class ConfigurationMachine(stateful.RuleBasedStateMachine):
+    """Operators, processes of two versions, and a log that forgets."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = builders.ManualClock()
+        self.log = builders.FakeLog(self.clock)
+        self.oracle = _Oracle()
+        self.processes = [self._start(n) for n in range(len(_SCHEMA_VERSIONS))]
+        self.digests: dict[int, str] = {}
+        self.lengths = [(self.clock.monotonic(), 0)]
+        self.down_since: float | None = None
+
+    @stateful.rule(
+        name=_NAMES,
+        version=st.integers(1, 2),
+        weight=st.one_of(st.just(-1), st.integers(1, 50)),
+        writers=st.integers(1, 3),
+        expects=st.sampled_from(["nothing", "current", "old"]),
+    )
+    def append(
+        self, name: str, version: int, weight: int, writers: int, expects: str
+    ) -> None:
+        """Operators who read the same state append one after another."""
+        record = self._record(name, version, weight, expects)
+        for _ in range(writers):
+            self._put(json.dumps(record).encode(), record)
+
+    @stateful.rule(payload=st.sampled_from(_JUNK))
+    def append_junk(self, payload: bytes) -> None:
+        """Something that is no record arrives."""
+        self._put(payload, None)
+
+    @stateful.precondition(lambda self: not self.log.down)
+    @stateful.rule(
+        name=_NAMES,
+        weight=st.integers(1, 50),
+        lost=st.booleans(),
+        dropped=st.booleans(),
+        expects=st.sampled_from(["current", "old"]),
+    )
+    def append_by_command(
+        self, name: str, weight: int, lost: bool, dropped: bool, expects: str
+    ) -> None:
+        """An operator uses the command; its answer may be lost."""
+        store = builders.config_store()
+        reader = follower_lib.LogFollower(self.log, store, self.clock)
+        assert builders.run_now(reader.catch_up()).name == "CAUGHT_UP"
+        record = appending.sign(self._record(name, 1, weight, expects), "ana")
+        self.log.lose_answers = lost
+        self.log.drop_appends = dropped
+        result = builders.run_now(
+            appending.append_record(self.log, store, record, self.clock)
+        )
+        self.log.lose_answers = False
+        if lost and dropped:
+            assert result.outcome is appending.Outcome.UNKNOWN
+            return
+        self._note(record)
+        end = len(self.oracle.entries)
+        last = [offset for offset, _ in self.oracle.accepted(end)][-1:]
+        accepted = last == [end - 1]
+        assert result.offset == end - 1
+        assert accepted == (result.outcome is appending.Outcome.ACCEPTED)
+
+    @stateful.rule(number=_PROCESSES)
+    def follow(self, number: int) -> None:
+        """A process reads the log to its end."""
+        process = self.processes[number]
+        if process.paused:
+            return
+        step = builders.run_now(process.follower.catch_up())
+        if self.log.down:
+            assert step is follower_lib.Step.UNAVAILABLE
+        else:
+            assert step is follower_lib.Step.CAUGHT_UP
+            assert process.store.next_offset == len(self.oracle.entries)
+
+    @stateful.rule(number=_PROCESSES)
+    def restart(self, number: int) -> None:
+        """A process loses all its state."""
+        self.processes[number] = self._start(number)
+
+    @stateful.rule(number=_PROCESSES)
+    def pause(self, number: int) -> None:
+        """A process stops (SIGSTOP), but not all of them at once."""
+        if sum(not each.paused for each in self.processes) > 1:
+            self.processes[number].paused = True
+
+    @stateful.rule(number=_PROCESSES)
+    def wake(self, number: int) -> None:
+        """A process goes on; the invariants say on what."""
+        self.processes[number].paused = False
+
+    @stateful.precondition(lambda self: not self.log.down)
+    @stateful.rule(number=_PROCESSES, name=_NAMES, weight=st.integers(1, 50))
+    def pause_during_read(self, number: int, name: str, weight: int) -> None:
+        """A process stops for ten minutes while the log answers it."""
+        record = self._record(name, 1, weight, "nothing")
+
+        def pass_time() -> None:
+            self._put(json.dumps(record).encode(), record)
+            self._advance(600)
+
+        self.log.before_answer = pass_time
+        process = self.processes[number]
+        builders.run_now(process.follower.catch_up())
+        # Fresh only if a second read, asked after the pause, was needed.
+        if process.fresh.is_fresh:
+            assert process.store.next_offset == len(self.oracle.entries)
+
+    @stateful.rule(giver=_PROCESSES, taker=_PROCESSES, delta=st.booleans())
+    def transfer(self, giver: int, taker: int, delta: bool) -> None:
+        """A process takes over a peer's state, newer or not."""
+        source = self.processes[giver].store
+        process = self.processes[taker]
+        since = process.store.revision if delta else -1
+        newer = source.next_offset > process.store.next_offset
+        result = process.store.adopt(source.snapshot(since), source.digest)
+        assert isinstance(
+            result, store_lib.Adopted if newer else store_lib.NotNewer
+        )
+
+    @stateful.rule(
+        giver=_PROCESSES,
+        taker=_PROCESSES,
+        place=st.integers(0, 10_000),
+        flip=st.integers(1, 255),
+        cut=st.booleans(),
+    )
+    def transfer_damaged(
+        self, giver: int, taker: int, place: int, flip: int, cut: bool
+    ) -> None:
+        """A peer's state arrives damaged."""
+        state = bytearray(self.processes[giver].store.snapshot())
+        place %= len(state)
+        state[place] ^= flip
+        result = self.processes[taker].store.adopt(
+            bytes(state[:place]) if cut else bytes(state)
+        )
+        assert isinstance(result, store_lib.AdoptionRefused)
+
+    @stateful.rule(
+        taker=_PROCESSES,
+        name=_NAMES,
+        count=st.integers(1, 4),
+        end=st.integers(0, 40),
+    )
+    def transfer_lie(self, taker: int, name: str, count: int, end: int) -> None:
+        """A peer sends a sound snapshot of another log."""
+        process = self.processes[taker]
+        body = builders.workspace_body("other-key", weight=77)
+        other = builders.config_store(
+            *[builders.record("workspace", name, **body)] * count,
+            *[b""] * end,
+        )
+        # A lie about what the process does not know yet cannot be told.
+        if count <= process.store.next_offset and process.store.revision >= 0:
+            result = process.store.adopt(other.snapshot())
+            assert not isinstance(result, store_lib.Adopted)
+
+    @stateful.rule(number=_PROCESSES, times=st.integers(1, 3))
+    def write_snapshots(self, number: int, times: int) -> None:
+        """A process writes snapshots that nobody needs."""
+        process = self.processes[number]
+        for _ in range(times):
+            if not process.paused and process.store.next_offset:
+                builders.run_now(process.snapshotter.write())
+
+    @stateful.rule(payload=st.sampled_from(_JUNK))
+    def damage_snapshot_stream(self, payload: bytes) -> None:
+        """Something that is no snapshot stands among them."""
+        self.log.put(snapshot_stream.SNAPSHOT_STREAM, payload)
+
+    @stateful.rule()
+    def begin_outage(self) -> None:
+        """The log goes down, for an hour at most."""
+        if self.down_since is None:
+            self.log.down = True
+            self.down_since = self.clock.monotonic()
+
+    @stateful.rule()
+    def end_outage(self) -> None:
+        """The log comes back."""
+        self.log.down = False
+        self.down_since = None
+
+    @stateful.rule(seconds=st.integers(1, 60))
+    def wait(self, seconds: int) -> None:
+        """A short time passes and nobody does anything."""
+        self._advance(seconds)
+
+    @stateful.rule(share=st.floats(0.01, 3.0))
+    def live_on(self, share: float) -> None:
+        """Up to three retention periods pass in normal operation."""
+        end_s = self.clock.monotonic() + _RETENTION.total_seconds() * share
+        turn = 0
+        while self.clock.monotonic() < end_s:
+            self._advance(_RETENTION.total_seconds() / 10)
+            for number in range(len(self.processes)):
+                self.follow(number)
+            able = [each for each in self.processes if not each.paused]
+            writer = able[turn % len(able)].snapshotter
+            builders.run_now(writer.write_if_due())
+            turn += 1
+            self.log.retain(_RETENTION)
+
+    @stateful.invariant()
+    def states_are_the_oracles(self) -> None:
+        """Every process holds the fold at its offset, nothing is lost."""
+        for process in self.processes:
+            store = process.store
+            end = store.next_offset
+            expected = self.oracle.state(end)
+            held = {r.key: (r.offset, dict(r.body)) for r in store.fold.records}
+            assert held == expected
+            revision = max((offset for offset, _ in held.values()), default=-1)
+            assert store.revision == store.view.revision == revision
+            assert self.digests.setdefault(end, store.digest) == store.digest
+            weights = {n: w.weight for n, w in store.view.workspaces.items()}
+            assert weights == self.oracle.weights(end, process.schema_versions)
+
+    @stateful.invariant()
+    def nothing_goes_back(self) -> None:
+        """The position of a process only grows until it restarts."""
+        for process in self.processes:
+            position = (process.store.revision, process.store.next_offset)
+            assert position[0] >= process.highest[0]
+            assert position[1] >= process.highest[1]
+            process.highest = position
+
+    @stateful.invariant()
+    def a_fresh_process_has_what_was_there_three_seconds_ago(self) -> None:
+        """A process that woke up is not fresh before it asked."""
+        limit_s = self.clock.monotonic() - freshness.FRESH_FOR.total_seconds()
+        known = max(
+            (length for time_s, length in self.lengths if time_s < limit_s),
+            default=0,
+        )
+        for process in self.processes:
+            if process.fresh.is_fresh:
+                assert process.store.next_offset >= known
+
+    def teardown(self) -> None:
+        """All versions give all verdicts alike, and a late one catches up."""
+        payloads = self.log.payloads(_STREAM)
+        end = len(payloads)
+        expected = {offset for offset, _ in self.oracle.accepted(end)}
+        for versions in set(_SCHEMA_VERSIONS):
+            verdicts = builders.config_store(schema_versions=versions).apply(
+                tuple(
+                    builders.config_entry(n, p) for n, p in enumerate(payloads)
+                )
+            )
+            accepted = {
+                v.offset for v in verdicts if isinstance(v, fold_lib.Accepted)
+            }
+            assert accepted == expected
+        self.log.down = False
+        late = self._start(1)
+        self.processes.append(late)
+        step = builders.run_now(late.follower.catch_up())
+        assert step is follower_lib.Step.CAUGHT_UP
+        self.states_are_the_oracles()
+
+    def _start(self, number: int) -> _Process:
+        return _Process(number, self.log, self.clock)
+
+    def _record(
+        self, name: str, version: int, weight: int, expects: str
+    ) -> dict[str, Any]:
+        run = self.oracle.invalid_in_a_row(name, version)
+        if weight < 0 and run >= _MAX_INVALID_IN_A_ROW:
+            weight = 1
+        body: dict[str, Any] = {"callers": {}, "weight": weight}
+        if version == 1:
+            body = {"keys": [], "weight": weight}
+        record: dict[str, Any] = {
+            "kind": "workspace",
+            "name": name,
+            "schema_version": version,
+            "body": body,
+        }
+        state = self.oracle.state(len(self.oracle.entries))
+        offsets = [o for key, (o, _) in state.items() if key[1] == name]
+        if expects == "current":
+            record["expect_revision"] = max(offsets, default=-1)
+        if expects == "old":
+            record["expect_revision"] = max(offsets, default=0) - 1
+        return record
+
+    def _put(self, payload: bytes, record: dict[str, Any] | None) -> None:
+        if not self.log.down:
+            self.log.put(_STREAM, payload)
+            self._note(record)
+
+    def _note(self, record: dict[str, Any] | None) -> None:
+        self.oracle.entries.append(record)
+        self.lengths.append((self.clock.monotonic(), len(self.oracle.entries)))
+
+    def _advance(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        if self.down_since is not None:
+            outage_s = self.clock.monotonic() - self.down_since
+            if outage_s >= _OUTAGE.total_seconds():
+                self.end_outage()
+
+
+@pytest.mark.fuzz
+class TestConfiguration(ConfigurationMachine.TestCase):  # type: ignore[misc]
+    """Guards invariant 8: in force everywhere, and never reverting."""
