--- a/tests/builders.py
+++ b/tests/builders.py
@@ -22,6 +22,7 @@
     "ManualClock",
     "OracleCache",
     "StreamLog",
+    "YieldingClock",
     "cache_events",
     "chat_messages",
     "config_entry",
@@ -67,6 +68,15 @@
         self._seconds += seconds
 
 
+class YieldingClock(ManualClock):
+    """A manual clock whose sleeps let other tasks run."""
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Moves the clock and yields."""
+        self.advance(duration.total_seconds())
+        await asyncio.sleep(0)
+
+
 def record(kind: str, name: str, **body: Any) -> dict[str, Any]:
     """Returns a configuration record of schema version 1."""
     return {"kind": kind, "name": name, "schema_version": 1, "body": body}
@@ -157,6 +167,8 @@
         down: Whether it is in an outage.
         lose_answers: Whether appends get no answer.
         drop_appends: Whether appends without an answer have no effect.
+        hangs: How many of the next reads get no answer.
+        before_answer: Called once while the next answer is on its way.
     """
 
     name = "fake"
@@ -169,6 +181,8 @@
         self.down = False
         self.lose_answers = False
         self.drop_appends = False
+        self.hangs = 0
+        self.before_answer: Callable[[], None] | None = None
 
     def payloads(self, stream: str) -> list[bytes]:
         """Returns all payloads ever appended."""
@@ -210,15 +224,23 @@
         wait: datetime.timedelta = datetime.timedelta(0),
     ) -> platform.LogEntries | platform.LogUnavailable:
         """Reads retained entries."""
-        del wait
+        if self.hangs:
+            self.hangs -= 1
+            await asyncio.Event().wait()
         if self.down:
             return platform.LogUnavailable("outage")
+        if wait:
+            await asyncio.sleep(0)
         entries = self._streams.get(stream, [])
         earliest = self._earliest.get(stream, 0)
         start = max(offset, earliest)
-        return platform.LogEntries(
+        page = platform.LogEntries(
             tuple(entries[start : start + limit]), earliest, len(entries)
         )
+        if self.before_answer is not None:
+            call, self.before_answer = self.before_answer, None
+            call()
+        return page
 
     async def close(self) -> None:
         """Does nothing."""
