--- a/hibiscusstile/backends/wire.py
+++ b/hibiscusstile/backends/wire.py
@@ -6,7 +6,11 @@
 
 import aiohttp
 
-__all__ = ["Attempt", "open_session"]
+__all__ = ["Attempt", "RequestLost", "open_session"]
+
+
+class RequestLost(aiohttp.ClientError):
+    """The connection ended after the request had been sent on it."""
 
 
 class Attempt:
@@ -32,10 +36,10 @@
 def open_session(*, auto_decompress: bool = True) -> aiohttp.ClientSession:
     """Returns a session that sends each request once.
 
-    aiohttp repeats idempotent methods, PUT and DELETE among them, when a
-    kept-alive connection turns out closed. A fresh connection for each
-    request rules that out. Cookies are not kept, since requests of different
-    workspaces share the session. Pass an `Attempt` as `trace_request_ctx`.
+    Each request has a connection of its own, so that none goes out on one
+    that the server has just closed. Cookies are not kept, since requests of
+    different workspaces share the session. Pass an `Attempt` as
+    `trace_request_ctx`.
 
     Args:
         auto_decompress: Whether bodies are decompressed.
@@ -47,9 +51,23 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         auto_decompress=auto_decompress,
         trace_configs=[tracing],
+        middlewares=(_send_once,),
     )
 
 
+async def _send_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # aiohttp repeats PUT, DELETE and other idempotent methods after these
+    # two errors, on fresh connections too, and after no other error.
+    try:
+        return await handler(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        raise RequestLost(repr(error)) from error
+
+
 async def _note_connected(
     session: aiohttp.ClientSession,
     context: types.SimpleNamespace,
--- a/hibiscusstile/sidecar/enginewatch.py
+++ b/hibiscusstile/sidecar/enginewatch.py
@@ -69,7 +69,9 @@
     async def _note_health(self, health: backends.EngineHealth) -> None:
         if health.incarnation != self._incarnation:
             if self._incarnation:
-                _log.warn("engine_restarted incarnation={}", health.incarnation)
+                _log.warning(
+                    "engine_restarted incarnation={}", health.incarnation
+                )
                 self._fail_running(_crashed(), health.incarnation)
             if self._view.incarnation != health.incarnation:
                 self._view.reset(health.incarnation)
@@ -90,7 +92,7 @@
         else:
             self._fail_running(_frozen(), "")
         if self._health is not None:
-            _log.warn("engine_down reason={}", failure.value)
+            _log.warning("engine_down reason={}", failure.value)
             self._health = None
             await self._announce()
 
--- /dev/null
+++ b/tests/backends/test_engine_chat.py
@@ -0,0 +1,145 @@
+"""Tests of the engine client against the engine's stand-in."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+from collections.abc import AsyncIterator
+
+import pytest
+
+from hibiscusstile import backends, outcome, request
+from hibiscusstile.backends import engine_chat
+from hibiscusstile_standins import engine, weights
+from tests import builders, processes
+
+
+@contextlib.asynccontextmanager
+async def _pair(
+    options: engine.EngineOptions | None = None,
+) -> AsyncIterator[tuple[engine.Engine, engine_chat.EngineChat]]:
+    store = weights.WeightStore(load_s=0.05)
+    stand_in = engine.Engine("m1", "v1", options, store)
+    await stand_in.start()
+    client = engine_chat.EngineChat(stand_in.url)
+    try:
+        yield stand_in, client
+    finally:
+        await client.close()
+        await stand_in.close()
+
+
+async def _refusal(
+    client: engine_chat.EngineChat, order: backends.GenerateOrder
+) -> outcome.Refusal:
+    with pytest.raises(outcome.Refused) as caught:
+        async for _ in client.generate(order):
+            pass
+    return caught.value.refusal
+
+
+async def test_a_whole_answer() -> None:
+    """Guards against lost or reordered events of a stream."""
+    prompt = builders.chat_messages()
+    async with _pair() as (stand_in, client):
+        events = [
+            event
+            async for event in client.generate(builders.generate_order(prompt))
+        ]
+        assert isinstance(events[0], backends.EngineStarted)
+        assert events[0].incarnation == stand_in.incarnation
+    texts = [e.text for e in events if isinstance(e, backends.EngineText)]
+    assert texts == engine.expected_words(prompt, 4)
+    assert isinstance(events[-1], backends.EngineEnd)
+
+
+async def test_no_connection_is_not_run() -> None:
+    """Guards against calling a request lost that nobody has seen."""
+    client = engine_chat.EngineChat(f"http://127.0.0.1:{processes.free_port()}")
+    refusal = await _refusal(client, builders.generate_order([]))
+    await client.close()
+    assert refusal.verdict is outcome.Verdict.NOT_RUN
+
+
+async def test_a_connection_cut_after_the_request_may_have_run() -> None:
+    """Guards against `not_run` once bytes may have reached the engine."""
+    with socket.create_server(("127.0.0.1", 0)) as server:
+        server.setblocking(False)
+        port = server.getsockname()[1]
+
+        async def cut() -> None:
+            loop = asyncio.get_running_loop()
+            connection, _ = await loop.sock_accept(server)
+            await loop.sock_recv(connection, 100)
+            connection.close()
+
+        client = engine_chat.EngineChat(f"http://127.0.0.1:{port}")
+        refusal, _ = await asyncio.gather(
+            _refusal(client, builders.generate_order([])), cut()
+        )
+        await client.close()
+    assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+
+
+async def test_a_crash_is_told_from_a_cut() -> None:
+    """Guards against crashes that are not counted as crashes."""
+    options = engine.EngineOptions(restart_s=0.05)
+    async with _pair(options) as (_, client):
+        await client.health()
+        order = builders.generate_order(
+            builders.chat_messages("CRASH-THE-ENGINE")
+        )
+        refusal = await _refusal(client, order)
+    assert refusal.reason is outcome.Reason.BACKEND_CRASHED
+    assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+
+
+async def test_other_weights_are_refused_as_not_run() -> None:
+    """Guards against an answer by weights that were not asked for."""
+    async with _pair() as (stand_in, client):
+        refusal = await _refusal(
+            client, builders.generate_order([], weights_version="v2")
+        )
+        assert stand_in.ran == ()
+    assert refusal.reason is outcome.Reason.NOT_LOADED
+    assert refusal.verdict is outcome.Verdict.NOT_RUN
+
+
+async def test_events_carry_the_routers_digests() -> None:
+    """Guards against events that the cache view cannot match."""
+    levels = (request.PrefixLevel(7, 2100), request.PrefixLevel(8, 5000))
+    async with _pair() as (_, client):
+        order = builders.generate_order(
+            builders.long_prompt(5000), prefix_levels=levels
+        )
+        async for _ in client.generate(order):
+            pass
+        await asyncio.sleep(0.1)
+        batch = await client.cache_events(-1)
+        listing = await client.cache_blocks()
+    assert batch is not None and listing is not None
+    assert [(e.digest, e.tokens) for e in batch.events] == [
+        (7, 2048),
+        (8, 4096),
+    ]
+    assert {e.digest for e in listing.events} == {7, 8}
+    assert listing.last_number == 1
+
+
+async def test_orders_and_probes() -> None:
+    """Guards against orders whose outcome is reported wrongly."""
+    async with _pair() as (stand_in, client):
+        assert (await client.order(backends.EngineOrder(5, "m2", "v3"))).done
+        older = await client.order(backends.EngineOrder(4, "m1", "v1"))
+        assert (older.done, older.may_be_done) == (False, False)
+        health = await client.health()
+        assert health is not None
+        assert (health.model, health.weights_version) == ("m2", "v3")
+        stand_in.freeze()
+        assert await client.probe(0.1) is backends.ProbeFailure.SILENT
+        stand_in.thaw()
+        await stand_in.close()
+        assert await client.probe(0.1) is backends.ProbeFailure.REFUSED
+        unsent = await client.order(backends.EngineOrder(6, "m1", "v1"))
+        assert (unsent.done, unsent.may_be_done) == (False, False)
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -10,8 +10,8 @@
 from collections.abc import Callable, Coroutine, Iterator
 from typing import Any, TypeVar
 
+from hibiscusstile import backends, platform, records, request
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import platform, records, request
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile_standins import log as log_standin
 
@@ -21,11 +21,13 @@
     "FakeLog",
     "ManualClock",
     "StreamLog",
+    "block_events",
     "chat_messages",
     "config_entry",
     "config_store",
     "engine_body",
     "fleet_records",
+    "generate_order",
     "long_prompt",
     "nested_prompt",
     "record",
@@ -366,3 +368,44 @@
     return request.ServiceReply(
         201, "application/json", b"%d" % receipt + b" " * size
     )
+
+
+def generate_order(
+    messages: list[Any], attempt_id: str = "a1", **fields: Any
+) -> backends.GenerateOrder:
+    """Returns what an engine client is asked to generate."""
+    chat = request.ChatRequest(
+        "m1",
+        "",
+        tuple(
+            request.Message(
+                each["role"],
+                (request.ContentPart(request.PartKind.TEXT, each["content"]),),
+            )
+            for each in messages
+        ),
+        fields.pop("max_tokens", 4),
+        True,
+        "",
+    )
+    return backends.GenerateOrder(
+        attempt_id,
+        chat,
+        fields.pop("weights_version", "v1"),
+        1,
+        "salt-a",
+        **fields,
+    )
+
+
+def block_events(
+    incarnation: str, *numbers: int, last_number: int = -1
+) -> backends.CacheEvents:
+    """Returns stored events whose digests are 100 above their numbers."""
+    events = tuple(
+        backends.BlockEvent(
+            number, backends.BlockEventKind.STORED, "salt-a", 100 + number, 2048
+        )
+        for number in numbers
+    )
+    return backends.CacheEvents(incarnation, events, last_number)
--- /dev/null
+++ b/tests/sidecar/test_cachefeed.py
@@ -0,0 +1,105 @@
+"""Tests of the cache feed over a scripted engine."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from hibiscusstile import backends, cacheview, request
+from hibiscusstile.backends import engine_chat
+from hibiscusstile.sidecar import cachefeed
+from tests import builders
+
+
+class _Engine(engine_chat.EngineChat):
+    """Answers from scripts and counts its listings."""
+
+    def __init__(
+        self,
+        batches: Sequence[backends.CacheEvents | None],
+        listings: Sequence[backends.CacheEvents | None],
+    ) -> None:
+        super().__init__("http://127.0.0.1:1")
+        self._batches = list(batches)
+        self._listings = list(listings)
+        self.asked: list[int] = []
+
+    async def cache_events(self, after: int) -> backends.CacheEvents | None:
+        self.asked.append(after)
+        return self._batches.pop(0)
+
+    async def cache_blocks(self) -> backends.CacheEvents | None:
+        return self._listings.pop(0)
+
+
+async def _run(
+    engine: _Engine, polls: int
+) -> tuple[cacheview.CacheView, cachefeed.CacheFeed]:
+    view = cacheview.CacheView()
+    feed = cachefeed.CacheFeed(engine, view, builders.ManualClock())
+    for _ in range(polls):
+        await feed.poll()
+    return view, feed
+
+
+def _holds(view: cacheview.CacheView, digest: int) -> bool:
+    level = request.PrefixLevel(digest, 2048)
+    return view.cached_tokens("salt-a", (level,)) > 0
+
+
+async def test_a_jump_leads_to_a_fresh_listing() -> None:
+    """Guards against reliance on a block whose removal was lost."""
+    engine = _Engine(
+        [
+            builders.block_events("one"),
+            builders.block_events("one", 0, 1),
+            builders.block_events("one", 3),
+            builders.block_events("one", 4),
+        ],
+        [
+            builders.block_events("one"),
+            builders.block_events("one", 1, 3, last_number=3),
+        ],
+    )
+    view, _ = await _run(engine, 4)
+    assert [d for d in range(100, 105) if _holds(view, d)] == [101, 103, 104]
+    assert engine.asked == [-1, -1, 1, 3]
+
+
+async def test_late_events_of_a_dead_incarnation_change_nothing() -> None:
+    """Guards against trust in the cache of an engine that crashed."""
+    engine = _Engine(
+        [
+            builders.block_events("one", 0),
+            builders.block_events("two"),
+            builders.block_events("one", 1, 2),
+            builders.block_events("two", 0),
+        ],
+        [
+            builders.block_events("one", 0, last_number=0),
+            builders.block_events("two"),
+            builders.block_events("two"),
+        ],
+    )
+    view, _ = await _run(engine, 4)
+    assert view.incarnation == "two"
+    assert [d for d in range(100, 103) if _holds(view, d)] == [100]
+
+
+async def test_an_engine_that_is_away_is_asked_again() -> None:
+    """Guards against a position that moves past events never applied."""
+    engine = _Engine(
+        [
+            builders.block_events("one"),
+            builders.block_events("one", 5),
+            None,
+            builders.block_events("one", 5),
+        ],
+        [
+            builders.block_events("one"),
+            None,
+            builders.block_events("one", 5, last_number=5),
+        ],
+    )
+    view, _ = await _run(engine, 4)
+    assert _holds(view, 105)
+    assert engine.asked == [-1, -1, -1, -1]
--- /dev/null
+++ b/tests/sidecar/test_enginewatch.py
@@ -0,0 +1,127 @@
+"""Tests of the engine watch, alone and in a running fleet."""
+
+from __future__ import annotations
+
+import asyncio
+import pathlib
+import time
+
+from hibiscusstile import backends, cacheview, outcome
+from hibiscusstile.backends import engine_chat
+from hibiscusstile.sidecar import enginewatch
+from hibiscusstile_standins import text
+from tests import builders, callers, processes
+
+
+class _Engine(engine_chat.EngineChat):
+    """Answers probes from a script."""
+
+    def __init__(
+        self, *results: backends.EngineHealth | backends.ProbeFailure
+    ) -> None:
+        super().__init__("http://127.0.0.1:1")
+        self._results = list(results)
+
+    async def probe(
+        self, timeout_s: float
+    ) -> backends.EngineHealth | backends.ProbeFailure:
+        return self._results.pop(0)
+
+
+class _Heard:
+    """Notes what the watch reports."""
+
+    def __init__(self) -> None:
+        self.refusals: list[tuple[outcome.Reason, str]] = []
+        self.announced = 0
+
+    def fail_running(self, refusal: outcome.Refusal, incarnation: str) -> None:
+        assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+        self.refusals.append((refusal.reason, incarnation))
+
+    async def announce(self) -> None:
+        self.announced += 1
+
+
+async def _watch(
+    *results: backends.EngineHealth | backends.ProbeFailure,
+) -> tuple[_Heard, enginewatch.EngineWatch, cacheview.CacheView]:
+    heard = _Heard()
+    view = cacheview.CacheView()
+    watch = enginewatch.EngineWatch(
+        _Engine(*results),
+        view,
+        heard.fail_running,
+        heard.announce,
+        builders.ManualClock(),
+    )
+    for _ in results:
+        await watch.poll()
+    return heard, watch, view
+
+
+def _health(
+    incarnation: str, version: str = "v1", number: int = 0
+) -> backends.EngineHealth:
+    return backends.EngineHealth(
+        incarnation, "m1", version, (), "mixed", number
+    )
+
+
+async def test_a_new_incarnation_ends_what_ran_before() -> None:
+    """Guards against attempts that wait for an engine that has died."""
+    heard, watch, view = await _watch(_health("one"), _health("two"))
+    assert heard.refusals == [(outcome.Reason.BACKEND_CRASHED, "two")]
+    assert view.incarnation == "two"
+    assert watch.health == _health("two")
+
+
+async def test_a_silent_engine_is_announced_as_down_once() -> None:
+    """Guards against work routed to a frozen engine, and against floods."""
+    silent = backends.ProbeFailure.SILENT
+    heard, watch, _ = await _watch(_health("one"), silent, silent)
+    assert heard.refusals == [(outcome.Reason.BACKEND_FAILED, "")] * 2
+    assert heard.announced == 2
+    assert watch.health is None
+
+
+async def test_only_what_peers_know_is_announced() -> None:
+    """Guards against stale versions at the entries, and idle chatter."""
+    heard, watch, _ = await _watch(
+        _health("one"), _health("one", number=7), _health("one", "v2")
+    )
+    assert heard.announced == 2
+    assert watch.health is not None and watch.health.weights_version == "v2"
+
+
+async def test_answers_survive_a_freeze_and_a_crash(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against cut answers when one of two engines fails."""
+    prompts = [builders.chat_messages(f"question {n}") for n in range(12)]
+    async with (
+        processes.process_fleet(
+            tmp_path, entries=1, engines=2, services=0
+        ) as fleet,
+        callers.open_session() as session,
+    ):
+        url = fleet.urls["entry-1"]
+        started_s = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            answers = [
+                group.create_task(
+                    callers.send_chat(
+                        session, url, fleet.keys["buyers"], p, max_tokens=400
+                    )
+                )
+                for p in prompts
+            ]
+            await asyncio.sleep(0.5)
+            await fleet.fault("engine-1", "crash", delay_s=1.0)
+            await asyncio.sleep(2.5)
+            await fleet.fault("engine-2", "freeze")
+        taken_s = time.monotonic() - started_s
+    for prompt, answer in zip(prompts, answers, strict=True):
+        assert answer.result().done, answer.result()
+        assert answer.result().words == text.expected_words(prompt, 400)
+    assert taken_s < 20
