Refuse requests that are not valid HTTP as every other request

aiohttp answered malformed heads and chunks with plain text, without verdict or request id, below the application's handlers.

--- a/hibiscusstile/entry/front.py
+++ b/hibiscusstile/entry/front.py
@@ -248,6 +248,10 @@
         try:
             async with asyncio.timeout(self._limits.body_timeout_s):
                 return await request.read()
+        except web.RequestPayloadError:
+            raise _refused(
+                outcome.Reason.BAD_REQUEST, "the body's encoding is malformed"
+            ) from None
         except TimeoutError:
             raise _refused(
                 outcome.Reason.SLOW_CLIENT, "the body did not arrive in time"
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -35,7 +35,7 @@
 ]
 
 _SECRET_VARIABLE = "HIBISCUSSTILE_TEST_PEER_SECRET"
-_SECRET = "processes-test-secret-0123456789"
+PEER_SECRET = "processes-test-secret-0123456789"
 _READY_S = 15.0
 _STOP_S = 10.0
 _POLL_S = 0.05
@@ -78,7 +78,7 @@
 
     def start(self) -> None:
         """Starts the process, again after it ended."""
-        environment = {**os.environ, _SECRET_VARIABLE: _SECRET}
+        environment = {**os.environ, _SECRET_VARIABLE: PEER_SECRET}
         with self._log_path.open("a") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", *self._arguments],
@@ -213,7 +213,7 @@
     engines: int = 2,
     services: int = 1,
     engine_arguments: tuple[str, ...] = (),
-    settings: dict[str, Any] | None = None,
+    entry_settings: dict[str, Any] | None = None,
 ) -> AsyncIterator[Fleet]:
     """Runs a fleet of separate processes and cleans up after it.
 
@@ -223,7 +223,7 @@
         engines: Engines with their sidecars.
         services: Plain services with their sidecars.
         engine_arguments: Further options of the engines' stand-ins.
-        settings: Settings added to every process of the product.
+        entry_settings: Settings added to those of the entry instances.
     """
     fleet = Fleet(
         folder,
@@ -232,7 +232,12 @@
     )
     try:
         await start_fleet(
-            fleet, entries, engines, services, engine_arguments, settings or {}
+            fleet,
+            entries,
+            engines,
+            services,
+            engine_arguments,
+            entry_settings or {},
         )
         yield fleet
     finally:
@@ -246,7 +251,7 @@
     engines: int,
     services: int,
     engine_arguments: tuple[str, ...],
-    settings: dict[str, Any],
+    entry_settings: dict[str, Any],
 ) -> None:
     """Starts every process and waits until the entries answer."""
     for number in range(1, engines + 1):
@@ -269,9 +274,9 @@
     for workspace in builders.FLEET_WORKSPACES:
         fleet.keys[workspace] = f"hs_{workspace}_{KEY_SECRET}"
     for backend in [*fleet.engines, *fleet.services]:
-        await _add_sidecar(fleet, backend, settings)
+        await _add_sidecar(fleet, backend)
     for number in range(1, entries + 1):
-        _add_entry(fleet, f"entry-{number}", settings)
+        _add_entry(fleet, f"entry-{number}", entry_settings)
     for process in [*fleet.sidecars, *fleet.entries]:
         process.start()
     for entry in fleet.entries:
@@ -315,9 +320,7 @@
     )
 
 
-async def _add_sidecar(
-    fleet: Fleet, backend: ManagedProcess, settings: dict[str, Any]
-) -> None:
+async def _add_sidecar(fleet: Fleet, backend: ManagedProcess) -> None:
     name = f"sidecar-{backend.name}"
     port = free_port()
     is_engine = backend in fleet.engines
@@ -330,7 +333,6 @@
             "url": fleet.urls[backend.name],
             "application": "" if is_engine else "accounts",
         },
-        **settings,
     }
     fleet.peer_ports[name] = port
     fleet.sidecars.append(_daemon(fleet, name, config))
