--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -34,6 +34,7 @@
     enginewatch,
     executor,
     ledger,
+    scopes,
     service,
     turns,
 )
@@ -90,12 +91,14 @@
             config.queue.prefill_tokens_per_s,
             self._rank_level,
         )
+        self._scopes = scopes.Scopes(self._store, self._engine_health)
         self._executor = executor.Executor(
             self._attempts,
             self._backend,
             self._turns,
             self._view,
             self._bidder,
+            self._scopes,
             self._store,
             clock,
         )
@@ -115,6 +118,7 @@
             self._executor,
             self._calls,
             self._bidder,
+            self._scopes,
             lambda: self._discovery.peers,
             fetching.FetchPacer(clock, lambda: self._store.revision),
         )
@@ -176,14 +180,14 @@
             ("peers", self._server.run),
             ("operators", self._operators.run),
         ]
+        if self._ledger is not None:
+            specs.insert(1, ("claims_follower", self._ledger.follow))
+            specs.insert(2, ("claims_appender", self._ledger.append))
         if isinstance(self._backend, backends.EngineBackend):
             feed = cachefeed.CacheFeed(self._backend, self._view, self._clock)
             specs.append(("cache_feed", feed.run))
         if self._watch is not None:
             specs.append(("engine_watch", self._watch.run))
-        if self._ledger is not None:
-            specs.insert(1, ("claims_follower", self._ledger.follow))
-            specs.insert(2, ("claims_appender", self._ledger.append))
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
 
@@ -257,8 +261,11 @@
             "up": self._watch is None or self._watch.health is not None,
         }
 
+    def _engine_health(self) -> backends.EngineHealth | None:
+        return self._watch.health if self._watch else None
+
     def _info(self) -> messages.PeerInfo:
-        health = self._watch.health if self._watch else None
+        health = self._engine_health()
         return messages.PeerInfo(
             self._config.peer_id,
             self._incarnation,
--- a/hibiscusstile/sidecar/calls.py
+++ b/hibiscusstile/sidecar/calls.py
@@ -15,6 +15,7 @@
 from hibiscusstile.peers import messages
 from hibiscusstile.sidecar import executor
 from hibiscusstile.sidecar import ledger as ledger_tasks
+from hibiscusstile.sidecar import revision as revision_lib
 from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["CallRunner"]
@@ -27,6 +28,7 @@
 class _Running:
     connection: connection_lib.PeerConnection
     call: messages.Call
+    revision: int
 
 
 class CallRunner:
@@ -71,11 +73,18 @@
         self,
         connection: connection_lib.PeerConnection,
         call: messages.Call,
+        revision: int,
     ) -> None:
-        """Starts a call; one that is known already is ignored."""
+        """Starts a call; one that is known already is ignored.
+
+        Args:
+            connection: Where its answer goes.
+            call: The call.
+            revision: The revision under which it was sent.
+        """
         if call.attempt_id in self._running:
             return
-        running = _Running(connection, call)
+        running = _Running(connection, call, revision)
         self._running[call.attempt_id] = running
         self._tasks.add(
             supervisor.ChildSpec(
@@ -97,6 +106,9 @@
         call = running.call
         answer: messages.PeerMessage
         try:
+            await revision_lib.wait_for_revision(
+                self._store, self._clock, running.revision
+            )
             answer = await self._answer(call)
         except outcome.Refused as refused:
             answer = executor.failed_message(call.attempt_id, refused.refusal)
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -11,7 +11,6 @@
 from hibiscusstile import (
     backends,
     cacheview,
-    identity,
     logs,
     outcome,
     supervisor,
@@ -22,14 +21,14 @@
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
 from hibiscusstile.sidecar import attempt as attempt_lib
+from hibiscusstile.sidecar import revision as revision_lib
+from hibiscusstile.sidecar import scopes as scopes_lib
 from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["Executor", "failed_message"]
 
 _log = logbook.Logger("sidecar")
 
-_REVISION_WAIT = datetime.timedelta(seconds=1)
-_REVISION_POLL = datetime.timedelta(milliseconds=10)
 _KEEP_ENDED = datetime.timedelta(seconds=5)
 _WATCH_INTERVAL = datetime.timedelta(milliseconds=200)
 
@@ -53,6 +52,7 @@
         turns: The admission queue's turns.
         view: What the engine holds in cache.
         bidder: Told what the engine is handed and has begun.
+        scopes: Finds the cache scopes of requests.
         store: The configuration in force.
         clock: Measures time.
     """
@@ -64,6 +64,7 @@
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
         bidder: bidder_lib.Bidder,
+        scopes: scopes_lib.Scopes,
         store: store_lib.ConfigurationStore,
         clock: clock_lib.Clock,
     ) -> None:
@@ -72,6 +73,7 @@
         self._turns = turns
         self._view = view
         self._bidder = bidder
+        self._scopes = scopes
         self._store = store
         self._clock = clock
         self._attempts: dict[str, _Running] = {}
@@ -190,26 +192,15 @@
         self, running: _Running, dispatch: messages.Dispatch, revision: int
     ) -> None:
         try:
-            await self._wait_for_revision(revision)
+            await revision_lib.wait_for_revision(
+                self._store, self._clock, revision
+            )
             await self._generate(running, dispatch)
         except outcome.Refused as refused:
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
 
-    async def _wait_for_revision(self, revision: int) -> None:
-        """Waits until the configuration of the sender is in force here."""
-        limit_s = self._clock.monotonic() + _REVISION_WAIT.total_seconds()
-        while self._store.revision < revision:
-            if self._clock.monotonic() >= limit_s:
-                raise outcome.Refused(
-                    outcome.Refusal(
-                        outcome.Reason.STALE_REVISION,
-                        f"revision {revision} has not arrived here yet",
-                    )
-                )
-            await self._clock.sleep(_REVISION_POLL)
-
     async def _generate(
         self, running: _Running, dispatch: messages.Dispatch
     ) -> None:
@@ -218,7 +209,8 @@
         work = dispatch.work
         cached = self._view.cached_tokens(order.cache_salt, work.levels)
         await self._turns.wait(work, deadline_s, cached)
-        order = self._with_priority(order, work.work_id)
+        # An engine may have loaded other weights during the wait.
+        order = self._with_priority(self._order(dispatch), work.work_id)
         self._bidder.note_handed(work, order.cache_salt)
         served = 0
         try:
@@ -250,24 +242,18 @@
             self._turns.finish(dispatch.work.work_id, served)
 
     def _order(self, dispatch: messages.Dispatch) -> backends.GenerateOrder:
-        model = self._store.view.models.get(dispatch.chat.model)
-        if model is None:
+        scope = self._scopes.find(dispatch.work)
+        if scope is None:
             raise outcome.Refused(
                 outcome.Refusal(
                     outcome.Reason.NOT_FOUND,
                     f"model {dispatch.chat.model!r} is not configured",
                 )
             )
-        scope = identity.CacheScope(
-            dispatch.work.workspace,
-            dispatch.work.model,
-            dispatch.work.adapter,
-            model.weights_version,
-        )
         return backends.GenerateOrder(
             dispatch.attempt_id,
             dispatch.chat,
-            model.weights_version,
+            scope.weights_version,
             dispatch.priority,
             scope.salt,
             dispatch.resume_text,
--- /dev/null
+++ b/hibiscusstile/sidecar/revision.py
@@ -0,0 +1,36 @@
+"""Holds work back until the configuration of its sender is in force."""
+
+from __future__ import annotations
+
+import datetime
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import outcome
+from hibiscusstile.configuration import store as store_lib
+
+__all__ = ["wait_for_revision"]
+
+_WAIT = datetime.timedelta(seconds=1)
+_POLL = datetime.timedelta(milliseconds=10)
+
+
+async def wait_for_revision(
+    store: store_lib.ConfigurationStore,
+    clock: clock_lib.Clock,
+    revision: int,
+) -> None:
+    """Waits until a revision or a newer one is in force here.
+
+    Raises:
+        Refused: `stale_revision` with `not_run` when it does not arrive.
+    """
+    limit_s = clock.monotonic() + _WAIT.total_seconds()
+    while store.revision < revision:
+        if clock.monotonic() >= limit_s:
+            raise outcome.Refused(
+                outcome.Refusal(
+                    outcome.Reason.STALE_REVISION,
+                    f"revision {revision} has not arrived here yet",
+                )
+            )
+        await clock.sleep(_POLL)
