--- a/tests/builders.py
+++ b/tests/builders.py
@@ -23,12 +23,14 @@
     "OracleCache",
     "StreamLog",
     "YieldingClock",
+    "block_events",
     "cache_events",
     "chat_messages",
     "config_entry",
     "config_store",
     "engine_body",
     "fleet_records",
+    "generate_order",
     "long_prompt",
     "nested_levels",
     "nested_prompt",
@@ -521,3 +523,44 @@
         {"role": "user", "content": (f"Member {member} sold. " * 500)[:pad]},
         {"role": "user", "content": question},
     ]
+
+
+def generate_order(
+    messages: list[Any], attempt_id: str = "a1", **fields: Any
+) -> backends.GenerateOrder:
+    """Returns what an engine client is asked to generate."""
+    chat = request.ChatRequest(
+        "m1",
+        "",
+        tuple(
+            request.Message(
+                each["role"],
+                (request.ContentPart(request.PartKind.TEXT, each["content"]),),
+            )
+            for each in messages
+        ),
+        fields.pop("max_tokens", 4),
+        True,
+        "",
+    )
+    return backends.GenerateOrder(
+        attempt_id,
+        chat,
+        fields.pop("weights_version", "v1"),
+        1,
+        "salt-a",
+        **fields,
+    )
+
+
+def block_events(
+    incarnation: str, *numbers: int, last_number: int = -1
+) -> backends.CacheEvents:
+    """Returns stored events whose digests are 100 above their numbers."""
+    events = tuple(
+        backends.BlockEvent(
+            number, backends.BlockEventKind.STORED, "salt-a", 100 + number, 2048
+        )
+        for number in numbers
+    )
+    return backends.CacheEvents(incarnation, events, last_number)
