--- a/hibiscusstile/admission/fairness.py
+++ b/hibiscusstile/admission/fairness.py
@@ -73,6 +73,10 @@
         """Tokens that wait."""
         return self._tokens
 
+    @property
+    def _mean_tokens(self) -> float:
+        return self._tokens / max(1, self._requests)
+
     def add(self, waiting: Waiting, weight: float) -> None:
         """Adds a request at the end of its caller's line.
 
@@ -145,6 +149,12 @@
         caller = workspace.callers.largest() if workspace else None
         return next(reversed(caller.waiting.values())) if caller else None
 
+    def newest_of_workspace(self, name: str) -> Waiting | None:
+        """Returns the newest request of a workspace's largest caller."""
+        workspace = self._workspaces.get(name)
+        caller = workspace.callers.largest() if workspace else None
+        return next(reversed(caller.waiting.values())) if caller else None
+
     def workspace_size(self, name: str) -> tuple[int, int, float]:
         """Returns a workspace's waiting tokens, requests and weight."""
         workspace = self._workspaces.get(name)
@@ -161,25 +171,31 @@
     def tokens_ahead(self, work: request.WorkItem, weight: float) -> float:
         """Returns the tokens that start before a new request would.
 
-        An estimate in O(1): every other ready flow receives as much per
-        weight as the request's own flow until it is the request's turn.
+        An estimate in O(log n): every other ready flow receives as much per
+        weight as the request's own flow until it is the request's turn, and
+        at least one request if it is before that flow now.
         """
+        own = within = 0.0
         workspace = self._workspaces.get(work.workspace)
-        if workspace is None:
-            return 0.0
-        caller = workspace.callers.get(work.caller)
-        own = lag = 0.0
-        others = workspace.callers.ready
-        if caller is not None:
-            own = caller.tokens
-            lag = workspace.callers.lag(caller)
-            others -= 1 if caller.requests else 0
-        within = own + min(workspace.tokens - own, (own + lag) * others)
+        if workspace is not None:
+            own = workspace.tokens
+            within = self._ahead_within(workspace, work.caller)
         reach = within + self._workspaces.lag(workspace)
-        rest = self._workspaces.ready_weight
-        rest -= workspace.weight if workspace.requests else 0.0
-        share = reach * max(0.0, rest) / weight
-        return within + min(self._tokens - workspace.tokens, share)
+        others = self._workspaces.ready_weight
+        if workspace is not None and workspace.requests:
+            others -= workspace.weight
+        equal = reach * max(0.0, others) / weight
+        first = self._workspaces.before(workspace) * self._mean_tokens
+        return within + min(self._tokens - own, max(equal, first))
+
+    def _ahead_within(self, workspace: _Workspace, caller_name: str) -> float:
+        callers = workspace.callers
+        caller = callers.get(caller_name)
+        own = caller.tokens if caller else 0
+        others = callers.ready - (1 if own else 0)
+        equal = (own + callers.lag(caller)) * others
+        first = callers.before(caller) * self._mean_tokens
+        return own + min(workspace.tokens - own, max(equal, first))
 
     def _charge(self, work: request.WorkItem, tokens: int, credit: int) -> None:
         workspace = self._workspaces.get(work.workspace)
--- a/hibiscusstile/admission/flows.py
+++ b/hibiscusstile/admission/flows.py
@@ -35,6 +35,8 @@
         self.requests = 0
 
 
+_LAST_KEY = "\U0010ffff"
+
 _F = TypeVar("_F", bound=Flow)
 
 
@@ -84,10 +86,29 @@
         """Returns the ready flow with the most waiting tokens per weight."""
         return self._flows[self._sizes[-1][1]] if self._sizes else None
 
-    def lag(self, flow: _F) -> float:
-        """Returns the tokens that a flow has received ahead of its turn."""
+    def lag(self, flow: _F | None) -> float:
+        """Returns the tokens that a flow has received ahead of its turn.
+
+        Args:
+            flow: None stands for one that is new to the set.
+        """
+        if flow is None:
+            return 0.0
         return max(0.0, flow.tag - self._virtual) * flow.weight
 
+    def before(self, flow: _F | None) -> int:
+        """Returns how many ready flows start before a flow does.
+
+        Args:
+            flow: None stands for one that is new to the set.
+        """
+        if flow is not None and flow.requests:
+            return int(self._ready.bisect_left((flow.tag, flow.key)))
+        tag = self._virtual
+        if flow is not None:
+            tag = max(tag, flow.tag)
+        return int(self._ready.bisect_right((tag, _LAST_KEY)))
+
     def grow(self, flow: _F, tokens: int) -> None:
         """Adds a waiting request to a flow, which may be new to the set."""
         if flow.requests:
--- a/hibiscusstile/admission/queue.py
+++ b/hibiscusstile/admission/queue.py
@@ -289,7 +289,7 @@
             )
         if self._room.is_over_bound(work, cost):
             return estimate.overloaded(
-                "the workspace or the caller has its part of the queue", wait_s
+                "the caller has its part of the queue already", wait_s
             )
         return None
 
--- a/hibiscusstile/admission/room.py
+++ b/hibiscusstile/admission/room.py
@@ -145,14 +145,11 @@
         return late
 
     def is_over_bound(self, work: request.WorkItem, cost: int) -> bool:
-        """Whether the workspace or caller has its part of the queue."""
+        """Whether the caller has its part of the queue already."""
         state = self.state(work.rank)
         if work.suspect:
             most = self._limits.queued_requests * self._limits.caller_share
             return len(state.suspects) >= max(1, most)
-        tokens, requests, _ = state.fair.workspace_size(work.workspace)
-        if self._exceeds(tokens, requests, cost, self._limits.workspace_share):
-            return True
         tokens, requests = state.fair.caller_size(work.workspace, work.caller)
         return self._exceeds(tokens, requests, cost, self._limits.caller_share)
 
@@ -168,10 +165,15 @@
         victims: list[fairness.Waiting] = []
         tokens = self._tokens + cost
         requests = len(self._waiting) + 1
-        while requests > self._limits.queued_requests or (
-            tokens > self._limits.queued_tokens and requests > 1
-        ):
-            victim = self._victim(work, cost)
+        while True:
+            if self._is_workspace_full(work, cost):
+                victim = self._victim_in_workspace(work, cost)
+            elif requests > self._limits.queued_requests or (
+                tokens > self._limits.queued_tokens and requests > 1
+            ):
+                victim = self._victim(work, cost)
+            else:
+                return victims
             if victim is None:
                 self.put_back(victims)
                 return None
@@ -179,7 +181,6 @@
             victims.append(victim)
             tokens -= victim.cost
             requests -= 1
-        return victims
 
     def put_back(self, victims: list[fairness.Waiting]) -> None:
         """Undoes `make_room`."""
@@ -212,6 +213,23 @@
             or tokens + cost > self._limits.queued_tokens * part
         )
 
+    def _is_workspace_full(self, work: request.WorkItem, cost: int) -> bool:
+        if work.suspect:
+            return False
+        fair = self.state(work.rank).fair
+        tokens, requests, _ = fair.workspace_size(work.workspace)
+        part = self._limits.workspace_share
+        return self._exceeds(tokens, requests, cost, part)
+
+    def _victim_in_workspace(
+        self, work: request.WorkItem, cost: int
+    ) -> fairness.Waiting | None:
+        fair = self.state(work.rank).fair
+        victim = fair.newest_of_workspace(work.workspace)
+        if victim is None:
+            return None
+        return self._if_larger(fair, victim, work, cost)
+
     def _victim(
         self, work: request.WorkItem, cost: int
     ) -> fairness.Waiting | None:
--- a/hibiscusstile/admission/shares.py
+++ b/hibiscusstile/admission/shares.py
@@ -112,10 +112,10 @@
 ) -> tuple[Booking, ...]:
     """Books a start on the ranks with waiting requests.
 
-    Each waiting rank is owed its share of the tokens that others receive. A
-    start reduces the balance by the other ranks' part of its cost, yet leaves
-    no larger debt than that one start makes: a rank that used an idle engine
-    is not made to wait for it later.
+    Each waiting rank is owed its share of the tokens that others receive, and
+    a start reduces its balance by the other ranks' part of the cost. While no
+    other rank waits, the debt grows no larger than one start makes it: a rank
+    that used an idle engine is not made to wait for it later.
 
     Args:
         started: The rank of the request that starts.
@@ -126,12 +126,14 @@
     Returns:
         The changes, for `settle` once the true cost is known.
     """
+    waiting = list(shares)
     bookings = []
-    for state, share in shares:
+    for state, share in waiting:
         before = state.owed
         if state is started:
             debt = (1.0 - share) * cost
-            state.owed = max(before - debt, min(before, -debt))
+            least = -most_owed if len(waiting) > 1 else -debt
+            state.owed = max(before - debt, min(before, least))
         else:
             state.owed = min(most_owed, before + share * cost)
         bookings.append(Booking(state, state.owed - before))
