Plan placement and load weights under leases

Sidecars held whatever their engine had been started with, and nothing bounded how many runners load at once.

A lease stream per region and weight store carries claims, releases and what each engine holds. Every reader folds it alike: the first two claims in log order win, expiry counts log time, and the claim's offset is the fencing number.

--- a/hibiscusstile/admission/queue.py
+++ b/hibiscusstile/admission/queue.py
@@ -68,6 +68,7 @@
         self._policy = table.PolicyTable(ranks, workspaces)
         self._room = room.WaitingRoom(queue_limits, self._policy)
         self._running = running_lib.RunningSet(queue_limits)
+        self._pause: outcome.Refusal | None = None
         self._late: list[request.WorkItem] = []
         self._shed: list[Shed] = []
 
@@ -91,6 +92,18 @@
         """Running and waiting tokens, as estimated before they run."""
         return self._running.tokens + self._room.tokens
 
+    def pause(self, refusal: outcome.Refusal) -> None:
+        """Refuses every new request until `resume`; none starts meanwhile.
+
+        Args:
+            refusal: What they are told, with the verdict `not_run`.
+        """
+        self._pause = refusal
+
+    def resume(self) -> None:
+        """Takes requests again."""
+        self._pause = None
+
     def check(
         self, work: request.WorkItem, cached_tokens: int = 0
     ) -> outcome.Refusal | None:
@@ -155,7 +168,7 @@
         """Returns the next request to start, None if none may start now."""
         now_s = self._clock.monotonic()
         self._drop_late(now_s)
-        if self._running.full:
+        if self._running.full or self._pause is not None:
             return None
         chosen = self._next(now_s)
         if chosen is None:
@@ -279,6 +292,8 @@
         self, work: request.WorkItem, cost: int, limit_s: float, now_s: float
     ) -> outcome.Refusal | None:
         self._drop_late(now_s)
+        if self._pause is not None:
+            return self._pause
         wait_s = self._wait_s(work, cost)
         safe_s = limit_s * _SAFE_PART
         if wait_s > safe_s:
--- /dev/null
+++ b/hibiscusstile/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which runner holds which model, and who may load weights when."""
--- /dev/null
+++ b/hibiscusstile/placement/leases.py
@@ -0,0 +1,270 @@
+"""Load leases: at most two holders at once per region and weight store."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+import enum
+
+from hibiscusstile import platform
+from hibiscusstile.placement import entries
+
+__all__ = ["SLOTS", "Grant", "LeaseHolder", "LeaseTable", "Outcome"]
+
+# A load slows down when more than two or three runners load at once.
+SLOTS = 2
+
+# The holder sends no order in the last part of its lease, so that an order
+# sent just before still ends within it. A load takes about 0.6 s, and a few
+# seconds on a slow weight store.
+_MARGIN = datetime.timedelta(seconds=15)
+
+_MAX_REMEMBERED = 1024
+_MAX_ENDED = 64
+
+
+class Outcome(enum.Enum):
+    """What the log says of a claim."""
+
+    UNSEEN = "unseen"
+    GRANTED = "granted"
+    DENIED = "denied"
+    RELEASED = "released"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Grant:
+    """A lease that was granted.
+
+    Attributes:
+        claim_id: The claim.
+        holder: Peer id of the sidecar that claimed.
+        offset: The claim's offset, which is the fencing number.
+        end: Log time at which it expires.
+        before: Leases that were active when it was granted.
+    """
+
+    claim_id: str
+    holder: str
+    offset: int
+    end: datetime.datetime
+    before: int
+
+
+class LeaseTable:
+    """Folds one lease stream; every process that reads it decides alike.
+
+    Only log timestamps count. They are taken as never going back, so that a
+    log whose clock is set back does not revive a lease. A claim is granted
+    if a slot is free at its place in the log and its holder has no other.
+
+    A reader that starts after entries were dropped may not know a lease that
+    is still active. It is settled, and its grants count, from the first
+    entry that follows a pause as long as the longest lease.
+    """
+
+    def __init__(self) -> None:
+        self._next_offset = 0
+        self._time = datetime.datetime.min.replace(tzinfo=datetime.UTC)
+        self._settled = True
+        self._after_gap = False
+        self._active: dict[str, Grant] = {}
+        self._outcomes: collections.OrderedDict[str, Outcome] = (
+            collections.OrderedDict()
+        )
+        self._holdings: dict[str, entries.Holding] = {}
+
+    @property
+    def next_offset(self) -> int:
+        """Offset of the next entry to apply."""
+        return self._next_offset
+
+    @property
+    def settled(self) -> bool:
+        """Whether no unknown lease can be active."""
+        return self._settled
+
+    @property
+    def time(self) -> datetime.datetime:
+        """Log time of the last entry."""
+        return self._time
+
+    @property
+    def active(self) -> tuple[Grant, ...]:
+        """Leases that are active at the last entry, oldest first."""
+        return tuple(self._active.values())
+
+    @property
+    def holdings(self) -> dict[str, entries.Holding]:
+        """What each sidecar's engine has loaded, by peer id."""
+        return dict(self._holdings)
+
+    def outcome(self, claim_id: str) -> Outcome:
+        """Returns what became of a claim."""
+        return self._outcomes.get(claim_id, Outcome.UNSEEN)
+
+    def grant(self, claim_id: str) -> Grant | None:
+        """Returns a claim's lease while it is active."""
+        return self._active.get(claim_id)
+
+    def skip_to(self, earliest: int) -> None:
+        """Notes that the entries before `earliest` are no longer kept."""
+        if earliest > self._next_offset:
+            self._next_offset = earliest
+            self._settled = False
+            self._after_gap = True
+
+    def apply(self, entry: platform.LogEntry) -> None:
+        """Applies the next entry; one that was applied before is ignored."""
+        if entry.offset < self._next_offset:
+            return
+        self.skip_to(entry.offset)
+        self._next_offset = entry.offset + 1
+        self._advance(entry.time)
+        decoded = entries.decode(entry.payload)
+        match decoded:
+            case entries.Claim():
+                self._claim(decoded, entry.offset)
+            case entries.Release():
+                self._release(decoded)
+            case entries.Holding():
+                self._holdings[decoded.holder] = decoded
+
+    def _advance(self, time: datetime.datetime) -> None:
+        paused = time - entries.MAX_LEASE >= self._time
+        if paused and not self._after_gap:
+            self._settled = True
+        self._after_gap = False
+        self._time = max(self._time, time)
+        for claim_id, grant in list(self._active.items()):
+            if grant.end <= self._time:
+                del self._active[claim_id]
+
+    def _claim(self, claim: entries.Claim, offset: int) -> None:
+        if claim.claim_id in self._outcomes:
+            return
+        holders = {grant.holder for grant in self._active.values()}
+        free = len(self._active) < SLOTS and claim.holder not in holders
+        if free and self._settled:
+            self._active[claim.claim_id] = Grant(
+                claim.claim_id,
+                claim.holder,
+                offset,
+                self._time + datetime.timedelta(seconds=claim.lease_s),
+                len(self._active),
+            )
+        self._remember(
+            claim.claim_id,
+            Outcome.GRANTED if free and self._settled else Outcome.DENIED,
+        )
+
+    def _release(self, release: entries.Release) -> None:
+        grant = self._active.get(release.claim_id)
+        if grant is not None and grant.holder == release.holder:
+            del self._active[release.claim_id]
+            self._remember(release.claim_id, Outcome.RELEASED)
+
+    def _remember(self, claim_id: str, outcome: Outcome) -> None:
+        self._outcomes[claim_id] = outcome
+        self._outcomes.move_to_end(claim_id)
+        while len(self._outcomes) > _MAX_REMEMBERED:
+            self._outcomes.popitem(last=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Claimed:
+    claim_id: str
+    sent_s: float
+    lease_s: float
+
+
+class LeaseHolder:
+    """One sidecar's own claims.
+
+    The end of a lease is counted on the monotonic clock from the moment
+    before the claim was sent. The log stamps the claim later than that, so
+    the lease lasts at least as long on the log.
+
+    Args:
+        table: The folded stream.
+        holder: The sidecar's peer id.
+        lease: How long a lease lasts.
+    """
+
+    def __init__(
+        self,
+        table: LeaseTable,
+        holder: str,
+        lease: datetime.timedelta = entries.MAX_LEASE,
+    ) -> None:
+        self._table = table
+        self._holder = holder
+        self._lease_s = lease.total_seconds()
+        self._current: _Claimed | None = None
+        self._ended: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
+
+    @property
+    def outcome(self) -> Outcome:
+        """What the log says of the current claim; denied without one."""
+        if self._current is None:
+            return Outcome.DENIED
+        return self._table.outcome(self._current.claim_id)
+
+    @property
+    def grant(self) -> Grant | None:
+        """The current claim's lease, None if it is not active."""
+        if self._current is None:
+            return None
+        return self._table.grant(self._current.claim_id)
+
+    def begin(self, claim_id: str, now_s: float) -> entries.Claim:
+        """Returns a claim to append; called right before it is sent."""
+        self.end()
+        self._current = _Claimed(claim_id, now_s, self._lease_s)
+        return entries.Claim(
+            holder=self._holder, claim_id=claim_id, lease_s=self._lease_s
+        )
+
+    def left_s(self, now_s: float) -> float:
+        """Returns for how long orders may still be sent; 0 for not at all."""
+        if self.grant is None or self._current is None:
+            return 0.0
+        end_s = self._current.sent_s + self._current.lease_s
+        return max(0.0, end_s - _MARGIN.total_seconds() - now_s)
+
+    def fencing_number(self, now_s: float) -> int | None:
+        """Returns the number for an order that is sent now.
+
+        Args:
+            now_s: Monotonic time, read right before the order is sent.
+
+        Returns:
+            None if no order may be sent.
+        """
+        grant = self.grant
+        if grant is None or self.left_s(now_s) <= 0:
+            return None
+        return grant.offset
+
+    def end(self) -> None:
+        """Gives the current claim up, whether or not it was seen."""
+        if self._current is not None:
+            self._ended[self._current.claim_id] = None
+            self._current = None
+        while len(self._ended) > _MAX_ENDED:
+            self._ended.popitem(last=False)
+
+    def releases(self) -> list[entries.Release]:
+        """Returns the entries that free slots of claims given up.
+
+        A claim that was given up because its append got no answer may appear
+        later; it is released then.
+        """
+        return [
+            entries.Release(holder=self._holder, claim_id=claim_id)
+            for claim_id in self._ended
+            if self._table.grant(claim_id) is not None
+        ]
--- /dev/null
+++ b/hibiscusstile/sidecar/orders.py
@@ -0,0 +1,294 @@
+"""Follows the placement plan and gives orders to the local engine."""
+
+from __future__ import annotations
+
+import datetime
+import random
+from collections.abc import Callable, Mapping
+
+import logbook
+
+from hibiscusstile import backends, identity, logs, outcome, platform
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.configuration import store as store_lib
+from hibiscusstile.placement import entries, leases
+from hibiscusstile.placement import plan as plan_lib
+from hibiscusstile.sidecar import region as region_lib
+from hibiscusstile.sidecar import turns as turns_lib
+
+__all__ = ["OrderTask"]
+
+_log = logbook.Logger("placement")
+
+_POLL_WAIT = datetime.timedelta(seconds=2)
+_SHORT_WAIT = datetime.timedelta(milliseconds=500)
+_RETRY = datetime.timedelta(seconds=1)
+_CLAIM_DEADLINE = datetime.timedelta(seconds=3)
+_ANNOUNCE_RETRY = datetime.timedelta(seconds=5)
+
+# Well within the log's retention, so that a reader that starts at the
+# earliest entry finds every live runner's holding.
+_ANNOUNCE_AGAIN = datetime.timedelta(hours=6)
+_CLAIM_JITTER_S = (1.0, 3.0)
+
+
+class _Stream:
+    """One weight store's lease stream, with this sidecar's claims on it."""
+
+    def __init__(self, name: str, peer_id: str) -> None:
+        self.name = name
+        self.table = leases.LeaseTable()
+        self.holder = leases.LeaseHolder(self.table, peer_id)
+        self.grown_s = 0.0
+        self.announced_s: float | None = None
+
+
+class OrderTask:
+    """Loads what the plan assigns, under a lease, once nothing runs.
+
+    Args:
+        engine: The engine.
+        log: The log service.
+        members: The region's sidecars.
+        store: The configuration in force.
+        turns: The admission queue's turns, which pause during a load.
+        clock: Measures leases.
+        peer_id: This sidecar.
+        region: Its region.
+        on_loaded: Called with the engine's state when it has changed.
+    """
+
+    def __init__(
+        self,
+        engine: backends.EngineBackend,
+        log: platform.LogClient,
+        members: region_lib.RegionMembers,
+        store: store_lib.ConfigurationStore,
+        turns: turns_lib.Turns,
+        clock: clock_lib.Clock,
+        peer_id: str,
+        region: str,
+        on_loaded: Callable[[backends.EngineHealth], None],
+    ) -> None:
+        self._engine = engine
+        self._platform_log = log
+        self._members = members
+        self._store = store
+        self._turns = turns
+        self._clock = clock
+        self._peer_id = peer_id
+        self._region = region
+        self._on_loaded = on_loaded
+        self._streams: dict[str, _Stream] = {}
+        self._health: backends.EngineHealth | None = None
+        self._due_since_s: float | None = None
+        self._claim_after_s = 0.0
+
+    async def run(self) -> None:
+        """Follows the plan until cancelled."""
+        while True:
+            await self.step()
+
+    async def step(self) -> None:
+        """Reads the lease streams once and acts on them."""
+        await self._members.refresh()
+        await self._note_health()
+        streams = self._open_streams()
+        if not streams or self._health is None:
+            await self._clock.sleep(_RETRY)
+            return
+        wait = _POLL_WAIT if len(streams) == 1 else _SHORT_WAIT
+        for stream in streams:
+            if not await self._read(stream, wait):
+                await self._clock.sleep(_RETRY)
+                return
+            await self._release(stream)
+            await self._announce(stream)
+        await self._follow_plan()
+
+    async def _note_health(self) -> None:
+        health = await self._engine.health()
+        if health is not None and health != self._health:
+            self._health = health
+            self._on_loaded(health)
+
+    def _open_streams(self) -> list[_Stream]:
+        stores = {m.weight_store for m in self._store.view.models.values()}
+        for store in stores - self._streams.keys():
+            name = entries.lease_stream(self._region, store)
+            self._streams[store] = _Stream(name, self._peer_id)
+        return [self._streams[store] for store in sorted(stores)]
+
+    async def _read(self, stream: _Stream, wait: datetime.timedelta) -> bool:
+        """Applies new entries; False if the log is unavailable."""
+        page = await self._platform_log.read(
+            stream.name, stream.table.next_offset, wait=wait
+        )
+        if isinstance(page, platform.LogUnavailable):
+            _log.warn("log_unavailable reason={}", page.message)
+            return False
+        stream.table.skip_to(page.earliest)
+        for entry in page.entries:
+            stream.table.apply(entry)
+            stream.grown_s = self._clock.monotonic()
+        return True
+
+    async def _release(self, stream: _Stream) -> None:
+        for release in stream.holder.releases():
+            await self._append(stream, release)
+
+    async def _announce(self, stream: _Stream) -> None:
+        """Appends what the engine holds, if the stream says otherwise."""
+        if self._health is None:
+            return
+        now_s = self._clock.monotonic()
+        holding = entries.Holding(
+            holder=self._peer_id,
+            model=self._health.model,
+            weights_version=self._health.weights_version,
+            adapters=self._health.adapters,
+        )
+        known = stream.table.holdings.get(self._peer_id) == holding
+        pause = _ANNOUNCE_AGAIN if known else _ANNOUNCE_RETRY
+        last_s = stream.announced_s
+        if last_s is None or now_s >= last_s + pause.total_seconds():
+            stream.announced_s = now_s
+            await self._append(stream, holding)
+
+    async def _append(
+        self, stream: _Stream, entry: entries.LeaseStreamEntry
+    ) -> None:
+        answer = await self._platform_log.append(
+            stream.name, entries.encode(entry)
+        )
+        if not isinstance(answer, platform.Appended):
+            _log.warn("append_failed op={} reason={}", entry.op, answer.message)
+
+    async def _follow_plan(self) -> None:
+        now_s = self._clock.monotonic()
+        step, stream = self._next_step(now_s, None)
+        if step.load is None or stream is None:
+            if step.reason != "others load first":
+                self._due_since_s = None
+            return
+        if now_s < self._claim_after_s or not self._has_slot(stream, now_s):
+            return
+        self._claim_after_s = now_s + random.uniform(*_CLAIM_JITTER_S)
+        try:
+            if await self._claim(stream):
+                await self._load_under_lease(stream)
+        finally:
+            stream.holder.end()
+            self._turns.resume()
+        await self._release(stream)
+
+    def _next_step(
+        self, now_s: float, granted: leases.Grant | None
+    ) -> tuple[plan_lib.Step, _Stream | None]:
+        """Returns the next step and the stream of its weight store.
+
+        Args:
+            now_s: Monotonic time.
+            granted: This sidecar's lease; earlier ones alone count then.
+        """
+        models = self._store.view.models
+        holdings = self._holdings()
+        plan = plan_lib.assign(models, holdings.keys())
+        wanted = plan.get(self._peer_id)
+        if wanted is None:
+            return plan_lib.Step(None, "not planned"), None
+        if self._due_since_s is None:
+            self._due_since_s = now_s
+        stream = self._streams[models[wanted.model].weight_store]
+        loading = {
+            each.holder
+            for each in stream.table.active
+            if granted is None or each.offset < granted.offset
+        }
+        step = plan_lib.next_step(
+            self._peer_id,
+            plan,
+            holdings,
+            now_s - self._due_since_s,
+            loading - {self._peer_id},
+        )
+        return step, stream
+
+    def _holdings(self) -> Mapping[str, entries.Holding]:
+        """Returns what the region's live engines hold, this one included."""
+        members = self._members.names | {self._peer_id}
+        return {
+            holder: holding
+            for stream in self._streams.values()
+            for holder, holding in stream.table.holdings.items()
+            if holder in members
+        }
+
+    def _slots(self) -> int:
+        return plan_lib.slots_for(len(self._holdings()))
+
+    def _has_slot(self, stream: _Stream, now_s: float) -> bool:
+        """Whether a claim has a prospect, which spares the log a vain one."""
+        quiet_s = now_s - stream.grown_s
+        if quiet_s > entries.MAX_LEASE.total_seconds():
+            return True
+        return len(stream.table.active) < self._slots()
+
+    async def _claim(self, stream: _Stream) -> bool:
+        """Appends a claim and reads the log up to it; whether it holds."""
+        now_s = self._clock.monotonic()
+        claim = stream.holder.begin(identity.new_id("lease"), now_s)
+        limit_s = now_s + _CLAIM_DEADLINE.total_seconds()
+        await self._append(stream, claim)
+        while stream.holder.outcome is leases.Outcome.UNSEEN:
+            if self._clock.monotonic() >= limit_s:
+                return False
+            if not await self._read(stream, _SHORT_WAIT):
+                await self._clock.sleep(_RETRY)
+        grant = stream.holder.grant
+        if grant is None or grant.before >= self._slots():
+            return False
+        step, _ = self._next_step(self._clock.monotonic(), grant)
+        return step.load is not None
+
+    async def _load_under_lease(self, stream: _Stream) -> None:
+        left_s = stream.holder.left_s(self._clock.monotonic())
+        idle = await self._turns.pause(
+            outcome.Refusal(
+                outcome.Reason.NOT_LOADED, "the engine is about to load weights"
+            ),
+            datetime.timedelta(seconds=left_s),
+        )
+        step, _ = self._next_step(self._clock.monotonic(), stream.holder.grant)
+        if not idle or step.load is None:
+            _log.info("load_put_off idle={} reason={}", idle, step.reason)
+            return
+        await self._order(stream, step.load)
+
+    async def _order(
+        self, stream: _Stream, wanted: plan_lib.Assignment
+    ) -> None:
+        # Read right before the order: the process may have been paused.
+        number = stream.holder.fencing_number(self._clock.monotonic())
+        if number is None:
+            return
+        result = await self._engine.order(
+            backends.EngineOrder(
+                number, wanted.model, wanted.weights_version, wanted.adapters
+            )
+        )
+        _log.info(
+            logs.decision_line(
+                "engine_order",
+                {
+                    "fencing_number": number,
+                    "model": wanted.model,
+                    "weights_version": wanted.weights_version,
+                    "done": result.done,
+                    "message": result.message,
+                },
+            )
+        )
+        await self._note_health()
+        stream.announced_s = None
+        await self._announce(stream)
--- a/hibiscusstile/sidecar/turns.py
+++ b/hibiscusstile/sidecar/turns.py
@@ -11,6 +11,7 @@
 __all__ = ["Turns"]
 
 _EXPIRY_INTERVAL = datetime.timedelta(milliseconds=100)
+_PAUSE_POLL = datetime.timedelta(milliseconds=50)
 
 
 class Turns:
@@ -81,6 +82,30 @@
         self._queue.finish(work_id, served_tokens)
         self._start_ready()
 
+    async def pause(
+        self, refusal: outcome.Refusal, limit: datetime.timedelta
+    ) -> bool:
+        """Refuses what waits and comes, and waits for what runs to end.
+
+        Args:
+            refusal: What the refused are told, with the verdict `not_run`.
+            limit: How long to wait.
+
+        Returns:
+            Whether nothing runs any more.
+        """
+        self._queue.pause(refusal)
+        self.drain(refusal)
+        limit_s = self._clock.monotonic() + limit.total_seconds()
+        while self._queue.running and self._clock.monotonic() < limit_s:
+            await self._clock.sleep(_PAUSE_POLL)
+        return not self._queue.running
+
+    def resume(self) -> None:
+        """Takes requests again."""
+        self._queue.resume()
+        self._start_ready()
+
     def drain(self, refusal: outcome.Refusal) -> None:
         """Refuses all that wait."""
         for work in self._queue.drain():
