Run the orders task in the sidecar and prove the leases

The lease machine lets four sidecars claim, pause, restart and order through a log that loses, delays and refuses appends, drops old entries and goes down. Whoever may act must hold a lease that is valid by log time, never more than two, and the engine accepts no order after a newer one.

A rollout in two sidecars, a load that waits for running work, an outage and lost answers are covered on the order task.

--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -24,7 +24,8 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import handshake, messages
 from hibiscusstile.peers import server as server_lib
-from hibiscusstile.sidecar import cachefeed, executor, service, turns
+from hibiscusstile.sidecar import cachefeed, executor, region, service, turns
+from hibiscusstile.sidecar import orders as orders_lib
 
 __all__ = ["SidecarRole"]
 
@@ -57,6 +58,9 @@
         self._log = platform.get_log_client_by_name(config.platform.log.kind)(
             config.platform.log.url
         )
+        self._instances = platform.get_instance_list_by_name(
+            config.platform.instance_list.kind
+        )(config.platform.instance_list.url)
         queue = admission.AdmissionQueue(
             clock,
             admission.QueueLimits(**config.queue.model_dump()),
@@ -118,6 +122,7 @@
 
     def build(self, root: supervisor.Supervisor) -> None:
         """Adds the role's children to the root."""
+        orders = self._orders()
         specs = [
             ("configuration", self._follower().run),
             ("attempts", self._attempts.run),
@@ -126,6 +131,7 @@
             ("engine", self._run_engine),
             ("peers", self._server.run),
             ("operators", self._operators.run),
+            *([("orders", orders.run)] if orders else []),
         ]
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
@@ -155,10 +161,31 @@
         """Closes clients, once the children have stopped."""
         await self._backend.close()
         await self._log.close()
+        await self._instances.close()
 
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
+    def _orders(self) -> orders_lib.OrderTask | None:
+        if not isinstance(self._backend, backends.EngineBackend):
+            return None
+        return orders_lib.OrderTask(
+            self._backend,
+            self._log,
+            region.RegionMembers(
+                self._instances, self._config.region, self._clock
+            ),
+            self._store,
+            self._turns,
+            self._clock,
+            self._config.peer_id,
+            self._config.region,
+            self._note_loaded,
+        )
+
+    def _note_loaded(self, health: backends.EngineHealth) -> None:
+        self._model = health.model
+
     async def _run_engine(self) -> None:
         if isinstance(self._backend, backends.EngineBackend):
             health = await self._backend.health()
--- a/hibiscusstile/sidecar/orders.py
+++ b/hibiscusstile/sidecar/orders.py
@@ -31,6 +31,10 @@
 _ANNOUNCE_AGAIN = datetime.timedelta(hours=6)
 _CLAIM_JITTER_S = (1.0, 3.0)
 
+# The plan changes with every runner that announces itself after a restart of
+# many; a runner changes its model only for an assignment that has lasted.
+_SETTLE = datetime.timedelta(seconds=15)
+
 
 class _Stream:
     """One weight store's lease stream, with this sidecar's claims on it."""
@@ -81,6 +85,8 @@
         self._on_loaded = on_loaded
         self._streams: dict[str, _Stream] = {}
         self._health: backends.EngineHealth | None = None
+        self._wanted = ""
+        self._wanted_since_s = 0.0
         self._due_since_s: float | None = None
         self._claim_after_s = 0.0
 
@@ -125,7 +131,7 @@
             stream.name, stream.table.next_offset, wait=wait
         )
         if isinstance(page, platform.LogUnavailable):
-            _log.warn("log_unavailable reason={}", page.message)
+            _log.warning("log_unavailable reason={}", page.message)
             return False
         stream.table.skip_to(page.earliest)
         for entry in page.entries:
@@ -162,7 +168,9 @@
             stream.name, entries.encode(entry)
         )
         if not isinstance(answer, platform.Appended):
-            _log.warn("append_failed op={} reason={}", entry.op, answer.message)
+            _log.warning(
+                "append_failed op={} reason={}", entry.op, answer.message
+            )
 
     async def _follow_plan(self) -> None:
         now_s = self._clock.monotonic()
@@ -197,6 +205,8 @@
         wanted = plan.get(self._peer_id)
         if wanted is None:
             return plan_lib.Step(None, "not planned"), None
+        if not self._is_settled(wanted.model, now_s):
+            return plan_lib.Step(None, "the plan is new"), None
         if self._due_since_s is None:
             self._due_since_s = now_s
         stream = self._streams[models[wanted.model].weight_store]
@@ -214,6 +224,14 @@
         )
         return step, stream
 
+    def _is_settled(self, model: str, now_s: float) -> bool:
+        if model != self._wanted:
+            self._wanted = model
+            self._wanted_since_s = now_s
+        held = self._health.model if self._health else ""
+        since_s = now_s - self._wanted_since_s
+        return model == held or since_s >= _SETTLE.total_seconds()
+
     def _holdings(self) -> Mapping[str, entries.Holding]:
         """Returns what the region's live engines hold, this one included."""
         members = self._members.names | {self._peer_id}
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,22 +5,31 @@
 import collections
 import dataclasses
 import datetime
+import json
 import random
+from collections.abc import AsyncIterator
 from typing import Any
 
-from hibiscusstile import admission, outcome, request
+from hibiscusstile import admission, backends, outcome, platform, request
 from hibiscusstile import clock as clock_lib
+from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.configuration import view
 
 __all__ = [
+    "FakeEngine",
+    "FakeInstances",
+    "FakeLog",
     "ManualClock",
     "SimulatedEngine",
     "chat_messages",
+    "model_record",
     "poisson_arrivals",
+    "publish",
     "queue_limits",
     "rank_named",
     "rank_table",
     "record",
+    "store_with",
     "work_item",
 ]
 
@@ -264,3 +273,219 @@
         datetime.timedelta(seconds=30),
         datetime.timedelta(seconds=0.61),
     )
+
+
+class FakeLog(platform.LogClient):
+    """A log in memory whose next appends can go wrong.
+
+    Attributes:
+        down: Whether reads and appends get no answer and take no effect.
+        fates: What happens to the next appends: `done`, `lost` (took effect,
+            no answer), `late` (appears with `appear`), `refused`.
+        streams: The entries by stream.
+    """
+
+    def __init__(self, clock: ManualClock) -> None:
+        super().__init__("")
+        self._clock = clock
+        self.down = False
+        self.fates: collections.deque[str] = collections.deque()
+        self.streams: dict[str, list[platform.LogEntry]] = (
+            collections.defaultdict(list)
+        )
+        self.earliest: collections.Counter[str] = collections.Counter()
+        self._late: list[tuple[str, bytes]] = []
+
+    async def append(
+        self, stream: str, payload: bytes
+    ) -> platform.Appended | platform.AppendRefused | platform.AppendUnknown:
+        """Appends as the next fate says."""
+        return self.append_now(stream, payload)
+
+    def append_now(
+        self, stream: str, payload: bytes
+    ) -> platform.Appended | platform.AppendRefused | platform.AppendUnknown:
+        """Appends as the next fate says, without an event loop."""
+        fate = self.fates.popleft() if self.fates else "done"
+        if self.down:
+            return platform.AppendUnknown("the log is down")
+        if fate == "refused":
+            return platform.AppendRefused("too many appends")
+        if fate == "late":
+            self._late.append((stream, payload))
+            return platform.AppendUnknown("no answer")
+        offset = self._put(stream, payload)
+        if fate == "lost":
+            return platform.AppendUnknown("no answer")
+        return platform.Appended(offset)
+
+    def appear(self) -> None:
+        """Lets the late appends take effect now."""
+        for stream, payload in self._late:
+            self._put(stream, payload)
+        self._late.clear()
+
+    def forget(self, stream: str, kept: int) -> None:
+        """Drops all but the last entries of a stream."""
+        self.earliest[stream] = max(
+            self.earliest[stream], len(self.streams[stream]) - kept
+        )
+
+    async def read(
+        self,
+        stream: str,
+        offset: int,
+        *,
+        limit: int = 500,
+        wait: datetime.timedelta = datetime.timedelta(0),
+    ) -> platform.LogEntries | platform.LogUnavailable:
+        """Reads without waiting, though the clock moves if nothing is new."""
+        page = self.read_now(stream, offset, limit)
+        if isinstance(page, platform.LogEntries) and not page.entries:
+            self._clock.advance(wait.total_seconds())
+        return page
+
+    def read_now(
+        self, stream: str, offset: int, limit: int = 500
+    ) -> platform.LogEntries | platform.LogUnavailable:
+        """Reads without an event loop."""
+        if self.down:
+            return platform.LogUnavailable("the log is down")
+        kept = self.streams[stream]
+        start = max(offset, self.earliest[stream])
+        return platform.LogEntries(
+            tuple(kept[start : start + limit]),
+            self.earliest[stream],
+            len(kept),
+        )
+
+    async def close(self) -> None:
+        """Does nothing."""
+
+    def _put(self, stream: str, payload: bytes) -> int:
+        kept = self.streams[stream]
+        kept.append(platform.LogEntry(len(kept), self._clock.now(), payload))
+        return kept[-1].offset
+
+
+class FakeInstances(platform.InstanceList):
+    """Lists the sidecars it is given, all in region `north`."""
+
+    def __init__(self, *names: str) -> None:
+        super().__init__("")
+        self.names = list(names)
+
+    async def list_instances(self) -> platform.Listing:
+        """Returns the instances listed now."""
+        return platform.Listing(
+            tuple(
+                platform.ListedInstance(
+                    name, "sidecar", "127.0.0.1", 1, "az-1", "north"
+                )
+                for name in self.names
+            )
+        )
+
+    async def close(self) -> None:
+        """Does nothing."""
+
+
+class FakeEngine(backends.EngineBackend):
+    """An engine that takes orders and checks their fencing number.
+
+    Attributes:
+        state: What it says of itself.
+        orders: The orders it followed.
+    """
+
+    checks_fencing = True
+
+    def __init__(self, model: str = "m1", weights_version: str = "v1") -> None:
+        super().__init__("")
+        self.state = backends.EngineHealth(
+            "inc-1", model, weights_version, (), "mixed", -1
+        )
+        self.orders: list[backends.EngineOrder] = []
+
+    async def order(self, order: backends.EngineOrder) -> backends.OrderResult:
+        """Follows an order at once."""
+        return self.order_now(order)
+
+    def order_now(self, order: backends.EngineOrder) -> backends.OrderResult:
+        """Follows an order without an event loop."""
+        if order.fencing_number < self.state.fencing_number:
+            return backends.OrderResult(False, "the fencing number is old")
+        self.orders.append(order)
+        self.state = dataclasses.replace(
+            self.state,
+            model=order.model,
+            weights_version=order.weights_version,
+            adapters=order.adapters,
+            fencing_number=order.fencing_number,
+        )
+        return backends.OrderResult(True)
+
+    async def health(self) -> backends.EngineHealth | None:
+        """Returns its state."""
+        return self.state
+
+    async def generate(
+        self, order: backends.GenerateOrder
+    ) -> AsyncIterator[backends.EngineEvent]:
+        """Generates nothing."""
+        yield backends.EngineEnd("stop", 0, 0, 0)
+
+    async def cancel(self, attempt_id: str) -> None:
+        """Does nothing."""
+
+    async def cache_events(self, after: int) -> backends.CacheEvents | None:
+        """Has no cache."""
+        return None
+
+    async def cache_blocks(self) -> backends.CacheEvents | None:
+        """Has no cache."""
+        return None
+
+    async def load(self) -> backends.EngineLoad | None:
+        """Reports no load."""
+        return None
+
+    async def export_kv(self, salt: str, digest: int) -> bytes | None:
+        """Holds no KV cache."""
+        return None
+
+    async def import_kv(self, salt: str, digest: int, data: bytes) -> bool:
+        """Takes no KV cache."""
+        return False
+
+    async def close(self) -> None:
+        """Does nothing."""
+
+
+def model_record(
+    name: str = "m1", weights_version: str = "v1", **fields: Any
+) -> view.Model:
+    """Returns a model as decisions see it."""
+    return view.Model(name, weights_version, **fields)
+
+
+def store_with(*records: dict[str, Any]) -> store_lib.ConfigurationStore:
+    """Returns a configuration store that has read these records."""
+    store = store_lib.ConfigurationStore()
+    publish(store, *records)
+    return store
+
+
+def publish(
+    store: store_lib.ConfigurationStore, *records: dict[str, Any]
+) -> None:
+    """Appends records to a store's configuration."""
+    time = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    store.apply(
+        tuple(
+            platform.LogEntry(
+                store.next_offset + number, time, json.dumps(body).encode()
+            )
+            for number, body in enumerate(records)
+        )
+    )
--- /dev/null
+++ b/tests/placement/test_leases.py
@@ -0,0 +1,86 @@
+"""Tests of load leases on single cases."""
+
+from __future__ import annotations
+
+from hibiscusstile import platform
+from hibiscusstile.placement import entries, leases
+from tests import builders
+
+_STREAM = entries.lease_stream("north", "default")
+
+
+def _table(log: builders.FakeLog) -> leases.LeaseTable:
+    table = leases.LeaseTable()
+    page = log.read_now(_STREAM, 0)
+    assert isinstance(page, platform.LogEntries)
+    table.skip_to(page.earliest)
+    for entry in page.entries:
+        table.apply(entry)
+    return table
+
+
+def _claim(log: builders.FakeLog, holder: str, claim_id: str) -> None:
+    claim = entries.Claim(holder=holder, claim_id=claim_id, lease_s=60)
+    log.append_now(_STREAM, entries.encode(claim))
+
+
+def test_first_two_claims_in_log_order_win() -> None:
+    """A third load at once would slow all of them down."""
+    log = builders.FakeLog(builders.ManualClock())
+    for number in range(3):
+        _claim(log, f"s{number}", f"c{number}")
+    table = _table(log)
+    assert [grant.offset for grant in table.active] == [0, 1]
+    assert table.outcome("c2") is leases.Outcome.DENIED
+
+
+def test_a_claim_repeated_on_the_log_gets_no_second_lease() -> None:
+    """A doubled append must not renew a lease."""
+    clock = builders.ManualClock()
+    log = builders.FakeLog(clock)
+    _claim(log, "s1", "c1")
+    clock.advance(61)
+    _claim(log, "s1", "c1")
+    assert _table(log).active == ()
+
+
+def test_an_unknown_entry_is_passed_over() -> None:
+    """An entry of a newer version must not stop an older reader."""
+    log = builders.FakeLog(builders.ManualClock())
+    log.append_now(_STREAM, b'{"op": "resize", "holder": "s1"}')
+    log.append_now(_STREAM, b"\xff")
+    _claim(log, "s1", "c1")
+    assert [grant.offset for grant in _table(log).active] == [2]
+
+
+def test_late_claim_that_was_given_up_is_released() -> None:
+    """It would otherwise keep a slot until its lease ends."""
+    clock = builders.ManualClock()
+    log = builders.FakeLog(clock)
+    table = _table(log)
+    holder = leases.LeaseHolder(table, "s1")
+    log.fates.append("late")
+    claim = holder.begin("c1", clock.monotonic())
+    log.append_now(_STREAM, entries.encode(claim))
+    holder.end()
+    assert holder.releases() == []
+    log.appear()
+    for entry in log.streams[_STREAM]:
+        table.apply(entry)
+    assert holder.fencing_number(clock.monotonic()) is None
+    assert [each.claim_id for each in holder.releases()] == ["c1"]
+
+
+def test_reader_that_misses_entries_trusts_no_grant_before_a_pause() -> None:
+    """A dropped claim may hold a slot that the reader believes free."""
+    clock = builders.ManualClock()
+    log = builders.FakeLog(clock)
+    for number in range(3):
+        _claim(log, f"s{number}", f"c{number}")
+    log.forget(_STREAM, 1)
+    table = _table(log)
+    assert table.outcome("c2") is leases.Outcome.DENIED
+    clock.advance(61)
+    _claim(log, "s4", "c4")
+    table.apply(log.streams[_STREAM][-1])
+    assert table.outcome("c4") is leases.Outcome.GRANTED
--- /dev/null
+++ b/tests/placement/test_leases_fuzz.py
@@ -0,0 +1,162 @@
+"""Stateful fuzzing of load leases on a log that loses answers."""
+
+from __future__ import annotations
+
+import collections
+import datetime
+
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hibiscusstile import backends, platform
+from hibiscusstile.placement import entries, leases
+from tests import builders
+
+_STREAM = entries.lease_stream("north", "default")
+_HOLDERS = st.sampled_from(["s1", "s2", "s3", "s4"])
+_FATES = st.sampled_from(["done", "done", "done", "lost", "late", "refused"])
+
+
+class LeaseMachine(stateful.RuleBasedStateMachine):
+    """Several sidecars claim, pause, restart and order through one log."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = builders.ManualClock()
+        self.log = builders.FakeLog(self.clock)
+        self.reference = leases.LeaseTable()
+        self.tables: dict[str, leases.LeaseTable] = {}
+        self.holders: dict[str, leases.LeaseHolder] = {}
+        self.engine = builders.FakeEngine()
+        self.in_flight: list[int] = []
+        self.accepted: list[int] = []
+        self.numbers = 0
+        for name in ("s1", "s2", "s3", "s4"):
+            self._start(name)
+
+    def _start(self, name: str) -> None:
+        self.tables[name] = leases.LeaseTable()
+        self.holders[name] = leases.LeaseHolder(self.tables[name], name)
+
+    def _append(self, entry: entries.LeaseStreamEntry, fate: str) -> None:
+        self.log.fates = collections.deque([fate])
+        self.log.append_now(_STREAM, entries.encode(entry))
+
+    def _follow(self, table: leases.LeaseTable) -> None:
+        page = self.log.read_now(_STREAM, table.next_offset)
+        if isinstance(page, platform.LogEntries):
+            table.skip_to(page.earliest)
+            for entry in page.entries:
+                table.apply(entry)
+
+    def _follow_reference(self) -> None:
+        """Applies every entry, also while the log is down to others."""
+        for entry in self.log.streams[_STREAM][self.reference.next_offset :]:
+            self.reference.apply(entry)
+
+    @stateful.rule(name=_HOLDERS, fate=_FATES, pause_s=st.floats(0, 30))
+    def claim(self, name: str, fate: str, pause_s: float) -> None:
+        """Claims; the process may pause before the claim leaves it."""
+        self.numbers += 1
+        claim = self.holders[name].begin(
+            f"c{self.numbers}", self.clock.monotonic()
+        )
+        self.clock.advance(pause_s)
+        self._append(claim, fate)
+        self._follow_reference()
+
+    @stateful.rule(name=_HOLDERS)
+    def acquire_and_order(self, name: str) -> None:
+        """Goes through a whole claim, up to an order on its way."""
+        self.claim(name, "done", 0.0)
+        self.read(name)
+        self.send_order(name)
+
+    @stateful.rule(name=_HOLDERS)
+    def read(self, name: str) -> None:
+        """Reads the stream."""
+        self._follow(self.tables[name])
+
+    @stateful.rule(name=_HOLDERS, fate=_FATES)
+    def give_up(self, name: str, fate: str) -> None:
+        """Ends a claim, seen or not, and releases those that were seen."""
+        self.holders[name].end()
+        for release in self.holders[name].releases():
+            self._append(release, fate)
+        self._follow_reference()
+
+    @stateful.rule()
+    def late_appends_appear(self) -> None:
+        """Appends without an answer take effect now."""
+        self.log.appear()
+        self._follow_reference()
+
+    @stateful.rule(seconds=st.one_of(st.floats(0, 20), st.floats(40, 130)))
+    def advance(self, seconds: float) -> None:
+        """Lets time pass."""
+        self.clock.advance(seconds)
+
+    @stateful.rule(down=st.booleans())
+    def outage(self, down: bool) -> None:
+        """Starts or ends an outage of the log."""
+        self.log.down = down
+
+    @stateful.rule(name=_HOLDERS)
+    def restart(self, name: str) -> None:
+        """A sidecar starts anew, without its claims, and reads the log."""
+        self._start(name)
+        self._follow(self.tables[name])
+
+    @stateful.rule(kept=st.integers(0, 3))
+    def forget(self, kept: int) -> None:
+        """The log drops old entries, earlier than its retention says."""
+        self.log.forget(_STREAM, kept)
+
+    @stateful.rule(name=_HOLDERS)
+    def send_order(self, name: str) -> None:
+        """Sends an order, which the engine gets later."""
+        number = self.holders[name].fencing_number(self.clock.monotonic())
+        if number is not None:
+            self.in_flight.append(number)
+
+    @stateful.precondition(lambda self: self.in_flight)
+    @stateful.rule(data=st.data())
+    def deliver_order(self, data: st.DataObject) -> None:
+        """The engine gets any order that was sent, however old."""
+        index = data.draw(st.integers(0, len(self.in_flight) - 1))
+        number = self.in_flight.pop(index)
+        order = backends.EngineOrder(number, "m1", f"v{number}")
+        if self.engine.order_now(order).done:
+            assert all(number >= earlier for earlier in self.accepted)
+            self.accepted.append(number)
+
+    @stateful.invariant()
+    def at_most_two_may_act(self) -> None:
+        """Those who may act hold leases that are valid by log time."""
+        now_s = self.clock.monotonic()
+        acting = [
+            holder.grant
+            for holder in self.holders.values()
+            if holder.fencing_number(now_s) is not None
+        ]
+        assert len(acting) <= 2
+        now = self.clock.now()
+        valid = {g.offset for g in self.reference.active if g.end > now}
+        assert len(valid) <= 2
+        for grant in acting:
+            assert grant is not None
+            assert grant.offset in valid
+
+    @stateful.invariant()
+    def a_lease_outlasts_its_holder(self) -> None:
+        """A holder stops well before its lease ends on the log."""
+        now_s = self.clock.monotonic()
+        for holder in self.holders.values():
+            grant = holder.grant
+            if grant is not None and holder.left_s(now_s) > 0:
+                left = grant.end - self.clock.now()
+                assert left > datetime.timedelta(seconds=14)
+
+
+TestLeaseMachine = pytest.mark.fuzz(LeaseMachine.TestCase)
--- /dev/null
+++ b/tests/placement/test_plan.py
@@ -0,0 +1,83 @@
+"""Tests of the placement plan."""
+
+from __future__ import annotations
+
+from hibiscusstile.placement import entries, plan
+from tests import builders
+
+_RUNNERS = [f"s{number}" for number in range(12)]
+
+
+def _models(**replicas: int) -> dict:  # type: ignore[type-arg]
+    return {
+        name: builders.model_record(name, replicas=count)
+        for name, count in replicas.items()
+    }
+
+
+def _held(name: str, model: str, version: str = "v1") -> entries.Holding:
+    return entries.Holding(holder=name, model=model, weights_version=version)
+
+
+def test_counts_follow_replicas_and_demand() -> None:
+    """A wanted number comes first, and no model is left without a runner."""
+    counts = plan.replica_counts(
+        _models(a=2, b=0, c=0), 12, {"b": 4.0, "c": 1.0}
+    )
+    assert counts == {"a": 2, "b": 7, "c": 3}
+    assert sum(plan.replica_counts(_models(a=9, b=0), 4).values()) == 4
+
+
+def test_plan_does_not_depend_on_the_order_of_runners() -> None:
+    """Two sidecars that disagree would load models back and forth."""
+    models = _models(a=3, b=0, c=0)
+    first = plan.assign(models, _RUNNERS)
+    assert first == plan.assign(models, list(reversed(_RUNNERS)))
+
+
+def test_a_runner_that_leaves_moves_few_others() -> None:
+    """Each move costs a load and a cold cache."""
+    models = _models(a=0, b=0, c=0)
+    before = plan.assign(models, _RUNNERS)
+    after = plan.assign(models, _RUNNERS[1:])
+    moved = [name for name in after if after[name] != before[name]]
+    assert len(moved) <= 3
+
+
+def test_last_holder_keeps_its_model() -> None:
+    """A model without a holder refuses all its callers."""
+    models = _models(a=1, b=1)
+    assigned = plan.assign(models, ["s0", "s1"])
+    crossed = {
+        name: _held(name, "b" if wanted.model == "a" else "a")
+        for name, wanted in assigned.items()
+    }
+    for name in assigned:
+        step = plan.next_step(name, assigned, crossed, 0.0)
+        assert step.load is None
+        assert step.reason.startswith("last holder")
+
+
+def test_new_version_loads_while_another_holder_stays() -> None:
+    """Two holders that reload at once would leave none in between."""
+    models = {"a": builders.model_record("a", "v2")}
+    assigned = plan.assign(models, ["s0", "s1"])
+    holdings = {name: _held(name, "a") for name in assigned}
+    assert plan.next_step("s0", assigned, holdings, 0.0).load
+    assert plan.next_step("s1", assigned, holdings, 0.0, {"s0"}).load is None
+
+
+def test_few_runners_claim_at_once() -> None:
+    """A rollout must not have every runner append claims."""
+    models = {"a": builders.model_record("a", "v2")}
+    assigned = plan.assign(models, _RUNNERS)
+    holdings = {name: _held(name, "a") for name in assigned}
+    due = [
+        name
+        for name in _RUNNERS
+        if plan.next_step(name, assigned, holdings, 0.0).load
+    ]
+    assert len(due) == 4
+    assert all(
+        plan.next_step(name, assigned, holdings, 60.0).load for name in _RUNNERS
+    )
--- /dev/null
+++ b/tests/sidecar/test_orders.py
@@ -0,0 +1,114 @@
+"""Tests of the task that follows the placement plan."""
+
+from __future__ import annotations
+
+from hibiscusstile import admission
+from hibiscusstile.sidecar import orders, region, turns
+from tests import builders
+
+_STREAM = "leases.north.default"
+
+
+class _Sidecar:
+    """An order task with its queue, for one of several sidecars."""
+
+    def __init__(
+        self, name: str, log: builders.FakeLog, clock: builders.ManualClock
+    ) -> None:
+        self.engine = builders.FakeEngine()
+        self.store = builders.store_with(
+            builders.record("model", "m1", weights_version="v1")
+        )
+        self.queue = admission.AdmissionQueue(clock, builders.queue_limits())
+        self.turns = turns.Turns(self.queue, clock)
+        self.task = orders.OrderTask(
+            self.engine,
+            log,
+            region.RegionMembers(
+                builders.FakeInstances("s1", "s2"), "north", clock
+            ),
+            self.store,
+            self.turns,
+            clock,
+            name,
+            "north",
+            lambda health: None,
+        )
+
+    def publish(self, version: str) -> None:
+        """Publishes a version of the weights."""
+        record = builders.record("model", "m1", weights_version=version)
+        builders.publish(self.store, record)
+
+
+def _pair() -> tuple[builders.ManualClock, builders.FakeLog, list[_Sidecar]]:
+    clock = builders.ManualClock()
+    log = builders.FakeLog(clock)
+    return clock, log, [_Sidecar(name, log, clock) for name in ("s1", "s2")]
+
+
+async def _steps(sidecars: list[_Sidecar], count: int) -> None:
+    for _ in range(count):
+        for each in sidecars:
+            await each.task.step()
+
+
+async def test_rollout_reaches_every_engine_with_a_fencing_number() -> None:
+    """A published version must load everywhere, one claim for each load."""
+    _, log, sidecars = _pair()
+    await _steps(sidecars, 3)
+    assert not sidecars[0].engine.orders
+    for each in sidecars:
+        each.publish("v2")
+    await _steps(sidecars, 12)
+    loaded = [each.engine.state for each in sidecars]
+    assert [state.weights_version for state in loaded] == ["v2", "v2"]
+    numbers = [state.fencing_number for state in loaded]
+    kinds = [entry.payload for entry in log.streams[_STREAM]]
+    assert all(b'"claim"' in kinds[number] for number in numbers)
+    assert sum(b'"claim"' in kind for kind in kinds) == 2
+
+
+async def test_load_waits_for_running_work() -> None:
+    """An order under a running stream would mix two versions in it."""
+    _, _, sidecars = _pair()
+    await _steps(sidecars, 3)
+    busy = sidecars[0]
+    assert busy.queue.offer(builders.work_item("w1"), 1e9) is None
+    assert busy.queue.take() is not None
+    for each in sidecars:
+        each.publish("v2")
+    await _steps(sidecars, 12)
+    assert busy.engine.state.weights_version == "v1"
+    assert sidecars[1].engine.state.weights_version == "v2"
+    assert busy.queue.check(builders.work_item("w2")) is None
+    busy.queue.finish("w1", 10)
+    await _steps(sidecars, 12)
+    assert busy.engine.state.weights_version == "v2"
+
+
+async def test_no_load_while_the_log_is_down() -> None:
+    """Without the log nothing bounds how many load at once."""
+    _, log, sidecars = _pair()
+    await _steps(sidecars, 3)
+    for each in sidecars:
+        each.publish("v2")
+    log.down = True
+    await _steps(sidecars, 12)
+    assert not any(each.engine.orders for each in sidecars)
+    log.down = False
+    await _steps(sidecars, 12)
+    assert all(each.engine.orders for each in sidecars)
+
+
+async def test_lost_answers_do_not_keep_a_slot() -> None:
+    """A claim whose answer is lost is found on the log, or released."""
+    _, log, sidecars = _pair()
+    await _steps(sidecars, 3)
+    for each in sidecars:
+        each.publish("v2")
+    log.fates.extend(["lost", "late", "lost", "refused"] * 3)
+    await _steps(sidecars, 20)
+    log.appear()
+    await _steps(sidecars, 20)
+    assert all(each.engine.state.weights_version == "v2" for each in sidecars)
