--- a/hibiscusstile/backends/__init__.py
+++ b/hibiscusstile/backends/__init__.py
@@ -25,6 +25,7 @@
     "EngineText",
     "GenerateOrder",
     "OrderResult",
+    "ProbeFailure",
     "ServiceBackend",
     "backend_kinds",
     "get_backend_kind_by_name",
@@ -42,6 +43,8 @@
         priority: Lower runs first.
         cache_salt: Keeps cached blocks of other scopes apart.
         resume_text: Text generated before, to be continued.
+        prefix_levels: The prompt's levels, by whose digests the engine's
+            cache events name prefixes.
     """
 
     attempt_id: str
@@ -50,13 +53,21 @@
     priority: int
     cache_salt: str
     resume_text: str = ""
+    prefix_levels: tuple[request.PrefixLevel, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EngineStarted:
-    """The engine has taken the work up."""
+    """The engine has taken the work up.
+
+    Attributes:
+        cached_tokens: Prompt tokens taken from the cache.
+        incarnation: The engine's incarnation that holds the prompt now,
+            empty when the engine does not say.
+    """
 
     cached_tokens: int
+    incarnation: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,10 +118,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CacheEvents:
-    """A batch of cache events of one engine incarnation."""
+    """A batch of cache events of one engine incarnation.
+
+    Attributes:
+        incarnation: The incarnation.
+        events: In order of their numbers.
+        last_number: For a listing, the number of the last event that it
+            includes; -1 otherwise.
+    """
 
     incarnation: str
     events: tuple[BlockEvent, ...]
+    last_number: int = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -170,10 +189,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderResult:
-    """Whether an engine followed an order, and its message if not."""
+    """What came of an order.
+
+    Attributes:
+        done: Whether the engine followed it.
+        message: Why not, empty when done.
+        may_be_done: Whether an order without a clear answer may still have
+            taken effect.
+    """
 
     done: bool
     message: str = ""
+    may_be_done: bool = False
+
+
+class ProbeFailure(enum.Enum):
+    """Why an engine did not say how it is."""
+
+    REFUSED = "refused"
+    """It accepts no connection, or dropped the one it had accepted."""
+    SILENT = "silent"
+    """It did not answer in time."""
+    MALFORMED = "malformed"
+    """Its answer is not of the protocol."""
 
 
 class Backend(abc.ABC):
@@ -233,6 +271,10 @@
     async def health(self) -> EngineHealth | None:
         """Returns the engine's state, None when unreachable."""
 
+    @abc.abstractmethod
+    async def probe(self, timeout_s: float) -> EngineHealth | ProbeFailure:
+        """Returns the engine's state, or why there is none in time."""
+
     @abc.abstractmethod
     async def order(self, order: EngineOrder) -> OrderResult:
         """Sends an order and waits until it is done or refused."""
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 import itertools
@@ -23,10 +24,12 @@
 _log = logbook.Logger("peers")
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=2)
-_PING_INTERVAL = datetime.timedelta(seconds=10)
+_CLOSE_TIMEOUT = datetime.timedelta(seconds=1)
+_SEND_TIMEOUT = datetime.timedelta(seconds=1)
+_PING_INTERVAL_S = 10.0
 _PONG_TIMEOUT = datetime.timedelta(seconds=1.5)
 _MIN_BACKOFF = datetime.timedelta(milliseconds=100)
-_MAX_BACKOFF = datetime.timedelta(seconds=5)
+_MAX_BACKOFF = datetime.timedelta(seconds=1)
 _MAX_QUEUE_FRAMES = 64
 _WRITE_LIMIT_BYTES = 256 * 1024
 _CHANNEL_MESSAGES = 1024
@@ -51,6 +54,9 @@
     async def on_revision(self, link: SidecarLink, revision: int) -> None:
         """Handles a revision newer than the one in force here."""
 
+    def on_answer(self, asked_s: float) -> None:
+        """Notes an answer to a question sent at this monotonic time."""
+
 
 class AttemptChannel:
     """Receives the messages of one attempt, in the order they arrived."""
@@ -80,7 +86,13 @@
         return message
 
     def deliver(self, message: messages.PeerMessage | None) -> bool:
-        """Queues a message, None for a lost connection; False when full."""
+        """Queues a message, None for a lost connection; False when full.
+
+        A sign of life adds nothing to messages that still wait, and a slow
+        caller's channel would otherwise fill up with them.
+        """
+        if isinstance(message, messages.Progress) and self._queue.qsize():
+            return True
         try:
             self._queue.put_nowait(message)
         except asyncio.QueueFull:
@@ -125,10 +137,12 @@
         self._connection: connection_lib.PeerConnection | None = None
         self._channels: dict[str, AttemptChannel] = {}
         self._replies: dict[int, asyncio.Future[messages.PeerMessage]] = {}
+        self._asked_s: dict[int, float] = {}
         self._numbers = itertools.count(1)
         self._misses = 0
         self._load = 0
         self._load_at_s = 0.0
+        self._sent_s = 0.0
         self._ready = asyncio.Event()
 
     @property
@@ -207,12 +221,22 @@
     async def send(self, message: messages.PeerMessage) -> None:
         """Sends a message.
 
+        A peer that is frozen stops reading, and a long message then waits
+        for room; that drops the connection, so that no caller waits for it.
+
         Raises:
             ConnectionLost: There is no connection, or it has ended.
         """
-        if self._connection is None:
+        connection = self._connection
+        if connection is None:
             raise connection_lib.ConnectionLost("not connected")
-        await self._connection.send(message)
+        self._sent_s = self._clock.monotonic()
+        try:
+            async with asyncio.timeout(_SEND_TIMEOUT.total_seconds()):
+                await connection.send(message)
+        except TimeoutError:
+            connection.abort()
+            raise connection_lib.ConnectionLost("send timed out") from None
 
     async def ask_bid(
         self, bid_request: messages.BidRequest, timeout_s: float
@@ -225,6 +249,12 @@
         self._load_at_s = self._clock.monotonic()
         return reply
 
+    async def probe(self, timeout_s: float) -> bool:
+        """Sends a ping; False when no answer came in time."""
+        number = self.next_number()
+        reply = await self._ask(messages.Ping(number), number, timeout_s)
+        return reply is not None
+
     def next_number(self) -> int:
         """Returns a fresh number for a question on this link."""
         return next(self._numbers)
@@ -246,20 +276,34 @@
             asyncio.get_running_loop().create_future()
         )
         self._replies[number] = future
+        self._asked_s[number] = self._clock.monotonic()
         try:
             async with asyncio.timeout(timeout_s):
                 await self.send(question)
                 reply = await future
         except TimeoutError:
-            self._misses += 1
+            await self._note_miss()
             return None
         except connection_lib.ConnectionLost:
             return None
         finally:
             del self._replies[number]
+            del self._asked_s[number]
         self._misses = 0
         return reply
 
+    async def _note_miss(self) -> None:
+        """Counts an unanswered question.
+
+        The ping at the limit makes a peer that wakes up answer, since no
+        more questions are sent to it.
+        """
+        self._misses += 1
+        if self._misses == _MISSES_UNTIL_UNREACHABLE:
+            _log.warn("peer_unreachable address={}", self.address)
+            with contextlib.suppress(connection_lib.ConnectionLost):
+                await self.send(messages.Ping(self.next_number()))
+
     async def _run_once(self) -> None:
         async with ws_client.connect(
             f"ws://{self._host}:{self._port}",
@@ -267,6 +311,7 @@
             max_queue=_MAX_QUEUE_FRAMES,
             write_limit=_WRITE_LIMIT_BYTES,
             open_timeout=_CONNECT_TIMEOUT.total_seconds(),
+            close_timeout=_CLOSE_TIMEOUT.total_seconds(),
             compression=None,
             ping_interval=None,
             proxy=None,
@@ -282,17 +327,24 @@
     async def _read(self, connection: connection_lib.PeerConnection) -> None:
         while True:
             try:
-                async with asyncio.timeout(_PING_INTERVAL.total_seconds()):
+                async with asyncio.timeout(_PING_INTERVAL_S):
                     envelope = await connection.receive()
             except TimeoutError:
-                await connection.send(messages.Ping(self.next_number()))
+                await self._ping(connection)
                 async with asyncio.timeout(_PONG_TIMEOUT.total_seconds()):
                     envelope = await connection.receive()
             self._misses = 0
+            if self._clock.monotonic() - self._sent_s > _PING_INTERVAL_S:
+                await self._ping(connection)
             if envelope.revision > self._revision():
                 await self._observer.on_revision(self, envelope.revision)
             await self._route(connection, envelope.message)
 
+    async def _ping(self, connection: connection_lib.PeerConnection) -> None:
+        """Shows the sidecar that this process lives, and asks the same."""
+        self._sent_s = self._clock.monotonic()
+        await connection.send(messages.Ping(self.next_number()))
+
     async def _route(
         self,
         connection: connection_lib.PeerConnection,
@@ -308,7 +360,7 @@
         elif isinstance(message, messages.ClaimAnswer):
             self._resolve(message.query_id, message)
         elif isinstance(message, messages.Pong):
-            return
+            self._resolve(message.number, message)
         elif (attempt_id := getattr(message, "attempt_id", None)) is not None:
             channel = self._channels.get(attempt_id)
             if channel is not None and not channel.deliver(message):
@@ -319,6 +371,7 @@
     def _resolve(self, number: int, message: messages.PeerMessage) -> None:
         future = self._replies.get(number)
         if future is not None and not future.done():
+            self._observer.on_answer(self._asked_s[number])
             future.set_result(message)
 
     def _forget_connection(self) -> None:
--- a/hibiscusstile/policies/bidding.py
+++ b/hibiscusstile/policies/bidding.py
@@ -2,20 +2,34 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 from typing import Any
 
+import xxhash
+
 from hibiscusstile import options as options_lib
 from hibiscusstile import policies, rendezvous, request
 
 __all__ = ["Bidding"]
 
-_DEFAULT_CANDIDATES = 3
+_DEFAULT_HOMES = 2
+_DEFAULT_BY_LOAD = 4
+_DEFAULT_WEIGHTS = {"urgent": 1.0, "routine": 5.0}
+_OTHER_RANKS_WEIGHT = 2.0
 
 
 @policies.policies.register()
 class Bidding(policies.Policy):
-    """Candidates by rendezvous hashing on prefix levels, plus one by load."""
+    """Candidates by rendezvous hashing on a prefix level, plus one by load.
+
+    The whole prompt is never shared, so it is not hashed: the innermost
+    level before it has `homes` candidates, of which the first is preferred.
+
+    Options: `homes` (1 to 8); `by_load` (1 to 8), how many runners are
+    compared for the candidate by load; `recompute_weights`, by rank (0 to
+    20), how much a second of recomputation counts beyond the request's own
+    delay: more for work that can wait.
+    """
 
     name = "bidding"
     aliases = ("default",)
@@ -23,8 +37,14 @@
 
     def __init__(self, options: Mapping[str, Any]) -> None:
         super().__init__(options)
-        self._count = options_lib.get_int(
-            options, "candidates", _DEFAULT_CANDIDATES, least=1, most=8
+        self._homes = options_lib.get_int(
+            options, "homes", _DEFAULT_HOMES, least=1, most=8
+        )
+        self._by_load = options_lib.get_int(
+            options, "by_load", _DEFAULT_BY_LOAD, least=1, most=8
+        )
+        self._weights = options_lib.get_float_by_name(
+            options, "recompute_weights", _DEFAULT_WEIGHTS, least=0.0, most=20.0
         )
 
     def candidates(
@@ -32,22 +52,57 @@
         work: request.WorkItem,
         fleet: Sequence[policies.RunnerView],
     ) -> list[policies.RunnerView]:
-        """Returns the runners that rank first for the outermost level."""
+        """Returns the homes of the prefix and one runner by load."""
         by_name = {view.runner: view for view in fleet}
-        chosen: list[str] = []
-        for level in reversed(work.levels):
-            chosen += rendezvous.top_nodes(level.digest, by_name, 1)
-        if fleet:
-            chosen.append(min(fleet, key=lambda view: view.load).runner)
-        unique = list(dict.fromkeys(chosen))[: self._count + 1]
-        return [by_name[name] for name in unique]
+        names = _homes(work, by_name, self._homes)
+        names += self._least_loaded(work, by_name)
+        return [by_name[name] for name in dict.fromkeys(names)]
 
     def choose(
         self, work: request.WorkItem, bids: Sequence[policies.Bid]
     ) -> policies.Choice | None:
-        """Returns the runner where the first token is expected soonest."""
-        able = [bid for bid in bids if bid.refusal is None]
+        """Returns the runner with the soonest first token and least waste."""
+        able = {bid.runner: bid for bid in bids if bid.refusal is None}
         if not able:
             return None
-        best = min(able, key=lambda bid: (bid.first_token_s, bid.runner))
+        preferred = _homes(work, able, 1)
+        least_prefill_s = min(bid.prefill_s for bid in able.values())
+        weight = self._weights.get(work.rank, _OTHER_RANKS_WEIGHT)
+
+        def cost_s(bid: policies.Bid) -> float:
+            # Recomputed tokens delay other requests too. What no bidder has
+            # is computed in any case, but it is found again only where the
+            # next request for it looks first.
+            wasted_s = bid.prefill_s
+            if bid.runner in preferred:
+                wasted_s -= least_prefill_s
+            return bid.first_token_s + weight * wasted_s
+
+        best = min(able.values(), key=lambda bid: (cost_s(bid), bid.runner))
         return policies.Choice(best.runner, "soonest_first_token")
+
+    def _least_loaded(
+        self,
+        work: request.WorkItem,
+        by_name: Mapping[str, policies.RunnerView],
+    ) -> list[str]:
+        # The least loaded of the whole fleet would draw all entries to the
+        # same runner while their knowledge is old or, after a restart,
+        # missing; of a few drawn by the work id it does not.
+        drawn = rendezvous.top_nodes(
+            xxhash.xxh3_64_intdigest(work.work_id.encode()),
+            by_name,
+            self._by_load,
+        )
+        if not drawn:
+            return []
+        return [min(drawn, key=lambda name: by_name[name].load)]
+
+
+def _homes(
+    work: request.WorkItem, names: Collection[str], count: int
+) -> list[str]:
+    shared = work.levels[:-1] or work.levels
+    if not shared:
+        return []
+    return rendezvous.top_nodes(shared[-1].digest, names, count)
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -10,6 +10,7 @@
 from hibiscusstile import (
     admission,
     backends,
+    bidder,
     cacheview,
     identity,
     operators,
@@ -20,12 +21,25 @@
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
+from hibiscusstile.claims import ledger as ledger_lib
+from hibiscusstile.configuration import fetching, snapshot_stream
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import handshake, messages
 from hibiscusstile.peers import server as server_lib
-from hibiscusstile.sidecar import cachefeed, executor, region, service, turns
-from hibiscusstile.sidecar import orders as orders_lib
+from hibiscusstile.sidecar import (
+    cachefeed,
+    calls,
+    discovery,
+    enginewatch,
+    executor,
+    ledger,
+    orders,
+    region,
+    scopes,
+    service,
+    turns,
+)
 
 __all__ = ["SidecarRole"]
 
@@ -49,8 +63,7 @@
         self._clock = clock
         self._incarnation = identity.new_id("inc")
         self._leaving = False
-        self._model = ""
-        self._store = store_lib.ConfigurationStore()
+        self._store = store_lib.ConfigurationStore(author=config.peer_id)
         self._view = cacheview.CacheView()
         self._backend = backends.get_backend_kind_by_name(config.backend.kind)(
             config.backend.url
@@ -58,9 +71,13 @@
         self._log = platform.get_log_client_by_name(config.platform.log.kind)(
             config.platform.log.url
         )
-        self._instances = platform.get_instance_list_by_name(
-            config.platform.instance_list.kind
-        )(config.platform.instance_list.url)
+        listing = config.platform.instance_list
+        self._instance_list = platform.get_instance_list_by_name(listing.kind)(
+            listing.url
+        )
+        self._discovery = discovery.Discovery(
+            config.region, self._instance_list, clock
+        )
         queue = admission.AdmissionQueue(
             clock,
             admission.QueueLimits(**config.queue.model_dump()),
@@ -69,22 +86,53 @@
         )
         self._turns = turns.Turns(queue, clock)
         self._attempts = supervisor.Supervisor("attempts", clock)
+        self._bidder = bidder.Bidder(
+            clock,
+            queue,
+            self._view,
+            config.queue.prefill_tokens_per_s,
+            self._rank_level,
+        )
+        self._scopes = scopes.Scopes(self._store, self._engine_health)
         self._executor = executor.Executor(
             self._attempts,
             self._backend,
             self._turns,
             self._view,
+            self._bidder,
+            self._scopes,
+            self._store,
+            clock,
+        )
+        self._ledger = self._open_ledger()
+        self._calls = calls.CallRunner(
+            self._attempts,
+            self._backend,
+            config.backend.application,
+            self._turns,
             self._store,
+            self._ledger,
             clock,
         )
         self._service = service.SidecarService(
             self._info,
             self._store,
             self._executor,
-            self._turns,
-            self._view,
-            config.queue.prefill_tokens_per_s,
+            self._calls,
+            self._bidder,
+            self._scopes,
+            lambda: self._discovery.peers,
+            fetching.FetchPacer(clock, lambda: self._store.revision),
         )
+        self._watch: enginewatch.EngineWatch | None = None
+        if isinstance(self._backend, backends.EngineBackend):
+            self._watch = enginewatch.EngineWatch(
+                self._backend,
+                self._view,
+                self._executor.fail_running,
+                self._service.announce_info,
+                clock,
+            )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
             config.peers.host_text,
@@ -118,21 +166,31 @@
             "waiting": self._turns.queue.waiting,
             "running": self._turns.queue.running,
             "cached_prefixes": len(self._view),
+            "backend": self._backend_status(),
         }
 
     def build(self, root: supervisor.Supervisor) -> None:
         """Adds the role's children to the root."""
-        orders = self._orders()
         specs = [
             ("configuration", self._follower().run),
+            ("snapshots", self._snapshotter().run),
             ("attempts", self._attempts.run),
             ("turns", self._turns.run),
             ("executor", self._executor.run),
-            ("engine", self._run_engine),
+            ("calls", self._calls.run),
+            ("discovery", self._discovery.run),
             ("peers", self._server.run),
             ("operators", self._operators.run),
-            *([("orders", orders.run)] if orders else []),
         ]
+        if self._ledger is not None:
+            specs.insert(1, ("claims_follower", self._ledger.follow))
+            specs.insert(2, ("claims_appender", self._ledger.append))
+        if isinstance(self._backend, backends.EngineBackend):
+            feed = cachefeed.CacheFeed(self._backend, self._view, self._clock)
+            specs.append(("cache_feed", feed.run))
+        if self._watch is not None:
+            specs.append(("engine_watch", self._watch.run))
+            specs.append(("orders", self._orders(self._watch).run))
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
 
@@ -154,48 +212,79 @@
         limit_s = (
             self._clock.monotonic() + self._config.stop.deadline.total_seconds()
         )
-        while self._executor.active and self._clock.monotonic() < limit_s:
+        while self._active and self._clock.monotonic() < limit_s:
             await self._clock.sleep(_DRAIN_POLL)
 
     async def close(self) -> None:
         """Closes clients, once the children have stopped."""
         await self._backend.close()
         await self._log.close()
-        await self._instances.close()
+        await self._instance_list.close()
+
+    @property
+    def _active(self) -> int:
+        return self._executor.active + self._calls.active
+
+    def _open_ledger(self) -> ledger.LedgerTasks | None:
+        application = self._config.backend.application
+        if not application:
+            return None
+        decisions = ledger_lib.Ledger(
+            self._config.peer_id,
+            self._incarnation,
+            self._clock,
+            ledger_lib.LedgerLimits(),
+        )
+        return ledger.LedgerTasks(
+            self._log, ledger.claims_stream(application), decisions, self._clock
+        )
 
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
-    def _orders(self) -> orders_lib.OrderTask | None:
-        if not isinstance(self._backend, backends.EngineBackend):
-            return None
-        return orders_lib.OrderTask(
-            self._backend,
+    def _orders(self, watch: enginewatch.EngineWatch) -> orders.OrderTask:
+        return orders.OrderTask(
+            watch.engine,
             self._log,
             region.RegionMembers(
-                self._instances, self._config.region, self._clock
+                self._instance_list, self._config.region, self._clock
             ),
             self._store,
             self._turns,
             self._clock,
             self._config.peer_id,
             self._config.region,
-            self._note_loaded,
+            self._engine_health,
+            watch.poll,
         )
 
-    def _note_loaded(self, health: backends.EngineHealth) -> None:
-        self._model = health.model
+    def _snapshotter(self) -> snapshot_stream.Snapshotter:
+        return snapshot_stream.Snapshotter(
+            self._log,
+            self._store,
+            self._clock,
+            self._config.platform.log_retention,
+        )
 
-    async def _run_engine(self) -> None:
-        if isinstance(self._backend, backends.EngineBackend):
-            health = await self._backend.health()
-            self._model = health.model if health else ""
-            await cachefeed.CacheFeed(
-                self._backend, self._view, self._clock
-            ).run()
-        await self._clock.sleep(datetime.timedelta.max / 1000)
+    def _rank_level(self, rank: str) -> int:
+        record = self._store.view.ranks.get(rank)
+        return record.level if record else 0
+
+    def _backend_status(self) -> dict[str, object]:
+        info = self._info()
+        return {
+            "kind": info.backend_kind,
+            "model": info.model,
+            "weights_version": info.weights_version,
+            "application": info.application,
+            "up": self._watch is None or self._watch.health is not None,
+        }
+
+    def _engine_health(self) -> backends.EngineHealth | None:
+        return self._watch.health if self._watch else None
 
     def _info(self) -> messages.PeerInfo:
+        health = self._engine_health()
         return messages.PeerInfo(
             self._config.peer_id,
             self._incarnation,
@@ -205,7 +294,9 @@
             self._config.zone,
             self._config.region,
             backend_kind=self._config.backend.kind,
-            model=self._model,
+            model=health.model if health else "",
+            adapters=health.adapters if health else (),
+            weights_version=health.weights_version if health else "",
             application=self._config.backend.application,
             leaving=self._leaving,
         )
--- a/hibiscusstile/settings.py
+++ b/hibiscusstile/settings.py
@@ -121,10 +121,26 @@
 
 
 class PlatformSettings(_Model):
-    """The platform's services."""
+    """The platform's services.
+
+    Attributes:
+        log: The log service.
+        instance_list: The list of instances.
+        log_retention_s: Seconds that the log keeps an entry at least. A
+            value below the real one costs more snapshots; a value above it
+            loses configuration.
+    """
 
     log: ServiceSettings
     instance_list: ServiceSettings
+    log_retention_s: Annotated[float, pydantic.Field(ge=60, le=31_536_000)] = (
+        172_800.0
+    )
+
+    @property
+    def log_retention(self) -> datetime.timedelta:
+        """Time that the log keeps an entry at least."""
+        return datetime.timedelta(seconds=self.log_retention_s)
 
 
 class LoggingSettings(_Model):
@@ -250,14 +266,12 @@
         peers: Where entry instances connect.
         backend: The backend server beside it.
         queue: Bounds of its queue.
-        seeds: Other sidecars, for configuration while the log is down.
     """
 
     role: Literal["sidecar"]
     peers: Address
     backend: BackendSettings
     queue: QueueSettings = QueueSettings()
-    seeds: tuple[Address, ...] = ()
 
 
 _AnySettings = Annotated[
@@ -294,7 +308,26 @@
     try:
         return _ADAPTER.validate_python(data)
     except pydantic.ValidationError as error:
-        raise SettingsError(faults_of(error)) from None
+        raise SettingsError(_without_role(faults_of(error))) from None
+
+
+def _without_role(faults: list[SettingsFault]) -> list[SettingsFault]:
+    """Drops the role that a tagged union puts before each path."""
+    roles = [f"{name}." for name in ("entry", "sidecar")]
+    return [
+        dataclasses.replace(
+            fault,
+            path=next(
+                (
+                    fault.path.removeprefix(role)
+                    for role in roles
+                    if fault.path.startswith(role)
+                ),
+                fault.path,
+            ),
+        )
+        for fault in faults
+    ]
 
 
 def load_settings(path: pathlib.Path) -> EntrySettings | SidecarSettings:
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import dataclasses
 import datetime
 
@@ -12,20 +11,21 @@
 from hibiscusstile import (
     backends,
     cacheview,
-    identity,
     logs,
     outcome,
-    request,
     supervisor,
 )
+from hibiscusstile import bidder as bidder_lib
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
 from hibiscusstile.sidecar import attempt as attempt_lib
+from hibiscusstile.sidecar import revision as revision_lib
+from hibiscusstile.sidecar import scopes as scopes_lib
 from hibiscusstile.sidecar import turns as turns_lib
 
-__all__ = ["Executor"]
+__all__ = ["Executor", "failed_message"]
 
 _log = logbook.Logger("sidecar")
 
@@ -38,6 +38,9 @@
     stream: attempt_lib.AttemptStream
     work_id: str
     ended: bool = False
+    scope: asyncio.Timeout | None = None
+    failure: outcome.Refusal | None = None
+    incarnation: str = ""
 
 
 class Executor:
@@ -48,6 +51,8 @@
         backend: The engine or service.
         turns: The admission queue's turns.
         view: What the engine holds in cache.
+        bidder: Told what the engine is handed and has begun.
+        scopes: Finds the cache scopes of requests.
         store: The configuration in force.
         clock: Measures time.
     """
@@ -58,6 +63,8 @@
         backend: backends.Backend,
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
+        bidder: bidder_lib.Bidder,
+        scopes: scopes_lib.Scopes,
         store: store_lib.ConfigurationStore,
         clock: clock_lib.Clock,
     ) -> None:
@@ -65,6 +72,8 @@
         self._backend = backend
         self._turns = turns
         self._view = view
+        self._bidder = bidder
+        self._scopes = scopes
         self._store = store
         self._clock = clock
         self._attempts: dict[str, _Running] = {}
@@ -78,8 +87,15 @@
         self,
         connection: connection_lib.PeerConnection,
         dispatch: messages.Dispatch,
+        revision: int,
     ) -> None:
-        """Starts an attempt; one that is known already is ignored."""
+        """Starts an attempt; one that is known already is ignored.
+
+        Args:
+            connection: Where its chunks go.
+            dispatch: The attempt.
+            revision: The revision under which it was sent.
+        """
         if dispatch.attempt_id in self._attempts:
             return
         stream = attempt_lib.AttemptStream(
@@ -90,21 +106,7 @@
         self._tasks.add(
             supervisor.ChildSpec(
                 dispatch.attempt_id,
-                lambda: self._run(running, dispatch),
-                supervisor.Restart.TEMPORARY,
-            )
-        )
-
-    def start_call(
-        self,
-        connection: connection_lib.PeerConnection,
-        call: messages.Call,
-    ) -> None:
-        """Starts a plain-service call."""
-        self._tasks.add(
-            supervisor.ChildSpec(
-                call.attempt_id,
-                lambda: self._run_call(connection, call),
+                lambda: self._run(running, dispatch, revision),
                 supervisor.Restart.TEMPORARY,
             )
         )
@@ -134,10 +136,28 @@
         if running is not None:
             running.stream.acknowledge(ack.next_number)
 
-    async def cancel(self, attempt_id: str) -> None:
-        """Stops an attempt, at the engine too."""
-        await self._tasks.remove(attempt_id)
-        self._attempts.pop(attempt_id, None)
+    def cancel(self, attempt_id: str) -> None:
+        """Stops an attempt, at the engine too, without waiting for it."""
+        self._tasks.cancel(attempt_id)
+
+    def fail_running(
+        self, refusal: outcome.Refusal, incarnation: str = ""
+    ) -> None:
+        """Ends the attempts that the engine has been handed, at once.
+
+        Args:
+            refusal: What their entries are told.
+            incarnation: The engine's present incarnation when it has come
+                back already; attempts not known to be of an earlier one are
+                left alone then.
+        """
+        now_s = asyncio.get_running_loop().time()
+        for running in self._attempts.values():
+            spared = incarnation and running.incarnation in ("", incarnation)
+            if running.scope is None or running.failure or spared:
+                continue
+            running.failure = refusal
+            running.scope.reschedule(now_s)
 
     def detach(self, connection: connection_lib.PeerConnection) -> None:
         """Notes that a connection has ended."""
@@ -154,22 +174,32 @@
             await self._clock.sleep(_WATCH_INTERVAL)
             for attempt_id, running in list(self._attempts.items()):
                 if running.stream.orphaned:
-                    await self.cancel(attempt_id)
+                    self.cancel(attempt_id)
                 elif not running.ended:
                     await running.stream.send_progress_if_idle()
 
     async def _run(
-        self, running: _Running, dispatch: messages.Dispatch
+        self, running: _Running, dispatch: messages.Dispatch, revision: int
+    ) -> None:
+        try:
+            await self._answer(running, dispatch, revision)
+            running.ended = True
+            await self._clock.sleep(_KEEP_ENDED)
+        finally:
+            del self._attempts[dispatch.attempt_id]
+
+    async def _answer(
+        self, running: _Running, dispatch: messages.Dispatch, revision: int
     ) -> None:
         try:
+            await revision_lib.wait_for_revision(
+                self._store, self._clock, revision
+            )
             await self._generate(running, dispatch)
         except outcome.Refused as refused:
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
-        running.ended = True
-        await self._clock.sleep(_KEEP_ENDED)
-        self._attempts.pop(dispatch.attempt_id, None)
 
     async def _generate(
         self, running: _Running, dispatch: messages.Dispatch
@@ -179,48 +209,55 @@
         work = dispatch.work
         cached = self._view.cached_tokens(order.cache_salt, work.levels)
         await self._turns.wait(work, deadline_s, cached)
-        order = self._with_priority(order, work.work_id)
+        # An engine may have loaded other weights during the wait.
+        order = self._with_priority(self._order(dispatch), work.work_id)
+        self._bidder.note_handed(work, order.cache_salt)
         served = 0
         try:
-            async for event in self._engine().generate(order):
-                if isinstance(event, backends.EngineStarted):
-                    served += dispatch.work.prompt_tokens - event.cached_tokens
-                    self._turns.note_started(work.work_id)
-                    self._note_start(order, dispatch, event)
-                    await running.stream.send_started(event.cached_tokens)
-                elif isinstance(event, backends.EngineText):
-                    served += 1
-                    await running.stream.send_text(event.text)
-                else:
-                    await running.stream.send_end(event)
+            async with asyncio.timeout(None) as running.scope:
+                async for event in self._engine().generate(order):
+                    if isinstance(event, backends.EngineStarted):
+                        served += (
+                            dispatch.work.prompt_tokens - event.cached_tokens
+                        )
+                        running.incarnation = event.incarnation
+                        self._turns.note_started(work.work_id)
+                        self._note_start(order, dispatch, event)
+                        await running.stream.send_started(event.cached_tokens)
+                    elif isinstance(event, backends.EngineText):
+                        served += 1
+                        await running.stream.send_text(event.text)
+                    else:
+                        await running.stream.send_end(event)
+        except TimeoutError:
+            if running.failure is None:
+                raise
+            raise outcome.Refused(running.failure) from None
         except asyncio.CancelledError:
             await self._cancel_at_engine(dispatch.attempt_id)
             raise
         finally:
+            running.scope = None
+            self._bidder.note_ended(dispatch.work.work_id)
             self._turns.finish(dispatch.work.work_id, served)
 
     def _order(self, dispatch: messages.Dispatch) -> backends.GenerateOrder:
-        model = self._store.view.models.get(dispatch.chat.model)
-        if model is None:
+        scope = self._scopes.find(dispatch.work)
+        if scope is None:
             raise outcome.Refused(
                 outcome.Refusal(
                     outcome.Reason.NOT_FOUND,
                     f"model {dispatch.chat.model!r} is not configured",
                 )
             )
-        scope = identity.CacheScope(
-            dispatch.work.workspace,
-            dispatch.work.model,
-            dispatch.work.adapter,
-            model.weights_version,
-        )
         return backends.GenerateOrder(
             dispatch.attempt_id,
             dispatch.chat,
-            model.weights_version,
+            scope.weights_version,
             dispatch.priority,
             scope.salt,
             dispatch.resume_text,
+            dispatch.work.levels,
         )
 
     def _with_priority(
@@ -240,16 +277,6 @@
             )
         )
 
-    def _service(self) -> backends.ServiceBackend:
-        if isinstance(self._backend, backends.ServiceBackend):
-            return self._backend
-        raise outcome.Refused(
-            outcome.Refusal(
-                outcome.Reason.NO_BACKEND,
-                "no plain service runs beside this sidecar",
-            )
-        )
-
     async def _cancel_at_engine(self, attempt_id: str) -> None:
         await self._engine().cancel(attempt_id)
 
@@ -259,8 +286,14 @@
         dispatch: messages.Dispatch,
         event: backends.EngineStarted,
     ) -> None:
+        self._bidder.note_started(
+            dispatch.work.work_id,
+            dispatch.work.prompt_tokens - event.cached_tokens,
+        )
         self._view.admit(
-            self._view.incarnation, order.cache_salt, dispatch.work.levels
+            event.incarnation or self._view.incarnation,
+            order.cache_salt,
+            dispatch.work.levels,
         )
         _log.info(
             logs.decision_line(
@@ -277,50 +310,6 @@
             )
         )
 
-    async def _call(self, call: messages.Call) -> request.ServiceReply:
-        service = self._service()
-        application = self._store.view.applications.get(call.call.application)
-        if application is None:
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.NOT_FOUND,
-                    f"application {call.call.application!r} is not configured",
-                )
-            )
-        work = request.WorkItem(
-            call.attempt_id,
-            call.workspace,
-            call.caller,
-            call.rank,
-            model="",
-            adapter="",
-            levels=(),
-            prompt_tokens=1,
-            max_tokens=0,
-        )
-        await self._turns.wait(work, self._clock.monotonic() + call.deadline_s)
-        try:
-            return await service.call(
-                call.call, timeout_s=application.call_timeout.total_seconds()
-            )
-        finally:
-            self._turns.finish(work.work_id, 1)
-
-    async def _run_call(
-        self,
-        connection: connection_lib.PeerConnection,
-        call: messages.Call,
-    ) -> None:
-        try:
-            reply = await self._call(call)
-            answer: messages.PeerMessage = messages.CallReply(
-                call.attempt_id, reply
-            )
-        except outcome.Refused as refused:
-            answer = failed_message(call.attempt_id, refused.refusal)
-        with contextlib.suppress(connection_lib.ConnectionLost):
-            await connection.send(answer)
-
 
 def failed_message(
     attempt_id: str, refusal: outcome.Refusal
--- a/hibiscusstile/sidecar/orders.py
+++ b/hibiscusstile/sidecar/orders.py
@@ -4,7 +4,7 @@
 
 import datetime
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 
 import logbook
 
@@ -59,7 +59,8 @@
         clock: Measures leases.
         peer_id: This sidecar.
         region: Its region.
-        on_loaded: Called with the engine's state when it has changed.
+        health: Returns what the engine last said of itself.
+        refresh: Asks the engine for its health at once.
     """
 
     def __init__(
@@ -72,7 +73,8 @@
         clock: clock_lib.Clock,
         peer_id: str,
         region: str,
-        on_loaded: Callable[[backends.EngineHealth], None],
+        health: Callable[[], backends.EngineHealth | None],
+        refresh: Callable[[], Awaitable[None]],
     ) -> None:
         self._engine = engine
         self._platform_log = log
@@ -82,7 +84,8 @@
         self._clock = clock
         self._peer_id = peer_id
         self._region = region
-        self._on_loaded = on_loaded
+        self._read_health = health
+        self._refresh = refresh
         self._streams: dict[str, _Stream] = {}
         self._health: backends.EngineHealth | None = None
         self._wanted = ""
@@ -98,7 +101,7 @@
     async def step(self) -> None:
         """Reads the lease streams once and acts on them."""
         await self._members.refresh()
-        await self._note_health()
+        self._health = self._read_health()
         streams = self._open_streams()
         if not streams or self._health is None:
             await self._clock.sleep(_RETRY)
@@ -112,12 +115,6 @@
             await self._announce(stream)
         await self._follow_plan()
 
-    async def _note_health(self) -> None:
-        health = await self._engine.health()
-        if health is not None and health != self._health:
-            self._health = health
-            self._on_loaded(health)
-
     def _open_streams(self) -> list[_Stream]:
         stores = {m.weight_store for m in self._store.view.models.values()}
         for store in stores - self._streams.keys():
@@ -131,7 +128,7 @@
             stream.name, stream.table.next_offset, wait=wait
         )
         if isinstance(page, platform.LogUnavailable):
-            _log.warning("log_unavailable reason={}", page.message)
+            _log.warn("log_unavailable reason={}", page.message)
             return False
         stream.table.skip_to(page.earliest)
         for entry in page.entries:
@@ -168,9 +165,7 @@
             stream.name, entries.encode(entry)
         )
         if not isinstance(answer, platform.Appended):
-            _log.warning(
-                "append_failed op={} reason={}", entry.op, answer.message
-            )
+            _log.warn("append_failed op={} reason={}", entry.op, answer.message)
 
     async def _follow_plan(self) -> None:
         now_s = self._clock.monotonic()
@@ -307,6 +302,7 @@
                 },
             )
         )
-        await self._note_health()
+        await self._refresh()
+        self._health = self._read_health()
         stream.announced_s = None
         await self._announce(stream)
--- a/hibiscusstile/sidecar/region.py
+++ b/hibiscusstile/sidecar/region.py
@@ -13,7 +13,7 @@
 
 _log = logbook.Logger("placement")
 
-_REFRESH = datetime.timedelta(seconds=10)
+_REFRESH = datetime.timedelta(seconds=60)
 
 # A runner that restarts is back within this time; a plan that moved its model
 # at once would load it twice for nothing.
@@ -53,9 +53,9 @@
         if self._read_s is not None and now_s < self._read_s + interval_s:
             return
         self._read_s = now_s
-        listing = await self._instances.list_instances()
+        listing = await self._instances.list_instances(self._region)
         if isinstance(listing, platform.ListUnavailable):
-            _log.warning("instance_list_unavailable reason={}", listing.message)
+            _log.warn("instance_list_unavailable reason={}", listing.message)
             return
         for each in listing.instances:
             if (each.role, each.region) == ("sidecar", self._region):
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -2,17 +2,31 @@
 
 from __future__ import annotations
 
+import asyncio
+import datetime
 from collections.abc import Callable
 
-from hibiscusstile import cacheview, identity, outcome, request
+import logbook
+
+from hibiscusstile import bidder as bidder_lib
+from hibiscusstile import outcome, request
+from hibiscusstile.configuration import fetching
+from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import codec, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
-from hibiscusstile.sidecar import turns as turns_lib
+from hibiscusstile.sidecar import scopes as scopes_lib
 
 __all__ = ["SidecarService"]
 
+_log = logbook.Logger("sidecar")
+
+# Entry instances send a ping every 10 s when they have nothing else to send.
+_PEER_SILENCE = datetime.timedelta(seconds=25)
+_NOTICE_TIMEOUT = datetime.timedelta(seconds=1)
+
 
 class SidecarService:
     """Answers the messages of connected peers.
@@ -21,9 +35,11 @@
         info: Returns what the sidecar says of itself.
         store: The configuration in force.
         executor: Runs attempts.
-        turns: The admission queue's turns.
-        view: What the engine holds in cache.
-        prefill_tokens_per_s: The engine's speed.
+        calls: Runs plain-service calls.
+        bidder: Values requests for bids.
+        scopes: Finds the cache scopes of requests.
+        known_peers: Returns the sidecars that this one knows.
+        fetches: Paces fetches of a newer configuration.
     """
 
     def __init__(
@@ -31,16 +47,20 @@
         info: Callable[[], messages.PeerInfo],
         store: store_lib.ConfigurationStore,
         executor: executor_lib.Executor,
-        turns: turns_lib.Turns,
-        view: cacheview.CacheView,
-        prefill_tokens_per_s: float,
+        calls: calls_lib.CallRunner,
+        bidder: bidder_lib.Bidder,
+        scopes: scopes_lib.Scopes,
+        known_peers: Callable[[], tuple[messages.PeerAddress, ...]],
+        fetches: fetching.FetchPacer,
     ) -> None:
         self._info = info
         self._store = store
         self._executor = executor
-        self._turns = turns
-        self._view = view
-        self._prefill_tokens_per_s = prefill_tokens_per_s
+        self._calls = calls
+        self._bidder = bidder
+        self._scopes = scopes
+        self._known_peers = known_peers
+        self._fetches = fetches
         self._connections: set[connection_lib.PeerConnection] = set()
 
     @property
@@ -54,28 +74,36 @@
         other: handshake.Identity,
     ) -> None:
         """Runs one connection until it ends."""
-        del other
         self._connections.add(connection)
         try:
             await connection.send(messages.Hello(self._info()))
             while True:
-                envelope = await connection.receive()
-                if envelope.revision > self._store.revision:
-                    await connection.send(
-                        messages.ConfigFetch(self._store.revision)
-                    )
+                async with asyncio.timeout(_PEER_SILENCE.total_seconds()):
+                    envelope = await connection.receive()
+                since = self._fetches.next_fetch(envelope.revision)
+                if since is not None:
+                    await connection.send(messages.ConfigFetch(since))
                 await self._handle(connection, envelope)
+        except TimeoutError:
+            # A frozen entry instance would keep its attempts running.
+            _log.warn("peer_silent peer_id={}", other.peer_id)
+            connection.abort()
         finally:
             self._connections.discard(connection)
             self._executor.detach(connection)
 
     async def announce_leaving(self) -> None:
         """Tells all peers that no new work is taken."""
-        for connection in list(self._connections):
-            try:
-                await connection.send(messages.Leaving(self._info().peer_id))
-            except connection_lib.ConnectionLost:
-                continue
+        await self._send_to_all(messages.Leaving(self._info().peer_id))
+
+    async def announce_info(self) -> None:
+        """Tells all peers what the sidecar now says of itself."""
+        await self._send_to_all(messages.Hello(self._info()))
+
+    async def _send_to_all(self, message: messages.PeerMessage) -> None:
+        await asyncio.gather(
+            *(_try_send(each, message) for each in self._connections)
+        )
 
     async def _handle(
         self,
@@ -84,6 +112,10 @@
     ) -> None:
         message = envelope.message
         match message:
+            case messages.Hello() if message.wants_peers:
+                await connection.send(
+                    messages.Hello(self._info(), peers=self._known_peers())
+                )
             case messages.BidRequest():
                 await connection.send(self._bid(message))
             case messages.Dispatch():
@@ -93,7 +125,7 @@
             case messages.Ack():
                 self._executor.acknowledge(message)
             case messages.Cancel():
-                await self._executor.cancel(message.attempt_id)
+                self._executor.cancel(message.attempt_id)
             case messages.Resume():
                 await self._executor.resume(connection, message)
             case messages.Ping():
@@ -101,7 +133,9 @@
             case messages.ConfigFetch():
                 await self._send_state(connection, message.revision)
             case messages.ConfigState():
-                self._store.adopt(message.state)
+                result = self._store.adopt(message.state, message.digest)
+                refused = isinstance(result, store_lib.AdoptionRefused)
+                self._fetches.note_answer(refused)
             case _:
                 return
 
@@ -113,7 +147,7 @@
     ) -> None:
         refusal = self._refusal(revision)
         if refusal is None:
-            self._executor.start(connection, dispatch)
+            self._executor.start(connection, dispatch, revision)
             return
         await connection.send(
             executor_lib.failed_message(dispatch.attempt_id, refusal)
@@ -127,7 +161,7 @@
     ) -> None:
         refusal = self._refusal(revision)
         if refusal is None:
-            self._executor.start_call(connection, call)
+            self._calls.start(connection, call, revision)
             return
         await connection.send(
             executor_lib.failed_message(call.attempt_id, refusal)
@@ -159,38 +193,41 @@
             asked.suspect,
         )
         info = self._info()
-        cached = self._cached_tokens(work)
-        refusal = self._turns.queue.check(work, cached)
-        reason = refusal.reason if refusal else None
-        if info.leaving:
-            reason = outcome.Reason.LEAVING
+        scope = self._scopes.find(work)
+        offer = self._bidder.offer(work, scope.salt if scope else "")
         return messages.BidReply(
             asked.bid_id,
-            cached,
-            self._turns.queue.wait_s(work, cached),
-            (work.prompt_tokens - cached) / self._prefill_tokens_per_s,
-            self._turns.queue.load,
-            reason,
+            offer.cached_tokens,
+            offer.wait_s,
+            offer.prefill_s,
+            offer.load,
+            outcome.Reason.LEAVING if info.leaving else offer.refusal,
             info.leaving,
         )
 
-    def _cached_tokens(self, work: request.WorkItem) -> int:
-        model = self._store.view.models.get(work.model)
-        if model is None:
-            return 0
-        scope = identity.CacheScope(
-            work.workspace, work.model, work.adapter, model.weights_version
-        )
-        return self._view.cached_tokens(scope.salt, work.levels)
-
     async def _send_state(
         self, connection: connection_lib.PeerConnection, revision: int
     ) -> None:
-        if self._store.revision > revision:
-            await connection.send(
-                messages.ConfigState(
-                    self._store.revision,
-                    self._store.digest,
-                    self._store.snapshot(),
-                )
+        if self._store.revision <= revision:
+            return
+        try:
+            state = self._store.snapshot(revision)
+        except snapshot_lib.SnapshotError as error:
+            _log.error("snapshot_not_sent reason={!r}", str(error))
+            return
+        await connection.send(
+            messages.ConfigState(
+                self._store.revision, self._store.digest, state
             )
+        )
+
+
+async def _try_send(
+    connection: connection_lib.PeerConnection, message: messages.PeerMessage
+) -> None:
+    """Sends to a peer, which may be frozen or gone."""
+    try:
+        async with asyncio.timeout(_NOTICE_TIMEOUT.total_seconds()):
+            await connection.send(message)
+    except (TimeoutError, connection_lib.ConnectionLost):
+        _log.info("notice_not_sent remote={}", connection.remote)
--- a/tests/placement/test_leases.py
+++ b/tests/placement/test_leases.py
@@ -9,7 +9,7 @@
 _STREAM = entries.lease_stream("north", "default")
 
 
-def _table(log: builders.FakeLog) -> leases.LeaseTable:
+def _table(log: builders.LossyLog) -> leases.LeaseTable:
     table = leases.LeaseTable()
     page = log.read_now(_STREAM, 0)
     assert isinstance(page, platform.LogEntries)
@@ -19,14 +19,14 @@
     return table
 
 
-def _claim(log: builders.FakeLog, holder: str, claim_id: str) -> None:
+def _claim(log: builders.LossyLog, holder: str, claim_id: str) -> None:
     claim = entries.Claim(holder=holder, claim_id=claim_id, lease_s=60)
     log.append_now(_STREAM, entries.encode(claim))
 
 
 def test_first_two_claims_in_log_order_win() -> None:
     """A third load at once would slow all of them down."""
-    log = builders.FakeLog(builders.ManualClock())
+    log = builders.LossyLog(builders.ManualClock())
     for number in range(3):
         _claim(log, f"s{number}", f"c{number}")
     table = _table(log)
@@ -37,7 +37,7 @@
 def test_a_claim_repeated_on_the_log_gets_no_second_lease() -> None:
     """A doubled append must not renew a lease."""
     clock = builders.ManualClock()
-    log = builders.FakeLog(clock)
+    log = builders.LossyLog(clock)
     _claim(log, "s1", "c1")
     clock.advance(61)
     _claim(log, "s1", "c1")
@@ -46,7 +46,7 @@
 
 def test_an_unknown_entry_is_passed_over() -> None:
     """An entry of a newer version must not stop an older reader."""
-    log = builders.FakeLog(builders.ManualClock())
+    log = builders.LossyLog(builders.ManualClock())
     log.append_now(_STREAM, b'{"op": "resize", "holder": "s1"}')
     log.append_now(_STREAM, b"\xff")
     _claim(log, "s1", "c1")
@@ -56,7 +56,7 @@
 def test_late_claim_that_was_given_up_is_released() -> None:
     """It would otherwise keep a slot until its lease ends."""
     clock = builders.ManualClock()
-    log = builders.FakeLog(clock)
+    log = builders.LossyLog(clock)
     table = _table(log)
     holder = leases.LeaseHolder(table, "s1")
     log.fates.append("late")
@@ -74,7 +74,7 @@
 def test_reader_that_misses_entries_trusts_no_grant_before_a_pause() -> None:
     """A dropped claim may hold a slot that the reader believes free."""
     clock = builders.ManualClock()
-    log = builders.FakeLog(clock)
+    log = builders.LossyLog(clock)
     for number in range(3):
         _claim(log, f"s{number}", f"c{number}")
     log.forget(_STREAM, 1)
--- a/tests/placement/test_leases_fuzz.py
+++ b/tests/placement/test_leases_fuzz.py
@@ -24,7 +24,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.clock = builders.ManualClock()
-        self.log = builders.FakeLog(self.clock)
+        self.log = builders.LossyLog(self.clock)
         self.reference = leases.LeaseTable()
         self.tables: dict[str, leases.LeaseTable] = {}
         self.holders: dict[str, leases.LeaseHolder] = {}
--- a/tests/sidecar/test_orders.py
+++ b/tests/sidecar/test_orders.py
@@ -13,10 +13,10 @@
     """An order task with its queue, for one of several sidecars."""
 
     def __init__(
-        self, name: str, log: builders.FakeLog, clock: builders.ManualClock
+        self, name: str, log: builders.LossyLog, clock: builders.ManualClock
     ) -> None:
         self.engine = builders.FakeEngine()
-        self.store = builders.store_with(
+        self.store = builders.config_store(
             builders.record("model", "m1", weights_version="v1")
         )
         self.queue = admission.AdmissionQueue(clock, builders.queue_limits())
@@ -32,18 +32,22 @@
             clock,
             name,
             "north",
-            lambda health: None,
+            lambda: self.engine.state,
+            self._refresh,
         )
 
+    async def _refresh(self) -> None:
+        """The health is read from the engine at each look."""
+
     def publish(self, version: str) -> None:
         """Publishes a version of the weights."""
         record = builders.record("model", "m1", weights_version=version)
         builders.publish(self.store, record)
 
 
-def _pair() -> tuple[builders.ManualClock, builders.FakeLog, list[_Sidecar]]:
+def _pair() -> tuple[builders.ManualClock, builders.LossyLog, list[_Sidecar]]:
     clock = builders.ManualClock()
-    log = builders.FakeLog(clock)
+    log = builders.LossyLog(clock)
     return clock, log, [_Sidecar(name, log, clock) for name in ("s1", "s2")]
 
 
