--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -34,6 +34,8 @@
     enginewatch,
     executor,
     ledger,
+    orders,
+    region,
     scopes,
     service,
     turns,
@@ -188,6 +190,7 @@
             specs.append(("cache_feed", feed.run))
         if self._watch is not None:
             specs.append(("engine_watch", self._watch.run))
+            specs.append(("orders", self._orders(self._watch).run))
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
 
@@ -239,6 +242,22 @@
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
+    def _orders(self, watch: enginewatch.EngineWatch) -> orders.OrderTask:
+        return orders.OrderTask(
+            watch.engine,
+            self._log,
+            region.RegionMembers(
+                self._instance_list, self._config.region, self._clock
+            ),
+            self._store,
+            self._turns,
+            self._clock,
+            self._config.peer_id,
+            self._config.region,
+            self._engine_health,
+            watch.poll,
+        )
+
     def _snapshotter(self) -> snapshot_stream.Snapshotter:
         return snapshot_stream.Snapshotter(
             self._log,
--- a/hibiscusstile/sidecar/enginewatch.py
+++ b/hibiscusstile/sidecar/enginewatch.py
@@ -47,6 +47,11 @@
         self._health: backends.EngineHealth | None = None
         self._incarnation = ""
 
+    @property
+    def engine(self) -> backends.EngineBackend:
+        """The engine."""
+        return self._engine
+
     @property
     def health(self) -> backends.EngineHealth | None:
         """What the engine last said of itself, None while it is down."""
