Find the request that crashes engines and refuse it

Cause: a request that crashes each engine was tried again until the attempts ran out, and a resend started over.

Change: Suspects charges a crash to what was running, or only to the suspects among it, and convicts a request that is the only one two crashes have in common. Sidecars tell connected entries before the attempts fail; entries pass news on and follow the log stream suspects. An entry refuses convicted requests, and sends a suspect where all entries send it, away from the zones of its crashes. Executor.note_crash is the hook for crash detection. Crashes in a burst without a common request are charged to nobody.

RetryBudget now limits the relay too, and a refusal after an attempt that may have run no longer says not_run.

--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -2,13 +2,20 @@
 
 from __future__ import annotations
 
+import contextlib
 import datetime
 from collections.abc import Callable, Sequence
 
 import logbook
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import platform, policies, settings, supervisor
+from hibiscusstile import (
+    platform,
+    policies,
+    settings,
+    supervisor,
+    suspects,
+)
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
@@ -29,6 +36,7 @@
         secret: The shared secret.
         hello: Returns the hello that this process sends.
         store: The configuration in force.
+        table: What is known of requests that crash engines.
         instance_list: The platform's list.
         clock: Paces look-ups of the list.
     """
@@ -39,6 +47,7 @@
         secret: bytes,
         hello: Callable[[], messages.Hello],
         store: store_lib.ConfigurationStore,
+        table: suspects.Suspects,
         instance_list: platform.InstanceList,
         clock: clock_lib.Clock,
     ) -> None:
@@ -46,6 +55,7 @@
         self._secret = secret
         self._hello = hello
         self._store = store
+        self._table = table
         self._instance_list = instance_list
         self._clock = clock
         self._links: dict[str, client_lib.SidecarLink] = {}
@@ -129,6 +139,7 @@
             link.address,
             hello.info.zone,
         )
+        await self.merge_suspects(hello.suspects.facts, link)
 
     async def on_message(
         self, link: client_lib.SidecarLink, message: messages.PeerMessage
@@ -139,11 +150,27 @@
                 self._store.adopt(message.state)
             case messages.ConfigFetch():
                 await self._send_state(link, message.revision)
+            case messages.SuspectNotice():
+                await self.merge_suspects(message.facts, link)
             case messages.Leaving():
                 link.mark_leaving()
             case _:
                 return
 
+    async def merge_suspects(
+        self,
+        facts: Sequence[suspects.Fact],
+        source: client_lib.SidecarLink | None = None,
+    ) -> None:
+        """Takes facts in and passes new ones on to the other sidecars."""
+        notice = messages.suspect_notice(self._table.merge(facts))
+        if not notice.facts:
+            return
+        for link in self._links.values():
+            if link is not source and link.connected:
+                with contextlib.suppress(connection_lib.ConnectionLost):
+                    await link.send(notice)
+
     async def on_revision(
         self, link: client_lib.SidecarLink, revision: int
     ) -> None:
--- a/hibiscusstile/entry/relay.py
+++ b/hibiscusstile/entry/relay.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 from collections.abc import AsyncIterator
@@ -11,9 +12,10 @@
 import xxhash
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import identity, logs, metrics, outcome, request
+from hibiscusstile import identity, logs, metrics, outcome, request, retrybudget
 from hibiscusstile.entry import fleet as fleet_lib
 from hibiscusstile.entry import refusals, routing
+from hibiscusstile.entry import suspicion as suspicion_lib
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
@@ -71,6 +73,8 @@
         self.text: list[str] = []
         self.excluded: set[str] = set()
         self.first_token_sent = False
+        self.verdict = outcome.Verdict.NOT_RUN
+        self.suspect = ""
 
     @property
     def sent_text(self) -> str:
@@ -84,6 +88,8 @@
     Args:
         fleet: The links.
         router: Chooses runners.
+        suspicion: Knows the requests that crash engines.
+        budget: Limits retries.
         clock: Measures times to first token.
     """
 
@@ -91,10 +97,14 @@
         self,
         fleet: fleet_lib.Fleet,
         router: routing.Router,
+        suspicion: suspicion_lib.Suspicion,
+        budget: retrybudget.RetryBudget,
         clock: clock_lib.Clock,
     ) -> None:
         self._fleet = fleet
         self._router = router
+        self._suspicion = suspicion
+        self._budget = budget
         self._clock = clock
 
     async def run(
@@ -107,10 +117,12 @@
         """
         started_s = self._clock.monotonic()
         progress = _Progress()
+        self._budget.note_first()
         for number in range(1, _MAX_ATTEMPTS + 1):
-            route = await self._router.route(
-                work.item, work.policy, frozenset(progress.excluded)
-            )
+            try:
+                route = await self._route(work, progress)
+            except outcome.Refused as refused:
+                raise _combined(refused, progress) from None
             try:
                 async for event in self._attempt(work, route, progress):
                     if not progress.first_token_sent:
@@ -124,10 +136,33 @@
             except outcome.Refused as refused:
                 refusal = refused.refusal
                 self._log_failure(work, route, refusal)
-                if number == _MAX_ATTEMPTS:
-                    raise
+                if refusal.verdict is not outcome.Verdict.NOT_RUN:
+                    progress.verdict = refusal.verdict
+                if number == _MAX_ATTEMPTS or not self._budget.take(
+                    refusal, started=progress.first_token_sent
+                ):
+                    raise _combined(refused, progress) from None
                 progress.excluded.add(route.runner)
 
+    async def _route(
+        self, work: ChatWork, progress: _Progress
+    ) -> routing.Route:
+        """Chooses a runner; a suspect's is the same for all entries."""
+        excluded = frozenset(progress.excluded)
+        suspect = self._suspicion.judge(
+            work.item.workspace, work.chat, progress.verdict
+        )
+        progress.suspect = suspect
+        item = self._suspicion.marked(work.item, suspect)
+        if suspect:
+            for runner in self._suspicion.runners(
+                suspect, item.model, excluded
+            ):
+                others = self._suspicion.all_but(runner, item.model)
+                with contextlib.suppress(outcome.Refused):
+                    return await self._router.route(item, work.policy, others)
+        return await self._router.route(item, work.policy, excluded)
+
     async def _attempt(
         self, work: ChatWork, route: routing.Route, progress: _Progress
     ) -> AsyncIterator[AnswerText | AnswerEnd]:
@@ -138,6 +173,7 @@
         channel = link.open_channel(attempt_id)
         ended = False
         try:
+            await self._suspicion.tell(link, progress.suspect)
             await _send_or_refuse(
                 link, self._dispatch(work, attempt_id, progress)
             )
@@ -165,7 +201,9 @@
     ) -> messages.Dispatch:
         return messages.Dispatch(
             attempt_id,
-            dataclasses.replace(work.item, work_id=attempt_id),
+            dataclasses.replace(
+                work.item, work_id=attempt_id, suspect=bool(progress.suspect)
+            ),
             work.chat,
             work.queue_time.total_seconds(),
             progress.sent_text,
@@ -277,6 +315,14 @@
             )
 
 
+def _combined(refused: outcome.Refused, progress: _Progress) -> outcome.Refused:
+    """Returns a refusal whose verdict holds for all attempts."""
+    refusal = refused.refusal
+    if refusal.verdict is outcome.Verdict.NOT_RUN:
+        refusal = dataclasses.replace(refusal, verdict=progress.verdict)
+    return outcome.Refused(refusal)
+
+
 async def _send_or_refuse(
     link: client_lib.SidecarLink, message: messages.PeerMessage
 ) -> None:
--- /dev/null
+++ b/hibiscusstile/entry/suspicion.py
@@ -0,0 +1,104 @@
+"""Refuses requests that crash engines and keeps suspects apart."""
+
+from __future__ import annotations
+
+import contextlib
+import dataclasses
+
+from hibiscusstile import outcome, rendezvous, request, suspects
+from hibiscusstile.entry import fleet as fleet_lib
+from hibiscusstile.peers import client as client_lib
+from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.peers import messages
+
+__all__ = ["Suspicion"]
+
+_MAX_RUNNERS = 3
+
+
+class Suspicion:
+    """What an entry does about suspects.
+
+    All entries send a suspect to the same runner, which takes one at a time,
+    so copies of a request meet there after its first crash. The runner is not
+    one that it was charged with, and lies in another availability zone if one
+    serves the model: what struck the first runner is less likely to strike
+    the second one there.
+
+    Args:
+        table: What is known.
+        fleet: The links.
+    """
+
+    def __init__(
+        self, table: suspects.Suspects, fleet: fleet_lib.Fleet
+    ) -> None:
+        self._table = table
+        self._fleet = fleet
+
+    def judge(
+        self,
+        workspace: str,
+        chat: request.ChatRequest,
+        verdict: outcome.Verdict,
+    ) -> str:
+        """Returns the fingerprint of a suspect, empty for other requests.
+
+        Args:
+            workspace: The workspace.
+            chat: The request.
+            verdict: Whether an earlier attempt may have run it.
+
+        Raises:
+            Refused: The request is known to crash engines.
+        """
+        if not len(self._table):
+            return ""
+        digest = suspects.fingerprint(workspace, chat)
+        refusal = self._table.refusal(digest, verdict)
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+        return digest if self._table.is_suspect(digest) else ""
+
+    def runners(
+        self, digest: str, model: str, excluded: frozenset[str]
+    ) -> list[str]:
+        """Returns the runners to try for a suspect, in order."""
+        sites = [
+            suspects.CrashSite(*crash_id.split("/", 2))
+            for crash_id in self._table.crashes(digest)
+        ]
+        peers = {site.peer_id for site in sites}
+        zones = {site.zone for site in sites}
+        names = {
+            view.runner
+            for view in self._fleet.runners(model)
+            if view.runner not in excluded
+        }
+        other_peers = names - peers or names
+        other_zones = {
+            name for name in other_peers if self._zone(name) not in zones
+        }
+        return rendezvous.top_nodes(
+            int(digest[:16], 16), other_zones or other_peers, _MAX_RUNNERS
+        )
+
+    def all_but(self, runner: str, model: str) -> frozenset[str]:
+        """Returns the runners to exclude so that one is left."""
+        names = {view.runner for view in self._fleet.runners(model)}
+        return frozenset(names - {runner})
+
+    async def tell(self, link: client_lib.SidecarLink, digest: str) -> None:
+        """Tells a sidecar why a request is a suspect, before it arrives."""
+        if digest:
+            notice = messages.suspect_notice(self._table.related(digest))
+            with contextlib.suppress(connection_lib.ConnectionLost):
+                await link.send(notice)
+
+    def marked(self, item: request.WorkItem, digest: str) -> request.WorkItem:
+        """Returns the work, marked when it is a suspect."""
+        return dataclasses.replace(item, suspect=True) if digest else item
+
+    def _zone(self, runner: str) -> str:
+        link = self._fleet.link(runner)
+        return link.info.zone if link is not None and link.info else ""
--- a/hibiscusstile/peers/messages.py
+++ b/hibiscusstile/peers/messages.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 from typing import Annotated
 
 import pydantic
 
-from hibiscusstile import outcome, registry, request
+from hibiscusstile import outcome, registry, request, suspects
 
 __all__ = [
     "Ack",
@@ -41,6 +42,7 @@
     "SuspectNotice",
     "Usage",
     "message_types",
+    "suspect_notice",
 ]
 
 ShortText = Annotated[str, pydantic.StringConstraints(max_length=512)]
@@ -145,6 +147,34 @@
     proof: Nonce
 
 
+@message_types.register()
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectNotice(PeerMessage):
+    """Facts about requests that were running when engines crashed.
+
+    All requests charged with one crash travel together, because a process
+    that knew only some of them could convict the wrong one.
+    """
+
+    name = "suspect_notice"
+    charges: tuple[suspects.CrashCharge, ...] = ()
+    clearances: tuple[suspects.Clearance, ...] = ()
+
+    @property
+    def facts(self) -> tuple[suspects.Fact, ...]:
+        """All facts."""
+        return (*self.charges, *self.clearances)
+
+
+def suspect_notice(facts: Iterable[suspects.Fact]) -> SuspectNotice:
+    """Returns the message that carries some facts."""
+    known = list(facts)
+    return SuspectNotice(
+        tuple(f for f in known if isinstance(f, suspects.CrashCharge)),
+        tuple(f for f in known if isinstance(f, suspects.Clearance)),
+    )
+
+
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello(PeerMessage):
@@ -153,7 +183,7 @@
     name = "hello"
     info: PeerInfo
     peers: tuple[PeerInfo, ...] = ()
-    suspects: tuple[SuspectNotice, ...] = ()
+    suspects: SuspectNotice = SuspectNotice()
 
 
 @message_types.register()
@@ -411,23 +441,6 @@
     peer_id: ShortText
 
 
-@message_types.register()
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectNotice(PeerMessage):
-    """A request was running when an engine crashed.
-
-    Attributes:
-        fingerprint: Digest of workspace and request.
-        crash_ids: The crashes charged to it, one identifier each.
-        cleared: True once the request has completed after all.
-    """
-
-    name = "suspect_notice"
-    fingerprint: ShortText
-    crash_ids: tuple[ShortText, ...] = ()
-    cleared: bool = False
-
-
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ping(PeerMessage):
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -16,6 +16,8 @@
     roles,
     settings,
     supervisor,
+    suspectlog,
+    suspects,
 )
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
@@ -26,6 +28,7 @@
     listener,
     relay,
     routing,
+    suspicion,
 )
 from hibiscusstile.peers import messages
 
@@ -59,11 +62,13 @@
         self._instance_list = platform.get_instance_list_by_name(listing.kind)(
             listing.url
         )
+        self._suspects = suspects.Suspects(clock)
         self._fleet = fleet.Fleet(
             config,
             config.peer_secret.read(),
             self._hello,
             self._store,
+            self._suspects,
             self._instance_list,
             clock,
         )
@@ -72,7 +77,13 @@
         self._front = front.Front(
             config.limits,
             self._store,
-            relay.Relay(self._fleet, router, clock),
+            relay.Relay(
+                self._fleet,
+                router,
+                suspicion.Suspicion(self._suspects, self._fleet),
+                budget,
+                clock,
+            ),
             calls.Calls(self._fleet, budget, clock),
             lambda: not self._leaving and self._store.revision >= 0,
             clock,
@@ -116,9 +127,13 @@
     def build(self, root: supervisor.Supervisor) -> None:
         """Adds the role's children to the root."""
         follower = follower_lib.LogFollower(self._log, self._store, self._clock)
+        crashes = suspectlog.SuspectFollower(
+            self._log, self._fleet.merge_suspects, self._clock
+        )
         specs = [
             ("configuration", follower.run),
             ("links", self._fleet.tasks.run),
+            ("suspects", crashes.run),
             ("fleet", self._fleet.run),
             ("operators", self._operators.run),
             ("http", self._listener.run),
@@ -162,5 +177,6 @@
                 self._config.zone,
                 self._config.region,
                 leaving=self._leaving,
-            )
+            ),
+            suspects=messages.suspect_notice(self._suspects.facts()),
         )
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -17,6 +17,8 @@
     roles,
     settings,
     supervisor,
+    suspectlog,
+    suspects,
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
@@ -31,6 +33,7 @@
     executor,
     ledger,
     service,
+    suspectfeed,
     turns,
 )
 
@@ -70,12 +73,18 @@
         )
         self._turns = turns.Turns(queue, clock)
         self._attempts = supervisor.Supervisor("attempts", clock)
+        self._appender = suspectlog.SuspectAppender(self._log, clock)
+        self._suspicion = suspectfeed.SuspectFeed(
+            suspects.Suspects(clock), self._appender
+        )
         self._executor = executor.Executor(
             self._attempts,
             self._backend,
             self._turns,
             self._view,
             self._store,
+            self._suspicion,
+            (config.zone, config.peer_id),
             clock,
         )
         self._ledger = self._open_ledger()
@@ -93,6 +102,7 @@
             self._store,
             self._executor,
             self._calls,
+            self._suspicion,
             self._turns,
             self._view,
             config.queue.prefill_tokens_per_s,
@@ -140,6 +150,7 @@
             ("turns", self._turns.run),
             ("executor", self._executor.run),
             ("calls", self._calls.run),
+            ("suspects", self._appender.run),
             ("engine", self._run_engine),
             ("peers", self._server.run),
             ("operators", self._operators.run),
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -14,13 +14,16 @@
     identity,
     logs,
     outcome,
+    request,
     supervisor,
+    suspects,
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
 from hibiscusstile.sidecar import attempt as attempt_lib
+from hibiscusstile.sidecar import suspectfeed
 from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["Executor", "failed_message"]
@@ -35,6 +38,9 @@
 class _Running:
     stream: attempt_lib.AttemptStream
     work_id: str
+    dispatch: messages.Dispatch
+    incarnation: str | None = None
+    broken: bool = False
     ended: bool = False
 
 
@@ -47,6 +53,8 @@
         turns: The admission queue's turns.
         view: What the engine holds in cache.
         store: The configuration in force.
+        suspicion: What is known of requests that crash engines.
+        place: Zone and name of this sidecar, by which crashes are known.
         clock: Measures time.
     """
 
@@ -57,6 +65,8 @@
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
         store: store_lib.ConfigurationStore,
+        suspicion: suspectfeed.SuspectFeed,
+        place: tuple[str, str],
         clock: clock_lib.Clock,
     ) -> None:
         self._tasks = tasks
@@ -64,6 +74,8 @@
         self._turns = turns
         self._view = view
         self._store = store
+        self._suspicion = suspicion
+        self._place = place
         self._clock = clock
         self._attempts: dict[str, _Running] = {}
 
@@ -83,7 +95,7 @@
         stream = attempt_lib.AttemptStream(
             dispatch.attempt_id, connection, self._clock
         )
-        running = _Running(stream, dispatch.work.work_id)
+        running = _Running(stream, dispatch.work.work_id, dispatch)
         self._attempts[dispatch.attempt_id] = running
         self._tasks.add(
             supervisor.ChildSpec(
@@ -147,7 +159,12 @@
     ) -> None:
         try:
             await self._generate(running, dispatch)
+            await self._clear(dispatch)
         except outcome.Refused as refused:
+            verdict = refused.refusal.verdict
+            running.broken = verdict is outcome.Verdict.MAY_HAVE_RUN
+            if refused.refusal.reason is outcome.Reason.BACKEND_CRASHED:
+                await self.note_crash(running.incarnation or "")
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
@@ -160,9 +177,12 @@
     ) -> None:
         order = self._order(dispatch)
         deadline_s = self._clock.monotonic() + dispatch.deadline_s
-        await self._turns.wait(dispatch.work, deadline_s)
+        await self._turns.wait(self._judged_work(dispatch), deadline_s)
         served = 0
         try:
+            # Another copy may have crashed an engine while this one waited.
+            self._judged_work(dispatch)
+            running.incarnation = self._view.incarnation
             async for event in self._engine().generate(order):
                 if isinstance(event, backends.EngineStarted):
                     served += dispatch.work.prompt_tokens - event.cached_tokens
@@ -179,6 +199,51 @@
         finally:
             self._turns.finish(dispatch.work.work_id, served)
 
+    async def note_crash(self, incarnation: str) -> None:
+        """Charges a crash to the attempts that an engine was running.
+
+        Attempts whose stream broke just before are charged too. The first
+        call for a crash counts; the attempts' entries hear of the charge
+        before they hear that the attempts failed.
+
+        Args:
+            incarnation: The engine's incarnation before the crash.
+        """
+        running = [
+            suspects.fingerprint(
+                each.dispatch.work.workspace, each.dispatch.chat
+            )
+            for each in self._attempts.values()
+            if each.incarnation == incarnation
+            and (each.broken or not each.ended)
+        ]
+        site = suspects.CrashSite(*self._place, incarnation)
+        await self._suspicion.note_crash(site, running)
+
+    def _judged_work(self, dispatch: messages.Dispatch) -> request.WorkItem:
+        """Returns the work, marked when it is a suspect.
+
+        Raises:
+            Refused: The request is known to crash engines.
+        """
+        table = self._suspicion.table
+        if not len(table):
+            return dispatch.work
+        digest = suspects.fingerprint(dispatch.work.workspace, dispatch.chat)
+        refusal = table.refusal(digest)
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+        return dataclasses.replace(
+            dispatch.work,
+            suspect=dispatch.work.suspect or table.is_suspect(digest),
+        )
+
+    async def _clear(self, dispatch: messages.Dispatch) -> None:
+        if len(self._suspicion.table):
+            await self._suspicion.note_completed(
+                suspects.fingerprint(dispatch.work.workspace, dispatch.chat)
+            )
+
     def _order(self, dispatch: messages.Dispatch) -> backends.GenerateOrder:
         model = self._store.view.models.get(dispatch.chat.model)
         if model is None:
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -10,6 +10,7 @@
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
+from hibiscusstile.sidecar import suspectfeed
 from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["SidecarService"]
@@ -23,6 +24,7 @@
         store: The configuration in force.
         executor: Runs attempts.
         calls: Runs plain-service calls.
+        suspicion: What is known of requests that crash engines.
         turns: The admission queue's turns.
         view: What the engine holds in cache.
         prefill_tokens_per_s: The engine's speed.
@@ -34,6 +36,7 @@
         store: store_lib.ConfigurationStore,
         executor: executor_lib.Executor,
         calls: calls_lib.CallRunner,
+        suspicion: suspectfeed.SuspectFeed,
         turns: turns_lib.Turns,
         view: cacheview.CacheView,
         prefill_tokens_per_s: float,
@@ -42,6 +45,7 @@
         self._store = store
         self._executor = executor
         self._calls = calls
+        self._suspicion = suspicion
         self._turns = turns
         self._view = view
         self._prefill_tokens_per_s = prefill_tokens_per_s
@@ -61,7 +65,13 @@
         del other
         self._connections.add(connection)
         try:
-            await connection.send(messages.Hello(self._info()))
+            facts = self._suspicion.table.facts()
+            self._suspicion.add(connection)
+            await connection.send(
+                messages.Hello(
+                    self._info(), suspects=messages.suspect_notice(facts)
+                )
+            )
             while True:
                 envelope = await connection.receive()
                 if envelope.revision > self._store.revision:
@@ -71,6 +81,7 @@
                 await self._handle(connection, envelope)
         finally:
             self._connections.discard(connection)
+            self._suspicion.discard(connection)
             self._executor.detach(connection)
 
     async def announce_leaving(self) -> None:
@@ -100,6 +111,10 @@
                 await self._executor.cancel(message.attempt_id)
             case messages.Resume():
                 await self._executor.resume(connection, message)
+            case messages.SuspectNotice():
+                await self._suspicion.merge(message, connection)
+            case messages.Hello():
+                await self._suspicion.merge(message.suspects, connection)
             case messages.Ping():
                 await connection.send(messages.Pong(message.number))
             case messages.ConfigFetch():
--- /dev/null
+++ b/hibiscusstile/sidecar/suspectfeed.py
@@ -0,0 +1,95 @@
+"""Spreads a sidecar's knowledge of requests that crash engines."""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Collection, Iterable
+
+import logbook
+
+from hibiscusstile import logs, suspectlog, suspects
+from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.peers import messages
+
+__all__ = ["SuspectFeed"]
+
+_log = logbook.Logger("suspects")
+
+
+class SuspectFeed:
+    """Joins the table with the connected entries and the log.
+
+    Args:
+        table: What is known.
+        appender: Records the local engine's crashes.
+    """
+
+    def __init__(
+        self,
+        table: suspects.Suspects,
+        appender: suspectlog.SuspectAppender,
+    ) -> None:
+        self._table = table
+        self._appender = appender
+        self._connections: set[connection_lib.PeerConnection] = set()
+
+    @property
+    def table(self) -> suspects.Suspects:
+        """What is known."""
+        return self._table
+
+    def add(self, connection: connection_lib.PeerConnection) -> None:
+        """Sends news to an entry from now on."""
+        self._connections.add(connection)
+
+    def discard(self, connection: connection_lib.PeerConnection) -> None:
+        """Sends nothing more to an entry."""
+        self._connections.discard(connection)
+
+    async def note_crash(
+        self, site: suspects.CrashSite, running: Collection[str]
+    ) -> None:
+        """Charges the local engine's crash to what it was running."""
+        charge = self._table.note_crash(site, running)
+        if charge is None:
+            return
+        _log.warning(
+            logs.decision_line(
+                "crash_charged",
+                {
+                    "crash": charge.crash_id,
+                    "running": len(running),
+                    "charged": ",".join(charge.fingerprints),
+                },
+            )
+        )
+        self._appender.put(charge)
+        await self._publish([charge])
+
+    async def note_completed(self, request_digest: str) -> None:
+        """Clears a request that has completed."""
+        clearance = self._table.note_completed(request_digest)
+        if clearance is not None:
+            await self._publish([clearance])
+
+    async def merge(
+        self,
+        notice: messages.SuspectNotice,
+        source: connection_lib.PeerConnection,
+    ) -> None:
+        """Takes an entry's facts in and passes new ones to other entries."""
+        await self._publish(self._table.merge(notice.facts), source)
+
+    async def _publish(
+        self,
+        facts: Iterable[suspects.Fact],
+        source: connection_lib.PeerConnection | None = None,
+    ) -> None:
+        notice = messages.suspect_notice(facts)
+        if not notice.facts:
+            return
+        for connection in list(self._connections):
+            if connection is source:
+                continue
+            with contextlib.suppress(connection_lib.ConnectionLost):
+                await connection.send(notice)
--- /dev/null
+++ b/hibiscusstile/suspectlog.py
@@ -0,0 +1,121 @@
+"""The log stream by which regions and restarted entries learn of crashes."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+from collections.abc import Awaitable, Callable, Sequence
+
+import logbook
+import pydantic
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import platform, suspects
+
+__all__ = ["SUSPECTS_STREAM", "SuspectAppender", "SuspectFollower"]
+
+_log = logbook.Logger("suspects")
+
+SUSPECTS_STREAM = "suspects"
+_POLL_WAIT = datetime.timedelta(seconds=20)
+_RETRY = datetime.timedelta(seconds=1)
+_MAX_UNSAVED = 64
+_ADAPTER: pydantic.TypeAdapter[list[suspects.CrashCharge]] = (
+    pydantic.TypeAdapter(list[suspects.CrashCharge])
+)
+
+
+class SuspectAppender:
+    """Appends the crashes of the local engine, one batch at a time.
+
+    Args:
+        log: The log service.
+        clock: Paces retries.
+    """
+
+    def __init__(self, log: platform.LogClient, clock: clock_lib.Clock) -> None:
+        self._platform_log = log
+        self._clock = clock
+        self._unsaved: collections.deque[tuple[float, suspects.CrashCharge]] = (
+            collections.deque(maxlen=_MAX_UNSAVED)
+        )
+
+    def put(self, charge: suspects.CrashCharge) -> None:
+        """Takes a charge to append, dropping the oldest when full."""
+        self._unsaved.append((self._clock.monotonic(), charge))
+
+    async def run(self) -> None:
+        """Appends until cancelled."""
+        while True:
+            await self._clock.sleep(_RETRY)
+            if self._unsaved:
+                await self._append(list(self._unsaved))
+
+    async def _append(
+        self, batch: Sequence[tuple[float, suspects.CrashCharge]]
+    ) -> None:
+        now_s = self._clock.monotonic()
+        charges = [
+            dataclasses.replace(charge, age_s=now_s - at_s)
+            for at_s, charge in batch
+        ]
+        result = await self._platform_log.append(
+            SUSPECTS_STREAM, _ADAPTER.dump_json(charges)
+        )
+        if not isinstance(result, platform.Appended):
+            _log.warning("suspects_append_failed reason={}", result.message)
+            return
+        for each in batch:
+            if each in self._unsaved:
+                self._unsaved.remove(each)
+
+
+class SuspectFollower:
+    """Reads crashes that other regions and earlier processes recorded.
+
+    Args:
+        log: The log service.
+        merge: Takes the charges read.
+        clock: Compared with log times for the age of charges.
+    """
+
+    def __init__(
+        self,
+        log: platform.LogClient,
+        merge: Callable[[Sequence[suspects.Fact]], Awaitable[None]],
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._platform_log = log
+        self._merge = merge
+        self._clock = clock
+        self._next_offset = 0
+
+    async def run(self) -> None:
+        """Follows until cancelled."""
+        wait = datetime.timedelta(0)
+        while True:
+            page = await self._platform_log.read(
+                SUSPECTS_STREAM, self._next_offset, wait=wait
+            )
+            if isinstance(page, platform.LogUnavailable):
+                wait = datetime.timedelta(0)
+                await self._clock.sleep(_RETRY)
+                continue
+            wait = _POLL_WAIT
+            for entry in page.entries:
+                await self._merge(self._decode(entry))
+            if page.entries:
+                self._next_offset = page.entries[-1].offset + 1
+
+    def _decode(self, entry: platform.LogEntry) -> list[suspects.CrashCharge]:
+        try:
+            charges = _ADAPTER.validate_json(entry.payload)
+        except pydantic.ValidationError:
+            _log.warning("suspects_entry_skipped offset={}", entry.offset)
+            return []
+        stored_s = (self._clock.now() - entry.time).total_seconds()
+        return [
+            dataclasses.replace(c, age_s=max(0.0, c.age_s + stored_s))
+            for c in charges
+        ]
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -22,6 +22,7 @@
     "StreamLog",
     "call_fleet",
     "chat_messages",
+    "chat_request",
     "claims_ledger",
     "exchange",
     "open_ticket",
@@ -258,3 +259,27 @@
         await asyncio.gather(*processes)
         for each in stand_ins:
             await each.close()
+
+
+def chat_request(
+    question: str = "Is 12% moisture fine?",
+    *,
+    user: str = "",
+    stream: bool = True,
+) -> request.ChatRequest:
+    """Returns a model request of two messages."""
+    parts = [
+        request.ContentPart(request.PartKind.TEXT, text)
+        for text in ("You grade carob pods.", question)
+    ]
+    return request.ChatRequest(
+        "m1",
+        "",
+        (
+            request.Message("system", (parts[0],)),
+            request.Message("user", (parts[1],)),
+        ),
+        16,
+        stream,
+        user,
+    )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -17,6 +17,7 @@
     "prefix",
     "rendezvous",
     "retrybudget",
+    "suspects",
 )
 _TRANSPORTS = ("aiohttp", "websockets", "cbor2")
 
--- /dev/null
+++ b/tests/test_suspects.py
@@ -0,0 +1,252 @@
+"""Tests of how the request that crashes engines is found."""
+
+from __future__ import annotations
+
+import dataclasses
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hibiscusstile import outcome, suspects
+from tests import builders
+
+_RUNNERS = 3
+_CULPRIT = "culprit"
+_REQUESTS = (_CULPRIT, "a", "b", "c", "d")
+
+
+@dataclasses.dataclass(eq=False)
+class _Runner:
+    """A sidecar's table, what waits and what its engine runs."""
+
+    name: str
+    table: suspects.Suspects
+    waiting: list[str] = dataclasses.field(default_factory=list)
+    running: list[str] = dataclasses.field(default_factory=list)
+    starts: int = 0
+
+    @property
+    def site(self) -> suspects.CrashSite:
+        return suspects.CrashSite("az", self.name, str(self.starts))
+
+
+class SuspectsMachine(stateful.RuleBasedStateMachine):
+    """Runners and entries that hear of crashes late; one culprit.
+
+    A request has one sender, which tries again, through any entry, only once
+    the last attempt has ended and the entries have heard how. News to the
+    other runners may wait for long, cross and come twice.
+    """
+
+    suspects_class = suspects.Suspects
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = builders.ManualClock()
+        self.entries = [self.suspects_class(self.clock) for _ in range(2)]
+        self.runners = [
+            _Runner(f"r{n}", self.suspects_class(self.clock))
+            for n in range(_RUNNERS)
+        ]
+        self.news: list[tuple[suspects.Suspects, list[suspects.Fact]]] = []
+        self.active: set[str] = set()
+        self.crash_times_s: list[float] = []
+
+    @stateful.rule(
+        entry=st.integers(0, 1),
+        name=st.sampled_from((_CULPRIT, *_REQUESTS)),
+        runner=st.integers(0, _RUNNERS - 1),
+    )
+    def send(self, entry: int, name: str, runner: int) -> None:
+        if name in self.active:
+            return
+        table = self.entries[entry]
+        self._hear(table)
+        if table.refusal(name):
+            assert name == _CULPRIT
+            return
+        target = self.runners[runner]
+        if table.is_suspect(name):
+            target.table.merge(table.related(name))
+        self.active.add(name)
+        target.waiting.append(name)
+
+    @stateful.rule(entry=st.integers(0, 1), runner=st.integers(0, _RUNNERS - 1))
+    def send_all(self, entry: int, runner: int) -> None:
+        for name in _REQUESTS:
+            self.send(entry, name, runner)
+
+    @stateful.rule(runner=st.integers(0, _RUNNERS - 1))
+    def start(self, runner: int) -> None:
+        """Starts what waits; of the suspects one at a time."""
+        target = self.runners[runner]
+        for name in list(target.waiting):
+            if target.table.refusal(name):
+                assert name == _CULPRIT
+                target.waiting.remove(name)
+                self.active.discard(name)
+                continue
+            busy = any(target.table.is_suspect(r) for r in target.running)
+            if not (busy and target.table.is_suspect(name)):
+                target.waiting.remove(name)
+                target.running.append(name)
+
+    @stateful.rule(runner=st.integers(0, _RUNNERS - 1))
+    def finish(self, runner: int) -> None:
+        """The culprit crashes its engine, other requests complete."""
+        target = self.runners[runner]
+        if _CULPRIT in target.running:
+            self._crash(target)
+            return
+        for name in target.running:
+            clearance = target.table.note_completed(name)
+            if clearance is not None:
+                self._spread(target, [clearance])
+            self.active.discard(name)
+        target.running.clear()
+
+    @stateful.rule()
+    def start_and_finish_all(self) -> None:
+        for runner in range(_RUNNERS):
+            self.start(runner)
+            self.finish(runner)
+
+    @stateful.precondition(lambda self: self.news)
+    @stateful.rule(pick=st.integers(0, 50), again=st.booleans())
+    def deliver(self, pick: int, again: bool) -> None:
+        """News arrive, perhaps twice, in any order between connections."""
+        table, facts = self.news[pick % len(self.news)]
+        table.merge(facts)
+        if not again:
+            self.news.pop(pick % len(self.news))
+
+    @stateful.rule(seconds=st.sampled_from([0.1, 1.0, 30.0, 400.0]))
+    def pass_time(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+
+    def _crash(self, target: _Runner) -> None:
+        self.crash_times_s.append(self.clock.monotonic())
+        charge = target.table.note_crash(target.site, target.running)
+        assert charge is not None
+        target.starts += 1
+        self.active.difference_update(target.running)
+        target.running.clear()
+        self._spread(target, [charge])
+        lifetime_s = self.crash_times_s[-1] - 600.0
+        assert sum(each > lifetime_s for each in self.crash_times_s) <= 2
+
+    def _spread(self, source: _Runner, facts: list[suspects.Fact]) -> None:
+        for table in self.entries:
+            self.news.append((table, facts))
+        for runner in self.runners:
+            if runner is not source:
+                self.news.append((runner.table, facts))
+
+    def _hear(self, table: suspects.Suspects) -> None:
+        for news in list(self.news):
+            if news[0] is table:
+                table.merge(news[1])
+                self.news.remove(news)
+
+    @stateful.invariant()
+    def nobody_else_is_convicted(self) -> None:
+        tables = self.entries + [runner.table for runner in self.runners]
+        for table in tables:
+            for name in _REQUESTS[1:]:
+                assert not table.is_convicted(name)
+
+
+class _ConvictsByCount(suspects.Suspects):
+    """Keeps nobody apart and convicts whoever was at two crashes."""
+
+    def is_suspect(self, request_digest: str) -> bool:
+        return False
+
+    def is_convicted(self, request_digest: str) -> bool:
+        return len(self.crashes(request_digest)) >= 2
+
+
+class _NeverConvicts(suspects.Suspects):
+    """Lets every request run again."""
+
+    def is_convicted(self, request_digest: str) -> bool:
+        return False
+
+
+@pytest.mark.parametrize("broken", [_ConvictsByCount, _NeverConvicts])
+def test_the_machine_finds_a_table_without(
+    broken: type[suspects.Suspects],
+) -> None:
+    """Guards against a machine that would miss a wrong conviction."""
+
+    class Broken(SuspectsMachine):
+        suspects_class = broken
+
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            Broken,
+            settings=hypothesis.settings(
+                max_examples=500,
+                stateful_step_count=40,
+                phases=[hypothesis.Phase.generate],
+                report_multiple_bugs=False,
+                print_blob=False,
+            ),
+        )
+
+
+TestSuspects = pytest.mark.fuzz(SuspectsMachine.TestCase)
+
+
+def _crash(
+    table: suspects.Suspects, peer: str, running: list[str]
+) -> suspects.CrashCharge | None:
+    return table.note_crash(suspects.CrashSite("az-1", peer, "i1"), running)
+
+
+def test_the_loss_of_a_rack_convicts_nobody() -> None:
+    """Guards against refusals of requests that moved along a dying rack."""
+    clock = builders.ManualClock()
+    table = suspects.Suspects(clock)
+    for number in range(8):
+        _crash(table, f"r{number}", [f"a{number}", f"a{number + 1}"])
+        clock.advance(1.0)
+    assert not any(table.is_suspect(f"a{n}") for n in range(9))
+
+
+def test_a_culprit_is_convicted_in_spite_of_an_unrelated_crash() -> None:
+    """Guards against a burst rule that protects the culprit."""
+    clock = builders.ManualClock()
+    table = suspects.Suspects(clock)
+    _crash(table, "r1", ["culprit", "a"])
+    _crash(table, "r2", ["b", "c"])
+    _crash(table, "r3", ["culprit", "d"])
+    refusal = table.refusal("culprit", outcome.Verdict.MAY_HAVE_RUN)
+    assert refusal is not None
+    assert refusal.reason is outcome.Reason.SUSPECT
+    assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+    assert not any(table.is_convicted(name) for name in "abcd")
+
+
+def test_the_table_is_bounded_and_forgets() -> None:
+    """Guards against memory that crashes fill for good."""
+    clock = builders.ManualClock()
+    table = suspects.Suspects(clock)
+    for number in range(1000):
+        _crash(table, f"r{number}", ["culprit", f"a{number}"])
+    assert len(table) <= 256
+    clock.advance(601.0)
+    assert not table.is_suspect("culprit")
+    assert table.facts() == []
+
+
+def test_a_resend_has_the_same_fingerprint() -> None:
+    """Guards against a culprit that is unknown under another request id."""
+    first = builders.chat_request(user="one", stream=False)
+    resent = builders.chat_request(user="two", stream=True)
+    other = builders.chat_request("Is 13% moisture fine?")
+    assert suspects.fingerprint("w", first) == suspects.fingerprint("w", resent)
+    assert suspects.fingerprint("w", first) != suspects.fingerprint("x", first)
+    assert suspects.fingerprint("w", first) != suspects.fingerprint("w", other)
