Test the crash hook's order and the retry budget

Guards against a retry by an entry that has not heard of a crash, and against retries above a tenth of the first attempts plus the reserve of 10.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -13,7 +13,9 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import daemon, platform, request, settings
 from hibiscusstile.claims import encoding, entries, ledger, tickets
+from hibiscusstile.configuration import store
 from hibiscusstile.entry import auth
+from hibiscusstile.peers import messages
 from hibiscusstile_standins import instancelist, log, service
 
 __all__ = [
@@ -24,11 +26,13 @@
     "chat_messages",
     "chat_request",
     "claims_ledger",
+    "dispatch",
     "exchange",
     "open_ticket",
     "record",
     "service_call",
     "service_reply",
+    "store_with",
     "work_item",
 ]
 
@@ -283,3 +287,24 @@
         stream,
         user,
     )
+
+
+def dispatch(attempt_id: str, question: str) -> messages.Dispatch:
+    """Returns an attempt of a model request."""
+    work = dataclasses.replace(work_item(attempt_id), work_id=attempt_id)
+    return messages.Dispatch(
+        attempt_id, work, chat_request(question), deadline_s=5.0
+    )
+
+
+def store_with(*fields: dict[str, Any]) -> store.ConfigurationStore:
+    """Returns a store in which these records are in force."""
+    built = store.ConfigurationStore()
+    now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    built.apply(
+        tuple(
+            platform.LogEntry(offset, now, json.dumps(each).encode())
+            for offset, each in enumerate(fields)
+        )
+    )
+    return built
--- /dev/null
+++ b/tests/test_executor.py
@@ -0,0 +1,122 @@
+"""Tests of attempts at an engine that crashes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from typing import Any
+
+from hibiscusstile import (
+    admission,
+    backends,
+    cacheview,
+    clock,
+    outcome,
+    platform,
+    supervisor,
+    suspectlog,
+    suspects,
+)
+from hibiscusstile.peers import messages
+from hibiscusstile.sidecar import executor, suspectfeed, turns
+from tests import builders
+
+
+class _CrashingEngine(backends.EngineBackend):
+    """Takes two requests up, then crashes under both."""
+
+    def __init__(self) -> None:
+        self.taken: list[str] = []
+        self.both = asyncio.Event()
+
+    async def generate(
+        self, order: backends.GenerateOrder
+    ) -> AsyncIterator[backends.EngineEvent]:
+        self.taken.append(order.attempt_id)
+        yield backends.EngineStarted(0)
+        if len(self.taken) == 2:
+            self.both.set()
+        await self.both.wait()
+        raise outcome.Refused(
+            outcome.Refusal(
+                outcome.Reason.BACKEND_CRASHED,
+                "crashed",
+                outcome.Verdict.MAY_HAVE_RUN,
+            )
+        )
+
+    async def _unused(self, *args: Any, **kwargs: Any) -> Any:
+        return None
+
+    cancel = close = cache_events = cache_blocks = _unused  # type: ignore
+    load = health = order = export_kv = import_kv = _unused  # type: ignore
+
+
+class _Connection:
+    """Keeps what is sent to an entry."""
+
+    def __init__(self) -> None:
+        self.sent: list[messages.PeerMessage] = []
+
+    async def send(self, message: messages.PeerMessage) -> None:
+        self.sent.append(message)
+
+
+class _NoLog(platform.LogClient):
+    """A log that is down."""
+
+    def __init__(self) -> None:
+        super().__init__("")
+
+    async def append(self, stream: str, payload: bytes) -> Any:
+        return platform.AppendUnknown("down")
+
+    async def read(self, stream: str, offset: int, **kwargs: Any) -> Any:
+        return platform.LogUnavailable("down")
+
+    async def close(self) -> None:
+        return
+
+
+async def test_a_crash_is_told_before_the_attempts_fail() -> None:
+    """Guards against a retry by an entry that does not know of the crash."""
+    system = clock.SystemClock()
+    engine = _CrashingEngine()
+    tasks = supervisor.Supervisor("attempts", system)
+    view = cacheview.CacheView()
+    view.reset("engine-1")
+    table = suspects.Suspects(system)
+    feed = suspectfeed.SuspectFeed(
+        table, suspectlog.SuspectAppender(_NoLog(), system)
+    )
+    limits = admission.QueueLimits(32, 400_000, 2_000_000, 1000, 20_000.0)
+    runner = executor.Executor(
+        tasks,
+        engine,
+        turns.Turns(admission.AdmissionQueue(system, limits), system),
+        view,
+        builders.store_with(
+            builders.record("model", "m1", weights_version="1")
+        ),
+        feed,
+        ("az-1", "s1"),
+        system,
+    )
+    connection: Any = _Connection()
+    feed.add(connection)
+    running = asyncio.ensure_future(tasks.run())
+    runner.start(connection, builders.dispatch("att-1", "one"))
+    runner.start(connection, builders.dispatch("att-2", "two"))
+    await asyncio.sleep(0.1)
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    ended = [
+        m
+        for m in connection.sent
+        if isinstance(m, messages.SuspectNotice | messages.Failed)
+    ]
+    assert [m.name for m in ended] == ["suspect_notice", "failed", "failed"]
+    charge = ended[0].charges[0]
+    assert charge.crash_id == "az-1/s1/engine-1"
+    assert len(charge.fingerprints) == 2
+    assert len(table) == 1
--- /dev/null
+++ b/tests/test_retrybudget.py
@@ -0,0 +1,44 @@
+"""Tests of the limit on retries."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusstile import outcome, retrybudget
+
+_LOST = outcome.Refusal(
+    outcome.Reason.PEER_LOST, "lost", outcome.Verdict.MAY_HAVE_RUN
+)
+_LEAVING = outcome.Refusal(outcome.Reason.LEAVING, "leaving")
+
+
+@pytest.mark.fuzz
+@given(st.lists(st.sampled_from(["first", "retry", "started"])))
+def test_retries_stay_within_a_tenth_and_the_reserve(steps: list[str]) -> None:
+    """Guards against retries that multiply an overload."""
+    budget = retrybudget.RetryBudget()
+    firsts = retries = 0
+    for step in steps:
+        if step == "first":
+            budget.note_first()
+            firsts += 1
+        else:
+            retries += budget.take(_LOST, started=step == "started")
+        assert retries <= 10 + 0.1 * firsts + 1e-6
+
+
+def test_a_started_stream_is_continued_when_others_are_not() -> None:
+    """Guards against a cut stream whose work is lost."""
+    budget = retrybudget.RetryBudget()
+    while budget.take(_LOST):
+        pass
+    assert budget.take(_LOST, started=True)
+
+
+def test_a_planned_stop_uses_up_no_retries() -> None:
+    """Guards against failed requests when a sidecar returns its queue."""
+    budget = retrybudget.RetryBudget()
+    assert all(budget.take(_LEAVING) for _ in range(1000))
+    assert budget.tokens == 10.0
