Tell all entries of a crash at once, and bound each send

Cause: the attempts that a crash ended second could report their failure before their entry had heard of the crash, and one frozen entry could keep the others from hearing of it.

Change: news go to all connections together, each send within 0.5 s, and a second attempt waits until the first one's news were sent. A call that ends with an internal error is answered may_have_run. Status shows claims, suspects and denied retries.

--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import datetime
 from collections.abc import Callable, Sequence
@@ -26,6 +27,7 @@
 _log = logbook.Logger("fleet")
 
 _LIST_INTERVAL = datetime.timedelta(seconds=5)
+_NOTICE_TIMEOUT = datetime.timedelta(milliseconds=500)
 
 
 class Fleet(client_lib.LinkObserver):
@@ -166,10 +168,13 @@
         notice = messages.suspect_notice(self._table.merge(facts))
         if not notice.facts:
             return
-        for link in self._links.values():
-            if link is not source and link.connected:
-                with contextlib.suppress(connection_lib.ConnectionLost):
-                    await link.send(notice)
+        await asyncio.gather(
+            *(
+                _send_notice(link, notice)
+                for link in self._links.values()
+                if link is not source and link.connected
+            )
+        )
 
     async def on_revision(
         self, link: client_lib.SidecarLink, revision: int
@@ -201,3 +206,12 @@
             link.load,
             link.load_age_s,
         )
+
+
+async def _send_notice(
+    link: client_lib.SidecarLink, notice: messages.SuspectNotice
+) -> None:
+    """Sends a notice; a sidecar that does not read misses it until hello."""
+    with contextlib.suppress(connection_lib.ConnectionLost, TimeoutError):
+        async with asyncio.timeout(_NOTICE_TIMEOUT.total_seconds()):
+            await link.send(notice)
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -73,7 +73,7 @@
             clock,
         )
         router = routing.Router(self._fleet, self._store)
-        budget = retrybudget.RetryBudget()
+        self._budget = retrybudget.RetryBudget()
         self._front = front.Front(
             config.limits,
             self._store,
@@ -81,10 +81,10 @@
                 self._fleet,
                 router,
                 suspicion.Suspicion(self._suspects, self._fleet),
-                budget,
+                self._budget,
                 clock,
             ),
-            calls.Calls(self._fleet, budget, clock),
+            calls.Calls(self._fleet, self._budget, clock),
             lambda: not self._leaving and self._store.revision >= 0,
             clock,
         )
@@ -113,6 +113,8 @@
             "digest": self._store.digest,
             "leaving": self._leaving,
             "active_requests": self._front.active,
+            "suspect_facts": len(self._suspects),
+            "retries_denied": self._budget.denied,
             "backend_servers": [
                 {
                     "peer_id": link.peer_id,
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -140,6 +140,8 @@
             "waiting": self._turns.queue.waiting,
             "running": self._turns.queue.running,
             "cached_prefixes": len(self._view),
+            "claims": 0 if self._ledger is None else len(self._ledger.ledger),
+            "suspect_facts": len(self._suspicion.table),
         }
 
     def build(self, root: supervisor.Supervisor) -> None:
--- a/hibiscusstile/sidecar/calls.py
+++ b/hibiscusstile/sidecar/calls.py
@@ -6,6 +6,8 @@
 import dataclasses
 import datetime
 
+import logbook
+
 from hibiscusstile import backends, outcome, request, supervisor
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.claims import entries, tickets
@@ -19,6 +21,13 @@
 
 __all__ = ["CallRunner"]
 
+_log = logbook.Logger("calls")
+
+_FAILED = outcome.Refusal(
+    outcome.Reason.INTERNAL,
+    "the call ended with an internal error",
+    outcome.Verdict.MAY_HAVE_RUN,
+)
 _PROGRESS_INTERVAL = datetime.timedelta(milliseconds=500)
 _RUN_MARGIN = datetime.timedelta(seconds=3)
 
@@ -100,6 +109,9 @@
             answer = await self._answer(call)
         except outcome.Refused as refused:
             answer = executor.failed_message(call.attempt_id, refused.refusal)
+        except Exception:
+            _log.exception("call_failed attempt={}", call.attempt_id)
+            answer = executor.failed_message(call.attempt_id, _FAILED)
         finally:
             del self._running[call.attempt_id]
         with contextlib.suppress(connection_lib.ConnectionLost):
--- a/hibiscusstile/sidecar/suspectfeed.py
+++ b/hibiscusstile/sidecar/suspectfeed.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
+import datetime
 from collections.abc import Collection, Iterable
 
 import logbook
@@ -15,6 +17,9 @@
 
 _log = logbook.Logger("suspects")
 
+# A frozen entry must not keep the others from hearing of a crash.
+_SEND_TIMEOUT = datetime.timedelta(milliseconds=500)
+
 
 class SuspectFeed:
     """Joins the table with the connected entries and the log.
@@ -32,6 +37,7 @@
         self._table = table
         self._appender = appender
         self._connections: set[connection_lib.PeerConnection] = set()
+        self._charging = asyncio.Lock()
 
     @property
     def table(self) -> suspects.Suspects:
@@ -49,10 +55,19 @@
     async def note_crash(
         self, site: suspects.CrashSite, running: Collection[str]
     ) -> None:
-        """Charges the local engine's crash to what it was running."""
-        charge = self._table.note_crash(site, running)
-        if charge is None:
-            return
+        """Charges the local engine's crash to what it was running.
+
+        Returns once the connected entries were told, also to an attempt that
+        is not the first one to notice the crash.
+        """
+        async with self._charging:
+            charge = self._table.note_crash(site, running)
+            if charge is not None:
+                await self._announce(charge, running)
+
+    async def _announce(
+        self, charge: suspects.CrashCharge, running: Collection[str]
+    ) -> None:
         _log.warning(
             logs.decision_line(
                 "crash_charged",
@@ -88,8 +103,18 @@
         notice = messages.suspect_notice(facts)
         if not notice.facts:
             return
-        for connection in list(self._connections):
-            if connection is source:
-                continue
-            with contextlib.suppress(connection_lib.ConnectionLost):
-                await connection.send(notice)
+        await asyncio.gather(
+            *(
+                _send(connection, notice)
+                for connection in self._connections
+                if connection is not source
+            )
+        )
+
+
+async def _send(
+    connection: connection_lib.PeerConnection, notice: messages.SuspectNotice
+) -> None:
+    with contextlib.suppress(connection_lib.ConnectionLost, TimeoutError):
+        async with asyncio.timeout(_SEND_TIMEOUT.total_seconds()):
+            await connection.send(notice)
