Pace appends of claims by a bucket instead of a fixed interval

Cause: a call that came alone waited for up to 100 ms, because the completion of the call before it had used the interval.

Change: a burst of 20 appends, refilled at 20 a second for each sidecar.

--- a/hibiscusstile/claims/outbox.py
+++ b/hibiscusstile/claims/outbox.py
@@ -15,9 +15,11 @@
 _BATCH_RECORDS = 128
 _BATCH_BYTES = 64 * 1024
 _RECORD_BYTES = 300
-# Ten batches a second from each sidecar of a service leave most of the log's
-# several hundred appends a second to everything else.
-_BATCH_INTERVAL = datetime.timedelta(milliseconds=100)
+# Four sidecars of a service at this rate leave most of the log's several
+# hundred appends a second to everything else. The burst spares calls that
+# come one by one a wait for the next batch.
+_BATCH_INTERVAL = datetime.timedelta(milliseconds=50)
+_BURST_BATCHES = 20
 _MIN_BACKOFF = datetime.timedelta(milliseconds=200)
 _MAX_BACKOFF = datetime.timedelta(seconds=2)
 
@@ -48,7 +50,10 @@
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
         self._waiting: dict[tuple[type, str], _Waiting] = {}
-        self._next_append_s = clock.monotonic()
+        # Each append moves this time on by an interval; it may lag behind the
+        # clock by a whole burst.
+        self._paced_until_s = clock.monotonic()
+        self._retry_s = clock.monotonic()
         self._backoff_s = 0.0
         self._in_flight: Batch | None = None
 
@@ -59,10 +64,7 @@
     @property
     def failing(self) -> bool:
         """Whether the last append failed and the next try is not yet due."""
-        return (
-            self._backoff_s > 0.0
-            and self._clock.monotonic() < self._next_append_s
-        )
+        return self._backoff_s > 0.0 and self._clock.monotonic() < self._retry_s
 
     @property
     def full(self) -> bool:
@@ -72,7 +74,7 @@
     @property
     def next_append_s(self) -> float:
         """Monotonic time of the next append, if there are records."""
-        return self._next_append_s
+        return max(self._paced_until_s, self._retry_s)
 
     def put(self, record: entries.ClaimRecord) -> None:
         """Takes a record; one that is known already is ignored."""
@@ -94,8 +96,12 @@
         """Returns what to append now, None if nothing or not yet."""
         if self._in_flight is not None or not self._waiting:
             return None
-        if self._clock.monotonic() < self._next_append_s:
+        now_s = self._clock.monotonic()
+        if now_s < self.next_append_s:
             return None
+        interval_s = _BATCH_INTERVAL.total_seconds()
+        earliest_s = now_s - _BURST_BATCHES * interval_s
+        self._paced_until_s = max(self._paced_until_s, earliest_s) + interval_s
         records: list[entries.ClaimRecord] = []
         size = 0
         for waiting in self._waiting.values():
@@ -120,7 +126,6 @@
         now_s = self._clock.monotonic()
         if isinstance(result, platform.Appended):
             self._backoff_s = 0.0
-            self._next_append_s = now_s + _BATCH_INTERVAL.total_seconds()
             for record in batch.records:
                 self._waiting.pop(_name(record), None)
             return []
@@ -128,7 +133,7 @@
             max(2 * self._backoff_s, _MIN_BACKOFF.total_seconds()),
             _MAX_BACKOFF.total_seconds(),
         )
-        self._next_append_s = now_s + self._backoff_s
+        self._retry_s = now_s + self._backoff_s
         if isinstance(result, platform.AppendRefused):
             return self._drop_unsent_claims(batch)
         for record in batch.records:
