Refuse unreadable idempotency keys and answer types

Cause: a key or an answer's type with bytes that are not UTF-8 cannot be encoded for peers or for the log, which would have ended the appender. Two Idempotency-Key headers can be read as either key.

Change: a key is one header of 1 to 255 printable ASCII characters, as bad_request otherwise; an answer's type that is not ASCII is replaced. A call counts as active until its answer was sent, so that a stop does not cut it.

--- a/hibiscusstile/backends/plain_service.py
+++ b/hibiscusstile/backends/plain_service.py
@@ -10,6 +10,7 @@
 __all__ = ["PlainService"]
 
 _MAX_REPLY_BYTES = 4 * 1024 * 1024
+_MAX_TYPE_LENGTH = 255
 _CONNECT_TIMEOUT_S = 2.0
 
 
@@ -111,8 +112,16 @@
                 outcome.Verdict.RAN,
             )
         )
-    return request.ServiceReply(
-        response.status,
-        response.headers.get("Content-Type", "application/octet-stream"),
-        body,
-    )
+    return request.ServiceReply(response.status, _content_type(response), body)
+
+
+def _content_type(response: aiohttp.ClientResponse) -> str:
+    """Returns the answer's type; one that is no plain text is replaced.
+
+    A header with bytes that are not UTF-8 cannot be encoded for peers or the
+    log.
+    """
+    value = response.headers.get("Content-Type", "")
+    if value.isascii() and 0 < len(value) <= _MAX_TYPE_LENGTH:
+        return value
+    return "application/octet-stream"
--- a/hibiscusstile/entry/front.py
+++ b/hibiscusstile/entry/front.py
@@ -147,12 +147,7 @@
         caller = self._authenticate(request)
         name = request.match_info["application"]
         application = self._application(caller.workspace, name)
-        key = request.headers.get(_KEY_HEADER)
-        if key is not None and not 1 <= len(key) <= _MAX_KEY_LENGTH:
-            raise _refused(
-                outcome.Reason.BAD_REQUEST,
-                "Idempotency-Key must have 1 to 255 characters",
-            )
+        key = _idempotency_key(request)
         if key is None and (request.method in application.key_required_methods):
             raise _refused(
                 outcome.Reason.BAD_REQUEST,
@@ -370,6 +365,25 @@
     }
 
 
+def _idempotency_key(request: web.Request) -> str | None:
+    """Returns the key, None without one.
+
+    Raises:
+        Refused: It could be read as another key by another process.
+    """
+    keys = request.headers.getall(_KEY_HEADER, [])
+    if not keys:
+        return None
+    key = keys[0]
+    readable = key.isascii() and key.isprintable()
+    if len(keys) > 1 or not readable or not 1 <= len(key) <= _MAX_KEY_LENGTH:
+        raise _refused(
+            outcome.Reason.BAD_REQUEST,
+            "Idempotency-Key must be one text of 1 to 255 ASCII characters",
+        )
+    return key
+
+
 def _refused(reason: outcome.Reason, message: str) -> outcome.Refused:
     return outcome.Refused(outcome.Refusal(reason, message))
 
--- a/hibiscusstile/sidecar/calls.py
+++ b/hibiscusstile/sidecar/calls.py
@@ -103,19 +103,23 @@
                     await running.connection.send(messages.Progress(attempt_id))
 
     async def _run(self, running: _Running) -> None:
-        call = running.call
-        answer: messages.PeerMessage
         try:
-            answer = await self._answer(call)
+            answer = await self._answer_or_fail(running.call)
+            with contextlib.suppress(connection_lib.ConnectionLost):
+                await running.connection.send(answer)
+        finally:
+            del self._running[running.call.attempt_id]
+
+    async def _answer_or_fail(
+        self, call: messages.Call
+    ) -> messages.CallReply | messages.Failed:
+        try:
+            return await self._answer(call)
         except outcome.Refused as refused:
-            answer = executor.failed_message(call.attempt_id, refused.refusal)
+            return executor.failed_message(call.attempt_id, refused.refusal)
         except Exception:
             _log.exception("call_failed attempt={}", call.attempt_id)
-            answer = executor.failed_message(call.attempt_id, _FAILED)
-        finally:
-            del self._running[call.attempt_id]
-        with contextlib.suppress(connection_lib.ConnectionLost):
-            await running.connection.send(answer)
+            return executor.failed_message(call.attempt_id, _FAILED)
 
     async def _answer(self, call: messages.Call) -> messages.CallReply:
         application = self._store.view.applications.get(call.call.application)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -4,8 +4,12 @@
 
 import datetime
 
-from hibiscusstile import outcome, platform
-from hibiscusstile.claims import encoding, ledger, tickets
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from hibiscusstile import outcome, platform, request
+from hibiscusstile.claims import encoding, entries, ledger, tickets
 from tests import builders
 
 _HOUR_S = 3600.0
@@ -167,6 +171,15 @@
     assert fresh.outbox.next_batch() is None
 
 
+@pytest.mark.fuzz
+@given(st.binary(max_size=64), st.text(max_size=20))
+def test_an_answer_survives_the_log(body: bytes, content_type: str) -> None:
+    """Guards against a replayed answer that differs from the first."""
+    reply = request.ServiceReply(201, content_type, body)
+    record = entries.Completed("c1", b"k" * 16, outcome.Verdict.RAN, reply)
+    assert encoding.decode(encoding.encode([record])) == [record]
+
+
 def test_remembered_keys_are_bounded() -> None:
     """Guards against a sidecar that outgrows its memory in a day."""
     clock = builders.ManualClock()
--- a/tests/test_keyed_calls.py
+++ b/tests/test_keyed_calls.py
@@ -40,6 +40,8 @@
         assert answers[0][0] == 201
         conflict = await _pay(session, fleet, "k1", 6)
         assert conflict[0] == 409 and conflict[2] == "not_run"
+        for bad in ("k" * 256, "schlüssel"):
+            assert (await _pay(session, fleet, bad))[0] == 400
         fleet.log.set_down(True)
         assert await _pay(session, fleet, "k1") == answers[0]
         refused = await _pay(session, fleet, "k2")
