Test how an entry repeats calls

Guards against a second run of an unkeyed call and against a not_run of one sidecar that hides that a lost one may run the call.

--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,18 +11,29 @@
 from typing import Any
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import daemon, platform, request, settings
+from hibiscusstile import (
+    daemon,
+    outcome,
+    platform,
+    policies,
+    request,
+    settings,
+)
 from hibiscusstile.claims import encoding, entries, ledger, tickets
-from hibiscusstile.configuration import store
-from hibiscusstile.entry import auth
-from hibiscusstile.peers import messages
+from hibiscusstile.configuration import store, view
+from hibiscusstile.entry import auth, calls
+from hibiscusstile.peers import client, messages
+from hibiscusstile.sidecar import executor
 from hibiscusstile_standins import instancelist, log, service
 
 __all__ = [
     "CallFleet",
     "ManualClock",
+    "ScriptedFleet",
+    "ScriptedLink",
     "StreamLog",
     "call_fleet",
+    "call_work",
     "chat_messages",
     "chat_request",
     "claims_ledger",
@@ -308,3 +319,65 @@
         )
     )
     return built
+
+
+class ScriptedLink:
+    """An entry's link whose sidecar answers as told.
+
+    Args:
+        peer_id: The sidecar.
+        answers: One for each call: the sidecar's refusal, or None for a
+            connection that breaks.
+    """
+
+    def __init__(self, peer_id: str, *answers: outcome.Refusal | None) -> None:
+        self.peer_id = peer_id
+        self.sent: list[messages.PeerMessage] = []
+        self._answers = list(answers)
+
+    def open_channel(self, attempt_id: str) -> client.AttemptChannel:
+        """Returns a channel that holds the next answer."""
+        channel = client.AttemptChannel(attempt_id)
+        refusal = self._answers.pop(0)
+        channel.deliver(
+            None
+            if refusal is None
+            else executor.failed_message(attempt_id, refusal)
+        )
+        return channel
+
+    def close_channel(self, attempt_id: str) -> None:
+        """Does nothing."""
+
+    async def send(self, message: messages.PeerMessage) -> None:
+        """Keeps the message."""
+        self.sent.append(message)
+
+
+class ScriptedFleet:
+    """An entry's fleet of scripted links, one in each zone."""
+
+    def __init__(self, *links: ScriptedLink) -> None:
+        self._links = {link.peer_id: link for link in links}
+
+    def servers(self, application: str) -> list[policies.RunnerView]:
+        """Returns all links' sidecars."""
+        return [policies.RunnerView(name) for name in self._links]
+
+    def link(self, peer_id: str) -> ScriptedLink | None:
+        """Returns a link by its sidecar."""
+        return self._links.get(peer_id)
+
+
+def call_work(key: str | None, method: str = "POST") -> calls.CallWork:
+    """Returns a payment on its way through an entry."""
+    return calls.CallWork(
+        "req-1",
+        "growers",
+        "shed-1",
+        "routine",
+        view.Application(
+            "accounts", ("GET", "HEAD"), datetime.timedelta(seconds=30), ()
+        ),
+        service_call(key, method=method),
+    )
--- /dev/null
+++ b/tests/test_calls.py
@@ -0,0 +1,79 @@
+"""Tests of how an entry repeats plain-service calls."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from hibiscusstile import outcome, retrybudget
+from hibiscusstile.entry import calls
+from tests import builders
+
+_NOT_RUN = outcome.Refusal(outcome.Reason.OVERLOADED, "full")
+_LOG_DOWN = outcome.Refusal(outcome.Reason.LOG_UNAVAILABLE, "down")
+_FAILED = outcome.Refusal(
+    outcome.Reason.BACKEND_FAILED, "lost", outcome.Verdict.MAY_HAVE_RUN
+)
+
+
+async def _refused(
+    work: calls.CallWork, *answers: outcome.Refusal | None
+) -> tuple[outcome.Refusal, int]:
+    """Runs a call; the n-th attempt gets the n-th answer, at any sidecar."""
+    queue = list(answers)
+
+    class Shared(builders.ScriptedLink):
+        def open_channel(self, attempt_id: str) -> Any:
+            self._answers = [queue.pop(0)]
+            return super().open_channel(attempt_id)
+
+    links = [Shared("s1"), Shared("s2"), Shared("s3")]
+    fleet: Any = builders.ScriptedFleet(*links)
+    runner = calls.Calls(
+        fleet, retrybudget.RetryBudget(), builders.ManualClock()
+    )
+    with pytest.raises(outcome.Refused) as caught:
+        await runner.run(work)
+    return caught.value.refusal, sum(len(link.sent) for link in links)
+
+
+async def test_a_lost_call_without_a_key_is_not_repeated() -> None:
+    """Guards against a second run of a call that no ledger knows."""
+    refusal, attempts = await _refused(builders.call_work(None), None)
+    assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+    assert attempts == 1
+
+
+async def test_a_refused_call_is_repeated_elsewhere() -> None:
+    """Guards against a failure while another sidecar could answer."""
+    refusal, attempts = await _refused(
+        builders.call_work(None), _NOT_RUN, _NOT_RUN, _NOT_RUN
+    )
+    assert refusal.verdict is outcome.Verdict.NOT_RUN
+    assert attempts == 3
+
+
+async def test_another_sidecars_not_run_does_not_speak_for_the_first() -> None:
+    """Guards against `not_run` for a call that a lost sidecar may run."""
+    refusal, attempts = await _refused(
+        builders.call_work("k1"), None, _LOG_DOWN
+    )
+    assert refusal.reason is outcome.Reason.LOG_UNAVAILABLE
+    assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+    assert attempts == 2
+
+
+async def test_the_ledgers_unknown_is_final() -> None:
+    """Guards against a retry that could only get the same answer."""
+    refusal, attempts = await _refused(builders.call_work("k1"), _FAILED)
+    assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+    assert attempts == 1
+
+
+async def test_an_idempotent_method_is_repeated_after_a_loss() -> None:
+    """Guards against a failed read that a retry would have answered."""
+    work = builders.call_work(None, method="GET")
+    refusal, attempts = await _refused(work, None, _FAILED, _NOT_RUN)
+    assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+    assert attempts == 3
