--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -359,8 +359,6 @@
             self._ready.set()
         elif isinstance(message, messages.BidReply):
             self._resolve(message.bid_id, message)
-        elif isinstance(message, messages.ClaimAnswer):
-            self._resolve(message.query_id, message)
         elif isinstance(message, messages.Pong):
             self._resolve(message.number, message)
         elif (attempt_id := getattr(message, "attempt_id", None)) is not None:
--- a/hibiscusstile/peers/messages.py
+++ b/hibiscusstile/peers/messages.py
@@ -7,11 +7,12 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Iterable
 from typing import Annotated
 
 import pydantic
 
-from hibiscusstile import outcome, registry, request
+from hibiscusstile import outcome, registry, request, suspects
 
 __all__ = [
     "Ack",
@@ -21,8 +22,6 @@
     "CallReply",
     "Cancel",
     "Chunk",
-    "ClaimAnswer",
-    "ClaimQuery",
     "ConfigFetch",
     "ConfigState",
     "Dispatch",
@@ -44,6 +43,7 @@
     "SuspectNotice",
     "Usage",
     "message_types",
+    "suspect_notice",
 ]
 
 ShortText = Annotated[str, pydantic.StringConstraints(max_length=512)]
@@ -156,6 +156,34 @@
     proof: Nonce
 
 
+@message_types.register()
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspectNotice(PeerMessage):
+    """Facts about requests that were running when engines crashed.
+
+    All requests charged with one crash travel together, because a process
+    that knew only some of them could convict the wrong one.
+    """
+
+    name = "suspect_notice"
+    charges: tuple[suspects.CrashCharge, ...] = ()
+    clearances: tuple[suspects.Clearance, ...] = ()
+
+    @property
+    def facts(self) -> tuple[suspects.Fact, ...]:
+        """All facts."""
+        return (*self.charges, *self.clearances)
+
+
+def suspect_notice(facts: Iterable[suspects.Fact]) -> SuspectNotice:
+    """Returns the message that carries some facts."""
+    known = list(facts)
+    return SuspectNotice(
+        tuple(f for f in known if isinstance(f, suspects.CrashCharge)),
+        tuple(f for f in known if isinstance(f, suspects.Clearance)),
+    )
+
+
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class Hello(PeerMessage):
@@ -175,7 +203,7 @@
     peers: Annotated[
         tuple[PeerAddress, ...], pydantic.Field(max_length=1024)
     ] = ()
-    suspects: tuple[SuspectNotice, ...] = ()
+    suspects: SuspectNotice = SuspectNotice()
 
 
 @message_types.register()
@@ -433,54 +461,6 @@
     peer_id: ShortText
 
 
-@message_types.register()
-@dataclasses.dataclass(frozen=True, slots=True)
-class SuspectNotice(PeerMessage):
-    """A request was running when an engine crashed.
-
-    Attributes:
-        fingerprint: Digest of workspace and request.
-        crash_ids: The crashes charged to it, one identifier each.
-        cleared: True once the request has completed after all.
-    """
-
-    name = "suspect_notice"
-    fingerprint: ShortText
-    crash_ids: tuple[ShortText, ...] = ()
-    cleared: bool = False
-
-
-@message_types.register()
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimQuery(PeerMessage):
-    """Asks the holder of an idempotency claim what became of it."""
-
-    name = "claim_query"
-    query_id: Count
-    application: ShortText
-    claim_id: ShortText
-
-
-@message_types.register()
-@dataclasses.dataclass(frozen=True, slots=True)
-class ClaimAnswer(PeerMessage):
-    """Answers a claim query.
-
-    Attributes:
-        query_id: Number of the question.
-        claim_id: The claim.
-        never_started: A promise that the holder has not started the call
-            and never will.
-        reply: The kept answer when the call has finished, else None.
-    """
-
-    name = "claim_answer"
-    query_id: Count
-    claim_id: ShortText
-    never_started: bool
-    reply: request.ServiceReply | None = None
-
-
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ping(PeerMessage):
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -16,6 +16,8 @@
     roles,
     settings,
     supervisor,
+    suspectlog,
+    suspects,
 )
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import freshness, snapshot_stream
@@ -27,6 +29,7 @@
     listener,
     relay,
     routing,
+    suspicion,
 )
 from hibiscusstile.peers import messages
 
@@ -65,22 +68,30 @@
         self._follower = follower_lib.LogFollower(
             self._log, self._store, clock, self._fresh
         )
+        self._suspects = suspects.Suspects(clock)
         self._fleet = fleet.Fleet(
             config,
             config.peer_secret.read(),
             self._hello,
             self._store,
+            self._suspects,
             self._instance_list,
             clock,
             self._fresh,
         )
         router = routing.Router(self._fleet, self._store)
-        budget = retrybudget.RetryBudget()
+        self._budget = retrybudget.RetryBudget()
         self._front = front.Front(
             config.limits,
             self._store,
-            relay.Relay(self._fleet, router, clock),
-            calls.Calls(self._fleet, budget, clock),
+            relay.Relay(
+                self._fleet,
+                router,
+                suspicion.Suspicion(self._suspects, self._fleet),
+                self._budget,
+                clock,
+            ),
+            calls.Calls(self._fleet, self._budget, clock),
             lambda: not self._leaving and self._store.revision >= 0,
             self._confirm,
             clock,
@@ -111,6 +122,8 @@
             "fresh": self._fresh.is_fresh,
             "leaving": self._leaving,
             "active_requests": self._front.active,
+            "suspect_facts": len(self._suspects),
+            "retries_denied": self._budget.denied,
             "backend_servers": [
                 {
                     "peer_id": link.peer_id,
@@ -130,10 +143,14 @@
             self._clock,
             self._config.platform.log_retention,
         )
+        crashes = suspectlog.SuspectFollower(
+            self._log, self._fleet.merge_suspects, self._clock
+        )
         specs = [
             ("configuration", self._follower.run),
             ("snapshots", snapshotter.run),
             ("links", self._fleet.tasks.run),
+            ("suspects", crashes.run),
             ("fleet", self._fleet.run),
             ("operators", self._operators.run),
             ("http", self._serve_http),
@@ -189,4 +206,5 @@
                 leaving=self._leaving,
             ),
             wants_peers=self._fleet.wants_peers,
+            suspects=messages.suspect_notice(self._suspects.facts()),
         )
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -18,6 +18,8 @@
     roles,
     settings,
     supervisor,
+    suspectlog,
+    suspects,
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
@@ -38,6 +40,7 @@
     region,
     scopes,
     service,
+    suspectfeed,
     turns,
 )
 
@@ -86,6 +89,10 @@
         )
         self._turns = turns.Turns(queue, clock)
         self._attempts = supervisor.Supervisor("attempts", clock)
+        self._appender = suspectlog.SuspectAppender(self._log, clock)
+        self._suspicion = suspectfeed.SuspectFeed(
+            suspects.Suspects(clock), self._appender
+        )
         self._bidder = bidder.Bidder(
             clock,
             queue,
@@ -102,6 +109,9 @@
             self._bidder,
             self._scopes,
             self._store,
+            self._suspicion,
+            (config.zone, config.peer_id),
+            self._check_engine,
             clock,
         )
         self._ledger = self._open_ledger()
@@ -121,6 +131,7 @@
             self._calls,
             self._bidder,
             self._scopes,
+            self._suspicion,
             lambda: self._discovery.peers,
             fetching.FetchPacer(clock, lambda: self._store.revision),
         )
@@ -129,6 +140,7 @@
             self._watch = enginewatch.EngineWatch(
                 self._backend,
                 self._view,
+                self._executor.note_crash,
                 self._executor.fail_running,
                 self._service.announce_info,
                 clock,
@@ -167,6 +179,8 @@
             "running": self._turns.queue.running,
             "cached_prefixes": len(self._view),
             "backend": self._backend_status(),
+            "claims": 0 if self._ledger is None else len(self._ledger.ledger),
+            "suspect_facts": len(self._suspicion.table),
         }
 
     def build(self, root: supervisor.Supervisor) -> None:
@@ -179,6 +193,7 @@
             ("executor", self._executor.run),
             ("calls", self._calls.run),
             ("discovery", self._discovery.run),
+            ("suspects", self._appender.run),
             ("peers", self._server.run),
             ("operators", self._operators.run),
         ]
@@ -280,6 +295,10 @@
             "up": self._watch is None or self._watch.health is not None,
         }
 
+    async def _check_engine(self) -> None:
+        if self._watch is not None:
+            await self._watch.poll()
+
     def _engine_health(self) -> backends.EngineHealth | None:
         return self._watch.health if self._watch else None
 
--- /dev/null
+++ b/tests/builders/calls.py
@@ -0,0 +1,276 @@
+"""Builders of calls, ledgers and fleets in one process."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+import datetime
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import (
+    daemon,
+    outcome,
+    platform,
+    policies,
+    request,
+    settings,
+)
+from hibiscusstile.claims import encoding, entries, ledger, tickets
+from hibiscusstile.configuration import store, view
+from hibiscusstile.entry import auth, calls
+from hibiscusstile.peers import client, messages
+from hibiscusstile.sidecar import executor
+from hibiscusstile_standins import instancelist, log, service
+from tests.builders.basics import (
+    StreamLog,
+    record,
+    service_call,
+    work_item,
+)
+
+__all__ = [
+    "CallFleet",
+    "ScriptedFleet",
+    "ScriptedLink",
+    "call_fleet",
+    "call_work",
+    "chat_request",
+    "claims_ledger",
+    "dispatch",
+    "exchange",
+    "open_ticket",
+    "store_with",
+]
+
+
+def claims_ledger(
+    clock: clock_lib.Clock,
+    peer_id: str = "s1",
+    incarnation: str = "inc-1",
+    *,
+    keys: int = 1000,
+) -> ledger.Ledger:
+    """Returns the ledger of a sidecar that has just started."""
+    limits = ledger.LedgerLimits(keys=keys)
+    return ledger.Ledger(peer_id, incarnation, clock, limits)
+
+
+def open_ticket(
+    decisions: ledger.Ledger, key: str = "k1", body: bytes = b"5"
+) -> tickets.Ticket:
+    """Takes a payment in at a ledger."""
+    call = entries.keyed_call("growers", service_call(key, body=body))
+    return decisions.open(
+        call, datetime.timedelta(seconds=5), datetime.timedelta(seconds=38)
+    )
+
+
+def exchange(log: StreamLog, *ledgers: ledger.Ledger) -> None:
+    """Appends what the ledgers have to append; then all read to the end."""
+    for each in ledgers:
+        batch = each.outbox.next_batch()
+        if batch is not None:
+            offset = log.append(encoding.encode(batch.records))
+            each.note_append(batch, platform.Appended(offset))
+    for each in ledgers:
+        each.apply(log.read(each.next_offset))
+
+
+_CALL_SECRET = "0123456789abcdef0123"
+
+
+@dataclasses.dataclass
+class CallFleet:
+    """One entry and two sidecars of one payment service, on loopback.
+
+    Attributes:
+        url: The entry's base URL.
+        headers: A caller's headers.
+        log: The log's stand-in.
+        payments: The service's stand-in.
+        stops: Stops a sidecar, by its peer id.
+    """
+
+    url: str
+    headers: dict[str, str]
+    log: log.LogService
+    payments: service.PaymentService
+    stops: dict[str, asyncio.Event]
+
+
+@contextlib.asynccontextmanager
+async def call_fleet(secret: Any) -> AsyncIterator[CallFleet]:
+    """Runs a fleet for plain-service calls; `secret` is a writable path."""
+    secret.write_text(_CALL_SECRET)
+    stand_ins = (
+        log.LogService(),
+        instancelist.InstanceListService(),
+        service.PaymentService(),
+    )
+    for each in stand_ins:
+        await each.start()
+    platform_log, instances, payments = stand_ins
+    digest = auth.key_digest("0" * 32, _CALL_SECRET)
+    key = {"key_id": "test", "salt": "0" * 32, "digest": digest}
+    for each_record in (
+        record("application", "accounts"),
+        record("workspace", "growers", keys=[key]),
+    ):
+        await platform_log.append("config", json.dumps(each_record).encode())
+    common = {
+        "zone": "az-1",
+        "region": "test",
+        "operators": {"host": "127.0.0.1", "port": 0},
+        "platform": {
+            "log": {"url": platform_log.url},
+            "instance_list": {"url": instances.url},
+        },
+        "peer_secret": {"file": secret},
+        "stop": {"balancer_delay_s": 0, "deadline_s": 2},
+    }
+    backend = {
+        "kind": "plain_service",
+        "url": payments.url,
+        "application": "accounts",
+    }
+    address = {"host": "127.0.0.1", "port": 0}
+    processes = []
+    stops = {}
+    for name in ("s1", "s2", "entry"):
+        own = (
+            {"role": "entry", "http": address}
+            if name == "entry"
+            else {"role": "sidecar", "peers": address, "backend": backend}
+        )
+        text = json.dumps({**common, **own, "peer_id": name}, default=str)
+        process = daemon.Process(
+            settings.parse_settings(text), clock_lib.SystemClock()
+        )
+        stops[name] = asyncio.Event()
+        processes.append(asyncio.ensure_future(process.run(stops[name])))
+        await process.role.wait_ready()
+        if name != "entry":
+            port = process.role.ports["peers"]
+            instances.put(name, "sidecar", port, "az-1", "test")
+    await asyncio.sleep(0.5)
+    url = f"http://127.0.0.1:{process.role.ports['http']}/v1/services/accounts"
+    caller = {"Authorization": f"Bearer hs_test_{_CALL_SECRET}"}
+    try:
+        yield CallFleet(url, caller, platform_log, payments, stops)
+    finally:
+        for stop in stops.values():
+            stop.set()
+        await asyncio.gather(*processes)
+        for each in stand_ins:
+            await each.close()
+
+
+def chat_request(
+    question: str = "Is 12% moisture fine?",
+    *,
+    user: str = "",
+    stream: bool = True,
+) -> request.ChatRequest:
+    """Returns a model request of two messages."""
+    parts = [
+        request.ContentPart(request.PartKind.TEXT, text)
+        for text in ("You grade carob pods.", question)
+    ]
+    return request.ChatRequest(
+        "m1",
+        "",
+        (
+            request.Message("system", (parts[0],)),
+            request.Message("user", (parts[1],)),
+        ),
+        16,
+        stream,
+        user,
+    )
+
+
+def dispatch(attempt_id: str, question: str) -> messages.Dispatch:
+    """Returns an attempt of a model request."""
+    work = dataclasses.replace(work_item(attempt_id), work_id=attempt_id)
+    return messages.Dispatch(
+        attempt_id, work, chat_request(question), deadline_s=5.0
+    )
+
+
+def store_with(*fields: dict[str, Any]) -> store.ConfigurationStore:
+    """Returns a store in which these records are in force."""
+    built = store.ConfigurationStore()
+    now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    built.apply(
+        tuple(
+            platform.LogEntry(offset, now, json.dumps(each).encode())
+            for offset, each in enumerate(fields)
+        )
+    )
+    return built
+
+
+class ScriptedLink:
+    """An entry's link whose sidecar answers as told.
+
+    Args:
+        peer_id: The sidecar.
+        answers: One for each call: the sidecar's refusal, or None for a
+            connection that breaks.
+    """
+
+    def __init__(self, peer_id: str, *answers: outcome.Refusal | None) -> None:
+        self.peer_id = peer_id
+        self.sent: list[messages.PeerMessage] = []
+        self._answers = list(answers)
+
+    def open_channel(self, attempt_id: str) -> client.AttemptChannel:
+        """Returns a channel that holds the next answer."""
+        channel = client.AttemptChannel(attempt_id)
+        refusal = self._answers.pop(0)
+        channel.deliver(
+            None
+            if refusal is None
+            else executor.failed_message(attempt_id, refusal)
+        )
+        return channel
+
+    def close_channel(self, attempt_id: str) -> None:
+        """Does nothing."""
+
+    async def send(self, message: messages.PeerMessage) -> None:
+        """Keeps the message."""
+        self.sent.append(message)
+
+
+class ScriptedFleet:
+    """An entry's fleet of scripted links, one in each zone."""
+
+    def __init__(self, *links: ScriptedLink) -> None:
+        self._links = {link.peer_id: link for link in links}
+
+    def servers(self, application: str) -> list[policies.RunnerView]:
+        """Returns all links' sidecars."""
+        return [policies.RunnerView(name) for name in self._links]
+
+    def link(self, peer_id: str) -> ScriptedLink | None:
+        """Returns a link by its sidecar."""
+        return self._links.get(peer_id)
+
+
+def call_work(key: str | None, method: str = "POST") -> calls.CallWork:
+    """Returns a payment on its way through an entry."""
+    return calls.CallWork(
+        "req-1",
+        "growers",
+        "shed-1",
+        "routine",
+        view.Application(
+            "accounts", ("GET", "HEAD"), datetime.timedelta(seconds=30), ()
+        ),
+        service_call(key, method=method),
+    )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,6 +11,7 @@
     "admission",
     "cacheview",
     "configuration.fetching",
+    "claims.ledger",
     "configuration.fold",
     "configuration.follower",
     "configuration.freshness",
@@ -24,6 +25,8 @@
     "policies",
     "prefix",
     "rendezvous",
+    "retrybudget",
+    "suspects",
 )
 _TRANSPORTS = ("aiohttp", "websockets", "cbor2")
 
