Honour policy splits, and never take an unknown zone for a near one

Cause: split_algorithm and its share were stored but not used, and a peer in a zone missing from the settings counted as being in the entry's own zone. Change: a hash of record, workspace and caller picks the side, so that each caller stays on one side at every entry. `zonecost` adds regions and takes unlisted zones as the farthest listed one.

--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -8,7 +8,7 @@
 import logbook
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import platform, policies, settings, supervisor
+from hibiscusstile import platform, policies, settings, supervisor, zonecost
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
@@ -50,6 +50,12 @@
         self._clock = clock
         self._links: dict[str, client_lib.SidecarLink] = {}
         self._tasks = supervisor.Supervisor("links", clock)
+        self._zone_costs = zonecost.ZoneCosts(
+            config.zone,
+            config.region,
+            config.zone_delays_s,
+            config.region_delays_s,
+        )
 
     @property
     def tasks(self) -> supervisor.Supervisor:
@@ -167,10 +173,12 @@
             )
 
     def _view(self, link: client_lib.SidecarLink) -> policies.RunnerView:
-        zone = link.info.zone if link.info else ""
+        info = link.info
+        zone = info.zone if info else ""
+        region = info.region if info else ""
         return policies.RunnerView(
             link.peer_id,
-            self._config.zone_delays_s.get(zone, 0.0),
+            self._zone_costs.cost_s(zone, region),
             link.load,
             link.load_age_s,
         )
--- a/hibiscusstile/entry/routing.py
+++ b/hibiscusstile/entry/routing.py
@@ -13,6 +13,7 @@
 from hibiscusstile.configuration import view as view_lib
 from hibiscusstile.entry import fleet as fleet_lib
 from hibiscusstile.peers import messages
+from hibiscusstile.policies import split
 
 __all__ = ["Route", "Router"]
 
@@ -50,7 +51,7 @@
     ) -> None:
         self._fleet = fleet
         self._store = store
-        self._policies: dict[tuple[int, str], policies.Policy] = {}
+        self._policies: dict[tuple[int, str, bool], policies.Policy] = {}
 
     async def route(
         self,
@@ -68,7 +69,7 @@
         Raises:
             Refused: `no_backend` or the bidders' reason, with `not_run`.
         """
-        policy = self._policy(policy_name)
+        policy = self._policy(policy_name, work)
         usable = [
             view
             for view in self._fleet.runners(work.model)
@@ -91,17 +92,17 @@
         cached = {bid.runner: bid.cached_tokens for bid in bids}
         return Route(choice.runner, cached[choice.runner], choice.reason)
 
-    def _policy(self, name: str) -> policies.Policy:
+    def _policy(self, name: str, work: request.WorkItem) -> policies.Policy:
         revision = self._store.revision
-        policy = self._policies.get((revision, name))
+        record = self._store.view.policies.get(name, _FALLBACK_POLICY)
+        side = split.choose_side(record, work)
+        key = (revision, name, side.split)
+        policy = self._policies.get(key)
         if policy is None:
-            record = self._store.view.policies.get(name, _FALLBACK_POLICY)
-            policy = policies.get_policy_by_name(record.algorithm)(
-                record.options
-            )
+            policy = policies.get_policy_by_name(side.algorithm)(side.options)
             if self._policies and next(iter(self._policies))[0] != revision:
                 self._policies.clear()
-            self._policies[revision, name] = policy
+            self._policies[key] = policy
         return policy
 
     async def _bids(
--- a/hibiscusstile/settings.py
+++ b/hibiscusstile/settings.py
@@ -191,6 +191,7 @@
         seeds: Sidecars to connect to before the instance list answers.
         limits: Bounds of what a caller may send.
         zone_delays_s: Seconds of round trip to other availability zones.
+        region_delays_s: Seconds of round trip to other regions.
     """
 
     role: Literal["entry"]
@@ -198,6 +199,7 @@
     seeds: tuple[Address, ...] = ()
     limits: LimitSettings = LimitSettings()
     zone_delays_s: dict[str, float] = pydantic.Field(default_factory=dict)
+    region_delays_s: dict[str, float] = pydantic.Field(default_factory=dict)
 
 
 class BackendSettings(_Model):
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -5,8 +5,9 @@
 import datetime
 from typing import Any
 
-from hibiscusstile import backends, request
+from hibiscusstile import backends, policies, request
 from hibiscusstile import clock as clock_lib
+from hibiscusstile.configuration import view as configuration_view
 
 __all__ = [
     "BENCH_FIGURES",
@@ -16,6 +17,9 @@
     "chat_messages",
     "nested_levels",
     "record",
+    "routed_work",
+    "runner_views",
+    "split_record",
     "work_item",
 ]
 
@@ -219,3 +223,30 @@
             for kind, number, digest, tokens in events
         ),
     )
+
+
+def runner_views(count: int = 6) -> list[policies.RunnerView]:
+    """Returns runners whose loads are not known."""
+    return [policies.RunnerView(f"runner{n}") for n in range(count)]
+
+
+def routed_work(
+    work_id: str, *, question: int = 1, rank: str = "urgent"
+) -> request.WorkItem:
+    """Returns a request behind shared instructions and a member's history."""
+    levels = (
+        request.PrefixLevel(1, 4000),
+        request.PrefixLevel(2, 9000),
+        request.PrefixLevel(1000 + question, 9100),
+    )
+    return work_item(work_id, rank=rank, levels=levels, prompt_tokens=9100)
+
+
+def split_record(*, share: float) -> configuration_view.RoutingPolicy:
+    """Returns a policy record that compares `bidding` with `prefix_hash`."""
+    return configuration_view.RoutingPolicy(
+        "default",
+        "bidding",
+        split_algorithm="prefix_hash",
+        split_share=share,
+    )
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,12 +9,16 @@
 
 _DECISIONS = (
     "admission",
+    "bidder",
     "cacheview",
     "configuration.fold",
     "configuration.view",
     "policies",
+    "policies.bidding",
+    "policies.split",
     "prefix",
     "rendezvous",
+    "zonecost",
 )
 _TRANSPORTS = ("aiohttp", "websockets", "cbor2")
 
--- /dev/null
+++ b/tests/test_policies.py
@@ -0,0 +1,122 @@
+"""Tests of the routing policies."""
+
+from __future__ import annotations
+
+import collections
+
+import pytest
+
+from hibiscusstile import options, outcome, policies, zonecost
+from hibiscusstile.policies import split
+from tests import builders
+
+
+def _bidding(**values: object) -> policies.Policy:
+    return policies.get_policy_by_name("bidding")(values)
+
+
+def test_requests_that_share_a_prefix_have_the_same_homes() -> None:
+    """Guards against hashing the whole prompt, which is never shared."""
+    fleet = builders.runner_views(20)
+    first = builders.routed_work("w1", question=1)
+    second = builders.routed_work("w2", question=2)
+    homes = [
+        [view.runner for view in _bidding().candidates(work, fleet)[:2]]
+        for work in (first, second)
+    ]
+    assert homes[0] == homes[1]
+
+
+def test_without_known_loads_the_candidate_by_load_is_spread() -> None:
+    """Guards against a herd on one runner after all entries restart."""
+    fleet = builders.runner_views(10)
+    drawn = collections.Counter(
+        _bidding()
+        .candidates(builders.routed_work(f"w{n}", question=n), fleet)[-1]
+        .runner
+        for n in range(500)
+    )
+    assert max(drawn.values()) < 150
+
+
+def test_a_new_prefix_goes_to_its_first_home() -> None:
+    """Guards against blocks where no later request looks for them."""
+    policy = _bidding()
+    work = builders.routed_work("w1")
+    names = [v.runner for v in policy.candidates(work, builders.runner_views())]
+    bids = [policies.Bid(name, prefill_s=0.2) for name in names[1:]]
+    bids.append(policies.Bid(names[0], wait_s=0.05, prefill_s=0.2))
+    choice = policy.choose(work, bids)
+    assert choice is not None
+    assert choice.runner == names[0]
+
+
+def test_a_busy_home_loses_to_a_free_runner() -> None:
+    """Guards against urgent work that queues at its home in a flood."""
+    policy = _bidding()
+    work = builders.routed_work("w1", rank="urgent")
+    names = [v.runner for v in policy.candidates(work, builders.runner_views())]
+    bids = [policies.Bid(names[0], wait_s=2.0)]
+    bids += [policies.Bid(name, prefill_s=0.2) for name in names[1:]]
+    choice = policy.choose(work, bids)
+    assert choice is not None
+    assert choice.runner != names[0]
+
+
+@pytest.mark.parametrize("name", policies.policies.names)
+def test_refusing_runners_get_nothing(name: str) -> None:
+    """Guards against work for a runner that has just refused it."""
+    policy = policies.get_policy_by_name(name)({})
+    work = builders.routed_work("w1")
+    refusal = outcome.Reason.OVERLOADED
+    bids = [
+        policies.Bid("runner1", refusal=refusal),
+        policies.Bid("runner2", wait_s=9.0),
+    ]
+    choice = policy.choose(work, bids)
+    assert choice is not None
+    assert choice.runner == "runner2"
+    assert policy.choose(work, bids[:1]) is None
+    assert policy.candidates(work, []) == []
+
+
+def test_bad_options_are_refused() -> None:
+    """Guards against a record whose weights are silently ignored."""
+    for values in ({"homes": 0}, {"recompute_weights": {"urgent": -1}}):
+        with pytest.raises(options.OptionError):
+            _bidding(**values)
+
+
+def test_a_caller_stays_on_its_side_of_a_split() -> None:
+    """Guards against a caller that sees two versions in turn."""
+    record = builders.split_record(share=0.25)
+    sides = []
+    for number in range(400):
+        caller = f"c{number}"
+        seen = {
+            split.choose_side(
+                record, builders.work_item(f"{caller}.{n}", caller=caller)
+            ).split
+            for n in range(3)
+        }
+        assert len(seen) == 1
+        sides.append(seen.pop())
+    assert 60 < sum(sides) < 140
+
+
+def test_a_split_of_nothing_or_everything_is_exact() -> None:
+    """Guards against a rollout that never ends or starts too early."""
+    for share, expected in ((0.0, "bidding"), (1.0, "prefix_hash")):
+        record = builders.split_record(share=share)
+        side = split.choose_side(record, builders.work_item())
+        assert side.algorithm == expected
+
+
+def test_unlisted_zones_and_regions_are_far() -> None:
+    """Guards against a far peer that looks as near as the own zone."""
+    costs = zonecost.ZoneCosts("a", "r1", {"b": 0.003}, {"r2": 0.02})
+    assert costs.cost_s("a", "r1") == 0.0
+    assert costs.cost_s("b", "r1") == 0.003
+    assert costs.cost_s("c", "r1") >= 0.003
+    assert costs.cost_s("a", "r2") == 0.02
+    assert costs.cost_s("a", "r3") > 0.02
