Give a hot prefix more homes

Cause: with one prefix taking half of the requests (a trial setting: hot_prefixes 1, hot_share 0.5), its copies beyond two homes lay on runners drawn by load, where no later request finds them. Change: each entry keeps decayed shares of the prefixes among its requests and asks share x runners x 2 homes, from 2 up to 8. The share is a hint: an entry without it still asks two homes and a runner by load.

--- a/hibiscusstile/policies/bidding.py
+++ b/hibiscusstile/policies/bidding.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection, Mapping, Sequence
 from typing import Any
 
@@ -9,10 +10,13 @@
 
 from hibiscusstile import options as options_lib
 from hibiscusstile import policies, rendezvous, request
+from hibiscusstile.policies import heat
 
 __all__ = ["Bidding"]
 
 _DEFAULT_HOMES = 2
+_MAX_HOMES = 8
+_DEFAULT_SPREAD = 2.0
 _DEFAULT_BY_LOAD = 4
 _DEFAULT_WEIGHTS = {"urgent": 1.0, "routine": 5.0}
 _OTHER_RANKS_WEIGHT = 2.0
@@ -25,10 +29,15 @@
     The whole prompt is never shared, so it is not hashed: the innermost
     level before it has `homes` candidates, of which the first is preferred.
 
-    Options: `homes` (1 to 8); `by_load` (1 to 8), how many runners are
-    compared for the candidate by load; `recompute_weights`, by rank (0 to
-    20), how much a second of recomputation counts beyond the request's own
-    delay: more for work that can wait.
+    A prefix with a large share of the requests has more candidates, up to 8,
+    so that its copies are found again.
+
+    Options: `homes` (1 to 8); `spread` (0 to 10), candidates of a hot prefix
+    as a multiple of its share of the requests times the runners; `by_load`
+    (1 to 8), how many runners are compared for the candidate by load;
+    `recompute_weights`, by rank (0 to 20), how much a second of
+    recomputation counts beyond the request's own delay: more for work that
+    can wait.
     """
 
     name = "bidding"
@@ -40,6 +49,10 @@
         self._homes = options_lib.get_int(
             options, "homes", _DEFAULT_HOMES, least=1, most=8
         )
+        self._spread = options_lib.get_float(
+            options, "spread", _DEFAULT_SPREAD, least=0.0, most=10.0
+        )
+        self._heat = heat.Heat()
         self._by_load = options_lib.get_int(
             options, "by_load", _DEFAULT_BY_LOAD, least=1, most=8
         )
@@ -54,7 +67,7 @@
     ) -> list[policies.RunnerView]:
         """Returns the homes of the prefix and one runner by load."""
         by_name = {view.runner: view for view in fleet}
-        names = _homes(work, by_name, self._homes)
+        names = _homes(work, by_name, self._home_count(work, len(by_name)))
         names += self._least_loaded(work, by_name)
         return [by_name[name] for name in dict.fromkeys(names)]
 
@@ -81,6 +94,14 @@
         best = min(able.values(), key=lambda bid: (cost_s(bid), bid.runner))
         return policies.Choice(best.runner, "soonest_first_token")
 
+    def _home_count(self, work: request.WorkItem, runners: int) -> int:
+        shared = work.levels[:-1] or work.levels
+        if not shared:
+            return 0
+        share = self._heat.note(shared[-1].digest)
+        spread = math.ceil(self._spread * share * runners)
+        return min(max(self._homes, spread), _MAX_HOMES)
+
     def _least_loaded(
         self,
         work: request.WorkItem,
--- /dev/null
+++ b/hibiscusstile/policies/heat.py
@@ -0,0 +1,51 @@
+"""How hot prefixes are, as a share of one entry instance's requests."""
+
+from __future__ import annotations
+
+__all__ = ["Heat"]
+
+_HALF_LIFE_REQUESTS = 150
+_GROWTH = 2 ** (1 / _HALF_LIFE_REQUESTS)
+_PRIOR = 20.0  # requests; keeps the first few from looking hot
+_MAX_ENTRIES = 4096
+_MAX_WEIGHT = 1e9
+
+
+class Heat:
+    """Decayed shares of prefixes among the requests seen.
+
+    The decay counts requests and not seconds, so that the share does not
+    depend on the rate. It is a hint only: a restarted entry has none and
+    learns it again from about a hundred requests.
+    """
+
+    def __init__(self) -> None:
+        self._weight = 1.0
+        self._total = 0.0
+        self._counts: dict[int, float] = {}
+
+    def __len__(self) -> int:
+        return len(self._counts)
+
+    def note(self, digest: int) -> float:
+        """Counts a request for a prefix and returns the prefix's share."""
+        # Later requests weigh more instead of earlier ones less.
+        self._weight *= _GROWTH
+        self._total += self._weight
+        count = self._counts.get(digest, 0.0) + self._weight
+        self._counts[digest] = count
+        share = count / (self._total + _PRIOR * self._weight)
+        if self._weight > _MAX_WEIGHT or len(self._counts) > _MAX_ENTRIES:
+            self._compact()
+        return share
+
+    def _compact(self) -> None:
+        # Entries of less than one request from a few half-lives ago.
+        kept = {
+            digest: count / self._weight
+            for digest, count in self._counts.items()
+            if count > self._weight / 16
+        }
+        self._counts = kept
+        self._total /= self._weight
+        self._weight = 1.0
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -15,6 +15,7 @@
     "OracleCache",
     "cache_events",
     "chat_messages",
+    "cold_levels",
     "nested_levels",
     "record",
     "routed_work",
@@ -250,3 +251,11 @@
         split_algorithm="prefix_hash",
         split_share=share,
     )
+
+
+def cold_levels(number: int) -> tuple[request.PrefixLevel, ...]:
+    """Returns levels that no other number shares."""
+    return (
+        request.PrefixLevel(10_000 + 2 * number, 4000),
+        request.PrefixLevel(10_001 + 2 * number, 4100),
+    )
--- a/tests/test_policies.py
+++ b/tests/test_policies.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hibiscusstile import options, outcome, policies, zonecost
-from hibiscusstile.policies import split
+from hibiscusstile.policies import heat, split
 from tests import builders
 
 
@@ -120,3 +120,30 @@
     assert costs.cost_s("c", "r1") >= 0.003
     assert costs.cost_s("a", "r2") == 0.02
     assert costs.cost_s("a", "r3") > 0.02
+
+
+def test_a_hot_prefix_has_more_homes_and_loses_them_again() -> None:
+    """Guards against a hot prefix that queues at two runners."""
+    policy = _bidding()
+    fleet = builders.runner_views(12)
+    hot = builders.routed_work("hot")
+    usual = len(policy.candidates(hot, fleet))
+    for number in range(300):
+        policy.candidates(builders.routed_work(f"h{number}"), fleet)
+    assert len(policy.candidates(hot, fleet)) > usual + 3
+    for number in range(2000):
+        policy.candidates(
+            builders.work_item(
+                f"w{number}", levels=builders.cold_levels(number)
+            ),
+            fleet,
+        )
+    assert len(policy.candidates(hot, fleet)) <= usual
+
+
+def test_heat_is_bounded() -> None:
+    """Guards against an entry whose memory grows with each new prefix."""
+    hot = heat.Heat()
+    for digest in range(20_000):
+        hot.note(digest)
+    assert len(hot) < 5000
