--- a/bench/engine.py
+++ b/bench/engine.py
@@ -67,7 +67,6 @@
     ) -> None:
         self._sim = sim
         self._engine = fleet.engine
-        self._ranks = fleet.ranks
         self._name = name
         self._starts = 0
         # Blocks with the levels that end in them.
@@ -88,11 +87,11 @@
         """Fresh at each start."""
         return f"{self._name}.{self._starts}"
 
-    def submit(self, attempt: Attempt) -> None:
-        """Takes a request into the batch."""
-        level = self._ranks[attempt.order.work.rank].level
-        attempt.left_tokens = -1
-        heapq.heappush(self._prefills, (level, next(self._arrivals), attempt))
+    def submit(self, attempt: Attempt, priority: int) -> None:
+        """Takes a request into the batch; lower priorities run first."""
+        heapq.heappush(
+            self._prefills, (priority, next(self._arrivals), attempt)
+        )
         self._wake.set()
 
     def crash(self) -> None:
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -3,18 +3,32 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
 
 from bench import assumptions, simulation
 from bench import engine as engine_lib
 from hibiscusstile import admission, request
+from hibiscusstile.configuration import view
 
 __all__ = ["as_attempt", "build_queue"]
 
+_FIRST_TOKEN_TARGET = datetime.timedelta(milliseconds=610)
+
 
 def build_queue(
     sim: simulation.Simulation, fleet: assumptions.Fleet
 ) -> admission.AdmissionQueue:
     """Returns an empty queue with the fleet's bounds."""
+    ranks = {
+        name: view.Rank(
+            name,
+            shape.level,
+            shape.served_share,
+            datetime.timedelta(seconds=shape.queue_time_s),
+            _FIRST_TOKEN_TARGET,
+        )
+        for name, shape in fleet.ranks.items()
+    }
     return admission.AdmissionQueue(
         sim,
         admission.QueueLimits(
@@ -23,7 +37,10 @@
             queued_tokens=fleet.queue.queued_tokens,
             queued_requests=fleet.queue.queued_requests,
             prefill_tokens_per_s=fleet.engine.prefill_tokens_per_s,
+            prefill_ahead_tokens=fleet.queue.prefill_ahead_tokens,
+            lower_rank_share=fleet.queue.lower_rank_share,
         ),
+        lambda: ranks,
     )
 
 
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -112,9 +112,12 @@
                 outcome.Reason.BACKEND_FAILED, "the engine is down"
             )
         deadline_s = self._sim.monotonic() + rank.queue_time_s
-        refusal = self._queue.offer(work, deadline_s)
+        cached = self._view.cached_tokens(attempt.order.salt, work.levels)
+        refusal = self._queue.offer(work, deadline_s, cached)
         if refusal is None:
             self._attempts[work.work_id] = attempt
+            for shed in self._queue.shed():
+                self._attempts.pop(shed.work.work_id).fail()
             self._start_ready()
         return refusal
 
@@ -143,7 +146,9 @@
         while not self._down and (work := self._queue.take()) is not None:
             attempt = self._attempts.pop(work.work_id)
             self._bidder.note_handed(work, attempt.order.salt)
-            self._engine.submit(attempt)
+            self._engine.submit(
+                attempt, self._queue.priority(work.work_id) or 0
+            )
             self._sim.spawn(self._watch(attempt))
 
     def _watch(self, attempt: engine_lib.Attempt) -> simulation.Process:
@@ -160,6 +165,8 @@
                 order.work.prompt_tokens - attempt.cached_tokens,
             )
             self._view.admit(incarnation, order.salt, order.work.levels)
+            self._queue.note_started(attempt.attempt_id)
+            self._start_ready()
         yield attempt.ended
         self._bidder.note_ended(attempt.attempt_id)
         served = 0
--- a/hibiscusstile/bidder.py
+++ b/hibiscusstile/bidder.py
@@ -93,10 +93,10 @@
         rank_level = self._rank_level(work.rank)
         cached = self._view.cached_tokens(salt, work.levels) if salt else 0
         reused = max(cached, self._soon_cached(work, salt, rank_level))
-        refusal = self._queue.check(work)
+        refusal = self._queue.check(work, cached)
         return Offer(
             cached,
-            self._queue.wait_s(work) + self._backlog_s(rank_level),
+            self._queue.wait_s(work, cached) + self._backlog_s(rank_level),
             (work.prompt_tokens - reused) / self._speed,
             self._queue.load,
             refusal.reason if refusal else None,
