Ask other runners when all candidates refuse

Change: the router excludes those that refused and asks again, three rounds at most. The bench does the same.

--- a/bench/engine.py
+++ b/bench/engine.py
@@ -6,6 +6,7 @@
 import dataclasses
 import heapq
 import itertools
+import math
 
 from bench import assumptions, simulation, traffic
 from hibiscusstile import backends
@@ -79,6 +80,11 @@
         self._prefills: list[tuple[int, int, Attempt]] = []
         self._arrivals = itertools.count()
         self._decoding: list[tuple[int, int, Attempt]] = []
+        self._ready: list[Attempt] = []
+        self._decoding_by_rank: collections.Counter[str] = collections.Counter()
+        self._served: collections.Counter[tuple[int, str]] = (
+            collections.Counter()
+        )
         self._step = 0
         self._wake = simulation.Signal(sim)
 
@@ -87,6 +93,11 @@
         """Fresh at each start."""
         return f"{self._name}.{self._starts}"
 
+    def served_tokens(self, rank: str, start_s: float, end_s: float) -> int:
+        """Returns tokens computed for a rank in whole seconds of a window."""
+        seconds = range(math.ceil(start_s), math.floor(end_s))
+        return sum(self._served[second, rank] for second in seconds)
+
     def submit(self, attempt: Attempt, priority: int) -> None:
         """Takes a request into the batch; lower priorities run first."""
         heapq.heappush(
@@ -102,8 +113,11 @@
         self._events.clear()
         self._event_numbers = itertools.count()
         lost = [item[2] for item in (*self._prefills, *self._decoding)]
+        lost += self._ready
         self._prefills.clear()
         self._decoding.clear()
+        self._decoding_by_rank.clear()
+        self._ready = []
         for attempt in lost:
             attempt.fail()
 
@@ -124,45 +138,53 @@
                 self._wake = simulation.Signal(self._sim)
                 yield self._wake
             starts = self._starts
-            computed, ready = self._plan_prefill()
+            computed = self._plan_prefill()
             yield (
                 self._engine.step_s
                 + self._engine.decode_s * len(self._decoding)
                 + computed / self._engine.prefill_tokens_per_s
             )
             if starts == self._starts:
-                self._finish_step(ready)
+                self._finish_step()
 
-    def _plan_prefill(self) -> tuple[int, list[Attempt]]:
+    def _plan_prefill(self) -> int:
         budget = self._engine.prefill_chunk_tokens
-        ready = []
         while self._prefills and budget > 0:
             attempt = self._prefills[0][2]
             if not attempt.in_prefill:
                 self._look_up(attempt)
             part = min(budget, attempt.left_tokens)
             attempt.left_tokens -= part
+            self._note_served(attempt.order.work.rank, part)
             budget -= part
             if attempt.left_tokens > 0:
                 break
             heapq.heappop(self._prefills)
-            ready.append(attempt)
-        return self._engine.prefill_chunk_tokens - budget, ready
+            self._ready.append(attempt)
+        return self._engine.prefill_chunk_tokens - budget
 
-    def _finish_step(self, ready: list[Attempt]) -> None:
+    def _finish_step(self) -> None:
         self._step += 1
+        for rank, count in self._decoding_by_rank.items():
+            self._note_served(rank, count)
         while self._decoding and self._decoding[0][0] <= self._step:
             attempt = heapq.heappop(self._decoding)[2]
+            self._decoding_by_rank[attempt.order.work.rank] -= 1
             attempt.generated = (
                 attempt.order.output_tokens - attempt.resumed_tokens
             )
             attempt.ended.set()
+        ready, self._ready = self._ready, []
         for attempt in ready:
             self._store(attempt.order)
             attempt.started.set()
             left = attempt.order.output_tokens - attempt.resumed_tokens
             entry = (self._step + left, next(self._arrivals), attempt)
             heapq.heappush(self._decoding, entry)
+            self._decoding_by_rank[attempt.order.work.rank] += 1
+
+    def _note_served(self, rank: str, tokens: int) -> None:
+        self._served[int(self._sim.monotonic()), rank] += tokens
 
     def _look_up(self, attempt: Attempt) -> None:
         attempt.in_prefill = True
--- a/bench/entries.py
+++ b/bench/entries.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
-from collections.abc import Mapping, Sequence
+from collections.abc import Generator, Mapping, Sequence
 from typing import Any
 
 from bench import assumptions, simulation, traffic
@@ -14,6 +14,7 @@
 __all__ = ["Entry", "Result"]
 
 _MAX_ATTEMPTS = 4  # as in entry/relay.py
+_MAX_ROUNDS = 3  # as in entry/routing.py
 
 
 @dataclasses.dataclass(slots=True)
@@ -90,15 +91,7 @@
         excluded: set[str] = set()
         generated = 0
         for number in range(1, _MAX_ATTEMPTS + 1):
-            views = self._views(excluded)
-            candidates = self._policy.candidates(result.order.work, views)
-            if self._policy.asks_for_bids:
-                yield from self._travel(candidates)
-                bids = [self._bid(result.order, view) for view in candidates]
-                yield from self._travel(candidates)
-            else:
-                bids = [policies.Bid(view.runner) for view in candidates]
-            choice = self._policy.choose(result.order.work, bids)
+            choice = yield from self._choose(result.order, excluded)
             if choice is None:
                 return
             runner = self._runners[choice.runner]
@@ -111,6 +104,24 @@
                     return
             excluded.add(choice.runner)
 
+    def _choose(
+        self, order: traffic.Order, excluded: set[str]
+    ) -> Generator[float | simulation.Signal, None, policies.Choice | None]:
+        asked = set(excluded)
+        for _ in range(_MAX_ROUNDS):
+            candidates = self._policy.candidates(order.work, self._views(asked))
+            if self._policy.asks_for_bids:
+                yield from self._travel(candidates)
+                bids = [self._bid(order, view) for view in candidates]
+                yield from self._travel(candidates)
+            else:
+                bids = [policies.Bid(view.runner) for view in candidates]
+            choice = self._policy.choose(order.work, bids)
+            if choice is not None or not candidates:
+                return choice
+            asked.update(view.runner for view in candidates)
+        return None
+
     def _relay(
         self,
         result: Result,
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -18,7 +18,6 @@
     "hit_rate",
     "percentile",
     "select",
-    "served_tokens",
 ]
 
 RANKS = ("urgent", "routine")
@@ -86,22 +85,6 @@
     return round(sum(r.answered for r in chosen) / len(chosen), _DIGITS)
 
 
-def served_tokens(
-    results: Sequence[entries.Result],
-    rank: str,
-    start_s: float,
-    end_s: float,
-) -> int:
-    """Returns tokens computed for a rank's answers ended in the window."""
-    return sum(
-        r.computed_tokens + r.order.output_tokens
-        for r in results
-        if r.order.work.rank == rank
-        and r.answered
-        and start_s <= r.end_s < end_s
-    )
-
-
 def figures(
     results: Sequence[entries.Result],
     bound: dict[str, int],
--- a/bench/runner.py
+++ b/bench/runner.py
@@ -64,6 +64,11 @@
         """The sidecar's peer id."""
         return self._name
 
+    @property
+    def engine(self) -> engine_lib.Engine:
+        """The engine."""
+        return self._engine
+
     @property
     def zone(self) -> int:
         """Index of the availability zone."""
--- a/bench/scenarios/floods.py
+++ b/bench/scenarios/floods.py
@@ -96,9 +96,7 @@
         outcome = _run(context, _flood(context, "urgent", 3))
         start_s = context.timeline.event_s + _SETTLE_S
         served = {
-            rank: measures.served_tokens(
-                outcome.results, rank, start_s, start_s + length_s
-            )
+            rank: outcome.served_tokens(rank, start_s, start_s + length_s)
             for rank in measures.RANKS
         }
         share = round(served["routine"] / max(1, sum(served.values())), 4)
--- a/bench/trial.py
+++ b/bench/trial.py
@@ -45,12 +45,14 @@
         stale_bids: Bids that relied on a dead engine's cache.
         overstated_tokens: Tokens that views reported and engines lacked.
         understated_tokens: Tokens that engines reused, not reported.
+        served_tokens: Returns tokens computed for a rank in a window.
     """
 
     results: Sequence[entries.Result]
     stale_bids: int
     overstated_tokens: int
     understated_tokens: int
+    served_tokens: Callable[[str, float, float], int]
 
 
 class Plant:
@@ -163,6 +165,10 @@
         sum(each.stale_bids for each in plant.runners),
         sum(each.overstated_tokens for each in plant.runners),
         sum(each.understated_tokens for each in plant.runners),
+        lambda rank, start_s, end_s: sum(
+            each.engine.served_tokens(rank, start_s, end_s)
+            for each in plant.runners
+        ),
     )
 
 
--- a/hibiscusstile/entry/routing.py
+++ b/hibiscusstile/entry/routing.py
@@ -20,6 +20,7 @@
 _log = logbook.Logger("routing")
 
 _BID_TIMEOUT = datetime.timedelta(milliseconds=60)
+_MAX_ROUNDS = 3  # of bids; a zone's runners may all refuse at once
 _FALLBACK_POLICY = view_lib.RoutingPolicy("fallback", "bidding")
 
 
@@ -61,6 +62,9 @@
     ) -> Route:
         """Returns where the work goes.
 
+        When all candidates refuse, others are asked: after a crash the homes
+        of a prefix may be down together.
+
         Args:
             work: The request.
             policy_name: Name of the routing-policy record.
@@ -70,27 +74,27 @@
             Refused: `no_backend` or the bidders' reason, with `not_run`.
         """
         policy = self._policy(policy_name, work)
-        usable = [
-            view
-            for view in self._fleet.runners(work.model)
-            if view.runner not in excluded
-        ]
-        candidates = policy.candidates(work, usable)
-        if not candidates:
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.NO_BACKEND,
-                    f"no backend server serves model {work.model!r} now",
-                    retry_after=datetime.timedelta(seconds=1),
+        asked = set(excluded)
+        bids: list[policies.Bid] = []
+        for _ in range(_MAX_ROUNDS):
+            usable = [
+                view
+                for view in self._fleet.runners(work.model)
+                if view.runner not in asked
+            ]
+            candidates = policy.candidates(work, usable)
+            if not candidates:
+                break
+            bids = await self._bids(policy, work, candidates)
+            choice = policy.choose(work, bids)
+            self._log_choice(work, bids, choice)
+            if choice is not None:
+                cached = {bid.runner: bid.cached_tokens for bid in bids}
+                return Route(
+                    choice.runner, cached[choice.runner], choice.reason
                 )
-            )
-        bids = await self._bids(policy, work, candidates)
-        choice = policy.choose(work, bids)
-        self._log_choice(work, bids, choice)
-        if choice is None:
-            raise outcome.Refused(_all_refused(bids))
-        cached = {bid.runner: bid.cached_tokens for bid in bids}
-        return Route(choice.runner, cached[choice.runner], choice.reason)
+            asked.update(view.runner for view in candidates)
+        raise outcome.Refused(_all_refused(work, bids))
 
     def _policy(self, name: str, work: request.WorkItem) -> policies.Policy:
         revision = self._store.revision
@@ -177,12 +181,19 @@
     return f"{bid.runner}:{bid.first_token_s:.3f}s/{bid.cached_tokens}"
 
 
-def _all_refused(bids: list[policies.Bid]) -> outcome.Refusal:
+def _all_refused(
+    work: request.WorkItem, bids: list[policies.Bid]
+) -> outcome.Refusal:
     reasons = [bid.refusal for bid in bids if bid.refusal is not None]
-    reason = reasons[0] if reasons else outcome.Reason.NO_BACKEND
-    wait_s = min((bid.wait_s for bid in bids), default=1.0)
+    if not reasons:
+        return outcome.Refusal(
+            outcome.Reason.NO_BACKEND,
+            f"no backend server serves model {work.model!r} now",
+            retry_after=datetime.timedelta(seconds=1),
+        )
+    wait_s = min(bid.wait_s for bid in bids)
     return outcome.Refusal(
-        reason,
+        reasons[0],
         "no backend server can take the request now",
         retry_after=datetime.timedelta(seconds=max(1.0, wait_s)),
     )
