--- a/hibiscusstile/policies/bidding.py
+++ b/hibiscusstile/policies/bidding.py
@@ -18,8 +18,8 @@
 _MAX_HOMES = 8
 _DEFAULT_SPREAD = 2.0
 _DEFAULT_BY_LOAD = 4
-_DEFAULT_WEIGHTS = {"urgent": 1.0, "routine": 5.0}
-_OTHER_RANKS_WEIGHT = 2.0
+_DEFAULT_WEIGHTS = {"urgent": 2.0, "routine": 10.0}
+_OTHER_RANKS_WEIGHT = 4.0
 
 
 @policies.policies.register()
