--- a/bench/assumptions.py
+++ b/bench/assumptions.py
@@ -126,11 +126,16 @@
         queued_tokens: Tokens that may wait.
         queued_requests: Requests that may wait.
         running_tokens: Tokens handed to the engine at once.
+        prefill_ahead_tokens: Prompt tokens handed to the engine and not yet
+            computed.
+        lower_rank_share: Part of the places for ranks below the first.
     """
 
     queued_tokens: _Count
     queued_requests: _Count
     running_tokens: _Count
+    prefill_ahead_tokens: _Count
+    lower_rank_share: _Share
 
 
 class Disturbances(_Model):
--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -18,6 +18,7 @@
     settings,
     supervisor,
     suspects,
+    zonecost,
 )
 from hibiscusstile.configuration import fetching, freshness
 from hibiscusstile.configuration import snapshot as snapshot_lib
@@ -79,6 +80,12 @@
         self._tasks = supervisor.Supervisor("links", clock)
         self._listed = False
         self._membership = membership.Membership(config.region, clock)
+        self._zone_costs = zonecost.ZoneCosts(
+            config.zone,
+            config.region,
+            config.zone_delays_s,
+            config.region_delays_s,
+        )
 
     @property
     def tasks(self) -> supervisor.Supervisor:
@@ -305,10 +312,12 @@
         )
 
     def _view(self, link: client_lib.SidecarLink) -> policies.RunnerView:
-        zone = link.info.zone if link.info else ""
+        info = link.info
+        zone = info.zone if info else ""
+        region = info.region if info else ""
         return policies.RunnerView(
             link.peer_id,
-            self._config.zone_delays_s.get(zone, 0.0),
+            self._zone_costs.cost_s(zone, region),
             link.load,
             link.load_age_s,
         )
--- a/hibiscusstile/entry/routing.py
+++ b/hibiscusstile/entry/routing.py
@@ -13,12 +13,14 @@
 from hibiscusstile.configuration import view as view_lib
 from hibiscusstile.entry import fleet as fleet_lib
 from hibiscusstile.peers import messages
+from hibiscusstile.policies import split
 
 __all__ = ["Route", "Router"]
 
 _log = logbook.Logger("routing")
 
 _BID_TIMEOUT = datetime.timedelta(milliseconds=60)
+_MAX_ROUNDS = 3  # of bids; a zone's runners may all refuse at once
 _FALLBACK_POLICY = view_lib.RoutingPolicy("fallback", "bidding")
 
 
@@ -50,7 +52,7 @@
     ) -> None:
         self._fleet = fleet
         self._store = store
-        self._policies: dict[tuple[int, str], policies.Policy] = {}
+        self._policies: dict[tuple[int, str, bool], policies.Policy] = {}
 
     async def route(
         self,
@@ -60,6 +62,9 @@
     ) -> Route:
         """Returns where the work goes.
 
+        When all candidates refuse, others are asked: after a crash the homes
+        of a prefix may be down together.
+
         Args:
             work: The request.
             policy_name: Name of the routing-policy record.
@@ -68,40 +73,40 @@
         Raises:
             Refused: `no_backend` or the bidders' reason, with `not_run`.
         """
-        policy = self._policy(policy_name)
-        usable = [
-            view
-            for view in self._fleet.runners(work.model)
-            if view.runner not in excluded
-        ]
-        candidates = policy.candidates(work, usable)
-        if not candidates:
-            raise outcome.Refused(
-                outcome.Refusal(
-                    outcome.Reason.NO_BACKEND,
-                    f"no backend server serves model {work.model!r} now",
-                    retry_after=datetime.timedelta(seconds=1),
+        policy = self._policy(policy_name, work)
+        asked = set(excluded)
+        bids: list[policies.Bid] = []
+        for _ in range(_MAX_ROUNDS):
+            usable = [
+                view
+                for view in self._fleet.runners(work.model)
+                if view.runner not in asked
+            ]
+            candidates = policy.candidates(work, usable)
+            if not candidates:
+                break
+            bids = await self._bids(policy, work, candidates)
+            choice = policy.choose(work, bids)
+            self._log_choice(work, bids, choice)
+            if choice is not None:
+                cached = {bid.runner: bid.cached_tokens for bid in bids}
+                return Route(
+                    choice.runner, cached[choice.runner], choice.reason
                 )
-            )
-        bids = await self._bids(policy, work, candidates)
-        choice = policy.choose(work, bids)
-        self._log_choice(work, bids, choice)
-        if choice is None:
-            raise outcome.Refused(_all_refused(bids))
-        cached = {bid.runner: bid.cached_tokens for bid in bids}
-        return Route(choice.runner, cached[choice.runner], choice.reason)
-
-    def _policy(self, name: str) -> policies.Policy:
+            asked.update(view.runner for view in candidates)
+        raise outcome.Refused(_all_refused(work, bids))
+
+    def _policy(self, name: str, work: request.WorkItem) -> policies.Policy:
         revision = self._store.revision
-        policy = self._policies.get((revision, name))
+        record = self._store.view.policies.get(name, _FALLBACK_POLICY)
+        side = split.choose_side(record, work)
+        key = (revision, name, side.split)
+        policy = self._policies.get(key)
         if policy is None:
-            record = self._store.view.policies.get(name, _FALLBACK_POLICY)
-            policy = policies.get_policy_by_name(record.algorithm)(
-                record.options
-            )
+            policy = policies.get_policy_by_name(side.algorithm)(side.options)
             if self._policies and next(iter(self._policies))[0] != revision:
                 self._policies.clear()
-            self._policies[revision, name] = policy
+            self._policies[key] = policy
         return policy
 
     async def _bids(
@@ -176,12 +181,19 @@
     return f"{bid.runner}:{bid.first_token_s:.3f}s/{bid.cached_tokens}"
 
 
-def _all_refused(bids: list[policies.Bid]) -> outcome.Refusal:
+def _all_refused(
+    work: request.WorkItem, bids: list[policies.Bid]
+) -> outcome.Refusal:
     reasons = [bid.refusal for bid in bids if bid.refusal is not None]
-    reason = reasons[0] if reasons else outcome.Reason.NO_BACKEND
-    wait_s = min((bid.wait_s for bid in bids), default=1.0)
+    if not reasons:
+        return outcome.Refusal(
+            outcome.Reason.NO_BACKEND,
+            f"no backend server serves model {work.model!r} now",
+            retry_after=datetime.timedelta(seconds=1),
+        )
+    wait_s = min(bid.wait_s for bid in bids)
     return outcome.Refusal(
-        reason,
+        reasons[0],
         "no backend server can take the request now",
         retry_after=datetime.timedelta(seconds=max(1.0, wait_s)),
     )
--- a/tests/builders/__init__.py
+++ b/tests/builders/__init__.py
@@ -52,6 +52,12 @@
     open_ticket,
     store_with,
 )
+from tests.builders.routing import (
+    cold_levels,
+    routed_work,
+    runner_views,
+    split_record,
+)
 
 __all__ = [
     "BENCH_FIGURES",
@@ -75,6 +81,7 @@
     "chat_messages",
     "chat_request",
     "claims_ledger",
+    "cold_levels",
     "config_entry",
     "config_store",
     "dispatch",
@@ -93,10 +100,13 @@
     "rank_named",
     "rank_table",
     "record",
+    "routed_work",
     "run_now",
+    "runner_views",
     "running_log",
     "service_call",
     "service_reply",
+    "split_record",
     "store_with",
     "work_item",
     "workspace_body",
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,6 +9,7 @@
 
 _DECISIONS = (
     "admission",
+    "bidder",
     "cacheview",
     "configuration.fetching",
     "claims.ledger",
@@ -23,10 +24,13 @@
     "placement.leases",
     "placement.plan",
     "policies",
+    "policies.bidding",
+    "policies.split",
     "prefix",
     "rendezvous",
     "retrybudget",
     "suspects",
+    "zonecost",
 )
 _TRANSPORTS = ("aiohttp", "websockets", "cbor2")
 
