Prove that a request crashes at most two engines

Cause: the charge of a crash was proved on the classes only.

Change: a scenario with separate processes sends a marked prompt six times through two entry instances, under load.

--- a/tests/features/failures.feature
+++ b/tests/features/failures.feature
@@ -50,3 +50,9 @@
     Given a fleet under load
     When a payment's sidecar is frozen and the payment is sent again
     Then the payment has run at most once and no verdict was false
+
+  Scenario: A request crashes every engine that runs it
+    Given a fleet under load
+    When a request that crashes engines is sent again and again
+    Then it has crashed at most two engines and is refused by all entries
+    And every caller got its own whole answer
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -185,6 +185,24 @@
             assert ran.count(amount) == 0, (amount, outcomes)
 
 
+@when("a request that crashes engines is sent again and again")
+def poison_is_sent(world: world_lib.World) -> None:
+    world.notes["before"] = _incarnations(world)
+    world.notes["poison"] = world.run(_send_poison(world))
+
+
+@then("it has crashed at most two engines and is refused by all entries")
+def poison_is_refused(world: world_lib.World) -> None:
+    after = _incarnations(world)
+    crashed = sum(
+        old != new
+        for old, new in zip(world.notes["before"], after, strict=True)
+    )
+    answers = world.notes["poison"]
+    assert crashed <= 2, answers
+    assert [answer.error["type"] for answer in answers[-2:]] == ["suspect"] * 2
+
+
 @then("every caller got its own whole answer")
 def answers_are_whole(world: world_lib.World) -> None:
     world.run(world.end_load())
@@ -197,6 +215,28 @@
     return runs
 
 
+def _incarnations(world: world_lib.World) -> list[str]:
+    names = [engine.name for engine in world.fleet.engines]
+    return [world.run(world.fleet.record(n))["incarnation"] for n in names]
+
+
+async def _send_poison(world: world_lib.World) -> list[callers.Answer]:
+    answers = []
+    for number in range(6):
+        entry = world.fleet.entries[number % 2]
+        async with callers.open_session() as session:
+            answers.append(
+                await callers.send_chat(
+                    session,
+                    world.fleet.urls[entry.name],
+                    world.fleet.keys["contracts"],
+                    builders.chat_messages("CRASH-THE-ENGINE"),
+                )
+            )
+        await asyncio.sleep(0.3)
+    return answers
+
+
 async def _gather(coroutines: list[Any]) -> list[Any]:
     return list(await asyncio.gather(*coroutines))
 
