Announce new revisions to peers and repeat lost fetches

A process that could not read the log learned of a change from the next message of a peer, on an idle link after 10 s. An entry instance that started with the log down sent its first fetch before the link was marked connected, lost it, and stayed without configuration until the first ping. Revisions are now announced with their digest, fetches are repeated to another peer, and a link counts as connected from the sidecar's hello on.

--- a/hibiscusstile/configuration/fetching.py
+++ b/hibiscusstile/configuration/fetching.py
@@ -31,6 +31,7 @@
         self._fetched_s: float | None = None
         self._fetched_at_revision = _WHOLE_STATE
         self._wants_whole_state = False
+        self._newest_revision = _WHOLE_STATE
 
     def next_fetch(self, peer_revision: int) -> int | None:
         """Returns the revision to name in a fetch, None for no fetch now.
@@ -38,6 +39,7 @@
         Args:
             peer_revision: The revision in force at the peer.
         """
+        self._newest_revision = max(self._newest_revision, peer_revision)
         revision = self._revision()
         if peer_revision <= revision:
             return None
@@ -53,6 +55,14 @@
         self._fetched_at_revision = revision
         return _WHOLE_STATE if self._wants_whole_state else revision
 
+    def next_retry(self) -> int | None:
+        """Returns the revision to name in a repeated fetch, None for none.
+
+        A fetch is repeated while a newer revision is known of and no state
+        that contains it has arrived.
+        """
+        return self.next_fetch(self._newest_revision)
+
     def note_answer(self, refused: bool) -> None:
         """Notes whether the state that a peer sent was refused.
 
--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -15,7 +15,7 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
-from hibiscusstile.peers import handshake, messages
+from hibiscusstile.peers import exchange, handshake, messages
 
 __all__ = ["Fleet"]
 
@@ -72,6 +72,18 @@
         """All links, connected or not."""
         return tuple(self._links.values())
 
+    @property
+    def senders(self) -> Sequence[client_lib.SidecarLink]:
+        """The links that are connected."""
+        return [link for link in self._links.values() if link.connected]
+
+    @property
+    def exchange(self) -> exchange.RevisionExchange:
+        """Exchanges revisions with the connected sidecars."""
+        return exchange.RevisionExchange(
+            self._store, self._fetches, self, self._clock
+        )
+
     def link(self, peer_id: str) -> client_lib.SidecarLink | None:
         """Returns the usable link to a sidecar, None if there is none."""
         for each in self._links.values():
@@ -148,6 +160,8 @@
         match message:
             case messages.ConfigState():
                 self._adopt(message)
+            case messages.ConfigDigest():
+                exchange.check_digest(self._store, message, link.peer_id)
             case messages.ConfigFetch():
                 await self._send_state(link, message.revision)
             case messages.Leaving():
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -301,18 +301,16 @@
                 async with asyncio.timeout(_PONG_TIMEOUT.total_seconds()):
                     envelope = await connection.receive()
             self._misses = 0
+            if isinstance(envelope.message, messages.Hello):
+                # A newer revision is fetched over this link at once.
+                self._connection = connection
             if envelope.revision > self._revision():
                 await self._observer.on_revision(self, envelope.revision)
-            await self._route(connection, envelope.message)
+            await self._route(envelope.message)
 
-    async def _route(
-        self,
-        connection: connection_lib.PeerConnection,
-        message: messages.PeerMessage,
-    ) -> None:
+    async def _route(self, message: messages.PeerMessage) -> None:
         if isinstance(message, messages.Hello):
             self._info = message.info
-            self._connection = connection
             await self._observer.on_hello(self, message)
             self._ready.set()
         elif isinstance(message, messages.BidReply):
--- /dev/null
+++ b/hibiscusstile/peers/exchange.py
@@ -0,0 +1,115 @@
+"""Keeps peers' configuration together when some cannot read the log."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import random
+from collections.abc import Iterable
+from typing import Protocol
+
+import logbook
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.configuration import fetching
+from hibiscusstile.configuration import store as store_lib
+from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.peers import messages
+
+__all__ = ["PeerSender", "RevisionExchange", "check_digest"]
+
+_log = logbook.Logger("configuration")
+
+_TICK = datetime.timedelta(milliseconds=500)
+_SEND_TIMEOUT_S = 1.0
+
+
+class PeerSender(Protocol):
+    """A connection or link over which messages go to one peer."""
+
+    async def send(self, message: messages.PeerMessage) -> None:
+        """Sends a message.
+
+        Raises:
+            ConnectionLost: The connection has ended.
+        """
+
+
+class PeerGroup(Protocol):
+    """The connected peers of a process."""
+
+    @property
+    def senders(self) -> Iterable[PeerSender]:
+        """Those that are connected now."""
+
+
+class RevisionExchange:
+    """Announces a new revision to all peers, and repeats lost fetches.
+
+    Idle links carry a message each 10 s only, which is too rare for a change
+    to be in force everywhere within 6 s where the log cannot be read.
+
+    Args:
+        store: The configuration in force.
+        fetches: Knows whether a newer one exists elsewhere.
+        peers: The connected peers.
+        clock: Paces the exchange.
+    """
+
+    def __init__(
+        self,
+        store: store_lib.ConfigurationStore,
+        fetches: fetching.FetchPacer,
+        peers: PeerGroup,
+        clock: clock_lib.Clock,
+    ) -> None:
+        self._store = store
+        self._fetches = fetches
+        self._peers = peers
+        self._clock = clock
+
+    async def run(self) -> None:
+        """Announces and fetches until cancelled."""
+        announced = self._store.revision
+        while True:
+            await self._clock.sleep(_TICK)
+            if self._store.revision != announced:
+                announced = self._store.revision
+                await self._announce()
+            since = self._fetches.next_retry()
+            senders = list(self._peers.senders)
+            if since is not None and senders:
+                fetch = messages.ConfigFetch(since)
+                await _send(random.choice(senders), fetch)
+
+    async def _announce(self) -> None:
+        digest = messages.ConfigDigest(self._store.revision, self._store.digest)
+        await asyncio.gather(
+            *(_send(sender, digest) for sender in self._peers.senders)
+        )
+
+
+def check_digest(
+    store: store_lib.ConfigurationStore,
+    message: messages.ConfigDigest,
+    peer: str,
+) -> None:
+    """Logs that a peer holds another state at the same revision."""
+    if message.revision != store.revision or message.digest == store.digest:
+        return
+    _log.error(
+        "configuration_diverged peer={} revision={} own={} other={}",
+        peer,
+        message.revision,
+        store.digest,
+        message.digest,
+    )
+
+
+async def _send(sender: PeerSender, message: messages.PeerMessage) -> None:
+    # A frozen peer must not hold up the others.
+    try:
+        async with asyncio.timeout(_SEND_TIMEOUT_S):
+            await sender.send(message)
+    except (connection_lib.ConnectionLost, TimeoutError):
+        return
--- a/hibiscusstile/peers/messages.py
+++ b/hibiscusstile/peers/messages.py
@@ -23,6 +23,7 @@
     "Chunk",
     "ClaimAnswer",
     "ClaimQuery",
+    "ConfigDigest",
     "ConfigFetch",
     "ConfigState",
     "Dispatch",
@@ -378,6 +379,21 @@
     replayed: bool = False
 
 
+@message_types.register()
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigDigest(PeerMessage):
+    """A new revision is in force at the sender.
+
+    Attributes:
+        revision: The revision.
+        digest: Hexadecimal digest of the folded state.
+    """
+
+    name = "config_digest"
+    revision: int
+    digest: ShortText
+
+
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigFetch(PeerMessage):
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -21,6 +21,7 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.entry import (
     calls,
+    confirmation,
     fleet,
     front,
     listener,
@@ -72,6 +73,9 @@
             clock,
             self._fresh,
         )
+        self._confirmation = confirmation.Confirmation(
+            self._fresh, self._fleet, self._follower
+        )
         router = routing.Router(self._fleet, self._store)
         self._front = front.Front(
             config.limits,
@@ -96,6 +100,11 @@
             "operators": self._operators.port,
         }
 
+    @property
+    def confirmation(self) -> confirmation.Confirmation:
+        """Confirms the configuration before a request is served."""
+        return self._confirmation
+
     def status(self) -> dict[str, object]:
         """Returns what the operators' port shows."""
         return {
@@ -130,6 +139,7 @@
             ("configuration", self._follower.run),
             ("snapshots", snapshotter.run),
             ("links", self._fleet.tasks.run),
+            ("revisions", self._fleet.exchange.run),
             ("fleet", self._fleet.run),
             ("operators", self._operators.run),
             ("http", self._listener.run),
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -23,7 +23,7 @@
 from hibiscusstile.configuration import fetching, snapshot_stream
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
-from hibiscusstile.peers import handshake, messages
+from hibiscusstile.peers import exchange, handshake, messages
 from hibiscusstile.peers import server as server_lib
 from hibiscusstile.sidecar import cachefeed, executor, service, turns
 
@@ -71,6 +71,7 @@
             self._store,
             clock,
         )
+        self._fetches = fetching.FetchPacer(clock, lambda: self._store.revision)
         self._service = service.SidecarService(
             self._info,
             self._store,
@@ -78,7 +79,7 @@
             self._turns,
             self._view,
             config.queue.prefill_tokens_per_s,
-            fetching.FetchPacer(clock, lambda: self._store.revision),
+            self._fetches,
         )
         self._server = server_lib.PeerServer(
             handshake.Identity(config.peer_id, _ROLE),
@@ -125,6 +126,7 @@
             ("executor", self._executor.run),
             ("engine", self._run_engine),
             ("peers", self._server.run),
+            ("revisions", self._exchange().run),
             ("operators", self._operators.run),
         ]
         for name, start in specs:
@@ -159,6 +161,11 @@
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
+    def _exchange(self) -> exchange.RevisionExchange:
+        return exchange.RevisionExchange(
+            self._store, self._fetches, self._service, self._clock
+        )
+
     def _snapshotter(self) -> snapshot_stream.Snapshotter:
         return snapshot_stream.Snapshotter(
             self._log,
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import logbook
 
@@ -10,7 +10,7 @@
 from hibiscusstile.configuration import fetching
 from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
-from hibiscusstile.peers import codec, handshake, messages
+from hibiscusstile.peers import codec, exchange, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.sidecar import executor as executor_lib
 from hibiscusstile.sidecar import turns as turns_lib
@@ -57,6 +57,11 @@
         """How many peers are connected."""
         return len(self._connections)
 
+    @property
+    def senders(self) -> Sequence[connection_lib.PeerConnection]:
+        """The connections."""
+        return tuple(self._connections)
+
     async def serve(
         self,
         connection: connection_lib.PeerConnection,
@@ -106,6 +111,8 @@
                 await self._executor.resume(connection, message)
             case messages.Ping():
                 await connection.send(messages.Pong(message.number))
+            case messages.ConfigDigest():
+                exchange.check_digest(self._store, message, connection.remote)
             case messages.ConfigFetch():
                 await self._send_state(connection, message.revision)
             case messages.ConfigState():
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,7 +11,7 @@
 from typing import Any, TypeVar
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import platform, records, request
+from hibiscusstile import platform, records, request, settings
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile_standins import log as log_standin
 
@@ -22,6 +22,7 @@
     "chat_messages",
     "config_entry",
     "config_store",
+    "process_settings",
     "record",
     "run_now",
     "running_log",
@@ -249,3 +250,36 @@
         thread.join()
         loop.run_until_complete(service.close())
         loop.close()
+
+
+def process_settings(
+    role: str, peer_id: str, log_url: str, list_url: str, **fields: Any
+) -> settings.EntrySettings | settings.SidecarSettings:
+    """Returns settings of a process on loopback with free ports.
+
+    The peer secret is read from the environment variable `PEER_SECRET`.
+    """
+    anywhere = {"host": "127.0.0.1", "port": 0}
+    own: dict[str, Any] = {"http": anywhere}
+    if role == "sidecar":
+        backend = {"kind": "plain_service", "url": "http://127.0.0.1:1"}
+        own = {"peers": anywhere, "backend": {**backend, "application": "a"}}
+    return settings.parse_settings(
+        json.dumps(
+            {
+                "role": role,
+                "peer_id": peer_id,
+                "zone": "az-1",
+                "region": "south",
+                "operators": anywhere,
+                "platform": {
+                    "log": {"url": log_url},
+                    "instance_list": {"url": list_url},
+                },
+                "peer_secret": {"environment": "PEER_SECRET"},
+                "stop": {"balancer_delay_s": 0, "deadline_s": 1},
+                **own,
+                **fields,
+            }
+        )
+    )
--- a/tests/configuration/test_freshness.py
+++ b/tests/configuration/test_freshness.py
@@ -79,3 +79,6 @@
     pacer.note_answer(refused=False)
     clock.advance(1.1)
     assert pacer.next_fetch(6) == 5
+    assert pacer.next_retry() is None
+    clock.advance(1.1)
+    assert pacer.next_retry() == 5
--- /dev/null
+++ b/tests/configuration/test_processes.py
@@ -0,0 +1,118 @@
+"""Tests of configuration in whole processes with sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import pytest
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import daemon
+from hibiscusstile.configuration import follower as follower_lib
+from hibiscusstile_standins import log as log_standin
+from tests import builders
+
+_RANK = json.dumps(builders.record("rank", "routine", level=1)).encode()
+_UNUSED = "http://127.0.0.1:1"
+
+
+@pytest.fixture
+async def log(
+    monkeypatch: pytest.MonkeyPatch,
+) -> AsyncIterator[log_standin.LogService]:
+    """A log with one record."""
+    monkeypatch.setenv("PEER_SECRET", "s" * 32)
+    service = log_standin.LogService()
+    await service.start()
+    await service.append(follower_lib.CONFIG_STREAM, _RANK)
+    yield service
+    await service.close()
+
+
+@contextlib.asynccontextmanager
+async def _running(
+    role: str, name: str, log_url: str, **fields: Any
+) -> AsyncIterator[Any]:
+    config = builders.process_settings(role, name, log_url, _UNUSED, **fields)
+    process = daemon.Process(config, clock_lib.SystemClock())
+    stop = asyncio.Event()
+    task = asyncio.ensure_future(process.run(stop))
+    await process.role.wait_ready()
+    try:
+        yield process.role
+    finally:
+        stop.set()
+        await task
+
+
+async def _wait_for_revision(role: Any, revision: int, limit_s: float) -> None:
+    for _ in range(int(limit_s / 0.02)):
+        if role.status()["revision"] == revision:
+            return
+        await asyncio.sleep(0.02)
+    raise AssertionError(f"{role.status()} is not at revision {revision}")
+
+
+def _seeds(sidecar: Any) -> list[dict[str, Any]]:
+    return [{"host": "127.0.0.1", "port": sidecar.ports["peers"]}]
+
+
+async def test_processes_start_from_peers_while_the_log_is_down(
+    log: log_standin.LogService,
+) -> None:
+    """Guards invariants 3 and 8 when instances restart with the log down."""
+    async with _running("sidecar", "s1", log.url) as sidecar:
+        await _wait_for_revision(sidecar, 0, 5)
+        log.set_down(True)
+        async with _running(
+            "entry", "e1", log.url, seeds=_seeds(sidecar)
+        ) as entry:
+            await _wait_for_revision(entry, 0, 2)
+            assert entry.status()["digest"] == sidecar.status()["digest"]
+
+
+async def test_a_change_reaches_a_process_that_cannot_read_the_log(
+    log: log_standin.LogService,
+) -> None:
+    """Guards invariant 8 for an entry and a sidecar cut off from the log."""
+    async with (
+        _running("sidecar", "s1", _UNUSED) as first,
+        _running("sidecar", "s2", log.url) as second,
+    ):
+        seeds = [*_seeds(first), *_seeds(second)]
+        async with _running("entry", "e1", _UNUSED, seeds=seeds) as entry:
+            await _wait_for_revision(first, 0, 6)
+            await asyncio.sleep(1)
+            offset = await log.append(follower_lib.CONFIG_STREAM, _RANK)
+            for each in (second, entry, first):
+                await _wait_for_revision(each, offset, 5)
+
+
+async def test_an_idle_entry_confirms_with_peers_or_with_the_log(
+    log: log_standin.LogService,
+) -> None:
+    """Guards an entry that wakes: it asks before it serves, or refuses."""
+    async with _running("sidecar", "s1", log.url) as sidecar:
+        await _wait_for_revision(sidecar, 0, 5)
+        async with _running(
+            "entry", "e1", log.url, seeds=_seeds(sidecar)
+        ) as entry:
+            await _wait_for_revision(entry, 0, 5)
+            await asyncio.sleep(4)
+            assert not entry.status()["fresh"]
+            assert await entry.confirmation.ensure()
+            assert entry.status()["fresh"]
+            log.set_down(True)
+            await asyncio.sleep(3.5)
+            assert await entry.confirmation.ensure()
+    log.set_down(False)
+    async with _running("entry", "e2", log.url) as alone:
+        await _wait_for_revision(alone, 0, 5)
+        assert await alone.confirmation.ensure()
+        log.set_down(True)
+        await asyncio.sleep(3.5)
+        assert not await alone.confirmation.ensure()
