--- a/hibiscusstile/ctl/files.py
+++ b/hibiscusstile/ctl/files.py
@@ -17,6 +17,7 @@
 FileFault = settings.SettingsFault
 # A list of records is one level deeper than a record.
 _MAX_DEPTH = envelope_lib.MAX_DEPTH + 1
+_RECORD_FIELDS = {"kind", "schema_version", "body"}
 _TIMESTAMP_TAG = "tag:yaml.org,2002:timestamp"
 
 
@@ -81,5 +82,7 @@
         return True
     first = documents[0]
     return isinstance(first, list) or (
-        isinstance(first, dict) and "kind" in first and "role" not in first
+        isinstance(first, dict)
+        and "role" not in first
+        and not _RECORD_FIELDS.isdisjoint(first)
     )
