Append several records in one step of the configuration fuzz

With twenty rules and one append a step, a run had few appends, and the fixed run missed the mutant that drops earlier bodies once the test's text changed. A step now appends up to six records; the oracle has a module of its own.

--- a/tests/configuration/test_machine.py
+++ b/tests/configuration/test_machine.py
@@ -16,6 +16,7 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.ctl import appending
 from tests import builders
+from tests.configuration import oracle
 
 _RETENTION = datetime.timedelta(days=2)
 _OUTAGE = datetime.timedelta(hours=1)
@@ -48,66 +49,6 @@
         )
 
 
-class _Oracle:
-    """Folds a list of records from its start for every question."""
-
-    def __init__(self) -> None:
-        self.entries: list[dict[str, Any] | None] = []
-
-    def accepted(self, end: int) -> list[tuple[int, dict[str, Any]]]:
-        """Returns the accepted records below an offset."""
-        result: list[tuple[int, dict[str, Any]]] = []
-        for offset, record in enumerate(self.entries[:end]):
-            if record is None:
-                continue
-            expected = record.get("expect_revision")
-            current = self._newest(result, record)
-            if expected is None or expected == current:
-                result.append((offset, record))
-        return result
-
-    def state(self, end: int) -> dict[tuple[Any, ...], tuple[int, Any]]:
-        """Returns offset and body of the newest record of each key."""
-        return {
-            (r["kind"], r["name"], r["schema_version"]): (offset, r["body"])
-            for offset, r in self.accepted(end)
-        }
-
-    def weights(self, end: int, versions: int) -> dict[str, float]:
-        """Returns the weight in force of each workspace."""
-        result: dict[str, float] = {}
-        for version in range(1, versions + 1):
-            for _, record in self.accepted(end):
-                weight = record["body"]["weight"]
-                if record["schema_version"] == version and weight > 0:
-                    result[record["name"]] = weight
-        return result
-
-    def invalid_in_a_row(self, name: str, version: int) -> int:
-        """Returns how many newest bodies of a key are invalid."""
-        count = 0
-        for record in self.entries:
-            if record and (record["name"], record["schema_version"]) == (
-                name,
-                version,
-            ):
-                count = 0 if record["body"]["weight"] > 0 else count + 1
-        return count
-
-    @staticmethod
-    def _newest(
-        accepted: list[tuple[int, dict[str, Any]]], record: dict[str, Any]
-    ) -> int:
-        return max(
-            (
-                offset
-                for offset, other in accepted
-                if other["name"] == record["name"]
-            ),
-            default=-1,
-        )
-
-
 class ConfigurationMachine(stateful.RuleBasedStateMachine):
     """Operators, processes of two versions, and a log that forgets."""
 
@@ -115,26 +56,31 @@
         super().__init__()
         self.clock = builders.ManualClock()
         self.log = builders.FakeLog(self.clock)
-        self.oracle = _Oracle()
+        self.oracle = oracle.ListFold()
         self.processes = [self._start(n) for n in range(len(_SCHEMA_VERSIONS))]
         self.digests: dict[int, str] = {}
         self.lengths = [(self.clock.monotonic(), 0)]
         self.down_since: float | None = None
 
     @stateful.rule(
-        name=_NAMES,
-        version=st.integers(1, 2),
-        weight=st.one_of(st.just(-1), st.integers(1, 50)),
-        writers=st.integers(1, 3),
-        expects=st.sampled_from(["nothing", "current", "old"]),
+        changes=st.lists(
+            st.tuples(
+                _NAMES,
+                st.integers(1, 2),
+                st.one_of(st.just(-1), st.integers(1, 50)),
+                st.integers(1, 3),
+                st.sampled_from(["nothing", "current", "old"]),
+            ),
+            min_size=1,
+            max_size=6,
+        )
     )
-    def append(
-        self, name: str, version: int, weight: int, writers: int, expects: str
-    ) -> None:
+    def append(self, changes: list[tuple[str, int, int, int, str]]) -> None:
         """Operators who read the same state append one after another."""
-        record = self._record(name, version, weight, expects)
-        for _ in range(writers):
-            self._put(json.dumps(record).encode(), record)
+        for name, version, weight, writers, expects in changes:
+            record = self._record(name, version, weight, expects)
+            for _ in range(writers):
+                self._put(json.dumps(record).encode(), record)
 
     @stateful.rule(payload=st.sampled_from(_JUNK))
     def append_junk(self, payload: bytes) -> None:
