--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -336,25 +336,21 @@
             self._misses = 0
             if self._clock.monotonic() - self._sent_s > _PING_INTERVAL_S:
                 await self._ping(connection)
-            # The hello must be known first: without it a fetch of the newer
-            # configuration finds no connection to go out on.
-            await self._route(connection, envelope.message)
+            if isinstance(envelope.message, messages.Hello):
+                # A newer revision is fetched over this link at once.
+                self._connection = connection
             if envelope.revision > self._revision():
                 await self._observer.on_revision(self, envelope.revision)
+            await self._route(envelope.message)
 
     async def _ping(self, connection: connection_lib.PeerConnection) -> None:
         """Shows the sidecar that this process lives, and asks the same."""
         self._sent_s = self._clock.monotonic()
         await connection.send(messages.Ping(self.next_number()))
 
-    async def _route(
-        self,
-        connection: connection_lib.PeerConnection,
-        message: messages.PeerMessage,
-    ) -> None:
+    async def _route(self, message: messages.PeerMessage) -> None:
         if isinstance(message, messages.Hello):
             self._info = message.info
-            self._connection = connection
             await self._observer.on_hello(self, message)
             self._ready.set()
         elif isinstance(message, messages.BidReply):
--- a/hibiscusstile/peers/messages.py
+++ b/hibiscusstile/peers/messages.py
@@ -22,6 +22,7 @@
     "CallReply",
     "Cancel",
     "Chunk",
+    "ConfigDigest",
     "ConfigFetch",
     "ConfigState",
     "Dispatch",
@@ -426,6 +427,21 @@
     replayed: bool = False
 
 
+@message_types.register()
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigDigest(PeerMessage):
+    """A new revision is in force at the sender.
+
+    Attributes:
+        revision: The revision.
+        digest: Hexadecimal digest of the folded state.
+    """
+
+    name = "config_digest"
+    revision: int
+    digest: ShortText
+
+
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigFetch(PeerMessage):
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -24,6 +24,7 @@
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.entry import (
     calls,
+    confirmation,
     fleet,
     front,
     listener,
@@ -37,7 +38,6 @@
 
 _log = logbook.Logger("entry")
 
-_CONFIRM_PATIENCE = datetime.timedelta(milliseconds=500)
 _DRAIN_POLL = datetime.timedelta(milliseconds=50)
 _ROLE = "entry"
 
@@ -79,6 +79,9 @@
             clock,
             self._fresh,
         )
+        self._confirmation = confirmation.Confirmation(
+            self._fresh, self._fleet, self._follower
+        )
         router = routing.Router(self._fleet, self._store)
         self._budget = retrybudget.RetryBudget()
         self._front = front.Front(
@@ -93,7 +96,7 @@
             ),
             calls.Calls(self._fleet, self._budget, clock),
             lambda: not self._leaving and self._store.revision >= 0,
-            self._confirm,
+            self._confirmation.ensure,
             clock,
         )
         self._listener = listener.Listener(
@@ -111,6 +114,11 @@
             "operators": self._operators.port,
         }
 
+    @property
+    def confirmation(self) -> confirmation.Confirmation:
+        """Confirms the configuration before a request is served."""
+        return self._confirmation
+
     def status(self) -> dict[str, object]:
         """Returns what the operators' port shows."""
         return {
@@ -151,6 +159,7 @@
             ("snapshots", snapshotter.run),
             ("links", self._fleet.tasks.run),
             ("suspects", crashes.run),
+            ("revisions", self._fleet.exchange.run),
             ("fleet", self._fleet.run),
             ("operators", self._operators.run),
             ("http", self._serve_http),
@@ -183,11 +192,6 @@
         await self._log.close()
         await self._instance_list.close()
 
-    async def _confirm(self) -> bool:
-        if self._fresh.is_fresh:
-            return True
-        return await self._fleet.confirm(_CONFIRM_PATIENCE)
-
     async def _serve_http(self) -> None:
         """Opens the callers' port once requests can be served."""
         await self._fleet.wait_prepared()
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -27,7 +27,7 @@
 from hibiscusstile.configuration import fetching, snapshot_stream
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
-from hibiscusstile.peers import handshake, messages
+from hibiscusstile.peers import exchange, handshake, messages
 from hibiscusstile.peers import server as server_lib
 from hibiscusstile.sidecar import (
     cachefeed,
@@ -124,6 +124,7 @@
             self._ledger,
             clock,
         )
+        self._fetches = fetching.FetchPacer(clock, lambda: self._store.revision)
         self._service = service.SidecarService(
             self._info,
             self._store,
@@ -133,7 +134,7 @@
             self._scopes,
             self._suspicion,
             lambda: self._discovery.peers,
-            fetching.FetchPacer(clock, lambda: self._store.revision),
+            self._fetches,
         )
         self._watch: enginewatch.EngineWatch | None = None
         if isinstance(self._backend, backends.EngineBackend):
@@ -195,6 +196,7 @@
             ("discovery", self._discovery.run),
             ("suspects", self._appender.run),
             ("peers", self._server.run),
+            ("revisions", self._exchange().run),
             ("operators", self._operators.run),
         ]
         if self._ledger is not None:
@@ -273,6 +275,11 @@
             watch.poll,
         )
 
+    def _exchange(self) -> exchange.RevisionExchange:
+        return exchange.RevisionExchange(
+            self._store, self._fetches, self._service, self._clock
+        )
+
     def _snapshotter(self) -> snapshot_stream.Snapshotter:
         return snapshot_stream.Snapshotter(
             self._log,
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import datetime
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import logbook
 
@@ -13,7 +13,7 @@
 from hibiscusstile.configuration import fetching
 from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
-from hibiscusstile.peers import codec, handshake, messages
+from hibiscusstile.peers import codec, exchange, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
@@ -72,6 +72,11 @@
         """How many peers are connected."""
         return len(self._connections)
 
+    @property
+    def senders(self) -> Sequence[connection_lib.PeerConnection]:
+        """The connections."""
+        return tuple(self._connections)
+
     async def serve(
         self,
         connection: connection_lib.PeerConnection,
@@ -141,6 +146,17 @@
                 await self._suspicion.merge(message, connection)
             case messages.Ping():
                 await connection.send(messages.Pong(message.number))
+            case _:
+                await self._handle_configuration(connection, message)
+
+    async def _handle_configuration(
+        self,
+        connection: connection_lib.PeerConnection,
+        message: messages.PeerMessage,
+    ) -> None:
+        match message:
+            case messages.ConfigDigest():
+                exchange.check_digest(self._store, message, connection.remote)
             case messages.ConfigFetch():
                 await self._send_state(connection, message.revision)
             case messages.ConfigState():
--- a/tests/builders/__init__.py
+++ b/tests/builders/__init__.py
@@ -52,6 +52,9 @@
     open_ticket,
     store_with,
 )
+from tests.builders.peers import (
+    process_settings,
+)
 from tests.builders.routing import (
     cold_levels,
     routed_work,
@@ -95,6 +98,7 @@
     "nested_prompt",
     "open_ticket",
     "poisson_arrivals",
+    "process_settings",
     "publish",
     "queue_limits",
     "rank_named",
