--- /dev/null
+++ b/hibiscusstile/entry/eventstream.py
@@ -0,0 +1,136 @@
+"""Server-sent events of one streamed answer."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import json
+from typing import Any
+
+from aiohttp import hdrs, web
+
+from hibiscusstile import metrics, outcome
+from hibiscusstile.entry import chunkreader, refusals, relay
+
+__all__ = ["EventStream", "usage_fields"]
+
+_WRITE_TIMEOUT = datetime.timedelta(seconds=30)
+_SMALL_BYTES = 16 * 1024
+
+
+class EventStream:
+    """Writes an answer to its caller, event by event.
+
+    The parts of an event that stay the same are encoded once an answer,
+    since one event is sent for each generated token.
+
+    Args:
+        request: The caller's request.
+        work: The request on its way.
+    """
+
+    def __init__(self, request: web.Request, work: relay.ChatWork) -> None:
+        self._request = request
+        self._work = work
+        self._response = web.StreamResponse(
+            headers={
+                hdrs.CONTENT_TYPE: "text/event-stream",
+                hdrs.CACHE_CONTROL: "no-store",
+                refusals.REQUEST_ID_HEADER: work.item.work_id,
+            }
+        )
+        common = json.dumps(self._common())[:-1]
+        self._text_head = (
+            f'data: {common}, "choices": [{{"index": 0, "delta": {{"content": '
+        )
+        self._text_tail = '}, "finish_reason": null}]}\n\n'
+
+    @property
+    def response(self) -> web.StreamResponse:
+        """The response that carries the events."""
+        return self._response
+
+    async def open(self) -> None:
+        """Sends the response's head."""
+        await self._response.prepare(self._request)
+
+    async def send(self, event: chunkreader.AnswerEvent) -> None:
+        """Sends a text or the answer's end.
+
+        Raises:
+            TimeoutError: The caller does not read.
+        """
+        if isinstance(event, chunkreader.AnswerText):
+            text = json.dumps(event.text)
+            data = f"{self._text_head}{text}{self._text_tail}"
+        else:
+            data = f"data: {json.dumps(self._end_body(event))}\n\n"
+        await self._write(data.encode())
+
+    async def send_done(self) -> None:
+        """Sends the mark of a whole answer."""
+        await self._write(b"data: [DONE]\n\n")
+
+    async def send_error(self, refusal: outcome.Refusal) -> None:
+        """Sends the refusal that ends an answer early, and counts it."""
+        metrics.count_refusal(refusal)
+        body = refusals.error_body(refusal)
+        await self._write(f"event: error\ndata: {body}\n\n".encode())
+
+    async def close(self) -> None:
+        """Ends the response."""
+        await self._response.write_eof()
+
+    def abort(self) -> None:
+        """Cuts off a caller that does not read."""
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    async def _write(self, data: bytes) -> None:
+        """Writes to the caller, for a limited time.
+
+        A caller that stops reading would otherwise hold its place at the
+        engine. A small write to an empty buffer never waits and needs no
+        timer.
+        """
+        transport: Any = self._request.transport
+        if (
+            transport is not None
+            and len(data) <= _SMALL_BYTES
+            and transport.get_write_buffer_size() == 0
+        ):
+            await self._response.write(data)
+            return
+        async with asyncio.timeout(_WRITE_TIMEOUT.total_seconds()):
+            await self._response.write(data)
+
+    def _common(self) -> dict[str, Any]:
+        return {
+            "id": self._work.item.work_id,
+            "object": "chat.completion.chunk",
+            "created": self._work.created,
+            "model": self._work.chat.model,
+        }
+
+    def _end_body(self, end: chunkreader.AnswerEnd) -> dict[str, Any]:
+        choice = {
+            "index": 0,
+            "delta": {},
+            "finish_reason": end.finish_reason,
+        }
+        return {
+            **self._common(),
+            "usage": usage_fields(end),
+            "choices": [choice],
+        }
+
+
+def usage_fields(end: chunkreader.AnswerEnd) -> dict[str, Any]:
+    """Returns the usage of an answer as callers see it."""
+    usage = end.usage
+    return {
+        "prompt_tokens": usage.prompt_tokens,
+        "completion_tokens": usage.completion_tokens,
+        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
+        "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
+    }
--- a/hibiscusstile/entry/front.py
+++ b/hibiscusstile/entry/front.py
@@ -5,15 +5,13 @@
 import asyncio
 import contextlib
 import datetime
-import json
 from collections.abc import AsyncGenerator, Awaitable, Callable
-from typing import Any
 
 import logbook
 from aiohttp import hdrs, web
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import identity, metrics, outcome, prefix, settings
+from hibiscusstile import identity, outcome, prefix, settings
 from hibiscusstile import request as request_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.configuration import view as view_lib
@@ -21,6 +19,7 @@
     auth,
     calls,
     chunkreader,
+    eventstream,
     parsing,
     refusals,
     relay,
@@ -35,7 +34,6 @@
 _MAX_KEY_LENGTH = 255
 _SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 _CONFIRM_RETRY = datetime.timedelta(seconds=1)
-_WRITE_TIMEOUT = datetime.timedelta(seconds=30)
 _DEFAULT_RANK = view_lib.Rank(
     "routine",
     level=1,
@@ -332,38 +330,20 @@
 ) -> web.StreamResponse:
     """Answers with server-sent events, begun at the first text."""
     first = await anext(answer)
-    response = web.StreamResponse(
-        headers={
-            hdrs.CONTENT_TYPE: "text/event-stream",
-            hdrs.CACHE_CONTROL: "no-store",
-            refusals.REQUEST_ID_HEADER: work.item.work_id,
-        }
-    )
-    await response.prepare(request)
+    stream = eventstream.EventStream(request, work)
+    await stream.open()
     try:
-        await _write(response, _event(work, first))
+        await stream.send(first)
         async for event in answer:
-            await _write(response, _event(work, event))
-        await _write(response, b"data: [DONE]\n\n")
+            await stream.send(event)
+        await stream.send_done()
     except outcome.Refused as refused:
-        metrics.count_refusal(refused.refusal)
-        body = refusals.error_body(refused.refusal)
-        await _write(response, f"event: error\ndata: {body}\n\n".encode())
+        await stream.send_error(refused.refusal)
     except TimeoutError:
-        if request.transport is not None:
-            request.transport.abort()
-        return response
-    await response.write_eof()
-    return response
-
-
-async def _write(response: web.StreamResponse, data: bytes) -> None:
-    """Writes to a caller, cutting it off when it does not read.
-
-    A caller that stops reading would otherwise hold its place at the engine.
-    """
-    async with asyncio.timeout(_WRITE_TIMEOUT.total_seconds()):
-        await response.write(data)
+        stream.abort()
+        return stream.response
+    await stream.close()
+    return stream.response
 
 
 async def _whole(
@@ -385,46 +365,18 @@
         "finish_reason": end.finish_reason,
     }
     body = {
-        **_common(work, "chat.completion"),
+        "id": work.item.work_id,
+        "object": "chat.completion",
+        "created": work.created,
+        "model": work.chat.model,
         "choices": [choice],
-        "usage": _usage(end),
+        "usage": eventstream.usage_fields(end),
     }
     return web.json_response(
         body, headers={refusals.REQUEST_ID_HEADER: work.item.work_id}
     )
 
 
-def _event(work: relay.ChatWork, event: chunkreader.AnswerEvent) -> bytes:
-    choice: dict[str, Any] = {"index": 0, "delta": {}, "finish_reason": None}
-    body = _common(work, "chat.completion.chunk")
-    if isinstance(event, chunkreader.AnswerText):
-        choice["delta"] = {"content": event.text}
-    else:
-        choice["finish_reason"] = event.finish_reason
-        body["usage"] = _usage(event)
-    body["choices"] = [choice]
-    return f"data: {json.dumps(body)}\n\n".encode()
-
-
-def _common(work: relay.ChatWork, kind: str) -> dict[str, Any]:
-    return {
-        "id": work.item.work_id,
-        "object": kind,
-        "created": work.created,
-        "model": work.chat.model,
-    }
-
-
-def _usage(end: chunkreader.AnswerEnd) -> dict[str, Any]:
-    usage = end.usage
-    return {
-        "prompt_tokens": usage.prompt_tokens,
-        "completion_tokens": usage.completion_tokens,
-        "total_tokens": usage.prompt_tokens + usage.completion_tokens,
-        "prompt_tokens_details": {"cached_tokens": usage.cached_tokens},
-    }
-
-
 def _refused(
     reason: outcome.Reason,
     message: str,
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -79,8 +79,11 @@
             ChannelLost: The connection has ended.
             TimeoutError: Nothing came within `timeout_s` seconds.
         """
-        async with asyncio.timeout(timeout_s):
-            message = await self._queue.get()
+        if self._queue.empty():
+            async with asyncio.timeout(timeout_s):
+                message = await self._queue.get()
+        else:
+            message = self._queue.get_nowait()
         if message is None:
             raise ChannelLost(self._attempt_id)
         return message
