--- a/hibiscusstile/ctl/__init__.py
+++ b/hibiscusstile/ctl/__init__.py
@@ -60,6 +60,7 @@
         f"{__name__}.records_append",
         f"{__name__}.records_list",
         f"{__name__}.records_show",
+        f"{__name__}.status",
     ),
 )
 
--- /dev/null
+++ b/hibiscusstile/ctl/status.py
@@ -0,0 +1,106 @@
+"""`hibiscusctl status`: what one process says of itself, read-only."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from collections.abc import Callable, Sequence
+from typing import Annotated, Any
+
+import aiohttp
+import cyclopts
+
+from hibiscusstile import ctl
+
+__all__ = ["StatusCommand", "status"]
+
+_TIMEOUT = aiohttp.ClientTimeout(total=5)
+_FIRST_FIELDS = ("role", "peer_id", "incarnation", "revision", "digest")
+
+
+@ctl.commands.register()
+class StatusCommand(ctl.Command):
+    """Shows a process."""
+
+    name = "status"
+
+    @property
+    def handler(self) -> Callable[..., int]:
+        """Function that the command line calls."""
+        return status
+
+
+def status(
+    *,
+    url: str,
+    as_json: Annotated[
+        bool, cyclopts.Parameter(name="--json", negative="")
+    ] = False,
+) -> int:
+    """Shows the revision in force, instances, backend servers and queues.
+
+    Args:
+        url: Operators' port of an entry instance or sidecar.
+        as_json: Print one JSON object.
+    """
+    try:
+        page = asyncio.run(_fetch(url.rstrip("/")))
+    except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+        detail = " ".join(str(error).split()) or type(error).__name__
+        print(f"status: no status from {url}: {detail}", file=sys.stderr)
+        return ctl.EXIT_REFUSED
+    if as_json:
+        print(json.dumps(page))
+        return ctl.EXIT_DONE
+    for line in _lines(page):
+        print(line)
+    return ctl.EXIT_DONE
+
+
+async def _fetch(url: str) -> dict[str, Any]:
+    """Returns the status page.
+
+    Raises:
+        ValueError: The answer is no status page.
+    """
+    async with (
+        aiohttp.ClientSession(timeout=_TIMEOUT) as session,
+        session.get(f"{url}/status") as response,
+    ):
+        body = await response.read()
+        if response.status != 200:
+            raise ValueError(f"the port answered {response.status}")
+    page = json.loads(body)
+    if not isinstance(page, dict) or "revision" not in page:
+        raise ValueError("the answer is not a status page")
+    return page
+
+
+def _lines(page: dict[str, Any]) -> list[str]:
+    """Returns one line for each field, and tables for lists of objects."""
+    names = [name for name in _FIRST_FIELDS if name in page]
+    names += [name for name in page if name not in names]
+    lines = []
+    for name in names:
+        value = page[name]
+        if isinstance(value, list):
+            lines.append(f"{name}: {len(value)}")
+            lines += [f"  {_row(each)}" for each in value]
+        else:
+            lines.append(f"{name}: {_row(value)}")
+    return lines
+
+
+def _row(value: Any) -> str:
+    if isinstance(value, dict):
+        return " ".join(f"{name}={_cell(each)}" for name, each in value.items())
+    return _cell(value)
+
+
+def _cell(value: Any) -> str:
+    if isinstance(value, bool):
+        return "yes" if value else "no"
+    if isinstance(value, Sequence) and not isinstance(value, str):
+        return ",".join(str(each) for each in value) or "-"
+    return str(value) if value != "" else "-"
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -117,6 +117,9 @@
                     "address": link.address,
                     "usable": link.usable,
                     "load": link.load,
+                    "zone": link.info.zone if link.info else "",
+                    "model": link.info.model if link.info else "",
+                    "application": link.info.application if link.info else "",
                 }
                 for link in self._fleet.links
             ],
--- /dev/null
+++ b/tests/test_packaging.py
@@ -0,0 +1,48 @@
+"""Tests of the installed package; they need build tools and no network."""
+
+from __future__ import annotations
+
+import importlib.metadata
+import os
+import pathlib
+import subprocess
+import sys
+
+import pytest
+
+_ROOT = pathlib.Path(__file__).parent.parent
+_LEAST_SETUPTOOLS = 77  # as pyproject.toml asks
+
+
+def _missing() -> str:
+    try:
+        version = importlib.metadata.version("setuptools")
+    except importlib.metadata.PackageNotFoundError:
+        return "setuptools is not installed"
+    if int(version.split(".")[0]) < _LEAST_SETUPTOOLS:
+        return f"setuptools {version} is older than {_LEAST_SETUPTOOLS}"
+    return ""
+
+
+@pytest.mark.packaging
+@pytest.mark.skipif(bool(_missing()), reason=f"no wheel: {_missing()}")
+def test_the_wheel_runs_without_the_source_tree(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against modules that the package leaves out."""
+    pip = [sys.executable, "-m", "pip"]
+    wheel = ["wheel", "--no-index", "--no-deps", "--no-build-isolation"]
+    subprocess.run([*pip, *wheel, "-w", tmp_path, _ROOT], check=True)
+    (built,) = tmp_path.glob("*.whl")
+    target = tmp_path / "installed"
+    install = ["install", "--no-index", "--no-deps", "--target", target]
+    subprocess.run([*pip, *install, built], check=True)
+    for module in ("hibiscusstile.ctl", "hibiscusstile.daemon"):
+        result = subprocess.run(
+            [sys.executable, "-m", module, "--version"],
+            cwd=tmp_path,
+            env={**os.environ, "PYTHONPATH": str(target)},
+            capture_output=True,
+            text=True,
+        )
+        assert result.returncode == 0, result.stderr
--- /dev/null
+++ b/tests/test_readme.py
@@ -0,0 +1,18 @@
+"""Tests of what README.md shows."""
+
+from __future__ import annotations
+
+import pathlib
+import re
+
+from hibiscusstile import settings
+
+_README = pathlib.Path(__file__).parent.parent / "README.md"
+
+
+def test_the_first_settings_file_has_no_faults() -> None:
+    """Guards against a first step that fails."""
+    block = re.search(r"```yaml\n(.*?)```", _README.read_text(), re.DOTALL)
+    assert block is not None
+    parsed = settings.parse_settings(block.group(1))
+    assert parsed.role == "entry"
