--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import random
 from collections.abc import Callable, Sequence
@@ -16,6 +17,7 @@
     policies,
     settings,
     supervisor,
+    suspects,
 )
 from hibiscusstile.configuration import fetching, freshness
 from hibiscusstile.configuration import snapshot as snapshot_lib
@@ -33,6 +35,7 @@
 _PREPARE_LIMIT = datetime.timedelta(seconds=10)
 _PREPARE_WAIT = datetime.timedelta(seconds=1)
 _PROBED_LINKS = 3
+_NOTICE_TIMEOUT = datetime.timedelta(milliseconds=500)
 
 
 class Fleet(client_lib.LinkObserver):
@@ -43,6 +46,7 @@
         secret: The shared secret.
         hello: Returns the hello that this process sends.
         store: The configuration in force.
+        table: What is known of requests that crash engines.
         instance_list: The platform's list.
         clock: Paces look-ups of the list.
         fresh: Told what peers say of their revision.
@@ -54,6 +58,7 @@
         secret: bytes,
         hello: Callable[[], messages.Hello],
         store: store_lib.ConfigurationStore,
+        table: suspects.Suspects,
         instance_list: platform.InstanceList,
         clock: clock_lib.Clock,
         fresh: freshness.Freshness | None = None,
@@ -62,6 +67,7 @@
         self._secret = secret
         self._hello = hello
         self._store = store
+        self._table = table
         self._instance_list = instance_list
         self._clock = clock
         self._fresh = fresh or freshness.Freshness(
@@ -201,6 +207,7 @@
             link.address,
             hello.info.zone,
         )
+        await self.merge_suspects(hello.suspects.facts, link)
 
     async def on_message(
         self, link: client_lib.SidecarLink, message: messages.PeerMessage
@@ -211,11 +218,30 @@
                 self._adopt(message)
             case messages.ConfigFetch():
                 await self._send_state(link, message.revision)
+            case messages.SuspectNotice():
+                await self.merge_suspects(message.facts, link)
             case messages.Leaving():
                 link.mark_leaving()
             case _:
                 return
 
+    async def merge_suspects(
+        self,
+        facts: Sequence[suspects.Fact],
+        source: client_lib.SidecarLink | None = None,
+    ) -> None:
+        """Takes facts in and passes new ones on to the other sidecars."""
+        notice = messages.suspect_notice(self._table.merge(facts))
+        if not notice.facts:
+            return
+        await asyncio.gather(
+            *(
+                _send_notice(link, notice)
+                for link in self._links.values()
+                if link is not source and link.connected
+            )
+        )
+
     async def on_revision(
         self, link: client_lib.SidecarLink, revision: int
     ) -> None:
@@ -286,3 +312,12 @@
             link.load,
             link.load_age_s,
         )
+
+
+async def _send_notice(
+    link: client_lib.SidecarLink, notice: messages.SuspectNotice
+) -> None:
+    """Sends a notice; a sidecar that does not read misses it until hello."""
+    with contextlib.suppress(connection_lib.ConnectionLost, TimeoutError):
+        async with asyncio.timeout(_NOTICE_TIMEOUT.total_seconds()):
+            await link.send(notice)
--- a/hibiscusstile/entry/relay.py
+++ b/hibiscusstile/entry/relay.py
@@ -10,9 +10,10 @@
 import logbook
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import identity, logs, metrics, outcome, request
+from hibiscusstile import identity, logs, metrics, outcome, request, retrybudget
 from hibiscusstile.entry import chunkreader, refusals, routing
 from hibiscusstile.entry import fleet as fleet_lib
+from hibiscusstile.entry import suspicion as suspicion_lib
 from hibiscusstile.entry.chunkreader import (
     AnswerEnd,
     AnswerEvent,
@@ -71,6 +72,22 @@
         self._texts: list[str] = []
         self._excluded: set[str] = set()
         self._verdict = outcome.Verdict.NOT_RUN
+        self._suspect = ""
+
+    @property
+    def suspect(self) -> str:
+        """Fingerprint of a suspect request, empty for others."""
+        return self._suspect
+
+    @property
+    def has_text(self) -> bool:
+        """Whether the caller has part of the answer."""
+        return bool(self._texts)
+
+    @property
+    def verdict(self) -> outcome.Verdict:
+        """Whether any attempt may have run."""
+        return self._verdict
 
     @property
     def started_s(self) -> float:
@@ -87,6 +104,10 @@
         """Runners that are not to be tried again."""
         return frozenset(self._excluded)
 
+    def mark_suspect(self, fingerprint: str) -> None:
+        """Notes whether the request is a suspect now."""
+        self._suspect = fingerprint
+
     def add_text(self, text: str) -> bool:
         """Notes text sent to the caller; True for the first piece."""
         self._texts.append(text)
@@ -119,6 +140,8 @@
     Args:
         fleet: The links.
         router: Chooses runners.
+        suspicion: Knows the requests that crash engines.
+        budget: Limits retries.
         clock: Measures times to first token.
     """
 
@@ -126,10 +149,14 @@
         self,
         fleet: fleet_lib.Fleet,
         router: routing.Router,
+        suspicion: suspicion_lib.Suspicion,
+        budget: retrybudget.RetryBudget,
         clock: clock_lib.Clock,
     ) -> None:
         self._fleet = fleet
         self._router = router
+        self._suspicion = suspicion
+        self._budget = budget
         self._clock = clock
 
     async def run(self, work: ChatWork) -> AsyncGenerator[AnswerEvent]:
@@ -139,6 +166,7 @@
             Refused: The answer cannot be completed.
         """
         progress = _Progress(self._clock.monotonic())
+        self._budget.note_first()
         for number in range(1, _MAX_ATTEMPTS + 1):
             route = await self._route(work, progress)
             attempt = self._attempt(work, route, progress)
@@ -150,7 +178,9 @@
             except outcome.Refused as refused:
                 self._log_failure(work, route, refused.refusal)
                 progress.add_failure(route.runner, refused.refusal)
-                if number == _MAX_ATTEMPTS or not _may_go_on(refused.refusal):
+                if number == _MAX_ATTEMPTS or not self._may_go_on(
+                    refused.refusal, progress
+                ):
                     raise progress.final(refused.refusal) from None
 
     async def _route(
@@ -166,9 +196,7 @@
         limit_s = self._clock.monotonic() + wait.total_seconds()
         while True:
             try:
-                return await self._router.route(
-                    work.item, work.policy, progress.excluded
-                )
+                return await self._choose(work, progress)
             except outcome.Refused as refused:
                 if (
                     refused.refusal.reason not in _PASSING_REASONS
@@ -178,6 +206,31 @@
             await self._clock.sleep(_ROUTE_POLL)
             progress.allow_all()
 
+    def _may_go_on(self, refusal: outcome.Refusal, progress: _Progress) -> bool:
+        """Model calls have no side effects: reason and budget decide."""
+        if refusal.reason in _FINAL_REASONS:
+            return False
+        return self._budget.take(refusal, started=progress.has_text)
+
+    async def _choose(
+        self, work: ChatWork, progress: _Progress
+    ) -> routing.Route:
+        """Chooses a runner; a suspect's is the same for all entries."""
+        excluded = progress.excluded
+        suspect = self._suspicion.judge(
+            work.item.workspace, work.chat, progress.verdict
+        )
+        progress.mark_suspect(suspect)
+        item = self._suspicion.marked(work.item, suspect)
+        if suspect:
+            for runner in self._suspicion.runners(
+                suspect, item.model, excluded
+            ):
+                others = self._suspicion.all_but(runner, item.model)
+                with contextlib.suppress(outcome.Refused):
+                    return await self._router.route(item, work.policy, others)
+        return await self._router.route(item, work.policy, excluded)
+
     async def _attempt(
         self, work: ChatWork, route: routing.Route, progress: _Progress
     ) -> AsyncGenerator[AnswerEvent]:
@@ -188,6 +241,7 @@
         channel = link.open_channel(attempt_id)
         ended = False
         try:
+            await self._suspicion.tell(link, progress.suspect)
             await _send_or_refuse(
                 link, self._dispatch(work, attempt_id, progress)
             )
@@ -226,7 +280,9 @@
     ) -> messages.Dispatch:
         return messages.Dispatch(
             attempt_id,
-            dataclasses.replace(work.item, work_id=attempt_id),
+            dataclasses.replace(
+                work.item, work_id=attempt_id, suspect=bool(progress.suspect)
+            ),
             work.chat,
             work.queue_time.total_seconds(),
             progress.sent_text,
@@ -253,11 +309,6 @@
         )
 
 
-def _may_go_on(refusal: outcome.Refusal) -> bool:
-    """Model calls have no side effects, so that only the reason decides."""
-    return refusal.reason not in _FINAL_REASONS
-
-
 async def _send_or_refuse(
     link: client_lib.SidecarLink, message: messages.PeerMessage
 ) -> None:
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -18,6 +18,8 @@
     roles,
     settings,
     supervisor,
+    suspectlog,
+    suspects,
 )
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
@@ -34,8 +36,11 @@
     enginewatch,
     executor,
     ledger,
+    orders,
+    region,
     scopes,
     service,
+    suspectfeed,
     turns,
 )
 
@@ -84,6 +89,10 @@
         )
         self._turns = turns.Turns(queue, clock)
         self._attempts = supervisor.Supervisor("attempts", clock)
+        self._appender = suspectlog.SuspectAppender(self._log, clock)
+        self._suspicion = suspectfeed.SuspectFeed(
+            suspects.Suspects(clock), self._appender
+        )
         self._bidder = bidder.Bidder(
             clock,
             queue,
@@ -100,6 +109,9 @@
             self._bidder,
             self._scopes,
             self._store,
+            self._suspicion,
+            (config.zone, config.peer_id),
+            self._check_engine,
             clock,
         )
         self._ledger = self._open_ledger()
@@ -119,6 +131,7 @@
             self._calls,
             self._bidder,
             self._scopes,
+            self._suspicion,
             lambda: self._discovery.peers,
             fetching.FetchPacer(clock, lambda: self._store.revision),
         )
@@ -127,6 +140,7 @@
             self._watch = enginewatch.EngineWatch(
                 self._backend,
                 self._view,
+                self._executor.note_crash,
                 self._executor.fail_running,
                 self._service.announce_info,
                 clock,
@@ -165,6 +179,8 @@
             "running": self._turns.queue.running,
             "cached_prefixes": len(self._view),
             "backend": self._backend_status(),
+            "claims": 0 if self._ledger is None else len(self._ledger.ledger),
+            "suspect_facts": len(self._suspicion.table),
         }
 
     def build(self, root: supervisor.Supervisor) -> None:
@@ -177,6 +193,7 @@
             ("executor", self._executor.run),
             ("calls", self._calls.run),
             ("discovery", self._discovery.run),
+            ("suspects", self._appender.run),
             ("peers", self._server.run),
             ("operators", self._operators.run),
         ]
@@ -188,6 +205,7 @@
             specs.append(("cache_feed", feed.run))
         if self._watch is not None:
             specs.append(("engine_watch", self._watch.run))
+            specs.append(("orders", self._orders(self._watch).run))
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
 
@@ -239,6 +257,22 @@
     def _follower(self) -> follower_lib.LogFollower:
         return follower_lib.LogFollower(self._log, self._store, self._clock)
 
+    def _orders(self, watch: enginewatch.EngineWatch) -> orders.OrderTask:
+        return orders.OrderTask(
+            watch.engine,
+            self._log,
+            region.RegionMembers(
+                self._instance_list, self._config.region, self._clock
+            ),
+            self._store,
+            self._turns,
+            self._clock,
+            self._config.peer_id,
+            self._config.region,
+            self._engine_health,
+            watch.poll,
+        )
+
     def _snapshotter(self) -> snapshot_stream.Snapshotter:
         return snapshot_stream.Snapshotter(
             self._log,
@@ -261,6 +295,10 @@
             "up": self._watch is None or self._watch.health is not None,
         }
 
+    async def _check_engine(self) -> None:
+        if self._watch is not None:
+            await self._watch.poll()
+
     def _engine_health(self) -> backends.EngineHealth | None:
         return self._watch.health if self._watch else None
 
--- a/hibiscusstile/sidecar/calls.py
+++ b/hibiscusstile/sidecar/calls.py
@@ -6,6 +6,8 @@
 import dataclasses
 import datetime
 
+import logbook
+
 from hibiscusstile import backends, outcome, request, supervisor
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.claims import entries, tickets
@@ -20,6 +22,13 @@
 
 __all__ = ["CallRunner"]
 
+_log = logbook.Logger("calls")
+
+_FAILED = outcome.Refusal(
+    outcome.Reason.INTERNAL,
+    "the call ended with an internal error",
+    outcome.Verdict.MAY_HAVE_RUN,
+)
 _PROGRESS_INTERVAL = datetime.timedelta(milliseconds=500)
 _RUN_MARGIN = datetime.timedelta(seconds=3)
 
@@ -103,19 +112,27 @@
                     await running.connection.send(messages.Progress(attempt_id))
 
     async def _run(self, running: _Running) -> None:
+        try:
+            answer = await self._answer_or_fail(running)
+            with contextlib.suppress(connection_lib.ConnectionLost):
+                await running.connection.send(answer)
+        finally:
+            del self._running[running.call.attempt_id]
+
+    async def _answer_or_fail(
+        self, running: _Running
+    ) -> messages.CallReply | messages.Failed:
         call = running.call
-        answer: messages.PeerMessage
         try:
             await revision_lib.wait_for_revision(
                 self._store, self._clock, running.revision
             )
-            answer = await self._answer(call)
+            return await self._answer(call)
         except outcome.Refused as refused:
-            answer = executor.failed_message(call.attempt_id, refused.refusal)
-        finally:
-            del self._running[call.attempt_id]
-        with contextlib.suppress(connection_lib.ConnectionLost):
-            await running.connection.send(answer)
+            return executor.failed_message(call.attempt_id, refused.refusal)
+        except Exception:
+            _log.exception("call_failed attempt={}", call.attempt_id)
+            return executor.failed_message(call.attempt_id, _FAILED)
 
     async def _answer(self, call: messages.Call) -> messages.CallReply:
         application = self._store.view.applications.get(call.call.application)
--- a/hibiscusstile/sidecar/enginewatch.py
+++ b/hibiscusstile/sidecar/enginewatch.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import dataclasses
 import datetime
 from collections.abc import Awaitable, Callable
@@ -25,6 +26,8 @@
     Args:
         engine: The engine.
         view: Reset when the engine has a new incarnation.
+        note_crash: Charges a crash to what the engine was running; takes the
+            incarnation that ended.
         fail_running: Ends running attempts with a refusal; the second
             argument names the present incarnation, whose attempts go on.
         announce: Tells peers that `health` has changed.
@@ -35,17 +38,25 @@
         self,
         engine: backends.EngineBackend,
         view: cacheview.CacheView,
+        note_crash: Callable[[str], Awaitable[None]],
         fail_running: Callable[[outcome.Refusal, str], None],
         announce: Callable[[], Awaitable[None]],
         clock: clock_lib.Clock,
     ) -> None:
         self._engine = engine
         self._view = view
+        self._note_crash = note_crash
         self._fail_running = fail_running
         self._announce = announce
         self._clock = clock
         self._health: backends.EngineHealth | None = None
         self._incarnation = ""
+        self._polling = asyncio.Lock()
+
+    @property
+    def engine(self) -> backends.EngineBackend:
+        """The engine."""
+        return self._engine
 
     @property
     def health(self) -> backends.EngineHealth | None:
@@ -60,11 +71,12 @@
 
     async def poll(self) -> None:
         """Asks the engine once and acts on what it says."""
-        result = await self._engine.probe(_SILENCE.total_seconds())
-        if isinstance(result, backends.EngineHealth):
-            await self._note_health(result)
-        elif result is not backends.ProbeFailure.MALFORMED:
-            await self._note_down(result)
+        async with self._polling:
+            result = await self._engine.probe(_SILENCE.total_seconds())
+            if isinstance(result, backends.EngineHealth):
+                await self._note_health(result)
+            elif result is not backends.ProbeFailure.MALFORMED:
+                await self._note_down(result)
 
     async def _note_health(self, health: backends.EngineHealth) -> None:
         if health.incarnation != self._incarnation:
@@ -72,6 +84,7 @@
                 _log.warning(
                     "engine_restarted incarnation={}", health.incarnation
                 )
+                await self._note_crash(self._incarnation)
                 self._fail_running(_crashed(), health.incarnation)
             if self._view.incarnation != health.incarnation:
                 self._view.reset(health.incarnation)
@@ -88,6 +101,7 @@
         # Also while it is known to be down: an attempt that was on its way
         # would hang on a frozen engine until the next change.
         if failure is backends.ProbeFailure.REFUSED:
+            await self._note_crash(self._incarnation)
             self._fail_running(_crashed(), "")
         else:
             self._fail_running(_frozen(), "")
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import datetime
+from collections.abc import Awaitable, Callable
 
 import logbook
 
@@ -13,7 +14,9 @@
     cacheview,
     logs,
     outcome,
+    request,
     supervisor,
+    suspects,
 )
 from hibiscusstile import bidder as bidder_lib
 from hibiscusstile import clock as clock_lib
@@ -23,6 +26,7 @@
 from hibiscusstile.sidecar import attempt as attempt_lib
 from hibiscusstile.sidecar import revision as revision_lib
 from hibiscusstile.sidecar import scopes as scopes_lib
+from hibiscusstile.sidecar import suspectfeed
 from hibiscusstile.sidecar import turns as turns_lib
 
 __all__ = ["Executor", "failed_message"]
@@ -37,10 +41,19 @@
 class _Running:
     stream: attempt_lib.AttemptStream
     work_id: str
+    dispatch: messages.Dispatch
+    incarnation: str = ""
+    broken: bool = False
     ended: bool = False
     scope: asyncio.Timeout | None = None
     failure: outcome.Refusal | None = None
-    incarnation: str = ""
+
+
+_INTERNAL = outcome.Refusal(
+    outcome.Reason.INTERNAL,
+    "the sidecar failed while it ran the request",
+    outcome.Verdict.MAY_HAVE_RUN,
+)
 
 
 class Executor:
@@ -54,6 +67,9 @@
         bidder: Told what the engine is handed and has begun.
         scopes: Finds the cache scopes of requests.
         store: The configuration in force.
+        suspicion: What is known of requests that crash engines.
+        place: Zone and name of this sidecar, by which crashes are known.
+        check_engine: Looks for a crash now instead of at the next poll.
         clock: Measures time.
     """
 
@@ -66,6 +82,9 @@
         bidder: bidder_lib.Bidder,
         scopes: scopes_lib.Scopes,
         store: store_lib.ConfigurationStore,
+        suspicion: suspectfeed.SuspectFeed,
+        place: tuple[str, str],
+        check_engine: Callable[[], Awaitable[None]],
         clock: clock_lib.Clock,
     ) -> None:
         self._tasks = tasks
@@ -75,6 +94,9 @@
         self._bidder = bidder
         self._scopes = scopes
         self._store = store
+        self._suspicion = suspicion
+        self._place = place
+        self._check_engine = check_engine
         self._clock = clock
         self._attempts: dict[str, _Running] = {}
 
@@ -101,7 +123,7 @@
         stream = attempt_lib.AttemptStream(
             dispatch.attempt_id, connection, self._clock
         )
-        running = _Running(stream, dispatch.work.work_id)
+        running = _Running(stream, dispatch.work.work_id, dispatch)
         self._attempts[dispatch.attempt_id] = running
         self._tasks.add(
             supervisor.ChildSpec(
@@ -196,17 +218,30 @@
                 self._store, self._clock, revision
             )
             await self._generate(running, dispatch)
+            await self._clear(dispatch)
         except outcome.Refused as refused:
+            running.broken = (
+                refused.refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+            )
+            if running.broken:
+                # A crash must be charged before the entry hears of the broken
+                # stream and sends the request to the next engine.
+                await self._check_engine()
             await running.stream.send_failed(
                 failed_message(dispatch.attempt_id, refused.refusal)
             )
+        except Exception:
+            _log.exception("attempt_failed attempt={}", dispatch.attempt_id)
+            await running.stream.send_failed(
+                failed_message(dispatch.attempt_id, _INTERNAL)
+            )
 
     async def _generate(
         self, running: _Running, dispatch: messages.Dispatch
     ) -> None:
         order = self._order(dispatch)
         deadline_s = self._clock.monotonic() + dispatch.deadline_s
-        work = dispatch.work
+        work = self._judged_work(dispatch)
         cached = self._view.cached_tokens(order.cache_salt, work.levels)
         await self._turns.wait(work, deadline_s, cached)
         # An engine may have loaded other weights during the wait.
@@ -214,13 +249,18 @@
         self._bidder.note_handed(work, order.cache_salt)
         served = 0
         try:
+            # Another copy may have crashed an engine while this one waited.
+            self._judged_work(dispatch)
+            running.incarnation = self._view.incarnation
             async with asyncio.timeout(None) as running.scope:
                 async for event in self._engine().generate(order):
                     if isinstance(event, backends.EngineStarted):
                         served += (
                             dispatch.work.prompt_tokens - event.cached_tokens
                         )
-                        running.incarnation = event.incarnation
+                        running.incarnation = (
+                            event.incarnation or running.incarnation
+                        )
                         self._turns.note_started(work.work_id)
                         self._note_start(order, dispatch, event)
                         await running.stream.send_started(event.cached_tokens)
@@ -241,6 +281,51 @@
             self._bidder.note_ended(dispatch.work.work_id)
             self._turns.finish(dispatch.work.work_id, served)
 
+    async def note_crash(self, incarnation: str) -> None:
+        """Charges a crash to the attempts that an engine was running.
+
+        Attempts whose stream broke just before are charged too. The first
+        call for a crash counts; the attempts' entries hear of the charge
+        before they hear that the attempts failed.
+
+        Args:
+            incarnation: The engine's incarnation before the crash.
+        """
+        running = [
+            suspects.fingerprint(
+                each.dispatch.work.workspace, each.dispatch.chat
+            )
+            for each in self._attempts.values()
+            if each.incarnation == incarnation
+            and (each.broken or not each.ended)
+        ]
+        site = suspects.CrashSite(*self._place, incarnation)
+        await self._suspicion.note_crash(site, running)
+
+    def _judged_work(self, dispatch: messages.Dispatch) -> request.WorkItem:
+        """Returns the work, marked when it is a suspect.
+
+        Raises:
+            Refused: The request is known to crash engines.
+        """
+        table = self._suspicion.table
+        if not len(table):
+            return dispatch.work
+        digest = suspects.fingerprint(dispatch.work.workspace, dispatch.chat)
+        refusal = table.refusal(digest)
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+        return dataclasses.replace(
+            dispatch.work,
+            suspect=dispatch.work.suspect or table.is_suspect(digest),
+        )
+
+    async def _clear(self, dispatch: messages.Dispatch) -> None:
+        if len(self._suspicion.table):
+            await self._suspicion.note_completed(
+                suspects.fingerprint(dispatch.work.workspace, dispatch.chat)
+            )
+
     def _order(self, dispatch: messages.Dispatch) -> backends.GenerateOrder:
         scope = self._scopes.find(dispatch.work)
         if scope is None:
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -18,6 +18,7 @@
 from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
 from hibiscusstile.sidecar import scopes as scopes_lib
+from hibiscusstile.sidecar import suspectfeed
 
 __all__ = ["SidecarService"]
 
@@ -38,6 +39,7 @@
         calls: Runs plain-service calls.
         bidder: Values requests for bids.
         scopes: Finds the cache scopes of requests.
+        suspicion: What is known of requests that crash engines.
         known_peers: Returns the sidecars that this one knows.
         fetches: Paces fetches of a newer configuration.
     """
@@ -50,6 +52,7 @@
         calls: calls_lib.CallRunner,
         bidder: bidder_lib.Bidder,
         scopes: scopes_lib.Scopes,
+        suspicion: suspectfeed.SuspectFeed,
         known_peers: Callable[[], tuple[messages.PeerAddress, ...]],
         fetches: fetching.FetchPacer,
     ) -> None:
@@ -59,6 +62,7 @@
         self._calls = calls
         self._bidder = bidder
         self._scopes = scopes
+        self._suspicion = suspicion
         self._known_peers = known_peers
         self._fetches = fetches
         self._connections: set[connection_lib.PeerConnection] = set()
@@ -76,7 +80,13 @@
         """Runs one connection until it ends."""
         self._connections.add(connection)
         try:
-            await connection.send(messages.Hello(self._info()))
+            facts = self._suspicion.table.facts()
+            self._suspicion.add(connection)
+            await connection.send(
+                messages.Hello(
+                    self._info(), suspects=messages.suspect_notice(facts)
+                )
+            )
             while True:
                 async with asyncio.timeout(_PEER_SILENCE.total_seconds()):
                     envelope = await connection.receive()
@@ -90,6 +100,7 @@
             connection.abort()
         finally:
             self._connections.discard(connection)
+            self._suspicion.discard(connection)
             self._executor.detach(connection)
 
     async def announce_leaving(self) -> None:
@@ -112,10 +123,8 @@
     ) -> None:
         message = envelope.message
         match message:
-            case messages.Hello() if message.wants_peers:
-                await connection.send(
-                    messages.Hello(self._info(), peers=self._known_peers())
-                )
+            case messages.Hello():
+                await self._take_hello(connection, message)
             case messages.BidRequest():
                 await connection.send(self._bid(message))
             case messages.Dispatch():
@@ -128,6 +137,8 @@
                 self._executor.cancel(message.attempt_id)
             case messages.Resume():
                 await self._executor.resume(connection, message)
+            case messages.SuspectNotice():
+                await self._suspicion.merge(message, connection)
             case messages.Ping():
                 await connection.send(messages.Pong(message.number))
             case messages.ConfigFetch():
@@ -139,6 +150,15 @@
             case _:
                 return
 
+    async def _take_hello(
+        self, connection: connection_lib.PeerConnection, hello: messages.Hello
+    ) -> None:
+        await self._suspicion.merge(hello.suspects, connection)
+        if hello.wants_peers:
+            await connection.send(
+                messages.Hello(self._info(), peers=self._known_peers())
+            )
+
     async def _dispatch(
         self,
         connection: connection_lib.PeerConnection,
--- a/tests/sidecar/test_enginewatch.py
+++ b/tests/sidecar/test_enginewatch.py
@@ -34,6 +34,10 @@
     def __init__(self) -> None:
         self.refusals: list[tuple[outcome.Reason, str]] = []
         self.announced = 0
+        self.crashed: list[str] = []
+
+    async def note_crash(self, incarnation: str) -> None:
+        self.crashed.append(incarnation)
 
     def fail_running(self, refusal: outcome.Refusal, incarnation: str) -> None:
         assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
@@ -51,6 +55,7 @@
     watch = enginewatch.EngineWatch(
         _Engine(*results),
         view,
+        heard.note_crash,
         heard.fail_running,
         heard.announce,
         builders.ManualClock(),
@@ -72,6 +77,7 @@
     """Guards against attempts that wait for an engine that has died."""
     heard, watch, view = await _watch(_health("one"), _health("two"))
     assert heard.refusals == [(outcome.Reason.BACKEND_CRASHED, "two")]
+    assert heard.crashed == ["one"]
     assert view.incarnation == "two"
     assert watch.health == _health("two")
 
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -11,6 +11,7 @@
     "admission",
     "cacheview",
     "configuration.fetching",
+    "claims.ledger",
     "configuration.fold",
     "configuration.follower",
     "configuration.freshness",
@@ -18,9 +19,14 @@
     "configuration.store",
     "configuration.view",
     "records",
+    "placement.entries",
+    "placement.leases",
+    "placement.plan",
     "policies",
     "prefix",
     "rendezvous",
+    "retrybudget",
+    "suspects",
 )
 _TRANSPORTS = ("aiohttp", "websockets", "cbor2")
 
