Serve due ranks at the engine too, and put excess demand last

The headroom is now nested by class, so that routine work no longer fills the slots that large urgent callers start in. A start for a rank's share takes the first rank's priority, since the engine would put it last otherwise. A caller that asks for over a third of all recent tokens of its rank, and eight times the others' mean, waits in a rank of its own behind all others.

--- a/hibiscusstile/admission/fairness.py
+++ b/hibiscusstile/admission/fairness.py
@@ -17,7 +17,8 @@
     """A waiting request.
 
     Attributes:
-        work: The request.
+        work: The request, under the rank in whose queue it waits.
+        offered: The request as it was offered.
         size: Tokens of its prompt and its longest answer.
         cost: Tokens to compute, as estimated before it runs: its size without
             the part of the prompt that the engine holds in cache.
@@ -27,6 +28,7 @@
     """
 
     work: request.WorkItem
+    offered: request.WorkItem
     size: int
     cost: int
     number: int
--- a/hibiscusstile/admission/limits.py
+++ b/hibiscusstile/admission/limits.py
@@ -27,8 +27,8 @@
         prefill_tokens_per_s: The engine's speed before any was observed.
         prefill_ahead_tokens: Prompt tokens handed to the engine and not yet
             computed; 0 for no bound. It needs `note_started` to be called.
-        lower_rank_share: Part of `running` and `running_tokens` up to which
-            ranks below the first may start, 0 to 1.
+        next_class_share: Part of the running slots and tokens that each
+            class of requests may fill, relative to the class before, 0 to 1.
         workspace_share: Part of the queue that one workspace may occupy in
             one rank, 0 to 1.
         caller_share: Part of the queue that one caller may occupy in one
@@ -41,7 +41,7 @@
     queued_requests: int
     prefill_tokens_per_s: float
     prefill_ahead_tokens: int = 0
-    lower_rank_share: float = 0.75
+    next_class_share: float = 0.85
     workspace_share: float = 0.5
     caller_share: float = 0.25
 
--- a/hibiscusstile/admission/queue.py
+++ b/hibiscusstile/admission/queue.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import dataclasses
-import itertools
 from collections.abc import Callable, Mapping
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome, request
 from hibiscusstile.admission import (
+    choice,
     estimate,
     fairness,
     limits,
@@ -25,9 +25,6 @@
 # limit, since an estimate near the limit lets much of it expire.
 _SAFE_PART = 0.85
 
-# Callers whose turn may be skipped in one search, which bounds its cost.
-_MAX_SKIPPED = 7
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Shed:
@@ -68,6 +65,7 @@
         self._policy = table.PolicyTable(ranks, workspaces)
         self._room = room.WaitingRoom(queue_limits, self._policy)
         self._running = running_lib.RunningSet(queue_limits)
+        self._chooser = choice.Chooser(self._policy, self._room, self._running)
         self._pause: outcome.Refusal | None = None
         self._late: list[request.WorkItem] = []
         self._shed: list[Shed] = []
@@ -115,6 +113,7 @@
         """
         cost = shares.cost_of(work, cached_tokens)
         now_s = self._clock.monotonic()
+        work = self._ranked(work, cost, now_s)
         limit_s = self._policy.rank(work.rank).queue_time.total_seconds()
         refusal = self._early_refusal(work, cost, limit_s, now_s)
         if refusal is not None:
@@ -146,6 +145,8 @@
         queue_time_s = self._policy.rank(work.rank).queue_time.total_seconds()
         limit_s = min(queue_time_s, deadline_s - now_s)
         refusal = self._misfit(work, limit_s)
+        offered = work
+        work = self._ranked(work, cost, now_s)
         if refusal is None:
             refusal = self._early_refusal(work, cost, limit_s, now_s)
         if refusal is not None:
@@ -153,10 +154,10 @@
         victims = self._room.make_room(work, cost)
         if victims is None:
             return self._full(work, cost)
-        self._room.add(work, cost, now_s, now_s + limit_s)
+        self._room.add(work, offered, cost, now_s, now_s + limit_s)
         for victim in victims:
             self._room.forget(victim, now_s)
-            self._shed.append(Shed(victim.work, self._displaced(victim)))
+            self._shed.append(Shed(victim.offered, self._displaced(victim)))
         return None
 
     def shed(self) -> list[Shed]:
@@ -170,20 +171,19 @@
         self._drop_late(now_s)
         if self._running.full or self._pause is not None:
             return None
-        chosen = self._next(now_s)
+        chosen = self._chooser.next(now_s)
         if chosen is None:
             return None
-        state, waiting = chosen
+        state, waiting = chosen.state, chosen.waiting
         # A smaller request does not overtake one that is due and too large
         # for the free tokens, which would otherwise never start.
         if not self._running.has_room(waiting.size):
             return None
-        standing = self._standing(waiting.work, state, now_s)
         bookings = self._room.start(state, waiting, now_s)
         self._running.add(
-            running_lib.Running(waiting, state, standing, bookings)
+            running_lib.Running(waiting, state, chosen.standing, bookings)
         )
-        return waiting.work
+        return waiting.offered
 
     def note_started(self, work_id: str) -> None:
         """Notes that the engine has computed a request's prompt.
@@ -244,7 +244,24 @@
             work: The request.
             cached_tokens: Prompt tokens that the engine holds in cache.
         """
-        return self._wait_s(work, shares.cost_of(work, cached_tokens))
+        cost = shares.cost_of(work, cached_tokens)
+        return self._wait_s(self._in_queue(work, self._clock.monotonic()), cost)
+
+    def _ranked(
+        self, work: request.WorkItem, cost: int, now_s: float
+    ) -> request.WorkItem:
+        """Counts the demand; returns the work under the rank it waits in."""
+        demand = self._room.state(work.rank).demand
+        demand.add(work.workspace, work.caller, cost, now_s)
+        return self._in_queue(work, now_s)
+
+    def _in_queue(
+        self, work: request.WorkItem, now_s: float
+    ) -> request.WorkItem:
+        demand = self._room.state(work.rank).demand
+        if not demand.is_excess(work.workspace, work.caller, now_s):
+            return work
+        return dataclasses.replace(work, rank=self._policy.excess_of(work.rank))
 
     def _wait_s(self, work: request.WorkItem, cost: int) -> float:
         now_s = self._clock.monotonic()
@@ -254,7 +271,7 @@
         if none_ahead and self._running.may_start(
             work,
             max(0, cost - work.max_tokens),
-            self._standing(work, state, now_s),
+            self._chooser.standing(work, now_s),
         ):
             return 0.0
         if work.suspect:
@@ -321,47 +338,3 @@
 
     def _drop_late(self, now_s: float) -> None:
         self._late += self._room.remove_late(now_s)
-
-    def _next(
-        self, now_s: float
-    ) -> tuple[shares.RankState, fairness.Waiting] | None:
-        """Returns the most urgent head, or that of a rank that is owed."""
-        first: tuple[shares.RankState, fairness.Waiting] | None = None
-        for state in self._room.states:
-            heads = state.heads(self._running.has_suspect)
-            for head in itertools.islice(heads, _MAX_SKIPPED + 1):
-                standing = self._standing(head.work, state, now_s)
-                if not self._running.accepts_prefill(head.prefill, standing):
-                    continue
-                if self._is_due(state, head, first[1].cost if first else 0):
-                    return state, head
-                if first is not None:
-                    break
-                if self._running.leaves_headroom(head.size, standing):
-                    first = state, head
-                    break
-        return first
-
-    def _standing(
-        self, work: request.WorkItem, state: shares.RankState, now_s: float
-    ) -> running_lib.Standing:
-        return running_lib.Standing(
-            self._policy.rank(work.rank).level,
-            self._policy.is_lower(work.rank),
-            state.usage.is_large(work.workspace, work.caller, now_s),
-        )
-
-    def _is_due(
-        self, state: shares.RankState, head: fairness.Waiting, first_cost: int
-    ) -> bool:
-        """Whether a rank is served for its share.
-
-        It is counted as if the head of the more urgent rank had started, so
-        that the share holds after that start too.
-        """
-        share = self._policy.rank(state.name).share
-        return (
-            share > 0
-            and state.owed + share * first_cost > 0
-            and self._running.may_pass_headroom(head.size)
-        )
--- a/hibiscusstile/admission/room.py
+++ b/hibiscusstile/admission/room.py
@@ -61,7 +61,7 @@
     @property
     def works(self) -> list[request.WorkItem]:
         """The waiting requests in order of arrival."""
-        return [waiting.work for waiting in self._waiting.values()]
+        return [waiting.offered for waiting in self._waiting.values()]
 
     def state(self, rank_name: str) -> shares.RankState:
         """Returns a rank's state."""
@@ -89,14 +89,17 @@
     def add(
         self,
         work: request.WorkItem,
+        offered: request.WorkItem,
         cost: int,
         now_s: float,
         deadline_s: float,
     ) -> None:
-        """Adds a request."""
+        """Adds a request; see `fairness.Waiting` for its two forms."""
         number = next(self._numbers)
         size = work.prompt_tokens + work.max_tokens
-        waiting = fairness.Waiting(work, size, cost, number, now_s, deadline_s)
+        waiting = fairness.Waiting(
+            work, offered, size, cost, number, now_s, deadline_s
+        )
         state = self.state(work.rank)
         state.add(waiting, self._policy.weight(work.workspace))
         state.note_length(now_s)
@@ -141,7 +144,7 @@
             waiting = self._waiting.get(work_id)
             if waiting is not None and waiting.number == number:
                 self.remove(work_id, now_s)
-                late.append(waiting.work)
+                late.append(waiting.offered)
         return late
 
     def is_over_bound(self, work: request.WorkItem, cost: int) -> bool:
--- a/hibiscusstile/admission/running.py
+++ b/hibiscusstile/admission/running.py
@@ -18,12 +18,14 @@
     Attributes:
         level: Its rank's level; 0 is served first.
         lower: Whether its rank is below the first one.
-        large: Whether its caller uses several times the others' mean.
+        large: Whether its caller asks for several times the others' mean.
+        excess: Whether its caller asks for more than all others.
     """
 
     level: int
     lower: bool
     large: bool
+    excess: bool = False
 
     @property
     def priority(self) -> int:
@@ -51,11 +53,11 @@
 class RunningSet:
     """Counts running requests and tokens.
 
-    A request below the first rank, or of a large caller, starts only if the
-    slots and tokens in use stay within `lower_rank_share` of the bounds; one
-    for which both hold, within its square. What remains is headroom for the
-    others, for whom a flood would otherwise leave no slot until one of its
-    long requests ends.
+    Each class of requests starts only while the slots and tokens in use stay
+    within a part of the bounds, and every next class within a smaller one:
+    the first rank, its large callers, lower ranks, their large callers,
+    excess work. A flood of one class would otherwise leave the better ones
+    no slot until one of its long requests ends.
 
     Args:
         queue_limits: Bounds.
@@ -150,14 +152,14 @@
 
     def leaves_headroom(self, size: int, standing: Standing) -> bool:
         """Whether a request's start leaves the headroom of better claims."""
-        part = self._limits.lower_rank_share ** (
-            standing.lower + standing.large
+        part = self._limits.next_class_share ** (
+            2 * standing.lower + standing.large + standing.excess
         )
         return self._is_within(part, len(self._running), self._tokens, size)
 
     def may_pass_headroom(self, size: int) -> bool:
         """Whether one of a rank that is owed tokens may use the headroom."""
-        part = self._limits.lower_rank_share
+        part = self._limits.next_class_share
         return self._is_within(part, self._lower, self._lower_tokens, size)
 
     def may_start(
--- a/hibiscusstile/admission/shares.py
+++ b/hibiscusstile/admission/shares.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterable, Iterator
 
 from hibiscusstile import request
-from hibiscusstile.admission import fairness, meter, usage
+from hibiscusstile.admission import demand, fairness, meter
 
 __all__ = ["Booking", "RankState", "book_start", "cost_of", "settle"]
 
@@ -20,11 +20,11 @@
         fair: Its waiting requests but for the suspects.
         suspects: Its waiting suspects by work id, in order of arrival.
         meter: Observed rate at which its requests start.
-        usage: Recent use by its callers.
+        demand: Recent demand by its callers.
         owed: Tokens that it is owed for its share; negative after service.
     """
 
-    __slots__ = ("fair", "meter", "name", "owed", "suspects", "usage")
+    __slots__ = ("demand", "fair", "meter", "name", "owed", "suspects")
 
     def __init__(self, name: str, prior_rate: float) -> None:
         self.name = name
@@ -33,7 +33,7 @@
             collections.OrderedDict()
         )
         self.meter = meter.ServiceMeter(prior_rate)
-        self.usage = usage.UsageMeter()
+        self.demand = demand.DemandMeter()
         self.owed = 0.0
 
     @property
@@ -62,8 +62,6 @@
             self.fair.charge_apart(waiting)
         else:
             self.fair.start(waiting)
-        work = waiting.work
-        self.usage.add(work.workspace, work.caller, waiting.cost, now_s)
         if waiting.offered_s < now_s:
             self.meter.add(waiting.cost, now_s)
 
--- a/hibiscusstile/admission/table.py
+++ b/hibiscusstile/admission/table.py
@@ -10,6 +10,10 @@
 
 __all__ = ["PolicyTable"]
 
+_EXCESS_SUFFIX = "/excess"
+_EXCESS_LEVEL = 10
+_EXCESS_SHARE = 0.05
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PolicyTable:
@@ -23,9 +27,30 @@
     ranks: Callable[[], Mapping[str, view.Rank]]
     workspaces: Callable[[], Mapping[str, view.Workspace]]
 
+    @property
+    def top_level(self) -> int:
+        """The first rank's level."""
+        ranks = self.ranks() or limits.DEFAULT_RANKS
+        return min(rank.level for rank in ranks.values())
+
     def rank(self, name: str) -> view.Rank:
         """Returns a rank, or its default where no record exists."""
-        return limits.rank_or_default(self.ranks(), name)
+        base, excess, _ = name.partition(_EXCESS_SUFFIX)
+        rank = limits.rank_or_default(self.ranks(), base)
+        if not excess:
+            return rank
+        return dataclasses.replace(
+            rank, level=_EXCESS_LEVEL + rank.level, share=_EXCESS_SHARE
+        )
+
+    def excess_of(self, name: str) -> str:
+        """Returns the name of the rank for excess work of a rank.
+
+        It comes after all other ranks and keeps a small share, so that a
+        caller who asks for more than all others is served from what they
+        leave, and never not at all.
+        """
+        return name + _EXCESS_SUFFIX
 
     def weight(self, workspace: str) -> float:
         """Returns a workspace's weight, above 0."""
@@ -34,6 +59,8 @@
 
     def is_lower(self, name: str) -> bool:
         """Whether a rank is below the first one."""
-        ranks = self.ranks() or limits.DEFAULT_RANKS
-        top = min(rank.level for rank in ranks.values())
-        return self.rank(name).level > top
+        return self.rank(name).level > self.top_level
+
+    def is_excess(self, name: str) -> bool:
+        """Whether a name is that of excess work."""
+        return name.endswith(_EXCESS_SUFFIX)
--- a/hibiscusstile/settings.py
+++ b/hibiscusstile/settings.py
@@ -241,8 +241,8 @@
         prefill_tokens_per_s: The engine's speed before any was observed.
         prefill_ahead_tokens: Prompt tokens handed to an engine and not yet
             computed; 0 for no bound.
-        lower_rank_share: Part of `running` and `running_tokens` up to which
-            ranks below the first may start.
+        next_class_share: Part of the running slots and tokens that each
+            class of requests may fill, relative to the class before, 0 to 1.
         workspace_share: Part of the queue for one workspace in one rank.
         caller_share: Part of the queue for one caller in one rank.
     """
@@ -252,8 +252,8 @@
     queued_tokens: Annotated[int, pydantic.Field(ge=1)] = 2_000_000
     queued_requests: Annotated[int, pydantic.Field(ge=1)] = 1000
     prefill_tokens_per_s: _Positive = 20_000.0
-    prefill_ahead_tokens: Annotated[int, pydantic.Field(ge=0)] = 8000
-    lower_rank_share: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.75
+    prefill_ahead_tokens: Annotated[int, pydantic.Field(ge=0)] = 4000
+    next_class_share: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.85
     workspace_share: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.5
     caller_share: Annotated[float, pydantic.Field(gt=0, le=1)] = 0.25
 
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -218,3 +218,32 @@
         started.append(work.work_id)
         queue.finish(work.work_id, 110)
     assert "r" in started
+
+
+def test_caller_that_asks_for_more_than_all_others_comes_last() -> None:
+    """Its urgent work would otherwise push out everyone's routine work."""
+    queue = admission.AdmissionQueue(
+        builders.ManualClock(),
+        builders.queue_limits(
+            running=1, queued_requests=1000, caller_share=1.0
+        ),
+        lambda: builders.rank_table(share=0.0),
+    )
+    for number in range(5):
+        assert (
+            _offer(queue, f"o{number}", caller=f"c{number}", rank="urgent")
+            is None
+        )
+    for number in range(20):
+        assert (
+            _offer(queue, f"x{number}", caller="excess", rank="urgent") is None
+        )
+    assert _offer(queue, "small", caller="c1", rank="routine") is None
+    started = []
+    while (work := queue.take()) is not None:
+        started.append(work)
+        queue.finish(work.work_id, 110)
+    order = [work.work_id for work in started]
+    assert order.index("small") < order.index("x12") < order.index("x19")
+    assert len(order) == 26
+    assert {work.rank for work in started} == {"urgent", "routine"}
