Judge heat by the requests before the present one

Cause: an entry's first request for a prefix counted as 1/21 of its traffic, so that a restarted entry before 40 or more runners asked 4 to 8 homes for every prefix until it had seen enough. Change: the share is that of the earlier requests. Tests of the router's repeated asking found this: with 40 refusing runners it asked more than 20.

--- a/hibiscusstile/policies/heat.py
+++ b/hibiscusstile/policies/heat.py
@@ -28,13 +28,13 @@
         return len(self._counts)
 
     def note(self, digest: int) -> float:
-        """Counts a request for a prefix and returns the prefix's share."""
+        """Counts a request and returns its prefix's share of earlier ones."""
         # Later requests weigh more instead of earlier ones less.
         self._weight *= _GROWTH
-        self._total += self._weight
-        count = self._counts.get(digest, 0.0) + self._weight
-        self._counts[digest] = count
+        count = self._counts.get(digest, 0.0)
         share = count / (self._total + _PRIOR * self._weight)
+        self._total += self._weight
+        self._counts[digest] = count + self._weight
         if self._weight > _MAX_WEIGHT or len(self._counts) > _MAX_ENTRIES:
             self._compact()
         return share
--- a/tests/builders.py
+++ b/tests/builders.py
@@ -11,9 +11,12 @@
 from hibiscusstile import admission, backends, outcome, policies, request
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.configuration import view
+from hibiscusstile.peers import messages
 
 __all__ = [
     "BENCH_FIGURES",
+    "BiddingFleet",
+    "BiddingLink",
     "ManualClock",
     "OracleCache",
     "SimulatedEngine",
@@ -447,3 +450,41 @@
         request.PrefixLevel(10_000 + 2 * number, 4000),
         request.PrefixLevel(10_001 + 2 * number, 4100),
     )
+
+
+class BiddingFleet:
+    """Stands for the entry's links; runners that are not free refuse."""
+
+    def __init__(self, *, runners: int, free: set[str]) -> None:
+        self._views = runner_views(runners)
+        self._free = free
+        self.asked: list[str] = []
+
+    def runners(self, model: str) -> list[policies.RunnerView]:
+        """Returns all runners."""
+        del model
+        return list(self._views)
+
+    def link(self, peer_id: str) -> BiddingLink:
+        """Returns the link to a runner."""
+        self.asked.append(peer_id)
+        return BiddingLink(peer_id in self._free)
+
+
+class BiddingLink:
+    """A link that answers bids at once."""
+
+    def __init__(self, free: bool) -> None:
+        self._free = free
+
+    def next_number(self) -> int:
+        """Returns the number of the next bid."""
+        return 1
+
+    async def ask_bid(
+        self, bid: messages.BidRequest, timeout_s: float
+    ) -> messages.BidReply:
+        """Returns a bid, or a refusal unless the runner is free."""
+        del timeout_s
+        refusal = None if self._free else outcome.Reason.OVERLOADED
+        return messages.BidReply(bid.bid_id, 0, 0.0, 0.1, 0, refusal)
--- a/tests/test_bench.py
+++ b/tests/test_bench.py
@@ -37,3 +37,11 @@
     result = report.run(fleet, 2, 200, ("steady",))
     shares = [f.answered for f in result.policies.values()]
     assert shares == [{"urgent": 1.0, "routine": 1.0}] * 4
+
+
+def test_a_crash_loses_no_answer() -> None:
+    """Guards against requests that end with the engine that ran them."""
+    fleet = assumptions.load_fleet("cooperativa")
+    row = report.run(fleet, 5, 400, ("crash",)).rows["crash"]
+    assert row.figures["lost"] == 0
+    assert row.figures["relying_on_dead_cache"] == 0
--- /dev/null
+++ b/tests/test_routing.py
@@ -0,0 +1,33 @@
+"""Tests of how the entry asks for bids."""
+
+from __future__ import annotations
+
+from typing import Any, cast
+
+import pytest
+
+from hibiscusstile import outcome
+from hibiscusstile.configuration import store
+from hibiscusstile.entry import routing
+from tests import builders
+
+
+async def test_others_are_asked_when_all_candidates_refuse() -> None:
+    """Guards against a refusal while runners that were not asked are free."""
+    fleet = builders.BiddingFleet(runners=8, free={"runner5"})
+    router = routing.Router(cast(Any, fleet), store.ConfigurationStore())
+    work = builders.routed_work("w1")
+    route = await router.route(work, "default", frozenset())
+    assert route.runner == "runner5"
+    assert len(fleet.asked) == len(set(fleet.asked))
+
+
+async def test_the_bidders_reason_is_passed_on() -> None:
+    """Guards against an endless search, and a refusal without its reason."""
+    fleet = builders.BiddingFleet(runners=40, free=set())
+    router = routing.Router(cast(Any, fleet), store.ConfigurationStore())
+    with pytest.raises(outcome.Refused) as caught:
+        await router.route(builders.routed_work("w1"), "default", frozenset())
+    assert caught.value.refusal.reason is outcome.Reason.OVERLOADED
+    assert caught.value.refusal.verdict is outcome.Verdict.NOT_RUN
+    assert len(fleet.asked) < 20
