--- /dev/null
+++ b/bench/slopes.py
@@ -0,0 +1,216 @@
+"""`python -m bench.slopes`: what single decisions cost in time and memory."""
+
+from __future__ import annotations
+
+import argparse
+import gc
+import json
+import random
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from typing import Any
+
+from bench import assumptions, queues, simulation, traffic
+from hibiscusstile import admission, backends, bidder, cacheview, policies
+from hibiscusstile.configuration import fold
+
+__all__ = ["main", "measure"]
+
+_RUNNERS = (60, 120, 240)
+_ENTRIES = (10_000, 50_000, 100_000)
+_WORKSPACES = (100, 400, 860)
+_QUEUED = (100, 500)
+_REPEATS = 3
+
+
+def main() -> int:
+    """Prints a table and, as the last line, one JSON object."""
+    parser = argparse.ArgumentParser(prog="bench.slopes", description=__doc__)
+    parser.add_argument("--rounds", type=int, default=1000)
+    rows = measure(parser.parse_args().rounds)
+    for name, values in rows.items():
+        print(
+            f"{name:<34}" + "".join(f"{k}={v:<12}" for k, v in values.items())
+        )
+    print(json.dumps(rows))
+    return 0
+
+
+def measure(rounds: int) -> dict[str, dict[str, float]]:
+    """Returns microseconds and bytes by decision and size.
+
+    Args:
+        rounds: Decisions that each figure is the mean of.
+    """
+    fleet = assumptions.load_fleet("cooperativa")
+    source = traffic.TrafficSource(fleet, 1)
+    orders = [source.draw() for _ in range(rounds)]
+    rows = {}
+    for runners in _RUNNERS:
+        rows[f"routing_decision_{runners}_runners"] = _decision(orders, runners)
+    rows["bid_at_sidecar"] = _bid(fleet, orders)
+    for entries in _ENTRIES:
+        rows[f"cache_view_{entries}_blocks"] = _view(entries, rounds)
+    for workspaces in _WORKSPACES:
+        rows[f"folded_records_{workspaces}_workspaces"] = _fold(workspaces)
+    for queued in _QUEUED:
+        rows[f"queued_requests_{queued}"] = _queue(fleet, source, queued)
+    return rows
+
+
+def _microseconds(action: Callable[[], Any], count: int) -> float:
+    """Returns the best mean of a few runs; others disturb the machine."""
+    best = float("inf")
+    for _ in range(_REPEATS):
+        start_s = time.perf_counter()
+        action()
+        best = min(best, time.perf_counter() - start_s)
+    return round(best / count * 1e6, 2)
+
+
+def _bytes(build: Callable[[], Any], count: int) -> float:
+    gc.collect()
+    tracemalloc.start()
+    before, _ = tracemalloc.get_traced_memory()
+    kept = build()
+    gc.collect()
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return round((after - before) / count, 1)
+
+
+def _decision(orders: list[traffic.Order], runners: int) -> dict[str, float]:
+    fleet = [
+        policies.RunnerView(f"runner-{n}", load=n * 100) for n in range(runners)
+    ]
+    policy = policies.get_policy_by_name("bidding")({})
+
+    def decide() -> None:
+        for order in orders:
+            asked = policy.candidates(order.work, fleet)
+            bids = [policies.Bid(v.runner, prefill_s=0.1) for v in asked]
+            policy.choose(order.work, bids)
+
+    time_us = _microseconds(decide, len(orders))
+
+    def hint() -> policies.Policy:
+        fresh = policies.get_policy_by_name("bidding")({})
+        for order in orders:
+            fresh.candidates(order.work, fleet)
+        return fresh
+
+    return {"us": time_us, "bytes": _bytes(hint, len(orders))}
+
+
+def _bid(
+    fleet: assumptions.Fleet, orders: list[traffic.Order]
+) -> dict[str, float]:
+    sim = simulation.Simulation()
+    queue = queues.build_queue(sim, fleet)
+    view = cacheview.CacheView()
+    view.reset("one")
+    for order in orders:
+        view.admit("one", order.salt, order.work.levels)
+    decider = bidder.Bidder(sim, queue, view, 40_000.0, lambda rank: 0)
+    for order in orders[: fleet.engine.batch]:
+        decider.note_handed(order.work, order.salt)
+
+    def bid() -> None:
+        for order in orders:
+            decider.offer(order.work, order.salt)
+
+    return {"us": _microseconds(bid, len(orders))}
+
+
+def _view(entries: int, rounds: int) -> dict[str, float]:
+    chance = random.Random(1)
+    digests = [chance.getrandbits(64) for _ in range(entries)]
+
+    def build() -> cacheview.CacheView:
+        view = cacheview.CacheView()
+        view.reset("one")
+        view.apply(_stored(digests, 0))
+        return view
+
+    view = build()
+    batches = [
+        _stored([chance.getrandbits(64) for _ in range(rounds)], first)
+        for first in range(entries, entries + _REPEATS * rounds, rounds)
+    ]
+
+    def apply() -> None:
+        view.apply(batches.pop())
+
+    batches.reverse()
+    return {
+        "event_us": _microseconds(apply, rounds),
+        "bytes": _bytes(build, entries),
+    }
+
+
+def _stored(digests: list[int], first: int) -> backends.CacheEvents:
+    return backends.CacheEvents(
+        "one",
+        tuple(
+            backends.BlockEvent(
+                first + index,
+                backends.BlockEventKind.STORED,
+                "salt",
+                digest,
+                2048,
+            )
+            for index, digest in enumerate(digests)
+        ),
+    )
+
+
+def _fold(workspaces: int) -> dict[str, float]:
+    def build() -> fold.Fold:
+        state = fold.Fold()
+        state.restore(
+            [
+                fold.StoredRecord(
+                    "workspace",
+                    f"ws{n}",
+                    1,
+                    n,
+                    {"keys": [{"key_id": f"k{n}", "salt": "0" * 32}]},
+                )
+                for n in range(workspaces)
+            ],
+            workspaces,
+            workspaces + 1,
+        )
+        return state
+
+    state = build()
+    return {
+        "digest_us_a_record": _microseconds(lambda: state.digest, workspaces),
+        "bytes": _bytes(build, workspaces),
+    }
+
+
+def _queue(
+    fleet: assumptions.Fleet, source: traffic.TrafficSource, queued: int
+) -> dict[str, float]:
+    orders = [source.draw() for _ in range(queued)]
+
+    def build() -> admission.AdmissionQueue:
+        queue = queues.build_queue(simulation.Simulation(), fleet)
+        for order in orders:
+            queue.offer(order.work, 1000.0)
+        return queue
+
+    waiting = build().waiting
+    return {
+        "waiting": waiting,
+        "offer_us": _microseconds(build, queued),
+        "bytes": _bytes(build, max(1, waiting)),
+    }
+
+
+if __name__ == "__main__":
+    sys.exit(main())
