--- a/tests/builders/__init__.py
+++ b/tests/builders/__init__.py
@@ -56,6 +56,8 @@
     process_settings,
 )
 from tests.builders.routing import (
+    BiddingFleet,
+    BiddingLink,
     cold_levels,
     routed_work,
     runner_views,
@@ -65,6 +67,8 @@
 __all__ = [
     "BENCH_FIGURES",
     "FLEET_WORKSPACES",
+    "BiddingFleet",
+    "BiddingLink",
     "CallFleet",
     "FakeEngine",
     "FakeInstances",
--- a/tests/builders/routing.py
+++ b/tests/builders/routing.py
@@ -4,11 +4,14 @@
 
 from hibiscusstile import policies, request
 from hibiscusstile.configuration import view
+from hibiscusstile.peers import messages
 from tests.builders.basics import (
     work_item,
 )
 
 __all__ = [
+    "BiddingFleet",
+    "BiddingLink",
     "cold_levels",
     "routed_work",
     "runner_views",
@@ -49,3 +52,41 @@
         request.PrefixLevel(10_000 + 2 * number, 4000),
         request.PrefixLevel(10_001 + 2 * number, 4100),
     )
+
+
+class BiddingFleet:
+    """Stands for the entry's links; runners that are not free refuse."""
+
+    def __init__(self, *, runners: int, free: set[str]) -> None:
+        self._views = runner_views(runners)
+        self._free = free
+        self.asked: list[str] = []
+
+    def runners(self, model: str) -> list[policies.RunnerView]:
+        """Returns all runners."""
+        del model
+        return list(self._views)
+
+    def link(self, peer_id: str) -> BiddingLink:
+        """Returns the link to a runner."""
+        self.asked.append(peer_id)
+        return BiddingLink(peer_id in self._free)
+
+
+class BiddingLink:
+    """A link that answers bids at once."""
+
+    def __init__(self, free: bool) -> None:
+        self._free = free
+
+    def next_number(self) -> int:
+        """Returns the number of the next bid."""
+        return 1
+
+    async def ask_bid(
+        self, bid: messages.BidRequest, timeout_s: float
+    ) -> messages.BidReply:
+        """Returns a bid, or a refusal unless the runner is free."""
+        del timeout_s
+        refusal = None if self._free else outcome.Reason.OVERLOADED
+        return messages.BidReply(bid.bid_id, 0, 0.0, 0.1, 0, refusal)
