Run the bench on the queue's present bounds

Cause: the bench named a bound that the queue has replaced.

Change: fleets name next_class_share, at the queue's default.

--- a/bench/assumptions.py
+++ b/bench/assumptions.py
@@ -128,14 +128,15 @@
         running_tokens: Tokens handed to the engine at once.
         prefill_ahead_tokens: Prompt tokens handed to the engine and not yet
             computed.
-        lower_rank_share: Part of the places for ranks below the first.
+        next_class_share: Part of the running places of each class
+            relative to the class before.
     """
 
     queued_tokens: _Count
     queued_requests: _Count
     running_tokens: _Count
     prefill_ahead_tokens: _Count
-    lower_rank_share: _Share
+    next_class_share: _Share
 
 
 class Disturbances(_Model):
--- a/bench/queues.py
+++ b/bench/queues.py
@@ -38,7 +38,7 @@
             queued_requests=fleet.queue.queued_requests,
             prefill_tokens_per_s=fleet.engine.prefill_tokens_per_s,
             prefill_ahead_tokens=fleet.queue.prefill_ahead_tokens,
-            lower_rank_share=fleet.queue.lower_rank_share,
+            next_class_share=fleet.queue.next_class_share,
         ),
         lambda: ranks,
     )
--- a/tests/builders/routing.py
+++ b/tests/builders/routing.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hibiscusstile import policies, request
+from hibiscusstile import outcome, policies, request
 from hibiscusstile.configuration import view
 from hibiscusstile.peers import messages
 from tests.builders.basics import (
