--- a/hibiscusstile/admission/choice.py
+++ b/hibiscusstile/admission/choice.py
@@ -83,11 +83,15 @@
         """Returns the start of a rank that is owed, None to wait for it.
 
         It has the first rank's priority, as the engine would otherwise put
-        it behind the work that its share protects it from. Nothing else
-        starts until the engine takes it.
+        it behind the work that its share protects it from; excess work comes
+        next to that. Nothing else starts until the engine takes it.
         """
+        excess = self._policy.is_excess(state.name)
         standing = running_lib.Standing(
-            self._policy.top_level, self._policy.is_lower(state.name), False
+            self._policy.top_level,
+            self._policy.is_lower(state.name),
+            excess,
+            excess,
         )
         if not self._running.accepts_prefill(head.prefill, standing):
             return None
