Pass a silent service sidecar over until it answers

Cause: sidecars of plain services get no bids, so a frozen one was noticed only by the idle ping, and each call that hashed to it lost 1.5 s.

Change: a call that hears nothing for 1.5 s marks the link, as two missed bids do. Signs of life go to all entries at once, so that one that does not read does not silence the others. Test where an entry sends suspects.

--- a/hibiscusstile/entry/calls.py
+++ b/hibiscusstile/entry/calls.py
@@ -150,7 +150,7 @@
                     _QUEUE_TIME.total_seconds(),
                 )
             )
-            message = await self._receive(work, channel)
+            message = await self._receive(work, link, channel)
         except (
             connection_lib.ConnectionLost,
             client_lib.ChannelLost,
@@ -168,7 +168,10 @@
         raise outcome.Refused(refusals.peer_lost(outcome.Verdict.MAY_HAVE_RUN))
 
     async def _receive(
-        self, work: CallWork, channel: client_lib.AttemptChannel
+        self,
+        work: CallWork,
+        link: client_lib.SidecarLink,
+        channel: client_lib.AttemptChannel,
     ) -> messages.PeerMessage:
         """Returns the first message that is no sign of life.
 
@@ -180,9 +183,13 @@
         until_s = self._clock.monotonic() + limit.total_seconds()
         while True:
             left_s = until_s - self._clock.monotonic()
-            message = await channel.receive(
-                min(left_s, silence.total_seconds())
-            )
+            try:
+                message = await channel.receive(
+                    min(left_s, silence.total_seconds())
+                )
+            except TimeoutError:
+                link.note_silence()
+                raise
             if not isinstance(message, messages.Progress):
                 return message
 
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -171,6 +171,10 @@
         """Seconds since `load` was learned."""
         return self._clock.monotonic() - self._load_at_s
 
+    def note_silence(self) -> None:
+        """Passes the sidecar over until it sends anything again."""
+        self._misses = _MISSES_UNTIL_UNREACHABLE
+
     def mark_leaving(self) -> None:
         """Sends no new work there."""
         if self._info is not None:
--- a/hibiscusstile/sidecar/calls.py
+++ b/hibiscusstile/sidecar/calls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import dataclasses
 import datetime
@@ -98,9 +99,9 @@
         """Tells the entries that their calls are alive, until cancelled."""
         while True:
             await self._clock.sleep(_PROGRESS_INTERVAL)
-            for attempt_id, running in list(self._running.items()):
-                with contextlib.suppress(connection_lib.ConnectionLost):
-                    await running.connection.send(messages.Progress(attempt_id))
+            await asyncio.gather(
+                *(_send_progress(each) for each in self._running.values())
+            )
 
     async def _run(self, running: _Running) -> None:
         try:
@@ -247,6 +248,14 @@
         return self._ledger
 
 
+async def _send_progress(running: _Running) -> None:
+    """Sends a sign of life, which an entry that does not read misses."""
+    progress = messages.Progress(running.call.attempt_id)
+    with contextlib.suppress(connection_lib.ConnectionLost, TimeoutError):
+        async with asyncio.timeout(_PROGRESS_INTERVAL.total_seconds()):
+            await running.connection.send(progress)
+
+
 def _not_served(call: messages.Call) -> outcome.Refusal:
     return outcome.Refusal(
         outcome.Reason.NO_BACKEND,
--- /dev/null
+++ b/tests/test_suspicion.py
@@ -0,0 +1,57 @@
+"""Tests of where an entry sends a suspect."""
+
+from __future__ import annotations
+
+import types
+from typing import Any
+
+import pytest
+
+from hibiscusstile import outcome, policies, suspects
+from hibiscusstile.entry import suspicion
+from tests import builders
+
+_ZONES = {"r1": "az-1", "r2": "az-1", "r3": "az-2"}
+
+
+def _suspicion(
+    table: suspects.Suspects, zones: dict[str, str]
+) -> suspicion.Suspicion:
+    fleet: Any = types.SimpleNamespace(
+        runners=lambda model: [policies.RunnerView(name) for name in zones],
+        link=lambda name: types.SimpleNamespace(
+            info=types.SimpleNamespace(zone=zones[name])
+        ),
+    )
+    return suspicion.Suspicion(table, fleet)
+
+
+def test_a_suspect_goes_to_another_zone_if_there_is_one() -> None:
+    """Guards against a conviction by a rack that ends two engines."""
+    table = suspects.Suspects(builders.ManualClock())
+    chat = builders.chat_request()
+    digest = suspects.fingerprint("growers", chat)
+    table.note_crash(suspects.CrashSite("az-1", "r1", "i1"), [digest, "other"])
+    entry = _suspicion(table, _ZONES)
+    not_run = outcome.Verdict.NOT_RUN
+    assert entry.judge("growers", chat, not_run) == digest
+    assert entry.runners(digest, "m1", frozenset()) == ["r3"]
+    assert entry.runners(digest, "m1", frozenset({"r3"})) == ["r2"]
+    assert _suspicion(table, {"r1": "az-1"}).runners(
+        digest, "m1", frozenset()
+    ) == ["r1"]
+
+
+def test_a_convicted_request_is_refused_with_what_is_known() -> None:
+    """Guards against a third crash, and against an untrue `not_run`."""
+    table = suspects.Suspects(builders.ManualClock())
+    chat = builders.chat_request()
+    digest = suspects.fingerprint("growers", chat)
+    for peer in ("r1", "r3"):
+        table.note_crash(suspects.CrashSite("az", peer, "i1"), [digest])
+    with pytest.raises(outcome.Refused) as caught:
+        _suspicion(table, _ZONES).judge(
+            "growers", chat, outcome.Verdict.MAY_HAVE_RUN
+        )
+    assert caught.value.refusal.reason is outcome.Reason.SUSPECT
+    assert caught.value.refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
