--- a/hibiscusstile/claims/outbox.py
+++ b/hibiscusstile/claims/outbox.py
@@ -80,10 +80,6 @@
         """Takes a record; one that is known already is ignored."""
         self._waiting.setdefault(_name(record), _Waiting(record))
 
-    def holds(self, claim_id: str) -> bool:
-        """Returns whether a claim is still on its way."""
-        return (entries.Claim, claim_id) in self._waiting
-
     def withdraw(self, claim_id: str) -> bool:
         """Drops a claim; returns whether the log may have or get it."""
         waiting = self._waiting.pop((entries.Claim, claim_id), None)
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -429,8 +429,10 @@
     """Runs once its append was answered, without reading up to the claim."""
 
     def decide(self, ticket: tickets.Ticket) -> tickets.Decision:
-        if ticket.claim_id in self._own and not self._outbox.holds(
-            ticket.claim_id
+        waiting = self._outbox._waiting
+        if (
+            ticket.claim_id in self._own
+            and (entries.Claim, ticket.claim_id) not in waiting
         ):
             return tickets.Start()
         return super().decide(ticket)
