Learn the block size from removals too

By reading: when the STORED event of a small outer level was lost, the block size was overestimated, the level counted as less than a block and was skipped, though its removal had been seen. The view then reported inner levels that the engine cannot reuse. Change: REMOVED events count for the block size as well. Result: a test of that case fails before and passes after.

--- a/hibiscusstile/cacheview.py
+++ b/hibiscusstile/cacheview.py
@@ -107,8 +107,8 @@
                 continue
             self._lost_events += event.number - self._last_number - 1
             self._last_number = event.number
+            self._block_tokens = math.gcd(self._block_tokens, event.tokens)
             if event.kind is backends.BlockEventKind.STORED:
-                self._block_tokens = math.gcd(self._block_tokens, event.tokens)
                 self._note_stored(event)
             else:
                 self._note_removed(event)
--- a/tests/test_cacheview.py
+++ b/tests/test_cacheview.py
@@ -82,3 +82,17 @@
     view.admit("one", "salt", (request.PrefixLevel(3, 100),))
     assert view.cached_tokens("salt", (first,)) == 0
     assert view.cached_tokens("salt", (second,)) == 100
+
+
+def test_a_removal_alone_shows_smaller_blocks() -> None:
+    """Guards against skipping a removed outer level as less than a block."""
+    view = cacheview.CacheView()
+    view.reset("one")
+    levels = (request.PrefixLevel(1, 20), request.PrefixLevel(2, 50))
+    view.admit("one", "salt", levels)
+    view.apply(
+        builders.cache_events(
+            "one", ("stored", 1, 2, 48), ("removed", 2, 1, 16)
+        )
+    )
+    assert view.cached_tokens("salt", levels) == 0
