Let a rank's debt fade, so that its share holds from a flood's start

Cause: in a flood of urgent work routine kept 0.01 to 0.03 of the served tokens where its share is 0.10. A start of a long prompt while urgent work waited for a moment left a debt of 20,000 tokens, and only waiting ranks worked debts off, so the debt met the next routine request after any time. Ruled out: early refusals (none of 101 bids) and the engine's priority.

Change: ranks without waiting requests work debts off too, and a debt halves every 3 s.

--- a/hibiscusstile/admission/choice.py
+++ b/hibiscusstile/admission/choice.py
@@ -47,6 +47,7 @@
         """Returns the most urgent head, or that of a rank that is owed."""
         first: Choice | None = None
         for state in self._room.states:
+            state.decay(now_s)
             heads = state.heads(self._running.has_suspect)
             for head in itertools.islice(heads, _MAX_SKIPPED + 1):
                 first_cost = first.waiting.cost if first else 0
--- a/hibiscusstile/admission/room.py
+++ b/hibiscusstile/admission/room.py
@@ -124,12 +124,22 @@
         now_s: float,
     ) -> tuple[shares.Booking, ...]:
         """Removes a request that starts and books it on the ranks."""
+        for each in self._states.values():
+            each.decay(now_s)
         bookings = shares.book_start(
             state,
             [(s, self._policy.rank(s.name).share) for s in self.states],
             waiting.cost,
             self._limits.running_tokens,
         )
+        shares.repay(
+            [
+                (each, self._policy.rank(each.name).share)
+                for each in self._states.values()
+                if each.waiting == 0
+            ],
+            waiting.cost,
+        )
         state.start(waiting, now_s)
         if waiting.offered_s < now_s:
             self._meter.add(waiting.cost, now_s)
--- a/hibiscusstile/admission/shares.py
+++ b/hibiscusstile/admission/shares.py
@@ -9,7 +9,17 @@
 from hibiscusstile import request
 from hibiscusstile.admission import demand, fairness, meter
 
-__all__ = ["Booking", "RankState", "book_start", "cost_of", "settle"]
+__all__ = [
+    "Booking",
+    "RankState",
+    "book_start",
+    "cost_of",
+    "repay",
+    "settle",
+]
+
+
+_DEBT_HALF_LIFE_S = 3.0
 
 
 class RankState:
@@ -24,7 +34,15 @@
         owed: Tokens that it is owed for its share; negative after service.
     """
 
-    __slots__ = ("demand", "fair", "meter", "name", "owed", "suspects")
+    __slots__ = (
+        "_decayed_s",
+        "demand",
+        "fair",
+        "meter",
+        "name",
+        "owed",
+        "suspects",
+    )
 
     def __init__(self, name: str, prior_rate: float) -> None:
         self.name = name
@@ -35,6 +53,7 @@
         self.meter = meter.ServiceMeter(prior_rate)
         self.demand = demand.DemandMeter()
         self.owed = 0.0
+        self._decayed_s = 0.0
 
     @property
     def waiting(self) -> int:
@@ -82,6 +101,17 @@
         if suspect is not None:
             yield suspect
 
+    def decay(self, now_s: float) -> None:
+        """Lets a debt fade.
+
+        One long prompt may cost as much as the rank's share of ten seconds;
+        its debt would otherwise shut the rank out at the start of a flood.
+        """
+        age_s = now_s - self._decayed_s
+        self._decayed_s = now_s
+        if self.owed < 0.0:
+            self.owed *= 0.5 ** (age_s / _DEBT_HALF_LIFE_S)
+
     def note_length(self, now_s: float) -> None:
         """Follows a change of what waits.
 
@@ -138,6 +168,21 @@
     return tuple(bookings)
 
 
+def repay(states: Iterable[tuple[RankState, float]], cost: int) -> None:
+    """Lets ranks without waiting requests work off what they have had.
+
+    A debt that only waiting could repay would meet the rank's next requests
+    after any length of time, in which others received all the service.
+
+    Args:
+        states: Ranks with nothing waiting, and their shares, 0 to 1.
+        cost: Tokens of another rank's start.
+    """
+    for state, share in states:
+        if state.owed < 0.0:
+            state.owed = min(0.0, state.owed + share * cost)
+
+
 def settle(
     bookings: Iterable[Booking], cost: int, served: int, most_owed: float
 ) -> None:
