--- a/tests/test_admission_fuzz.py
+++ b/tests/test_admission_fuzz.py
@@ -15,6 +15,7 @@
 
 _RANKS = st.sampled_from(["urgent", "routine", "unlisted"])
 _WORKSPACES = st.sampled_from(["growers", "treasury", "cellar"])
+_QUEUE_TIME_S = 30.0
 _CALLERS = st.sampled_from(["a", "b", "c"])
 
 
@@ -74,7 +75,8 @@
         else:
             assert expected is None, "check refused what offer took"
             self.waiting[work.work_id] = work
-            self.deadline_s[work.work_id] = now_s + deadline_s
+            limit_s = min(deadline_s, _QUEUE_TIME_S)
+            self.deadline_s[work.work_id] = now_s + limit_s
         if deadline_s >= 30:
             assert (expected is None) == (refusal is None)
         for each in shed:
