Split large modules, and bound the time of a request's head

Change: the peers' messages and the tests' builders become packages by topic; failures, HTTP refusals and the key's parsing move to modules of their own. A connection whose first head takes longer than the body's time limit gets 408 with not_run and is closed.

--- /dev/null
+++ b/bench/peer_slopes.py
@@ -0,0 +1,235 @@
+"""`python -m bench.peer_slopes`: what connections between peers cost.
+
+One child process answers as many connections as an entry instance would have;
+this process holds the entry's side of them with the real link class.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+import multiprocessing
+import multiprocessing.connection
+import resource
+import sys
+import time
+
+import uvloop
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import request
+from hibiscusstile.peers import client, codec, handshake, messages
+from hibiscusstile.peers import connection as connection_lib
+from hibiscusstile.peers import server as server_lib
+
+__all__ = ["main"]
+
+_SECRET = b"slopes-secret-0123456789"
+_LINKS = (60, 120, 240)
+_ROUNDS = 20
+_TIMEOUT_S = 5.0
+# Frame header, and TCP and IP headers of a packet with timestamps.
+_PACKET_BYTES = 4 + 52
+
+
+class _Observer(client.LinkObserver):
+    """Ignores what links report."""
+
+    async def on_hello(
+        self, link: client.SidecarLink, hello: messages.Hello
+    ) -> None:
+        """Ignores a hello."""
+
+    async def on_message(
+        self, link: client.SidecarLink, message: messages.PeerMessage
+    ) -> None:
+        """Ignores a message."""
+
+    async def on_revision(
+        self, link: client.SidecarLink, revision: int
+    ) -> None:
+        """Ignores a revision."""
+
+    def on_answer(self, asked_s: float) -> None:
+        """Ignores an answer."""
+
+
+def main() -> int:
+    """Prints a line for each number of links and, last, one JSON object."""
+    parser = argparse.ArgumentParser(prog="bench.peer_slopes")
+    parser.add_argument("--rounds", type=int, default=_ROUNDS)
+    rounds = parser.parse_args().rounds
+    sizes = _frame_bytes()
+    rows = [uvloop.run(_measure(count, rounds)) for count in _LINKS]
+    for row in rows:
+        print("  ".join(f"{name}={value}" for name, value in row.items()))
+    print(json.dumps({"wire_bytes": sizes, "links": rows}))
+    return 0
+
+
+def _frame_bytes() -> dict[str, int]:
+    info = messages.PeerInfo(
+        "sidecar-17", "inc-1", "sidecar", "10.1.2.3", 8200, "az-1", "south"
+    )
+    examples = [
+        messages.Hello(info),
+        _bid(1),
+        messages.BidReply(1, 20_000, 0.25, 0.125, 300_000),
+        messages.Ping(1),
+        messages.Pong(1),
+        messages.Chunk("att-0123456789ab", 100, " word"),
+        messages.Ack("att-0123456789ab", 100),
+    ]
+    return {
+        each.name: len(codec.encode(each, 800)) + _PACKET_BYTES
+        for each in examples
+    }
+
+
+def _bid(number: int) -> messages.BidRequest:
+    levels = tuple(
+        request.PrefixLevel(2**63 + level, 4096 * level)
+        for level in range(1, 6)
+    )
+    return messages.BidRequest(
+        number,
+        "workspace-17",
+        "caller-23",
+        "urgent",
+        "model-4",
+        "",
+        levels,
+        20_480,
+        256,
+    )
+
+
+async def _measure(count: int, rounds: int) -> dict[str, float]:
+    ours, theirs = multiprocessing.Pipe()
+    context = multiprocessing.get_context("spawn")
+    child = context.Process(target=_serve, args=(theirs,), daemon=True)
+    child.start()
+    port = await asyncio.to_thread(ours.recv)
+    before = _resident_bytes()
+    links = [_link(port) for _ in range(count)]
+    tasks = [asyncio.ensure_future(link.run()) for link in links]
+    await asyncio.gather(*(link.wait_ready() for link in links))
+    memory = _resident_bytes() - before
+    try:
+        ping = await _time(ours, links, rounds, _ping)
+        bid = await _time(ours, links, rounds, _ask)
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        ours.send("stop")
+        child.join(_TIMEOUT_S)
+    return {
+        "links": count,
+        "bytes_a_link": round(memory / count),
+        "ping_us": ping[0],
+        "pong_us": ping[1],
+        "bid_us": bid[0],
+        "bid_reply_us": bid[1],
+    }
+
+
+def _link(port: int) -> client.SidecarLink:
+    info = messages.PeerInfo(
+        "entry-1", "inc-1", "entry", "", 0, "az-1", "south"
+    )
+    return client.SidecarLink(
+        handshake.Identity("entry-1", "entry"),
+        "127.0.0.1",
+        port,
+        _SECRET,
+        clock_lib.SystemClock(),
+        lambda: 800,
+        lambda: messages.Hello(info),
+        _Observer(),
+    )
+
+
+async def _ping(link: client.SidecarLink) -> None:
+    if not await link.probe(_TIMEOUT_S):
+        raise TimeoutError("no pong")
+
+
+async def _ask(link: client.SidecarLink) -> None:
+    if await link.ask_bid(_bid(link.next_number()), _TIMEOUT_S) is None:
+        raise TimeoutError("no bid")
+
+
+async def _time(
+    child: multiprocessing.connection.Connection,
+    links: list[client.SidecarLink],
+    rounds: int,
+    ask: object,
+) -> tuple[float, float]:
+    """Returns microseconds of processor time a question, here and there."""
+    child.send("time")
+    theirs_s = await asyncio.to_thread(child.recv)
+    ours_s = time.process_time()
+    for _ in range(rounds):
+        for link in links:
+            await ask(link)  # type: ignore[operator]
+    ours_s = time.process_time() - ours_s
+    child.send("time")
+    theirs_s = await asyncio.to_thread(child.recv) - theirs_s
+    questions = rounds * len(links)
+    return (
+        round(ours_s / questions * 1e6, 1),
+        round(theirs_s / questions * 1e6, 1),
+    )
+
+
+def _resident_bytes() -> int:
+    with open("/proc/self/statm", encoding="ascii") as statm:
+        return int(statm.read().split()[1]) * resource.getpagesize()
+
+
+def _serve(pipe: multiprocessing.connection.Connection) -> None:
+    uvloop.run(_serve_until_stopped(pipe))
+
+
+async def _serve_until_stopped(
+    pipe: multiprocessing.connection.Connection,
+) -> None:
+    server = server_lib.PeerServer(
+        handshake.Identity("sidecar-1", "sidecar"),
+        "127.0.0.1",
+        0,
+        _SECRET,
+        lambda: 800,
+        _answer,
+    )
+    task = asyncio.ensure_future(server.run())
+    await server.wait_listening()
+    pipe.send(server.port)
+    while await asyncio.to_thread(pipe.recv) != "stop":
+        pipe.send(time.process_time())
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+
+
+async def _answer(
+    connection: connection_lib.PeerConnection, other: handshake.Identity
+) -> None:
+    del other
+    info = messages.PeerInfo(
+        "sidecar-1", "inc-1", "sidecar", "127.0.0.1", 1, "az-1", "south"
+    )
+    await connection.send(messages.Hello(info))
+    while True:
+        message = (await connection.receive()).message
+        if isinstance(message, messages.Ping):
+            await connection.send(messages.Pong(message.number))
+        elif isinstance(message, messages.BidRequest):
+            await connection.send(
+                messages.BidReply(message.bid_id, 20_000, 0.25, 0.125, 300_000)
+            )
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/hibiscusstile/entry/front.py
+++ b/hibiscusstile/entry/front.py
@@ -31,7 +31,6 @@
 
 _RANK_HEADER = "Hibiscusstile-Rank"
 _KEY_HEADER = "Idempotency-Key"
-_MAX_KEY_LENGTH = 255
 _SERVICE_METHODS = ("GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS")
 _CONFIRM_RETRY = datetime.timedelta(seconds=1)
 _DEFAULT_RANK = view_lib.Rank(
@@ -114,10 +113,12 @@
         except outcome.Refused as refused:
             return refusals.to_response(refused.refusal, request_id)
         except web.HTTPException as error:
-            return refusals.to_response(_from_http(error), request_id)
+            refusal = refusals.of_http_error(error)
+            return refusals.to_response(refusal, request_id)
         except Exception as error:
             _log.exception("request_failed request={}", request_id)
-            return refusals.to_response(_internal(error), request_id)
+            refusal = refusals.of_exception(error)
+            return refusals.to_response(refusal, request_id)
         finally:
             self._active -= 1
 
@@ -173,7 +174,9 @@
         caller = self._authenticate(request)
         name = request.match_info["application"]
         application = self._application(caller.workspace, name)
-        key = _idempotency_key(request)
+        key = parsing.parse_idempotency_key(
+            request.headers.getall(_KEY_HEADER, [])
+        )
         if key is None and (request.method in application.key_required_methods):
             raise _refused(
                 outcome.Reason.BAD_REQUEST,
@@ -372,25 +375,6 @@
     )
 
 
-def _idempotency_key(request: web.Request) -> str | None:
-    """Returns the key, None without one.
-
-    Raises:
-        Refused: It could be read as another key by another process.
-    """
-    keys = request.headers.getall(_KEY_HEADER, [])
-    if not keys:
-        return None
-    key = keys[0]
-    readable = key.isascii() and key.isprintable()
-    if len(keys) > 1 or not readable or not 1 <= len(key) <= _MAX_KEY_LENGTH:
-        raise _refused(
-            outcome.Reason.BAD_REQUEST,
-            "Idempotency-Key must be one text of 1 to 255 ASCII characters",
-        )
-    return key
-
-
 def _refused(
     reason: outcome.Reason,
     message: str,
@@ -399,20 +383,3 @@
     return outcome.Refused(
         outcome.Refusal(reason, message, retry_after=retry_after)
     )
-
-
-def _internal(error: Exception) -> outcome.Refusal:
-    return outcome.Refusal(
-        outcome.Reason.INTERNAL,
-        f"internal error: {type(error).__name__}",
-        outcome.Verdict.MAY_HAVE_RUN,
-    )
-
-
-def _from_http(error: web.HTTPException) -> outcome.Refusal:
-    reason = {
-        404: outcome.Reason.NOT_FOUND,
-        405: outcome.Reason.METHOD_NOT_ALLOWED,
-        413: outcome.Reason.TOO_LARGE,
-    }.get(error.status, outcome.Reason.BAD_REQUEST)
-    return outcome.Refusal(reason, error.reason or "bad request")
--- a/hibiscusstile/entry/listener.py
+++ b/hibiscusstile/entry/listener.py
@@ -24,10 +24,64 @@
 class _CallerProtocol(web.RequestHandler):
     """Answers with a refusal where aiohttp cannot parse a request.
 
-    Such requests reach no handler of the application.
+    Such requests reach no handler of the application. A connection whose
+    first request's head does not arrive in time is answered and closed;
+    aiohttp itself would wait for it without limit.
     """
 
-    __slots__ = ()
+    __slots__ = ("_head_timeout_s", "_head_timer")
+
+    def __init__(
+        self,
+        manager: Any,
+        *,
+        loop: asyncio.AbstractEventLoop,
+        head_timeout_s: float,
+        **options: Any,
+    ) -> None:
+        super().__init__(manager, loop=loop, **options)
+        self._head_timeout_s = head_timeout_s
+        self._head_timer: asyncio.TimerHandle | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Starts to wait for the first request's head."""
+        super().connection_made(transport)
+        self._head_timer = asyncio.get_running_loop().call_later(
+            self._head_timeout_s, self._refuse_slow_head
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the wait."""
+        self._stop_head_timer()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Ends the wait once a head is complete."""
+        super().data_received(data)
+        if self._head_timer and (self._messages or self._current_request):
+            self._stop_head_timer()
+
+    def _stop_head_timer(self) -> None:
+        if self._head_timer is not None:
+            self._head_timer.cancel()
+            self._head_timer = None
+
+    def _refuse_slow_head(self) -> None:
+        self._head_timer = None
+        if self.transport is None:
+            return
+        refusal = outcome.Refusal(
+            outcome.Reason.SLOW_CLIENT,
+            "the request's head did not arrive in time",
+        )
+        response = refusals.to_response(refusal, identity.new_id("req"))
+        body = response.body if isinstance(response.body, bytes) else b""
+        head = [f"HTTP/1.1 {response.status} Request Timeout"]
+        head += [f"{name}: {value}" for name, value in response.headers.items()]
+        head += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
+        transport: Any = self.transport
+        transport.write("\r\n".join(head).encode() + body)
+        transport.close()
 
     def handle_error(
         self,
@@ -61,10 +115,18 @@
     Args:
         address: Where to listen.
         app: The application.
+        head_timeout_s: Seconds in which a connection's first request must
+            have sent its head.
     """
 
-    def __init__(self, address: settings.Address, app: web.Application) -> None:
+    def __init__(
+        self,
+        address: settings.Address,
+        app: web.Application,
+        head_timeout_s: float,
+    ) -> None:
         self._address = address
+        self._head_timeout_s = head_timeout_s
         self._app = app
         self._port = address.port
         self._listening = asyncio.Event()
@@ -97,6 +159,7 @@
             "access_log": None,
             "max_field_size": _MAX_FIELD_BYTES,
             "max_headers": _MAX_HEADERS,
+            "head_timeout_s": self._head_timeout_s,
         }
         loop = asyncio.get_running_loop()
         try:
--- a/hibiscusstile/entry/parsing.py
+++ b/hibiscusstile/entry/parsing.py
@@ -5,13 +5,16 @@
 import base64
 import binascii
 import re
+from collections.abc import Sequence
 from typing import Annotated, Any, Literal
 
 import pydantic
 
 from hibiscusstile import outcome, request
 
-__all__ = ["parse_chat"]
+__all__ = ["parse_chat", "parse_idempotency_key"]
+
+_MAX_KEY_LENGTH = 255
 
 _DATA_URI = re.compile(r"data:image/[a-z0-9.+-]+;base64,", re.ASCII)
 _Text = Annotated[str, pydantic.StringConstraints(max_length=5_000_000)]
@@ -89,6 +92,26 @@
     )
 
 
+def parse_idempotency_key(keys: Sequence[str]) -> str | None:
+    """Returns the key of an `Idempotency-Key` header, None without one.
+
+    Args:
+        keys: The header's values.
+
+    Raises:
+        Refused: It could be read as another key by another process.
+    """
+    if not keys:
+        return None
+    key = keys[0]
+    readable = key.isascii() and key.isprintable()
+    if len(keys) > 1 or not readable or not 1 <= len(key) <= _MAX_KEY_LENGTH:
+        raise _bad_request(
+            "Idempotency-Key must be one text of 1 to 255 ASCII characters",
+        )
+    return key
+
+
 def _message(message: _Message, image_bytes: int) -> request.Message:
     content = message.content
     if isinstance(content, str):
--- a/hibiscusstile/entry/refusals.py
+++ b/hibiscusstile/entry/refusals.py
@@ -15,6 +15,8 @@
     "REQUEST_ID_HEADER",
     "VERDICT_HEADER",
     "error_body",
+    "of_exception",
+    "of_http_error",
     "peer_lost",
     "refusal_of",
     "to_response",
@@ -94,3 +96,22 @@
         content_type="application/json",
         headers=headers,
     )
+
+
+def of_exception(error: Exception) -> outcome.Refusal:
+    """Returns the refusal for a fault of this program."""
+    return outcome.Refusal(
+        outcome.Reason.INTERNAL,
+        f"internal error: {type(error).__name__}",
+        outcome.Verdict.MAY_HAVE_RUN,
+    )
+
+
+def of_http_error(error: web.HTTPException) -> outcome.Refusal:
+    """Returns the refusal for a request that aiohttp turned away."""
+    reason = {
+        404: outcome.Reason.NOT_FOUND,
+        405: outcome.Reason.METHOD_NOT_ALLOWED,
+        413: outcome.Reason.TOO_LARGE,
+    }.get(error.status, outcome.Reason.BAD_REQUEST)
+    return outcome.Refusal(reason, error.reason or "bad request")
--- /dev/null
+++ b/hibiscusstile/peers/messages/__init__.py
@@ -0,0 +1,76 @@
+"""Messages between own processes, one data class a type.
+
+Field names travel with the values, so that an older process ignores fields it
+does not know and a newer one fills missing fields with their defaults.
+"""
+
+from __future__ import annotations
+
+from hibiscusstile.peers.messages.base import PeerMessage, message_types
+from hibiscusstile.peers.messages.configuration import (
+    ConfigDigest,
+    ConfigFetch,
+    ConfigState,
+)
+from hibiscusstile.peers.messages.session import (
+    HandshakeChallenge,
+    HandshakeProof,
+    HandshakeStart,
+    Hello,
+    Leaving,
+    PeerAddress,
+    PeerInfo,
+    Ping,
+    Pong,
+    SuspectNotice,
+    suspect_notice,
+)
+from hibiscusstile.peers.messages.work import (
+    Ack,
+    BidReply,
+    BidRequest,
+    Call,
+    CallReply,
+    Cancel,
+    Chunk,
+    Dispatch,
+    End,
+    Failed,
+    Progress,
+    Resume,
+    Started,
+    Usage,
+)
+
+__all__ = [
+    "Ack",
+    "BidReply",
+    "BidRequest",
+    "Call",
+    "CallReply",
+    "Cancel",
+    "Chunk",
+    "ConfigDigest",
+    "ConfigFetch",
+    "ConfigState",
+    "Dispatch",
+    "End",
+    "Failed",
+    "HandshakeChallenge",
+    "HandshakeProof",
+    "HandshakeStart",
+    "Hello",
+    "Leaving",
+    "PeerAddress",
+    "PeerInfo",
+    "PeerMessage",
+    "Ping",
+    "Pong",
+    "Progress",
+    "Resume",
+    "Started",
+    "SuspectNotice",
+    "Usage",
+    "message_types",
+    "suspect_notice",
+]
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -100,7 +100,9 @@
             clock,
         )
         self._listener = listener.Listener(
-            config.http, self._front.application()
+            config.http,
+            self._front.application(),
+            config.limits.body_timeout_s,
         )
         self._operators = operators.OperatorsServer(
             config.operators, self.status
--- a/hibiscusstile/sidecar/calls.py
+++ b/hibiscusstile/sidecar/calls.py
@@ -16,7 +16,7 @@
 from hibiscusstile.configuration import view as view_lib
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
-from hibiscusstile.sidecar import executor
+from hibiscusstile.sidecar import failures
 from hibiscusstile.sidecar import ledger as ledger_tasks
 from hibiscusstile.sidecar import revision as revision_lib
 from hibiscusstile.sidecar import turns as turns_lib
@@ -130,10 +130,10 @@
             )
             return await self._answer(call)
         except outcome.Refused as refused:
-            return executor.failed_message(call.attempt_id, refused.refusal)
+            return failures.failed_message(call.attempt_id, refused.refusal)
         except Exception:
             _log.exception("call_failed attempt={}", call.attempt_id)
-            return executor.failed_message(call.attempt_id, _FAILED)
+            return failures.failed_message(call.attempt_id, _FAILED)
 
     async def _answer(self, call: messages.Call) -> messages.CallReply:
         application = self._store.view.applications.get(call.call.application)
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -24,12 +24,12 @@
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
 from hibiscusstile.sidecar import attempt as attempt_lib
+from hibiscusstile.sidecar import failures, suspectfeed
 from hibiscusstile.sidecar import revision as revision_lib
 from hibiscusstile.sidecar import scopes as scopes_lib
-from hibiscusstile.sidecar import suspectfeed
 from hibiscusstile.sidecar import turns as turns_lib
 
-__all__ = ["Executor", "failed_message"]
+__all__ = ["Executor"]
 
 _log = logbook.Logger("sidecar")
 
@@ -49,13 +49,6 @@
     failure: outcome.Refusal | None = None
 
 
-_INTERNAL = outcome.Refusal(
-    outcome.Reason.INTERNAL,
-    "the sidecar failed while it ran the request",
-    outcome.Verdict.MAY_HAVE_RUN,
-)
-
-
 class Executor:
     """Owns the attempts of a sidecar.
 
@@ -228,12 +221,12 @@
                 # stream and sends the request to the next engine.
                 await self._check_engine()
             await running.stream.send_failed(
-                failed_message(dispatch.attempt_id, refused.refusal)
+                failures.failed_message(dispatch.attempt_id, refused.refusal)
             )
         except Exception:
             _log.exception("attempt_failed attempt={}", dispatch.attempt_id)
             await running.stream.send_failed(
-                failed_message(dispatch.attempt_id, _INTERNAL)
+                failures.failed_message(dispatch.attempt_id, failures.INTERNAL)
             )
 
     async def _generate(
@@ -394,17 +387,3 @@
                 },
             )
         )
-
-
-def failed_message(
-    attempt_id: str, refusal: outcome.Refusal
-) -> messages.Failed:
-    """Returns the message for a refusal."""
-    retry = refusal.retry_after
-    return messages.Failed(
-        attempt_id,
-        refusal.reason,
-        refusal.message,
-        refusal.verdict,
-        None if retry is None else retry.total_seconds(),
-    )
--- /dev/null
+++ b/hibiscusstile/sidecar/failures.py
@@ -0,0 +1,28 @@
+"""Failures of attempts and calls as peers are told of them."""
+
+from __future__ import annotations
+
+from hibiscusstile import outcome
+from hibiscusstile.peers import messages
+
+__all__ = ["INTERNAL", "failed_message"]
+
+INTERNAL = outcome.Refusal(
+    outcome.Reason.INTERNAL,
+    "the sidecar failed while it ran the request",
+    outcome.Verdict.MAY_HAVE_RUN,
+)
+
+
+def failed_message(
+    attempt_id: str, refusal: outcome.Refusal
+) -> messages.Failed:
+    """Returns the message for a refusal."""
+    retry = refusal.retry_after
+    return messages.Failed(
+        attempt_id,
+        refusal.reason,
+        refusal.message,
+        refusal.verdict,
+        None if retry is None else retry.total_seconds(),
+    )
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -17,8 +17,8 @@
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.sidecar import calls as calls_lib
 from hibiscusstile.sidecar import executor as executor_lib
+from hibiscusstile.sidecar import failures, suspectfeed
 from hibiscusstile.sidecar import scopes as scopes_lib
-from hibiscusstile.sidecar import suspectfeed
 
 __all__ = ["SidecarService"]
 
@@ -186,7 +186,7 @@
             self._executor.start(connection, dispatch, revision)
             return
         await connection.send(
-            executor_lib.failed_message(dispatch.attempt_id, refusal)
+            failures.failed_message(dispatch.attempt_id, refusal)
         )
 
     async def _start_call(
@@ -199,9 +199,7 @@
         if refusal is None:
             self._calls.start(connection, call, revision)
             return
-        await connection.send(
-            executor_lib.failed_message(call.attempt_id, refusal)
-        )
+        await connection.send(failures.failed_message(call.attempt_id, refusal))
 
     def _refusal(self, revision: int) -> outcome.Refusal | None:
         if self._info().leaving:
--- a/tests/builders/__init__.py
+++ b/tests/builders/__init__.py
@@ -2,42 +2,13 @@
 
 from __future__ import annotations
 
-from tests.builders.basics import (
-    BENCH_FIGURES,
-    FLEET_WORKSPACES,
-    FakeEngine,
-    FakeInstances,
-    FakeLog,
-    LossyLog,
+from tests.builders.base import (
     ManualClock,
-    OracleCache,
-    SimulatedEngine,
-    StreamLog,
     YieldingClock,
-    block_events,
-    cache_events,
     chat_messages,
-    config_entry,
-    config_store,
-    engine_body,
-    fleet_records,
-    generate_order,
-    long_prompt,
-    model_record,
-    nested_levels,
-    nested_prompt,
-    poisson_arrivals,
-    publish,
-    queue_limits,
-    rank_named,
-    rank_table,
     record,
     run_now,
-    running_log,
-    service_call,
-    service_reply,
     work_item,
-    workspace_body,
 )
 from tests.builders.calls import (
     CallFleet,
@@ -52,9 +23,44 @@
     open_ticket,
     store_with,
 )
+from tests.builders.configuration import (
+    FakeLog,
+    LossyLog,
+    StreamLog,
+    config_entry,
+    config_store,
+    model_record,
+    publish,
+    running_log,
+    workspace_body,
+)
+from tests.builders.engines import (
+    BENCH_FIGURES,
+    FakeEngine,
+    OracleCache,
+    block_events,
+    cache_events,
+    engine_body,
+    generate_order,
+    long_prompt,
+    nested_levels,
+)
+from tests.builders.fleets import (
+    FLEET_WORKSPACES,
+    FakeInstances,
+    fleet_records,
+    nested_prompt,
+)
 from tests.builders.peers import (
     process_settings,
 )
+from tests.builders.queues import (
+    SimulatedEngine,
+    poisson_arrivals,
+    queue_limits,
+    rank_named,
+    rank_table,
+)
 from tests.builders.routing import (
     BiddingFleet,
     BiddingLink,
@@ -63,6 +69,7 @@
     runner_views,
     split_record,
 )
+from tests.builders.services import service_call, service_reply
 
 __all__ = [
     "BENCH_FIGURES",
--- a/tests/builders/calls.py
+++ b/tests/builders/calls.py
@@ -23,14 +23,11 @@
 from hibiscusstile.configuration import store, view
 from hibiscusstile.entry import auth, calls
 from hibiscusstile.peers import client, messages
-from hibiscusstile.sidecar import executor
+from hibiscusstile.sidecar import failures
 from hibiscusstile_standins import instancelist, log, service
-from tests.builders.basics import (
-    StreamLog,
-    record,
-    service_call,
-    work_item,
-)
+from tests.builders.base import record, work_item
+from tests.builders.configuration import StreamLog
+from tests.builders.services import service_call
 
 __all__ = [
     "CallFleet",
@@ -235,7 +232,7 @@
         channel.deliver(
             None
             if refusal is None
-            else executor.failed_message(attempt_id, refusal)
+            else failures.failed_message(attempt_id, refusal)
         )
         return channel
 
--- /dev/null
+++ b/tests/builders/queues.py
@@ -0,0 +1,203 @@
+"""Builders of admission queues."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import datetime
+import random
+from typing import Any
+
+from hibiscusstile import (
+    admission,
+    outcome,
+    request,
+)
+from hibiscusstile.configuration import view
+from tests.builders.base import ManualClock, work_item
+
+__all__ = [
+    "SimulatedEngine",
+    "poisson_arrivals",
+    "queue_limits",
+    "rank_named",
+    "rank_table",
+]
+
+
+def queue_limits(**changes: Any) -> admission.QueueLimits:
+    """Returns the bounds of a small queue."""
+    limits = admission.QueueLimits(
+        running=4,
+        running_tokens=10_000,
+        queued_tokens=20_000,
+        queued_requests=20,
+        prefill_tokens_per_s=1000.0,
+    )
+    return dataclasses.replace(limits, **changes)
+
+
+def rank_table(
+    share: float = 0.1, queue_time_s: float = 1000.0
+) -> dict[str, view.Rank]:
+    """Returns the records of the ranks `urgent` and `routine`."""
+    queue_time = datetime.timedelta(seconds=queue_time_s)
+    target = datetime.timedelta(seconds=0.61)
+    return {
+        "urgent": view.Rank("urgent", 0, 0.0, queue_time, target),
+        "routine": view.Rank("routine", 1, share, queue_time, target),
+    }
+
+
+@dataclasses.dataclass(slots=True)
+class _SimulatedRun:
+    work: request.WorkItem
+    prompt_left: float
+    answer_left: float
+
+
+class SimulatedEngine:
+    """An engine behind an admission queue, in steps of 20 ms.
+
+    It computes prompts one after the other by the queue's priority, and
+    generates 25 tokens/s for each request whose prompt is done.
+
+    Attributes:
+        first_token_s: Time to first token by work id.
+        served: Tokens computed by rank.
+        refused: Refusals by work id.
+        expired: Work ids that waited too long.
+    """
+
+    step_s = 0.02
+
+    def __init__(self, prompt_tokens_per_s: float = 20_000.0) -> None:
+        self._clock = ManualClock()
+        self.queue = admission.AdmissionQueue(
+            self._clock,
+            queue_limits(
+                running=32,
+                running_tokens=400_000,
+                queued_tokens=2_000_000,
+                queued_requests=1000,
+                prefill_tokens_per_s=prompt_tokens_per_s,
+                prefill_ahead_tokens=8000,
+            ),
+            lambda: rank_table(queue_time_s=30.0),
+        )
+        self._speed = prompt_tokens_per_s
+        self._runs: dict[str, _SimulatedRun] = {}
+        self._arrived_s: dict[str, float] = {}
+        self.first_token_s: dict[str, float] = {}
+        self.served: collections.Counter[str] = collections.Counter()
+        self.refused: dict[str, outcome.Refusal] = {}
+        self.expired: set[str] = set()
+
+    def run(
+        self, arrivals: list[tuple[float, request.WorkItem]], until_s: float
+    ) -> None:
+        """Offers each request at its time and runs the engine."""
+        pending = collections.deque(sorted(arrivals, key=lambda each: each[0]))
+        start_s = self._clock.monotonic()
+        while self._clock.monotonic() - start_s < until_s:
+            while (
+                pending and pending[0][0] <= self._clock.monotonic() - start_s
+            ):
+                self._offer(pending.popleft()[1])
+            self.expired |= {each.work_id for each in self.queue.expire()}
+            while (work := self.queue.take()) is not None:
+                self._runs[work.work_id] = _SimulatedRun(
+                    work, work.prompt_tokens, work.max_tokens
+                )
+            self._compute_prompts()
+            self._generate()
+            self._clock.advance(self.step_s)
+
+    def _offer(self, work: request.WorkItem) -> None:
+        now_s = self._clock.monotonic()
+        self._arrived_s[work.work_id] = now_s
+        refusal = self.queue.offer(work, now_s + 60.0)
+        if refusal is not None:
+            self.refused[work.work_id] = refusal
+        for shed in self.queue.shed():
+            self.refused[shed.work.work_id] = shed.refusal
+
+    def _compute_prompts(self) -> None:
+        left = self._speed * self.step_s
+        ranking = sorted(
+            self._runs.items(), key=lambda item: self.queue.priority(item[0])
+        )
+        for work_id, run in ranking:
+            if run.prompt_left <= 0 or left <= 0:
+                continue
+            done = min(left, run.prompt_left)
+            left -= done
+            run.prompt_left -= done
+            self.served[run.work.rank] += done
+            if run.prompt_left <= 0:
+                self.first_token_s[work_id] = (
+                    self._clock.monotonic()
+                    + self.step_s
+                    - self._arrived_s[work_id]
+                )
+                self.queue.note_started(work_id)
+
+    def _generate(self) -> None:
+        for work_id, run in list(self._runs.items()):
+            if run.prompt_left > 0:
+                continue
+            run.answer_left -= 25 * self.step_s
+            if run.answer_left <= 0:
+                del self._runs[work_id]
+                work = run.work
+                self.queue.finish(work_id, work.prompt_tokens + work.max_tokens)
+
+
+def poisson_arrivals(
+    prefix: str,
+    tokens_per_s: float,
+    until_s: float,
+    *,
+    rank: str,
+    prompt_tokens: tuple[int, int],
+    caller: str = "",
+    seed: int = 1,
+) -> list[tuple[float, request.WorkItem]]:
+    """Returns random requests of 32 callers, or of one, with their times.
+
+    Args:
+        prefix: Start of the work ids.
+        tokens_per_s: Mean of the prompt tokens asked for per second.
+        until_s: End of the arrivals.
+        rank: Rank of all requests.
+        prompt_tokens: Least and most tokens of a prompt.
+        caller: The one caller, of its own workspace; empty for 32 in 8.
+        seed: Seed of the random numbers.
+    """
+    rng = random.Random(f"{seed}{prefix}")
+    rate = tokens_per_s / (sum(prompt_tokens) / 2)
+    arrivals = []
+    time_s = rng.expovariate(rate)
+    while time_s < until_s:
+        work = work_item(
+            f"{prefix}{len(arrivals)}",
+            workspace=f"ws-{caller or rng.randrange(8)}",
+            caller=caller or f"caller-{rng.randrange(4)}",
+            rank=rank,
+            prompt_tokens=rng.randint(*prompt_tokens),
+            max_tokens=rng.randint(20, 80),
+        )
+        arrivals.append((time_s, work))
+        time_s += rng.expovariate(rate)
+    return arrivals
+
+
+def rank_named(name: str, level: int, share: float = 0.0) -> view.Rank:
+    """Returns a rank record with a queue time of 30 s."""
+    return view.Rank(
+        name,
+        level,
+        share,
+        datetime.timedelta(seconds=30),
+        datetime.timedelta(seconds=0.61),
+    )
--- a/tests/builders/routing.py
+++ b/tests/builders/routing.py
@@ -5,9 +5,7 @@
 from hibiscusstile import outcome, policies, request
 from hibiscusstile.configuration import view
 from hibiscusstile.peers import messages
-from tests.builders.basics import (
-    work_item,
-)
+from tests.builders.base import work_item
 
 __all__ = [
     "BiddingFleet",
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -166,6 +166,23 @@
     assert good.words == text.expected_words([_USER], 2)
 
 
+async def test_a_slow_head_gets_a_clear_refusal(
+    fleet: processes.Fleet,
+) -> None:
+    """Guards against connections held open by half a request."""
+    host, _, port = fleet.urls["entry-1"].rpartition("//")[2].partition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        writer.write(f"{_CHAT}\r\nHost: entry\r\n".encode())
+        async with asyncio.timeout(_READ_S):
+            status, headers, body = await _read(reader)
+            assert await reader.read() == b""
+    finally:
+        writer.close()
+    assert (status, json.loads(body)["error"]["type"]) == (408, "slow_client")
+    assert headers["hibiscusstile-verdict"] == "not_run"
+
+
 async def test_refused_requests_reach_no_backend_server(
     fleet: processes.Fleet,
 ) -> None:
