Make the proofs of leaving and frozen sidecars fail without them

Cause: with the mechanisms off, both scenarios still passed. The told sidecar ended before it could take new work, and callers that all waited for the frozen one sent nothing that the check could see.

Change: long streams keep the told sidecar up; the frozen scenario looks at requests that are still open.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -59,6 +59,7 @@
     limit_s = world.notes["frozen_s"] + 2
     late = [a for a in world.answers if a[0] > limit_s and a[1] - a[0] > 1.5]
     assert late == []
+    assert world.longest_wait() < 1.5
 
 
 @when("it is thawed")
@@ -75,16 +76,20 @@
 
 @when("a sidecar is told to stop")
 def sidecar_is_told_to_stop(world: world_lib.World) -> None:
+    # Long streams keep the sidecar from ending before it could take new work.
+    world.run(world.start_long_streams())
     world.fleet.sidecars[0].terminate()
     world.run(world.pause(3))
 
 
 @then("its engine is given nothing new after 3 seconds")
 def engine_gets_nothing(world: world_lib.World) -> None:
+    assert world.fleet.sidecars[0].returncode is None
     runs = len(_runs(world, "engine-1"))
     world.run(world.pause(2))
     assert len(_runs(world, "engine-1")) == runs
-    assert world.fleet.sidecars[0].returncode == 0
+    world.run(world.end_load())
+    assert world.run(world.fleet.sidecars[0].wait()) == 0
 
 
 @when("every process is replaced twice, one after the other")
--- a/tests/world.py
+++ b/tests/world.py
@@ -21,6 +21,8 @@
 _T = TypeVar("_T")
 _WORKERS = 6
 _WORDS = 40
+_LONG_WORDS = 2500
+_LONG_STREAMS = 18
 _STEP_TIMEOUT_S = 90.0
 _POLL_S = 0.05
 _MAX_REQUESTS = 5000
@@ -43,7 +45,9 @@
         self._stack = contextlib.AsyncExitStack()
         self._stop = asyncio.Event()
         self._load: asyncio.Future[Any] | None = None
+        self._long: list[asyncio.Future[None]] = []
         self._ready: list[str] = []
+        self._open: dict[int, float] = {}
         self._fleet: processes.Fleet | None = None
         self.faults: list[str] = []
         self.answers: list[tuple[float, float, callers.Answer]] = []
@@ -75,11 +79,27 @@
             self._thread.join()
             self._loop.close()
 
+    def longest_wait(self) -> float:
+        """Returns for how many seconds the oldest open request has run."""
+        now_s = time.monotonic()
+        return max((now_s - s for s in self._open.values()), default=0.0)
+
+    async def start_long_streams(self) -> None:
+        """Starts streams of several seconds on all engines."""
+        urls = [self.fleet.urls[entry.name] for entry in self.fleet.entries]
+        for number in range(_LONG_STREAMS):
+            task = asyncio.ensure_future(
+                self._note(urls[number % len(urls)], number)
+            )
+            self._long.append(task)
+        await asyncio.sleep(0.5)
+
     async def end_load(self) -> None:
         """Lets the callers finish what they have begun."""
         self._stop.set()
         if self._load is not None:
             await self._load
+        await asyncio.gather(*self._long)
 
     async def pause(self, seconds: float) -> None:
         """Lets the load go on for a while."""
@@ -101,15 +121,18 @@
         messages = builders.nested_prompt(
             workspace, number % 3, f"question {number}"
         )
-        sent_s = time.monotonic()
-        async with callers.open_session() as session:
-            answer = await callers.send_chat(
-                session,
-                url,
-                self.fleet.keys[workspace],
-                messages,
-                max_tokens=words,
-            )
+        sent_s = self._open[number] = time.monotonic()
+        try:
+            async with callers.open_session() as session:
+                answer = await callers.send_chat(
+                    session,
+                    url,
+                    self.fleet.keys[workspace],
+                    messages,
+                    max_tokens=words,
+                )
+        finally:
+            self._open.pop(number, None)
         self.answers.append((sent_s, time.monotonic(), answer))
         if answer.status != 200 or not answer.done:
             return f"request {number}: {answer.status} {answer.error}"
@@ -135,6 +158,11 @@
             self._ready = [u for u, ok in zip(urls, ready, strict=True) if ok]
             await asyncio.sleep(_POLL_S)
 
+    async def _note(self, url: str, number: int) -> None:
+        fault = await self.send(url, number, words=_LONG_WORDS)
+        if fault:
+            self.faults.append(fault)
+
     async def _call(self, worker: int) -> None:
         number = worker
         while not self._stop.is_set() and number < _MAX_REQUESTS:
