Charge a crash before its suspect's place is given away

Cause: under load a request crashed three engines. When its stream broke, its place at the runner was freed before the crash was charged; the next suspect took it, tried to connect, and was charged with the crash too. The two crashes then had two requests in common, and nobody was convicted. Ruled out: lost notices (both entries had the charges) and a probe that took the crash for a freeze, which now counts as a crash when a stream broke by itself.

Change: a broken stream has the engine checked before the place is freed. A registry whose member's import failed tries it again.

--- a/hibiscusstile/registry.py
+++ b/hibiscusstile/registry.py
@@ -85,4 +85,8 @@
 
     def _load(self) -> None:
         while self._unloaded:
-            importlib.import_module(self._unloaded.pop())
+            module = self._unloaded[-1]
+            importlib.import_module(module)
+            # Only now, so that a failed import is tried and reported again.
+            if module in self._unloaded:
+                self._unloaded.remove(module)
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -302,9 +302,9 @@
             "up": self._watch is None or self._watch.health is not None,
         }
 
-    async def _check_engine(self) -> None:
+    async def _check_engine(self, stream_broke: bool) -> None:
         if self._watch is not None:
-            await self._watch.poll()
+            await self._watch.poll(stream_broke=stream_broke)
 
     def _engine_health(self) -> backends.EngineHealth | None:
         return self._watch.health if self._watch else None
--- a/hibiscusstile/sidecar/enginewatch.py
+++ b/hibiscusstile/sidecar/enginewatch.py
@@ -69,14 +69,19 @@
             await self.poll()
             await self._clock.sleep(_POLL_INTERVAL)
 
-    async def poll(self) -> None:
-        """Asks the engine once and acts on what it says."""
+    async def poll(self, *, stream_broke: bool = False) -> None:
+        """Asks the engine once and acts on what it says.
+
+        Args:
+            stream_broke: Whether a stream has just ended early. An engine that
+                does not answer then is taken as crashed and not as frozen.
+        """
         async with self._polling:
             result = await self._engine.probe(_SILENCE.total_seconds())
             if isinstance(result, backends.EngineHealth):
                 await self._note_health(result)
             elif result is not backends.ProbeFailure.MALFORMED:
-                await self._note_down(result)
+                await self._note_down(result, stream_broke)
 
     async def _note_health(self, health: backends.EngineHealth) -> None:
         if health.incarnation != self._incarnation:
@@ -97,10 +102,12 @@
         if known != health:
             await self._announce()
 
-    async def _note_down(self, failure: backends.ProbeFailure) -> None:
+    async def _note_down(
+        self, failure: backends.ProbeFailure, stream_broke: bool
+    ) -> None:
         # Also while it is known to be down: an attempt that was on its way
         # would hang on a frozen engine until the next change.
-        if failure is backends.ProbeFailure.REFUSED:
+        if failure is backends.ProbeFailure.REFUSED or stream_broke:
             await self._note_crash(self._incarnation)
             self._fail_running(_crashed(), "")
         else:
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -62,7 +62,8 @@
         store: The configuration in force.
         suspicion: What is known of requests that crash engines.
         place: Zone and name of this sidecar, by which crashes are known.
-        check_engine: Looks for a crash now instead of at the next poll.
+        check_engine: Looks for a crash now instead of at the next poll; takes
+            whether a stream broke by itself.
         clock: Measures time.
     """
 
@@ -77,7 +78,7 @@
         store: store_lib.ConfigurationStore,
         suspicion: suspectfeed.SuspectFeed,
         place: tuple[str, str],
-        check_engine: Callable[[], Awaitable[None]],
+        check_engine: Callable[[bool], Awaitable[None]],
         clock: clock_lib.Clock,
     ) -> None:
         self._tasks = tasks
@@ -213,13 +214,6 @@
             await self._generate(running, dispatch)
             await self._clear(dispatch)
         except outcome.Refused as refused:
-            running.broken = (
-                refused.refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
-            )
-            if running.broken:
-                # A crash must be charged before the entry hears of the broken
-                # stream and sends the request to the next engine.
-                await self._check_engine()
             await running.stream.send_failed(
                 failures.failed_message(dispatch.attempt_id, refused.refusal)
             )
@@ -265,7 +259,12 @@
         except TimeoutError:
             if running.failure is None:
                 raise
+            await self._note_broken(running)
             raise outcome.Refused(running.failure) from None
+        except outcome.Refused as refused:
+            if refused.refusal.verdict is outcome.Verdict.MAY_HAVE_RUN:
+                await self._note_broken(running)
+            raise
         except asyncio.CancelledError:
             await self._cancel_at_engine(dispatch.attempt_id)
             raise
@@ -274,6 +273,17 @@
             self._bidder.note_ended(dispatch.work.work_id)
             self._turns.finish(dispatch.work.work_id, served)
 
+    async def _note_broken(self, running: _Running) -> None:
+        """Looks for a crash before anything follows from a broken stream.
+
+        The entry must not send the request to the next engine, and the next
+        suspect must not get this one's place, before the crash is charged:
+        it would be charged with it.
+        """
+        running.broken = True
+        running.scope = None
+        await self._check_engine(running.failure is None)
+
     async def note_crash(self, incarnation: str) -> None:
         """Charges a crash to the attempts that an engine was running.
 
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -108,7 +108,7 @@
         store,
         feed,
         ("az-1", "s1"),
-        lambda: runner.note_crash("engine-1"),
+        lambda broke: runner.note_crash("engine-1"),
         system,
     )
     connection: Any = _Connection()
