--- a/hibiscusstile/entry/fleet.py
+++ b/hibiscusstile/entry/fleet.py
@@ -21,7 +21,6 @@
     zonecost,
 )
 from hibiscusstile.configuration import fetching, freshness
-from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
@@ -238,7 +237,7 @@
             case messages.ConfigDigest():
                 exchange.check_digest(self._store, message, link.peer_id)
             case messages.ConfigFetch():
-                await self._send_state(link, message.revision)
+                await exchange.send_state(self._store, link, message.revision)
             case messages.SuspectNotice():
                 await self.merge_suspects(message.facts, link)
             case messages.Leaving():
@@ -309,22 +308,6 @@
         self._fetches.note_answer(refused)
         self._state_arrived.set()
 
-    async def _send_state(
-        self, link: client_lib.SidecarLink, revision: int
-    ) -> None:
-        if self._store.revision <= revision:
-            return
-        try:
-            state = self._store.snapshot(revision)
-        except snapshot_lib.SnapshotError as error:
-            _log.error("snapshot_not_sent reason={!r}", str(error))
-            return
-        await link.send(
-            messages.ConfigState(
-                self._store.revision, self._store.digest, state
-            )
-        )
-
     def _view(self, link: client_lib.SidecarLink) -> policies.RunnerView:
         info = link.info
         zone = info.zone if info else ""
--- a/hibiscusstile/peers/exchange.py
+++ b/hibiscusstile/peers/exchange.py
@@ -12,11 +12,12 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.configuration import fetching
+from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import connection as connection_lib
 from hibiscusstile.peers import messages
 
-__all__ = ["PeerSender", "RevisionExchange", "check_digest"]
+__all__ = ["PeerSender", "RevisionExchange", "check_digest", "send_state"]
 
 _log = logbook.Logger("configuration")
 
@@ -113,3 +114,26 @@
             await sender.send(message)
     except (connection_lib.ConnectionLost, TimeoutError):
         return
+
+
+async def send_state(
+    store: store_lib.ConfigurationStore, peer: PeerSender, revision: int
+) -> None:
+    """Sends the configuration in force to a peer that has an older one.
+
+    Args:
+        store: The configuration in force.
+        peer: Who asked for it.
+        revision: The revision in force there; -1 asks for the whole state.
+
+    Raises:
+        ConnectionLost: The connection has ended.
+    """
+    if store.revision <= revision:
+        return
+    try:
+        state = store.snapshot(revision)
+    except snapshot_lib.SnapshotError as error:
+        _log.error("snapshot_not_sent reason={!r}", str(error))
+        return
+    await peer.send(messages.ConfigState(store.revision, store.digest, state))
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -11,7 +11,6 @@
 from hibiscusstile import bidder as bidder_lib
 from hibiscusstile import outcome, request
 from hibiscusstile.configuration import fetching
-from hibiscusstile.configuration import snapshot as snapshot_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.peers import codec, exchange, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
@@ -158,7 +157,9 @@
             case messages.ConfigDigest():
                 exchange.check_digest(self._store, message, connection.remote)
             case messages.ConfigFetch():
-                await self._send_state(connection, message.revision)
+                await exchange.send_state(
+                    self._store, connection, message.revision
+                )
             case messages.ConfigState():
                 result = self._store.adopt(message.state, message.digest)
                 refused = isinstance(result, store_lib.AdoptionRefused)
@@ -239,22 +240,6 @@
             info.leaving,
         )
 
-    async def _send_state(
-        self, connection: connection_lib.PeerConnection, revision: int
-    ) -> None:
-        if self._store.revision <= revision:
-            return
-        try:
-            state = self._store.snapshot(revision)
-        except snapshot_lib.SnapshotError as error:
-            _log.error("snapshot_not_sent reason={!r}", str(error))
-            return
-        await connection.send(
-            messages.ConfigState(
-                self._store.revision, self._store.digest, state
-            )
-        )
-
 
 async def _try_send(
     connection: connection_lib.PeerConnection, message: messages.PeerMessage
