Use the logger's current name for warnings

Cause: 37 deprecation warnings in a test run.

Change: warn becomes warning; no behaviour changes.

Result: the tests of streams, calls, orders, executor and peers pass without them.

--- a/hibiscusstile/entry/relay.py
+++ b/hibiscusstile/entry/relay.py
@@ -295,7 +295,7 @@
         route: routing.Route,
         refusal: outcome.Refusal,
     ) -> None:
-        _log.warn(
+        _log.warning(
             logs.decision_line(
                 "attempt_failed",
                 {
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -307,7 +307,7 @@
         """
         self._misses += 1
         if self._misses == _MISSES_UNTIL_UNREACHABLE:
-            _log.warn("peer_unreachable address={}", self.address)
+            _log.warning("peer_unreachable address={}", self.address)
             with contextlib.suppress(connection_lib.ConnectionLost):
                 await self.send(messages.Ping(self.next_number()))
 
--- a/hibiscusstile/peers/server.py
+++ b/hibiscusstile/peers/server.py
@@ -98,13 +98,13 @@
             await self._handler(connection, other)
         except (handshake.HandshakeError, TimeoutError) as error:
             metrics.count_peer_rejection("handshake")
-            _log.warn(
+            _log.warning(
                 "peer_rejected remote={} error={!r}", connection.remote, error
             )
             await connection.close("handshake failed")
         except codec.FrameError as error:
             metrics.count_peer_rejection("frame")
-            _log.warn(
+            _log.warning(
                 "peer_frame_refused remote={} error={}",
                 connection.remote,
                 error,
--- a/hibiscusstile/sidecar/orders.py
+++ b/hibiscusstile/sidecar/orders.py
@@ -128,7 +128,7 @@
             stream.name, stream.table.next_offset, wait=wait
         )
         if isinstance(page, platform.LogUnavailable):
-            _log.warn("log_unavailable reason={}", page.message)
+            _log.warning("log_unavailable reason={}", page.message)
             return False
         stream.table.skip_to(page.earliest)
         for entry in page.entries:
@@ -165,7 +165,9 @@
             stream.name, entries.encode(entry)
         )
         if not isinstance(answer, platform.Appended):
-            _log.warn("append_failed op={} reason={}", entry.op, answer.message)
+            _log.warning(
+                "append_failed op={} reason={}", entry.op, answer.message
+            )
 
     async def _follow_plan(self) -> None:
         now_s = self._clock.monotonic()
--- a/hibiscusstile/sidecar/region.py
+++ b/hibiscusstile/sidecar/region.py
@@ -55,7 +55,7 @@
         self._read_s = now_s
         listing = await self._instances.list_instances(self._region)
         if isinstance(listing, platform.ListUnavailable):
-            _log.warn("instance_list_unavailable reason={}", listing.message)
+            _log.warning("instance_list_unavailable reason={}", listing.message)
             return
         for each in listing.instances:
             if (each.role, each.region) == ("sidecar", self._region):
--- a/hibiscusstile/sidecar/service.py
+++ b/hibiscusstile/sidecar/service.py
@@ -100,7 +100,7 @@
                 await self._handle(connection, envelope)
         except TimeoutError:
             # A frozen entry instance would keep its attempts running.
-            _log.warn("peer_silent peer_id={}", other.peer_id)
+            _log.warning("peer_silent peer_id={}", other.peer_id)
             connection.abort()
         finally:
             self._connections.discard(connection)
--- a/hibiscusstile/supervisor.py
+++ b/hibiscusstile/supervisor.py
@@ -199,7 +199,7 @@
             return False
         if spec.restart is Restart.TRANSIENT:
             return True
-        _log.warn(
+        _log.warning(
             "task_failed supervisor={} child={} error={!r}",
             self._name,
             spec.name,
