Ask for missing chunks once on each connection

Five late frames without progress used up the repeats allowed for a gap, over several connections. Ruled out: the silence limit; the trace ends in the repeats.

--- a/hibiscusstile/entry/chunkreader.py
+++ b/hibiscusstile/entry/chunkreader.py
@@ -20,7 +20,6 @@
 _SILENCE = datetime.timedelta(milliseconds=1500)
 _RECONNECT_WAIT = datetime.timedelta(seconds=1)
 _ACK_EVERY = 64
-_MAX_REPEATS = 5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,7 +56,7 @@
         self._link = link
         self._channel = channel
         self._next_number = 0
-        self._repeats = 0
+        self._asked_from = -1
         self._digest = xxhash.xxh3_64()
 
     async def read(self) -> AsyncGenerator[AnswerEvent]:
@@ -86,7 +85,6 @@
 
     async def _take(self, chunk: messages.Chunk) -> AnswerText:
         self._next_number += 1
-        self._repeats = 0
         self._digest.update(chunk.text.encode())
         if self._next_number % _ACK_EVERY == 0:
             await self._acknowledge()
@@ -97,16 +95,20 @@
             try:
                 return await self._channel.receive(_SILENCE.total_seconds())
             except client_lib.ChannelLost:
+                self._asked_from = -1
                 await self._resume()
             except TimeoutError:
                 raise _lost() from None
 
     async def _ask_for_missing(self) -> None:
-        """Has the chunks after a gap sent again, a few times at most."""
-        self._repeats += 1
-        if self._repeats > _MAX_REPEATS:
-            raise _lost()
-        await self._resume()
+        """Has the chunks after a gap sent again, once on each connection.
+
+        Frames that were on their way show the same gap until the chunks
+        asked for arrive; if they never do, the silence ends the attempt.
+        """
+        if self._asked_from != self._next_number:
+            self._asked_from = self._next_number
+            await self._resume()
 
     async def _resume(self) -> None:
         self._channel = self._link.open_channel(self._channel.attempt_id)
