Check in one place that a state machine finds its fault

Cause: two tests held the same run of a machine with a mechanism missing.

Change: tests.machines.assert_finds_fault runs it, with the same numbers of examples and steps.

--- /dev/null
+++ b/tests/machines.py
@@ -0,0 +1,29 @@
+"""Shows that a state machine finds what it is meant to find."""
+
+from __future__ import annotations
+
+import hypothesis
+import pytest
+from hypothesis import stateful
+
+__all__ = ["assert_finds_fault"]
+
+
+def assert_finds_fault(
+    machine: type[stateful.RuleBasedStateMachine],
+    *,
+    max_examples: int,
+    steps: int,
+) -> None:
+    """Fails unless the machine's checks fail within so many examples."""
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            machine,
+            settings=hypothesis.settings(
+                max_examples=max_examples,
+                stateful_step_count=steps,
+                phases=[hypothesis.Phase.generate],
+                report_multiple_bugs=False,
+                print_blob=False,
+            ),
+        )
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -6,14 +6,13 @@
 import datetime
 from typing import Any
 
-import hypothesis
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from hibiscusstile import outcome, platform
 from hibiscusstile.claims import encoding, entries, ledger, outbox, tickets
-from tests import builders
+from tests import builders, machines
 
 _SLOTS = st.integers(0, 2)
 _KEYS = st.sampled_from(["k1", "k1", "k1", "k2"])
@@ -461,17 +460,7 @@
     class Broken(ClaimsMachine):
         ledger_class = broken
 
-    with pytest.raises(AssertionError):
-        stateful.run_state_machine_as_test(
-            Broken,
-            settings=hypothesis.settings(
-                max_examples=2000,
-                stateful_step_count=50,
-                phases=[hypothesis.Phase.generate],
-                report_multiple_bugs=False,
-                print_blob=False,
-            ),
-        )
+    machines.assert_finds_fault(Broken, max_examples=2000, steps=50)
 
 
 TestClaims = pytest.mark.fuzz(ClaimsMachine.TestCase)
--- a/tests/test_suspects.py
+++ b/tests/test_suspects.py
@@ -4,13 +4,12 @@
 
 import dataclasses
 
-import hypothesis
 import pytest
 from hypothesis import stateful
 from hypothesis import strategies as st
 
 from hibiscusstile import outcome, suspects
-from tests import builders
+from tests import builders, machines
 
 _RUNNERS = 3
 _CULPRIT = "culprit"
@@ -184,17 +183,7 @@
     class Broken(SuspectsMachine):
         suspects_class = broken
 
-    with pytest.raises(AssertionError):
-        stateful.run_state_machine_as_test(
-            Broken,
-            settings=hypothesis.settings(
-                max_examples=500,
-                stateful_step_count=40,
-                phases=[hypothesis.Phase.generate],
-                report_multiple_bugs=False,
-                print_blob=False,
-            ),
-        )
+    machines.assert_finds_fault(Broken, max_examples=500, steps=40)
 
 
 TestSuspects = pytest.mark.fuzz(SuspectsMachine.TestCase)
