Change weights while requests run, and fetch KV cache from the store

Change: swap mode continue; cache salts carry the weights version; prefixes are saved to and fetched from the KV cache store; servers are selected by value at risk and price.

--- a/hibiscusstile/gateway/choice.py
+++ b/hibiscusstile/gateway/choice.py
@@ -6,7 +6,7 @@
 
 from hibiscusstile.gateway import routes, selection, state
 
-__all__ = ["choose_server"]
+__all__ = ["cache_salt", "choose_server"]
 
 _ENGINE_SELECTION = "expected_first_token"
 _PLAIN_SELECTION = "least_running"
@@ -19,6 +19,7 @@
     known: state.GatewayState,
     service: routes.Service,
     need: selection.Need,
+    wall: str,
     excluded: Collection[str],
 ) -> selection.Selected | None:
     """Returns the server for the next attempt, None if there is none.
@@ -30,13 +31,18 @@
         known: What this process knows.
         service: The service that the request goes to.
         need: What the request needs.
+        wall: Namespace of prompt parts that the request may share.
         excluded: Servers not to use.
     """
     candidates = [
         candidate
         for server in known.fleet.usable(service.name)
         if server.server_id not in excluded
-        and (candidate := _candidate(known, service, need, server.server_id))
+        and (
+            candidate := _candidate(
+                known, service, need, wall, server.server_id
+            )
+        )
     ]
     if not candidates:
         return None
@@ -55,6 +61,7 @@
     known: state.GatewayState,
     service: routes.Service,
     need: selection.Need,
+    wall: str,
     server_id: str,
 ) -> selection.Candidate | None:
     server = known.fleet.get(server_id)
@@ -64,12 +71,37 @@
     behind_s = _behind_s(known, need.request.model, server_id)
     if behind_s > _BEHIND_LIMIT_S:
         return None
+    version = known.weights.version_at(server_id, need.request.model)
+    salt = cache_salt(wall, version)
     return selection.Candidate(
         server,
         known.loads.of(server_id, cache_tokens),
         known.health.failures(server_id),
         behind_s,
         cache_tokens,
+        salt,
+        _stored_tokens(known, need, salt) if not behind_s else 0,
+        version,
+    )
+
+
+def cache_salt(wall: str, version: int | None) -> str:
+    """Returns the namespace of cached prompt parts.
+
+    Parts are never shared between versions of the weights, nor across a wall
+    between workspaces.
+    """
+    return f"v{version}.{wall}"
+
+
+def _stored_tokens(
+    known: state.GatewayState, need: selection.Need, salt: str
+) -> int:
+    store = known.prefix_store()
+    if store is None or not need.request.parts:
+        return 0
+    return known.prefix_stores.held_tokens(
+        store.address, salt, need.request.parts
     )
 
 
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -94,6 +94,8 @@
         cache_salt: Namespace of cached prompt parts.
         weights_version: Version that the server must have; None for any.
         resume_after: The last event that the caller has, empty if none.
+        fetch_from: Address that holds cached parts of the prompt.
+        save_to: Address that keeps the prompt's parts once they are read.
     """
 
     workspace: str
@@ -102,6 +104,8 @@
     cache_salt: str = ""
     weights_version: int | None = None
     resume_after: str = ""
+    fetch_from: str = ""
+    save_to: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -142,14 +146,20 @@
     Attributes:
         cause: Why.
         verdict: Whether the server may have run the request.
+        weights_version: Version of the server's weights, if it told.
     """
 
     def __init__(
-        self, cause: Cause, verdict: outcome.Verdict, detail: str = ""
+        self,
+        cause: Cause,
+        verdict: outcome.Verdict,
+        detail: str = "",
+        weights_version: int | None = None,
     ) -> None:
         super().__init__(f"{cause.value}: {detail}")
         self.cause = cause
         self.verdict = verdict
+        self.weights_version = weights_version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -37,10 +37,10 @@
 _CHANGING_S = 0.25
 _SERVER_ERROR = 500
 # Without a budget of the caller, the route's timeout alone counts.
-_SHARED_SALT = "shared"
-# A version named longer ago than this is demanded of the server, so that a
-# request which waits in its queue never begins on older weights.
-_DEMAND_VERSION_AFTER_S = 3.5
+_SHARED_WALL = "shared"
+# Prompts whose shared parts are shorter than this are computed sooner than a
+# store is asked.
+_MIN_FETCH_TOKENS = 1_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -124,10 +124,10 @@
                 self._deadline_s, request.received_s + request.budget_s
             )
         isolated = where.workspace is not None and where.workspace.isolated
-        self._salt = (
+        self._wall = (
             f"workspace-{where.workspace.name}"
             if isolated and where.workspace
-            else _SHARED_SALT
+            else _SHARED_WALL
         )
         self._verdict = outcome.Verdict.NOT_RUN
         self._turned_away: set[str] = set()
@@ -183,6 +183,7 @@
                 self._known,
                 self._where.service,
                 self._need(),
+                self._wall,
                 self._turned_away | self._used,
             )
             if selected is not None:
@@ -224,11 +225,13 @@
         serving.begin(work)
         try:
             async with self._client.send(
-                server, request, self._options(server)
+                server, request, self._options(selected.candidate)
             ) as reply:
                 self._note_head(server, reply.head)
                 if reply.head.event_stream:
-                    await self._relay_stream(server, serving, work, reply)
+                    await self._relay_stream(
+                        selected.candidate, work, reply
+                    )
                 else:
                     await self._relay_whole(server, reply)
         finally:
@@ -257,15 +260,18 @@
 
     async def _relay_stream(
         self,
-        server: fleet.BackendServer,
-        serving: load.ServerLoad,
+        candidate: selection.Candidate,
         work: load.Work,
         reply: exchange.Reply,
     ) -> None:
+        server = candidate.server
         async for event in reply.events():
             if not work.started:
-                serving.note_started(
-                    work, self._now_s(), self._salt, self._request.parts
+                candidate.load.note_started(
+                    work,
+                    self._now_s(),
+                    candidate.cache_salt,
+                    self._request.parts,
                 )
                 self._note_run(outcome.Verdict.RAN)
                 self._known.health.note_answer(server.server_id, False)
@@ -325,13 +331,34 @@
             self._arrivals += 1
             self._turned_away.add(server_id)
             if self._where.service.engine is not None:
-                self._known.weights.note_changing(server_id, _CHANGING_S)
+                self._note_turned_away(server_id, failure)
         else:
             self._arrivals += 1
             self._runs += 1
             self._used.add(server_id)
             self._known.health.note_silent(server_id)
 
+    def _note_turned_away(
+        self, server_id: str, failure: exchange.AttemptFailed
+    ) -> None:
+        """Learns that an engine changes weights, or has changed them."""
+        model = self._request.model
+        named = self._known.weights.named(model)
+        known = self._known.weights.version_at(server_id, model)
+        if failure.weights_version is not None:
+            self._known.note_weights(
+                server_id, model, failure.weights_version
+            )
+        elif (
+            failure.cause is exchange.Cause.MISDIRECTED
+            and named is not None
+            and known is not None
+            and known < named.version
+        ):
+            self._known.note_weights(server_id, model, named.version)
+        else:
+            self._known.weights.note_changing(server_id, _CHANGING_S)
+
     def _check_retry(self, failure: exchange.AttemptFailed) -> None:
         """Raises the refusal of a request that is not sent again."""
         if failure.verdict is not outcome.Verdict.NOT_RUN:
@@ -383,33 +410,42 @@
             return
         await self._caller.refuse(refusal)
 
-    def _options(self, server: fleet.BackendServer) -> exchange.SendOptions:
+    def _options(
+        self, candidate: selection.Candidate
+    ) -> exchange.SendOptions:
         workspace = self._where.workspace
+        store_address = self._store_address(candidate)
         return exchange.SendOptions(
             workspace=workspace.name if workspace else "",
             rank=self._where.rank,
             time_left_s=max(0.001, self._deadline_s - self._now_s()),
-            cache_salt=self._salt if self._where.service.engine else "",
-            weights_version=self._demanded_version(),
+            cache_salt=candidate.cache_salt if candidate.cache_tokens else "",
+            weights_version=candidate.version,
             resume_after=self._last_event,
+            fetch_from=store_address,
+            save_to=store_address,
         )
 
-    def _demanded_version(self) -> int | None:
-        if self._where.service.engine is None:
-            return None
-        named = self._known.weights.named(self._request.model)
-        if named is None or named.version == 1:
-            return None
-        if self._now_s() - named.learnt_s < _DEMAND_VERSION_AFTER_S:
-            return None
-        return named.version
+    def _store_address(self, candidate: selection.Candidate) -> str:
+        """Returns the store of KV cache to use for an attempt, if any.
+
+        Only the newest weights use it: an engine that takes newer weights
+        meanwhile may save parts that were made by both versions, and nobody
+        fetches them any more once the newer version is named.
+        """
+        if candidate.version is None or candidate.behind_s:
+            return ""
+        parts = self._request.parts[:-1]
+        if sum(part.tokens for part in parts) < _MIN_FETCH_TOKENS:
+            return ""
+        store = self._known.prefix_store()
+        return store.address if store else ""
 
     def _need(self) -> selection.Need:
         return selection.Need(
             self._request,
             self._where.rank,
             self._where.route.target_s,
-            self._salt,
             self._known.zone,
         )
 
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -16,7 +16,6 @@
 import enum
 import hashlib
 import json
-import math
 from collections.abc import Mapping
 
 import logbook
@@ -47,8 +46,14 @@
 _POLL = datetime.timedelta(milliseconds=100)
 _TICK = datetime.timedelta(milliseconds=100)
 _REPORT_PAUSE = datetime.timedelta(milliseconds=150)
-# The holder of the last claim goes on at once; others wait this long for it.
-_SUCCESSION_S = 0.6
+# Loading takes 0.57 s; the next engine's order goes out then, while reports,
+# which are up to 200 ms old, still show the load.
+_LOAD = datetime.timedelta(milliseconds=600)
+# The holder of the last claim goes on at once; others wait until no engine
+# has changed for this long.
+_SUCCESSION_S = 2.0
+# A claim is renewed when less than this is left and engines are behind.
+_RENEWAL_S = 1.2
 # Processes that could claim at the same moment spread over this time.
 _SPREAD_S = 0.4
 _RETRY_S = 0.5
@@ -145,7 +150,7 @@
         orders: EngineOrders,
         name: str,
         pause: datetime.timedelta,
-        mode: str = "wait",
+        mode: str = "continue",
     ) -> None:
         self._known = known
         self._clock = known.clock
@@ -157,16 +162,14 @@
         self._last_claim: _Claim | None = None
         self._end: int | None = None
         self._not_before_s = 0.0
-        self._behind_since_s: float | None = None
+        self._behind_ids: frozenset[str] = frozenset()
+        self._behind_since_s = 0.0
 
     async def run(self) -> None:
         """Watches until cancelled."""
         while True:
             await self._clock.sleep(_TICK)
-            if not self._behind():
-                self._behind_since_s = None
-                continue
-            if self._may_claim() and await self._claim():
+            if self._note_progress() and self._may_claim() and await self._claim():
                 await self._hold()
 
     def _behind(self) -> list[tuple[str, fleet.BackendServer]]:
@@ -190,11 +193,17 @@
                         found.append((model, server))
         return found
 
+    def _note_progress(self) -> bool:
+        """Returns whether engines are behind, and notes when one changed."""
+        behind = frozenset(server.server_id for _, server in self._behind())
+        if behind != self._behind_ids:
+            self._behind_ids = behind
+            self._behind_since_s = self._clock.monotonic()
+        return bool(behind)
+
     def _may_claim(self) -> bool:
         """Returns whether it is this process's turn to claim the duty."""
         now_s = self._clock.monotonic()
-        if self._behind_since_s is None:
-            self._behind_since_s = now_s
         if now_s < self._not_before_s:
             return False
         last = self._last_claim
@@ -278,23 +287,30 @@
 
     async def _hold(self) -> None:
         """Changes engines in waves until all are done or the claim ends."""
-        claim = self._last_claim
-        assert claim is not None
         async with asyncio.TaskGroup() as changes:
             under_way: dict[str, asyncio.Task[None]] = {}
-            while self._clock.monotonic() < claim.until_s:
+            while (left_s := self._claimed_s()) > 0:
                 behind = self._behind()
                 for server_id in list(under_way):
                     if under_way[server_id].done():
                         del under_way[server_id]
                 if not behind and not under_way:
-                    break
+                    return
+                if left_s < _RENEWAL_S and not await self._claim():
+                    return
                 for model, server in self._next(behind, set(under_way)):
                     under_way[server.server_id] = changes.create_task(
-                        self._change(claim, model, server)
+                        self._change(model, server)
                     )
                 await self._clock.sleep(_POLL)
 
+    def _claimed_s(self) -> float:
+        """Returns for how long this process still holds the duty."""
+        claim = self._last_claim
+        if claim is None or claim.holder != self._name:
+            return 0.0
+        return claim.until_s - self._clock.monotonic()
+
     def _next(
         self,
         behind: list[tuple[str, fleet.BackendServer]],
@@ -309,7 +325,7 @@
         if not waiting:
             return []
         fleet_size = len(self._known.fleet.usable(waiting[0][1].service))
-        room = math.ceil(fleet_size * _WAVE_SHARE) - len(under_way)
+        room = max(1, int(fleet_size * _WAVE_SHARE)) - len(under_way)
         waiting.sort(
             key=lambda each: (
                 self._known.loads.of(each[1].server_id).running,
@@ -318,9 +334,7 @@
         )
         return waiting[: max(0, room)]
 
-    async def _change(
-        self, claim: _Claim, model: str, server: fleet.BackendServer
-    ) -> None:
+    async def _change(self, model: str, server: fleet.BackendServer) -> None:
         """Has one engine load the newest version, and waits for it."""
         named = self._known.weights.named(model)
         report = await self._orders.report(server)
@@ -330,7 +344,8 @@
         self._note_report(server, report)
         if report.versions.get(model, named.version) >= named.version:
             return
-        if report.busy or self._clock.monotonic() >= claim.until_s:
+        claim = self._last_claim
+        if report.busy or claim is None or self._claimed_s() <= 0:
             await self._clock.sleep(_REPORT_PAUSE)
             return
         self._known.weights.note_changing(server.server_id, _CHANGE_S)
@@ -364,8 +379,8 @@
         self, model: str, version: int, server: fleet.BackendServer
     ) -> None:
         end_s = self._clock.monotonic() + _ORDER_S
+        await self._clock.sleep(_LOAD)
         while self._clock.monotonic() < end_s:
-            await self._clock.sleep(_REPORT_PAUSE)
             seen = self._known.weights.version_at(server.server_id, model)
             if seen is not None and seen >= version:
                 return
@@ -376,6 +391,7 @@
                 self._note_report(server, report)
                 if not report.busy and report.versions.get(model) != version:
                     return
+            await self._clock.sleep(_REPORT_PAUSE)
 
     def _note_report(
         self, server: fleet.BackendServer, report: EngineReport
--- a/hibiscusstile/gateway/routes.py
+++ b/hibiscusstile/gateway/routes.py
@@ -11,6 +11,7 @@
 __all__ = [
     "Engine",
     "HttpLimits",
+    "PrefixStore",
     "RequestKind",
     "Route",
     "RoutingTable",
@@ -112,6 +113,19 @@
     models: tuple[str, ...]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrefixStore:
+    """A store of KV cache that engines save to and fetch from.
+
+    Attributes:
+        address: IP address and port.
+        zone: Its availability zone.
+    """
+
+    address: str
+    zone: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Service:
     """A service and what its backend servers take.
@@ -121,12 +135,14 @@
         max_connections: Connections that a server accepts from all callers.
         health_path: Path of the health check.
         engine: Set when the backend servers are model engines.
+        prefix_store: Set when the service is a store of KV cache.
     """
 
     name: str
     max_connections: int
     health_path: str
     engine: Engine | None = None
+    prefix_store: PrefixStore | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -194,6 +210,15 @@
                 return route
         return None
 
+    @functools.cached_property
+    def prefix_stores(self) -> tuple[PrefixStore, ...]:
+        """The stores of KV cache."""
+        return tuple(
+            service.prefix_store
+            for service in self.services.values()
+            if service.prefix_store is not None
+        )
+
     @functools.cached_property
     def _by_host(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -28,14 +28,12 @@
         request: The request.
         rank: Its rank, 0 first.
         target_s: Time in which the answer has its full value.
-        cache_salt: Namespace of its cached prompt parts.
         zone: Availability zone of this process.
     """
 
     request: exchange.ForwardedRequest
     rank: int
     target_s: float
-    cache_salt: str
     zone: str
 
 
@@ -49,6 +47,9 @@
         failures: Average share of failed requests.
         behind_s: For how long it has lacked the newest weights.
         cache_tokens: Tokens of its cache memory; 0 for plain services.
+        cache_salt: Namespace of the prompt's parts in its cache.
+        stored_tokens: Leading prompt tokens that it can fetch from a store.
+        version: Version of its weights, None if unknown.
     """
 
     server: fleet.BackendServer
@@ -56,6 +57,9 @@
     failures: float = 0.0
     behind_s: float = 0.0
     cache_tokens: int = 0
+    cache_salt: str = ""
+    stored_tokens: int = 0
+    version: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,12 +69,14 @@
     Attributes:
         candidate: The server.
         expected_s: Expected time to the first event; 0 if not estimated.
-        cached_tokens: Prompt tokens that it should hold in its cache.
+        cached_tokens: Prompt tokens that it need not compute.
+        cost: What it was selected by, least first.
     """
 
     candidate: Candidate
     expected_s: float = 0.0
     cached_tokens: int = 0
+    cost: float = 0.0
 
 
 class Selection(abc.ABC):
--- a/hibiscusstile/gateway/selection/expected_first_token.py
+++ b/hibiscusstile/gateway/selection/expected_first_token.py
@@ -1,43 +1,57 @@
-"""Selection for model engines: where the first token is expected soonest."""
+"""Selection for model engines: the server that serves a request at least cost.
+
+The cost of a server is the value that is at risk when the first token comes
+late, and the price of the way: bytes to another availability zone, prompt
+parts that are read again, and weights that were replaced.
+"""
 
 from __future__ import annotations
 
-import xxhash
+import math
 from collections.abc import Sequence
 
+import xxhash
+
 from hibiscusstile import rendezvous
 from hibiscusstile.gateway import selection
 
 __all__ = ["ExpectedFirstToken"]
 
 # Prompt tokens that an engine computes in a second, and the attention time of
-# 1e6 token pairs (the users' sheet of engines).
+# a pair of tokens (the users' sheet of engines).
 _PREFILL_TOKENS_PER_S = 50_700.0
 _PAIR_S = 0.368e-9
+# Time to fetch a token of KV cache over an engine's link, in its zone; twice
+# that between zones (the same sheet).
+_FETCH_S_PER_TOKEN = 9.4e-6
 # Set-up, the first decoding step and the network (the same sheet).
 _BASE_S = 0.022
-# What one running request adds to a decoding step, over the few steps that a
-# prompt spends between its chunks.
-_RUNNING_S = 0.0006
-# Sending a byte to another zone counts as this much time: it is charged, and
-# the charge is weighed against the value of an answer in time.
-_REMOTE_S_PER_BYTE = 8e-6
-_REMOTE_MIN_SHARE = 0.05
-_REMOTE_MAX_SHARE = 0.4
-# Bytes of an answer, as far as they are known before it comes.
-_ANSWER_BYTES = 2_000
+# What one running request adds to the time to the first token.
+_RUNNING_S = 0.0015
+# Value of an answer in time, in the unit of the prices below.
+_ANSWER_VALUE = 3.0
+# Share of the target at which half of the value is at risk, and the width of
+# the step.
+_RISK_CENTRE = 0.7
+_RISK_WIDTH = 0.12
+# Prices as charged to the users of today's sites: 1,000 tokens of shared
+# parts read again, 1 MB to another zone, 1,000 tokens of KV cache moved.
+_REREAD_PER_TOKEN = 1.6e-3
+_REMOTE_PER_BYTE = 32e-6
+_FETCH_PER_TOKEN = 1.7e-5
+# Bytes of an answer, and of the heads of both messages.
+_ANSWER_BYTES = 2_500
 # Older weights cost a fifth of an answer's value after 1.5 s.
 _BEHIND_GRACE_S = 1.0
-_BEHIND_SOON_SHARE = 0.05
-_BEHIND_LATE_SHARE = 0.4
-# Share of the target that a server which fails every request is charged.
-_FAILURE_SHARE = 4.0
+_BEHIND_SOON = 0.05
+_BEHIND_LATE = 0.3
+# Weight of a failing server: the value is lost.
+_FAILURE_WEIGHT = 2.0
 # Memory beyond this share is short: requests get preempted.
 _MEMORY_SHARE = 0.85
-_MEMORY_S = 1.0
-# A prompt that no server holds goes to the server that all processes rank
-# first for it, unless another one is sooner by this share of its prefill.
-_HOME_SHARE = 0.5
+_MEMORY_WEIGHT = 3.0
+# Among equal servers the one with less to do is preferred by this much.
+_SPREAD_WEIGHT = 0.02
 
 
 @selection.selections.register()
@@ -50,74 +64,95 @@
         self, need: selection.Need, candidates: Sequence[selection.Candidate]
     ) -> selection.Selected:
         """Returns the server with the lowest cost."""
-        home = self._home(need, candidates)
-        best: selection.Selected | None = None
-        best_cost = float("inf")
-        for candidate in candidates:
-            cached = candidate.load.cached_tokens(
-                need.cache_salt, need.request.parts
-            )
-            expected_s = self._expected_s(need, candidate, cached)
-            cost = expected_s + self._price_s(need, candidate)
-            if not cached and candidate.server.server_id != home:
-                shared = sum(part.tokens for part in need.request.parts[:-1])
-                cost += _HOME_SHARE * shared / _PREFILL_TOKENS_PER_S
-            if cost < best_cost:
-                best_cost = cost
-                best = selection.Selected(candidate, expected_s, cached)
-        assert best is not None
-        return best
+        home = _home(need, candidates)
+        options = [
+            self._weigh(need, candidate, home) for candidate in candidates
+        ]
+        return min(options, key=lambda each: each.cost)
+
+    def _weigh(
+        self,
+        need: selection.Need,
+        candidate: selection.Candidate,
+        home: str,
+    ) -> selection.Selected:
+        parts = need.request.parts
+        cached = candidate.load.cached_tokens(candidate.cache_salt, parts)
+        fetched = max(0, candidate.stored_tokens - cached)
+        shared = sum(part.tokens for part in parts[:-1])
+        own = max(0, need.request.prompt_tokens - cached - fetched)
+        expected_s = self._expected_s(need, candidate, own, fetched)
+        cost = _ANSWER_VALUE * _risk(expected_s / need.target_s)
+        cost += _price(need, candidate)
+        cost += fetched * _FETCH_PER_TOKEN
+        if candidate.server.server_id != home:
+            # Another server may hold what this process does not know of.
+            cost += max(0, shared - cached - fetched) * _REREAD_PER_TOKEN
+        return selection.Selected(
+            candidate, expected_s, cached + fetched, cost
+        )
 
     @staticmethod
     def _expected_s(
-        need: selection.Need, candidate: selection.Candidate, cached: int
+        need: selection.Need,
+        candidate: selection.Candidate,
+        own: int,
+        fetched: int,
     ) -> float:
         load = candidate.load
-        prompt = need.request.prompt_tokens
-        own = max(0, prompt - cached)
         ahead = load.waiting_tokens(need.rank)
         compute_s = (ahead + own) / _PREFILL_TOKENS_PER_S
-        compute_s += _PAIR_S * own * (cached + own / 2)
+        compute_s += _PAIR_S * own * (need.request.prompt_tokens - own / 2)
+        fetch_s = fetched * _FETCH_S_PER_TOKEN
         return load.slowness * (
-            _BASE_S + _RUNNING_S * load.running + compute_s
+            _BASE_S + _RUNNING_S * load.running + compute_s + fetch_s
         )
 
-    @staticmethod
-    def _price_s(need: selection.Need, candidate: selection.Candidate) -> float:
-        cost = candidate.failures * _FAILURE_SHARE * need.target_s
-        if candidate.server.zone != need.zone:
-            size = len(need.request.body) + _ANSWER_BYTES
-            remote_s = (
-                _REMOTE_MIN_SHARE * need.target_s + size * _REMOTE_S_PER_BYTE
-            )
-            cost += min(remote_s, _REMOTE_MAX_SHARE * need.target_s)
-        if candidate.behind_s > _BEHIND_GRACE_S:
-            cost += _BEHIND_LATE_SHARE * need.target_s
-        elif candidate.behind_s > 0:
-            cost += _BEHIND_SOON_SHARE * need.target_s
-        if candidate.cache_tokens:
-            asked = need.request.prompt_tokens + need.request.max_output_tokens
-            used = (candidate.load.memory_tokens + asked) / float(
-                candidate.cache_tokens
-            )
-            cost += max(0.0, used - _MEMORY_SHARE) * _MEMORY_S
-            slots = max(1, candidate.server.slots)
-            if candidate.load.running >= slots:
-                cost += need.target_s
-        return cost
 
-    @staticmethod
-    def _home(
-        need: selection.Need, candidates: Sequence[selection.Candidate]
-    ) -> str:
-        parts = need.request.parts
-        if len(parts) < 2:
-            return ""
-        near = [
-            candidate.server.server_id
-            for candidate in candidates
-            if candidate.server.zone == need.zone
-        ]
-        names = near or [each.server.server_id for each in candidates]
-        key = xxhash.xxh3_64_intdigest(parts[-2].part_id.encode())
-        return rendezvous.top_nodes(key, names, 1)[0]
+def _risk(share: float) -> float:
+    """Returns the risk of an answer after its target.
+
+    Args:
+        share: Expected time over the target.
+    """
+    exponent = (_RISK_CENTRE - share) / _RISK_WIDTH
+    late = 1 / (1 + math.exp(min(50.0, exponent)))
+    # Beyond the target, sooner is still better.
+    return late + _SPREAD_WEIGHT * share
+
+
+def _price(need: selection.Need, candidate: selection.Candidate) -> float:
+    cost = candidate.failures * _FAILURE_WEIGHT * _ANSWER_VALUE
+    if candidate.server.zone != need.zone:
+        size = len(need.request.body) + _ANSWER_BYTES
+        cost += size * _REMOTE_PER_BYTE
+    if candidate.behind_s > _BEHIND_GRACE_S:
+        cost += _BEHIND_LATE * _ANSWER_VALUE
+    elif candidate.behind_s > 0:
+        cost += _BEHIND_SOON * _ANSWER_VALUE
+    if candidate.cache_tokens:
+        asked = need.request.prompt_tokens + need.request.max_output_tokens
+        used = (candidate.load.memory_tokens + asked) / float(
+            candidate.cache_tokens
+        )
+        cost += max(0.0, used - _MEMORY_SHARE) * _MEMORY_WEIGHT
+        if candidate.load.running >= max(1, candidate.server.slots):
+            cost += _ANSWER_VALUE
+    return cost
+
+
+def _home(
+    need: selection.Need, candidates: Sequence[selection.Candidate]
+) -> str:
+    """Returns the server that all processes rank first for a prompt."""
+    parts = need.request.parts
+    if len(parts) < 2:
+        return ""
+    near = [
+        candidate.server.server_id
+        for candidate in candidates
+        if candidate.server.zone == need.zone
+    ]
+    names = near or [each.server.server_id for each in candidates]
+    key = xxhash.xxh3_64_intdigest(parts[-2].part_id.encode())
+    return rendezvous.top_nodes(key, names, 1)[0]
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -8,7 +8,14 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, retrybudget
-from hibiscusstile.gateway import fleet, health, load, routes, weights
+from hibiscusstile.gateway import (
+    fleet,
+    health,
+    load,
+    prefixstores,
+    routes,
+    weights,
+)
 
 __all__ = ["GatewayState", "RetryPolicy"]
 
@@ -48,6 +55,7 @@
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
         self._weights = weights.WeightsTable(clock)
+        self._prefix_stores = prefixstores.PrefixStoreTable()
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
 
     @property
@@ -85,6 +93,19 @@
         """Versions of weights."""
         return self._weights
 
+    @property
+    def prefix_stores(self) -> prefixstores.PrefixStoreTable:
+        """What the stores of KV cache hold."""
+        return self._prefix_stores
+
+    def prefix_store(self) -> routes.PrefixStore | None:
+        """Returns the store of KV cache to use, if one answers."""
+        if self._table is None:
+            return None
+        return self._prefix_stores.select(
+            self._table.prefix_stores, self._zone
+        )
+
     def apply_table(self, table: routes.RoutingTable) -> bool:
         """Puts a configuration in force unless a newer one is."""
         if self._table is not None and self._table.version >= table.version:
--- /dev/null
+++ b/hibiscusstile/platform/cacheevents.py
@@ -0,0 +1,135 @@
+"""Follows the cache events of the stores of KV cache."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+from typing import Any
+
+import aiohttp
+import pydantic
+
+from hibiscusstile.gateway import routes, state
+from hibiscusstile.platform import sockets
+
+__all__ = ["CacheEventFeed"]
+
+# The longest wait that a store grants; shorter ones than 200 ms are charged
+# as probes.
+_WAIT = datetime.timedelta(milliseconds=1000)
+_TIMEOUT_S = 2.0
+_CONNECT_TIMEOUT_S = 0.4
+_RETRY = datetime.timedelta(milliseconds=500)
+# All calls of a store are taken by other processes; its parts stay unknown.
+_BUSY_PAUSE = datetime.timedelta(seconds=5)
+_BUSY = 429
+_TICK = datetime.timedelta(milliseconds=500)
+
+
+class _Events(pydantic.BaseModel):
+    # Changes when the store starts anew.
+    epoch: int
+    # Number to ask from in the next call.
+    next: int
+    # Whether events before the first one were dropped.
+    lost: bool = False
+    # Rows of number, sign, salt, part, tokens and model.
+    events: list[list[Any]] = []
+
+
+class CacheEventFeed:
+    """Keeps what is known of the stores up to date.
+
+    Args:
+        known: Names the stores and takes their parts.
+    """
+
+    def __init__(self, known: state.GatewayState) -> None:
+        self._known = known
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> None:
+        """Follows every configured store until cancelled."""
+        followed: dict[str, asyncio.Task[None]] = {}
+        async with asyncio.TaskGroup() as tasks:
+            while True:
+                table = self._known.table
+                stores = table.prefix_stores if table else ()
+                addresses = {store.address for store in stores}
+                for address in set(followed) - addresses:
+                    followed.pop(address).cancel()
+                for store in stores:
+                    if store.address not in followed:
+                        followed[store.address] = tasks.create_task(
+                            self._follow(store)
+                        )
+                await self._known.clock.sleep(_TICK)
+
+    async def close(self) -> None:
+        """Closes connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _follow(self, store: routes.PrefixStore) -> None:
+        since = 0
+        epoch = None
+        table = self._known.prefix_stores
+        while True:
+            try:
+                status, events = await self._read(store.address, since)
+            except (
+                aiohttp.ClientError,
+                TimeoutError,
+                OSError,
+                pydantic.ValidationError,
+            ):
+                table.note_alive(store.address, False)
+                await self._known.clock.sleep(_RETRY)
+                continue
+            table.note_alive(store.address, True)
+            if events is None:
+                pause = _BUSY_PAUSE if status == _BUSY else _RETRY
+                await self._known.clock.sleep(pause)
+                continue
+            if epoch is not None and events.epoch != epoch:
+                table.note_emptied(store.address)
+                since, epoch = 0, events.epoch
+                continue
+            epoch, since = events.epoch, events.next
+            for row in events.events:
+                self._apply(store.address, row)
+
+    def _apply(self, address: str, row: list[Any]) -> None:
+        if len(row) < 5:
+            return
+        _, sign, salt, part_id, tokens = row[:5]
+        held = tokens if sign == "+" and isinstance(tokens, int) else 0
+        self._known.prefix_stores.note_part(
+            address, str(salt), str(part_id), held
+        )
+
+    async def _read(
+        self, address: str, since: int
+    ) -> tuple[int, _Events | None]:
+        async with self._open_session().get(
+            f"http://{address}/v1/kv-events",
+            params={"since": str(since)},
+            headers={"Wait-Ms": str(round(_WAIT.total_seconds() * 1000))},
+        ) as response:
+            body = await response.read()
+            if response.status != 200:
+                return response.status, None
+            return 200, _Events.model_validate_json(body)
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(
+                    limit=0, socket_factory=sockets.open_socket
+                ),
+                cookie_jar=aiohttp.DummyCookieJar(),
+                timeout=aiohttp.ClientTimeout(
+                    total=_TIMEOUT_S, sock_connect=_CONNECT_TIMEOUT_S
+                ),
+            )
+        return self._session
--- a/hibiscusstile/platform/headers.py
+++ b/hibiscusstile/platform/headers.py
@@ -11,6 +11,7 @@
     "CACHE_SALT",
     "EXPECTED_SERVER",
     "EXPECTED_VERSION",
+    "FETCH_FROM",
     "LAST_EVENT_ID",
     "MODEL",
     "NOT_RUN",
@@ -18,6 +19,7 @@
     "RANK",
     "REQUEST_ID",
     "RESPONSE_DIGEST",
+    "SAVE_TO",
     "SERVER_ID",
     "TIME_LEFT",
     "TOKEN_COUNTS",
@@ -34,6 +36,7 @@
 CACHE_SALT = "X-Cache-Salt"
 EXPECTED_SERVER = "X-Expect-Instance"
 EXPECTED_VERSION = "X-Expect-Version"
+FETCH_FROM = "X-Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
 MODEL = "X-Model"
 # The server did not run the request; no other header states this.
@@ -43,6 +46,7 @@
 RANK = "X-Request-Priority"
 REQUEST_ID = "X-Request-Id"
 # Digest by which callers check that an answer is whole.
+SAVE_TO = "X-Kv-Save"
 RESPONSE_DIGEST = "X-Response-Stamp"
 SERVER_ID = "X-Instance-Id"
 # Milliseconds that the sender still waits; no point in time.
@@ -74,15 +78,15 @@
         CACHE_SALT,
         EXPECTED_SERVER,
         EXPECTED_VERSION,
+        FETCH_FROM,
         LAST_EVENT_ID,
         RANK,
+        SAVE_TO,
         TIME_LEFT,
         WORKSPACE,
         "Kv-From",
         "X-Hold",
         "X-Kv-Backup",
-        "X-Kv-Fetch",
-        "X-Kv-Save",
         "X-Pin-Ms",
     )
 )
--- a/hibiscusstile/platform/operatorrecords.py
+++ b/hibiscusstile/platform/operatorrecords.py
@@ -67,6 +67,8 @@
     # Absent for the store of KV cache, which no request is routed to.
     max_connections: int = 0
     engine: _Engine | None = None
+    kv_store_addr: str = ""
+    zone: str = ""
 
 
 class _Limits(_Model):
@@ -197,8 +199,15 @@
             cache_tokens=parsed.engine.kv_tokens,
             models=tuple(each.name for each in parsed.engine.models),
         )
+    prefix_store = None
+    if parsed.kv_store_addr:
+        prefix_store = routes.PrefixStore(parsed.kv_store_addr, parsed.zone)
     return routes.Service(
-        parsed.name, parsed.max_connections, parsed.health_path, engine
+        parsed.name,
+        parsed.max_connections,
+        parsed.health_path,
+        engine,
+        prefix_store,
     )
 
 
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -139,7 +139,6 @@
     def __init__(self, response: aiohttp.ClientResponse) -> None:
         self._response = response
         received = response.headers
-        version = received.get(headers.WEIGHTS_VERSION, "")
         content_type = received.get("Content-Type", "")
         self._head = exchange.AnswerHead(
             status=response.status,
@@ -148,7 +147,7 @@
             ),
             event_stream=response.status == 200
             and content_type.startswith(_EVENT_STREAM),
-            weights_version=int(version) if version.isdecimal() else None,
+            weights_version=_weights_version(response),
         )
 
     @property
@@ -192,6 +191,10 @@
         outgoing[headers.RANK] = headers.rank_text(options.rank)
     if options.weights_version is not None:
         outgoing[headers.EXPECTED_VERSION] = str(options.weights_version)
+    if options.fetch_from:
+        outgoing[headers.FETCH_FROM] = options.fetch_from
+    if options.save_to:
+        outgoing[headers.SAVE_TO] = options.save_to
     if options.resume_after:
         outgoing[headers.LAST_EVENT_ID] = options.resume_after
     return outgoing
@@ -204,6 +207,7 @@
             exchange.Cause.MISDIRECTED,
             outcome.Verdict.NOT_RUN,
             "another server or other weights",
+            _weights_version(response),
         )
     if headers.NOT_RUN in response.headers:
         raise exchange.AttemptFailed(
@@ -220,6 +224,11 @@
         )
 
 
+def _weights_version(response: aiohttp.ClientResponse) -> int | None:
+    text = response.headers.get(headers.WEIGHTS_VERSION, "")
+    return int(text) if text.isdecimal() else None
+
+
 def _no_answer(attempt: wire.Attempt, error: Any) -> exchange.AttemptFailed:
     if not attempt.connected:
         return exchange.AttemptFailed(
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -14,6 +14,7 @@
 from hibiscusstile.gateway import follower, rollout, service, state
 from hibiscusstile.platform import (
     boot,
+    cacheevents,
     feeds,
     ingress,
     keyed_log,
@@ -69,6 +70,7 @@
             config.caller_address, self._gateway, clock
         )
         self._orders = orders.HttpOrders()
+        self._cache_events = cacheevents.CacheEventFeed(self._known)
         self._ready = ingress.ReadyPage(config.ready_address, self._gateway)
         self._operators_feed = follower.KeyedFollower(
             self._store,
@@ -109,6 +111,7 @@
             ("operators", self._operators_feed.run),
             ("servers", self._servers_feed.run),
             ("rollout", self._rollout.run),
+            ("cache_events", self._cache_events.run),
             ("settings", self._watch_settings),
             ("ready", self._ready.run),
             ("callers", self._ingress.run),
@@ -147,6 +150,7 @@
         """Closes clients, once the children have stopped."""
         await self._client.close()
         await self._orders.close()
+        await self._cache_events.close()
         await self._store.close()
 
     async def _watch_settings(self) -> None:
