Order the next engine while the one before still loads

Cause: the holder waited for reports, which are 200 ms old, so that a wave took 1.1 s in place of 0.6; it renewed its claim with nothing left to do. Change: an engine's place in the wave is free once loading should be done; claims last 2.5 s and are renewed only for engines that are behind; a prompt counts as cached from when it is sent.

--- a/hibiscusstile/gateway/load.py
+++ b/hibiscusstile/gateway/load.py
@@ -92,18 +92,22 @@
             tokens += part.tokens
         return tokens
 
-    def begin(self, work: Work) -> None:
-        """Adds a request that is being sent."""
-        self._by_id[id(work)] = work
-
-    def note_started(
+    def begin(
         self,
         work: Work,
-        now_s: float,
         salt: str,
         parts: tuple[exchange.PromptPart, ...],
     ) -> None:
-        """Notes a request's first event: its prompt is cached now."""
+        """Adds a request that is being sent.
+
+        Its prompt counts as cached at once: a request with the same prefix
+        that comes later waits behind it and finds the parts.
+        """
+        self._by_id[id(work)] = work
+        self._remember(salt, parts)
+
+    def note_started(self, work: Work, now_s: float) -> None:
+        """Notes a request's first event."""
         if work.started:
             return
         work.started = True
@@ -111,7 +115,6 @@
             ratio = (now_s - work.sent_s) / work.expected_s
             ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
             self._slowness += _SLOWNESS_GAIN * (ratio - self._slowness)
-        self._remember(salt, parts)
 
     def end(self, work: Work) -> None:
         """Removes a request that has ended."""
--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -222,7 +222,8 @@
             sent_s=self._now_s(),
             expected_s=selected.expected_s,
         )
-        serving.begin(work)
+        serving.begin(work, selected.candidate.cache_salt, request.parts)
+        self._log_selection(selected)
         try:
             async with self._client.send(
                 server, request, self._options(selected.candidate)
@@ -267,12 +268,7 @@
         server = candidate.server
         async for event in reply.events():
             if not work.started:
-                candidate.load.note_started(
-                    work,
-                    self._now_s(),
-                    candidate.cache_salt,
-                    self._request.parts,
-                )
+                candidate.load.note_started(work, self._now_s())
                 self._note_run(outcome.Verdict.RAN)
                 self._known.health.note_answer(server.server_id, False)
                 self._observe_first_event()
@@ -460,6 +456,29 @@
             self._first_event_s = self._elapsed_s()
             metrics.observe_first_event(self._where.rank, self._first_event_s)
 
+    def _log_selection(self, selected: selection.Selected) -> None:
+        candidate = selected.candidate
+        parts = self._request.parts
+        logs.event(
+            _log,
+            "server_selected",
+            request=self._request.request_id,
+            server=candidate.server.server_id,
+            service=self._where.service.name,
+            zone=candidate.server.zone,
+            running=candidate.load.running,
+            expected_s=round(selected.expected_s, 4),
+            cost=round(selected.cost, 3),
+            salt=candidate.cache_salt if parts else None,
+            prefix=parts[-2].part_id if len(parts) > 1 else None,
+            prompt_tokens=self._request.prompt_tokens or None,
+            cached_tokens=selected.cached_tokens or None,
+            stored_tokens=candidate.stored_tokens or None,
+            behind_s=round(candidate.behind_s, 2) or None,
+            failures=round(candidate.failures, 3) or None,
+            elapsed_s=self._elapsed_s(),
+        )
+
     def _log_attempt(self, server: fleet.BackendServer, result: str) -> None:
         metrics.count_attempt(result)
         logs.event(
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -36,14 +36,14 @@
 
 _TOPIC = "hibiscusstile.weights"
 # A rollout of today's fleets takes two to three seconds.
-_CLAIM = datetime.timedelta(seconds=4)
+_CLAIM = datetime.timedelta(seconds=2.5)
 # Engines of a model that change weights at the same time. Loading slows down
 # beyond a third of the fleet on all of today's deployments.
 _WAVE_SHARE = 1 / 3
 # How long an engine is expected to be away for one change, at most: requests
 # end first, and loading takes 0.6 s.
 _CHANGE_S = 1.5
-_POLL = datetime.timedelta(milliseconds=100)
+_POLL = datetime.timedelta(milliseconds=50)
 _TICK = datetime.timedelta(milliseconds=100)
 _REPORT_PAUSE = datetime.timedelta(milliseconds=150)
 # Loading takes 0.57 s; the next engine's order goes out then, while reports,
@@ -162,6 +162,7 @@
         self._last_claim: _Claim | None = None
         self._end: int | None = None
         self._not_before_s = 0.0
+        self._loading_until_s: dict[str, float] = {}
         self._behind_ids: frozenset[str] = frozenset()
         self._behind_since_s = 0.0
 
@@ -296,7 +297,11 @@
                         del under_way[server_id]
                 if not behind and not under_way:
                     return
-                if left_s < _RENEWAL_S and not await self._claim():
+                if (
+                    behind
+                    and left_s < _RENEWAL_S
+                    and not await self._claim()
+                ):
                     return
                 for model, server in self._next(behind, set(under_way)):
                     under_way[server.server_id] = changes.create_task(
@@ -325,7 +330,7 @@
         if not waiting:
             return []
         fleet_size = len(self._known.fleet.usable(waiting[0][1].service))
-        room = max(1, int(fleet_size * _WAVE_SHARE)) - len(under_way)
+        room = max(1, int(fleet_size * _WAVE_SHARE)) - self._loading(under_way)
         waiting.sort(
             key=lambda each: (
                 self._known.loads.of(each[1].server_id).running,
@@ -334,6 +339,14 @@
         )
         return waiting[: max(0, room)]
 
+    def _loading(self, under_way: set[str]) -> int:
+        """Returns how many engines under way have not loaded yet."""
+        now_s = self._clock.monotonic()
+        return sum(
+            now_s < self._loading_until_s.get(server_id, now_s + 1)
+            for server_id in under_way
+        )
+
     async def _change(self, model: str, server: fleet.BackendServer) -> None:
         """Has one engine load the newest version, and waits for it."""
         named = self._known.weights.named(model)
@@ -349,6 +362,7 @@
             await self._clock.sleep(_REPORT_PAUSE)
             return
         self._known.weights.note_changing(server.server_id, _CHANGE_S)
+        self._loading_until_s.pop(server.server_id, None)
         result = await self._orders.change_weights(
             server,
             WeightsOrder(
@@ -373,6 +387,9 @@
         if result is OrderResult.REFUSED:
             await self._clock.sleep(_REPORT_PAUSE)
             return
+        self._loading_until_s[server.server_id] = (
+            self._clock.monotonic() + _LOAD.total_seconds()
+        )
         await self._wait_changed(model, named.version, server)
 
     async def _wait_changed(
