Mend answers that were cut, doubled or resumed

Change: the end of a connection decides on answers without a length; foreign answers are skipped; a run counts once; an attempt under way counts as run.

--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -130,6 +130,8 @@
             else _SHARED_WALL
         )
         self._verdict = outcome.Verdict.NOT_RUN
+        self._sent = False
+        self._run_counted = False
         self._turned_away: set[str] = set()
         self._used: set[str] = set()
         self._arrivals = 0
@@ -153,7 +155,7 @@
                 outcome.Refusal(
                     outcome.Reason.EXPIRED,
                     "no complete answer in time",
-                    self._verdict,
+                    self._verdict_now(),
                 )
             )
         except outcome.Refused as refused:
@@ -195,6 +197,12 @@
             self._turned_away.clear()
             await self._known.clock.sleep(_TURNED_AWAY_PAUSE)
 
+    def _verdict_now(self) -> outcome.Verdict:
+        """Returns the verdict, an attempt under way included."""
+        if self._sent:
+            return self._verdict.joined(outcome.Verdict.MAY_HAVE_RUN)
+        return self._verdict
+
     def _refuse_without_server(self) -> None:
         """Raises the refusal of a request for which no server is left."""
         if self._verdict is not outcome.Verdict.NOT_RUN:
@@ -222,6 +230,8 @@
             sent_s=self._now_s(),
             expected_s=selected.expected_s,
         )
+        self._sent = True
+        self._run_counted = False
         serving.begin(work, selected.candidate.cache_salt, request.parts)
         self._log_selection(selected)
         try:
@@ -300,7 +310,9 @@
 
     def _note_run(self, verdict: outcome.Verdict) -> None:
         self._verdict = self._verdict.joined(verdict)
-        self._runs += 1
+        if not self._run_counted:
+            self._run_counted = True
+            self._runs += 1
 
     def _note_failure(
         self, server_id: str, failure: exchange.AttemptFailed
@@ -318,6 +330,7 @@
             elapsed_s=self._elapsed_s(),
         )
         self._verdict = self._verdict.joined(failure.verdict)
+        self._sent = False
         cause = failure.cause
         if cause is exchange.Cause.NOT_REACHED:
             self._unreached += 1
@@ -330,7 +343,7 @@
                 self._note_turned_away(server_id, failure)
         else:
             self._arrivals += 1
-            self._runs += 1
+            self._note_run(failure.verdict)
             self._used.add(server_id)
             self._known.health.note_silent(server_id)
 
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 from collections.abc import AsyncIterator
 from typing import Any
@@ -39,15 +40,37 @@
     and skipped.
     """
 
+    _closing: asyncio.Future[None] | None = None
+    _undecided = False
+
+    async def check_whole(self) -> None:
+        """Raises `RequestLost` if a body without a length was cut off.
+
+        Such a body ends with its connection; aiohttp takes it as whole even
+        where the connection was reset.
+        """
+        if self._closing is None or not self._closing.done():
+            return
+        error = self._closing.exception()
+        if error is not None:
+            raise wire.RequestLost(repr(error))
+
     async def start(
         self, connection: aiohttp.connector.Connection
     ) -> aiohttp.ClientResponse:
         """Reads the head of the answer."""
         expected = self.request_info.headers.get(headers.REQUEST_ID)
+        self._undecided = True
         for _ in range(_MAX_FOREIGN_ANSWERS):
+            # aiohttp keeps the headers of the head that it read first.
+            self._cache.clear()
             await super().start(connection)
             echoed = self.headers.get(headers.REQUEST_ID)
             if expected is None or echoed is None or echoed == expected:
+                self._undecided = False
+                self._watch_closing(connection)
+                if self.content.is_eof():
+                    self._response_eof()
                 return self
             # The connection is not used again after such an answer.
             if connection.protocol is not None:
@@ -55,6 +78,19 @@
             await _skip_body(self.content)
         raise wire.RequestLost("answers of other requests came")
 
+    def _response_eof(self) -> None:
+        # aiohttp gives the connection back at the end of a body; the end of
+        # another request's answer must not do that.
+        if not self._undecided:
+            super()._response_eof()
+
+    def _watch_closing(self, connection: aiohttp.connector.Connection) -> None:
+        framed = "Content-Length" in self.headers or (
+            "Transfer-Encoding" in self.headers
+        )
+        if not framed and connection.protocol is not None:
+            self._closing = connection.protocol.closed
+
 
 async def _skip_body(content: aiohttp.StreamReader) -> None:
     while not content.at_eof():
@@ -92,6 +128,7 @@
             raise _no_answer(attempt, error) from None
         try:
             _check_executed(response)
+            assert isinstance(response, _CheckedResponse)
             yield _HttpReply(response)
         finally:
             # An answer that was read to its end has released its connection.
@@ -136,7 +173,7 @@
 class _HttpReply(exchange.Reply):
     """An answer on its HTTP connection."""
 
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
+    def __init__(self, response: _CheckedResponse) -> None:
         self._response = response
         received = response.headers
         content_type = received.get("Content-Type", "")
@@ -158,7 +195,9 @@
     async def body(self) -> bytes:
         """Returns the whole body."""
         try:
-            return await self._response.read()
+            body = await self._response.read()
+            await self._response.check_whole()
+            return body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _broken_off(error) from None
 
@@ -169,6 +208,7 @@
             async for data in self._response.content.iter_any():
                 for event in splitter.feed(data):
                     yield event
+            await self._response.check_whole()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _broken_off(error) from None
         rest = splitter.rest()
--- a/hibiscusstile_standins/__init__.py
+++ b/hibiscusstile_standins/__init__.py
@@ -19,7 +19,9 @@
         f"{__name__}.engine",
         f"{__name__}.instancelist",
         f"{__name__}.log",
+        f"{__name__}.runner",
         f"{__name__}.service",
+        f"{__name__}.store",
     ),
 )
 
--- /dev/null
+++ b/hibiscusstile_standins/runner.py
@@ -0,0 +1,333 @@
+"""Stand-in for a backend server of the users' platform.
+
+It answers as a model runner where a request asks for a stream, and as a plain
+service otherwise. Faults are written to the connection byte by byte, since a
+well-behaved HTTP server cannot produce them.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import hashlib
+import json
+import socket
+import struct
+from typing import Any
+
+import multidict
+from aiohttp import web
+
+import hibiscusstile_standins
+from hibiscusstile_standins import server
+
+__all__ = ["Arrival", "Runner"]
+
+_LOAD_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """One request that reached the runner."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: multidict.CIMultiDict[str]
+    body: bytes
+    ran: bool
+
+
+@hibiscusstile_standins.stand_ins.register()
+class Runner(server.StandIn):
+    """Serves requests, reports its state and takes orders.
+
+    Args:
+        server_id: Its id in discovery.
+        model: Name of its model.
+        events: Events of each stream.
+        pace_s: Seconds between two events.
+    """
+
+    name = "runner"
+
+    def __init__(
+        self,
+        server_id: str = "i-1",
+        model: str = "m1",
+        events: int = 4,
+        pace_s: float = 0.0,
+    ) -> None:
+        super().__init__()
+        self._server_id = server_id
+        self._model = model
+        self._events = events
+        self._pace_s = pace_s
+        self._version = 1
+        self._orders_taken = 0
+        self._loading = False
+        self._arrivals: list[Arrival] = []
+        self._orders: list[dict[str, Any]] = []
+        self._modes: list[str] = []
+        self._standing = ""
+
+    @property
+    def server_id(self) -> str:
+        """Its id in discovery."""
+        return self._server_id
+
+    @property
+    def address(self) -> str:
+        """IP address and port."""
+        return f"127.0.0.1:{self.port}"
+
+    @property
+    def version(self) -> int:
+        """Version of its weights."""
+        return self._version
+
+    @property
+    def arrivals(self) -> tuple[Arrival, ...]:
+        """The requests that came, in order."""
+        return tuple(self._arrivals)
+
+    @property
+    def orders(self) -> tuple[dict[str, Any], ...]:
+        """The orders that it accepted, in order."""
+        return tuple(self._orders)
+
+    @server.fault
+    def misbehave(self, *modes: str) -> None:
+        """Sets what happens to the next requests, one mode each.
+
+        Modes: `full`, `error`, `lose_answer`, `hang`, `cut`, `unframed`,
+        `unframed_reset`, `twice`, `garbage`.
+        """
+        self._modes.extend(modes)
+
+    @server.fault
+    def misbehave_always(self, mode: str) -> None:
+        """Sets what happens to every request; empty for nothing."""
+        self._standing = mode
+
+    def entry(self, service: str, zone: str = "z1", **changes: Any) -> bytes:
+        """Returns its entry in discovery."""
+        fields = {
+            "service": service,
+            "address": self.address,
+            "zone": zone,
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "cold_remaining_ms": 0,
+            "stage": "both",
+            "models": [
+                {
+                    "name": self._model,
+                    "version": self._version,
+                    "adapters": [],
+                }
+            ],
+            "sequence": 1,
+            "born": 1_700_000_000_000,
+        }
+        return json.dumps({**fields, **changes}).encode()
+
+    def application(self) -> web.Application:
+        """Returns the application with its routes."""
+        app = server.new_application()
+        app.router.add_get("/v1/report", self._report)
+        app.router.add_post("/v1/order", self._order)
+        app.router.add_get("/healthz", self._health)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    def record(self) -> dict[str, Any]:
+        """Returns the arrivals and the orders."""
+        return {
+            "arrivals": [
+                {
+                    "request_id": each.request_id,
+                    "method": each.method,
+                    "target": each.target,
+                    "headers": dict(each.headers),
+                    "body": each.body.decode("latin1"),
+                    "ran": each.ran,
+                }
+                for each in self._arrivals
+            ],
+            "orders": list(self._orders),
+        }
+
+    async def _health(self, request: web.Request) -> web.Response:
+        del request
+        return web.Response(headers={"X-Instance-Id": self._server_id})
+
+    async def _report(self, request: web.Request) -> web.Response:
+        del request
+        return web.json_response(
+            {
+                "stage": "both",
+                "models": [
+                    {
+                        "name": self._model,
+                        "version": self._version,
+                        "adapters": [],
+                    }
+                ],
+                "busy": self._loading,
+                "sequence": self._orders_taken,
+                "waiting": 0,
+                "running": 0,
+                "kv_used": 0,
+                "kv_total": 100_000,
+                "handles": 0,
+            }
+        )
+
+    async def _order(self, request: web.Request) -> web.Response:
+        order = await request.json()
+        if order.get("expect", self._orders_taken) != self._orders_taken:
+            return web.Response(status=409)
+        if order["version"] == self._version:
+            return web.Response(status=200)
+        if self._loading:
+            return web.Response(status=409)
+        self._orders_taken += 1
+        self._orders.append(order)
+        self._loading = True
+        asyncio.get_running_loop().call_later(
+            _LOAD_S, self._finish_load, int(order["version"])
+        )
+        return web.Response(status=202)
+
+    def _finish_load(self, version: int) -> None:
+        self._version = version
+        self._loading = False
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        body = await request.read()
+        mode = self._modes.pop(0) if self._modes else self._standing
+        refusal = self._refusal(request, mode)
+        self._arrivals.append(
+            Arrival(
+                request.headers.get("X-Request-Id", ""),
+                request.method,
+                request.raw_path,
+                multidict.CIMultiDict(request.headers),
+                body,
+                refusal is None,
+            )
+        )
+        if refusal is not None:
+            return refusal
+        if mode == "hang":
+            await asyncio.Event().wait()
+        if mode == "lose_answer":
+            server.drop_connection(request)
+            return web.Response()
+        if "X-Model" in request.headers:
+            return await self._stream(request, mode)
+        return await self._answer(request, mode)
+
+    def _refusal(
+        self, request: web.Request, mode: str
+    ) -> web.Response | None:
+        expected = request.headers.get("X-Expect-Instance", self._server_id)
+        version = request.headers.get("X-Expect-Version")
+        if expected != self._server_id or (
+            version is not None and int(version) != self._version
+        ):
+            return web.Response(
+                status=421, headers={"X-Instance-Id": self._server_id}
+            )
+        if mode == "full" or (self._loading and "X-Model" in request.headers):
+            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+        return None
+
+    async def _answer(
+        self, request: web.Request, mode: str
+    ) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        text = f"answer to {request_id} of {self._server_id}".encode()
+        if mode == "error":
+            return web.Response(
+                status=500, body=text, headers=self._headers(request_id, text)
+            )
+        raw = _raw_answers(request_id, text, self._headers(request_id, text))
+        if mode in raw:
+            transport: Any = request.transport
+            transport.write(raw[mode])
+            if mode == "unframed_reset":
+                await asyncio.sleep(0.05)
+                _reset(transport)
+            elif mode != "twice":
+                transport.close()
+            else:
+                await asyncio.Event().wait()
+            return web.Response()
+        return web.Response(
+            body=text, headers=self._headers(request_id, text)
+        )
+
+    async def _stream(
+        self, request: web.Request, mode: str
+    ) -> web.StreamResponse:
+        request_id = request.headers.get("X-Request-Id", "")
+        first = int(request.headers.get("Last-Event-Id", "0") or 0) + 1
+        response = web.StreamResponse(
+            headers={
+                "Content-Type": "text/event-stream",
+                **self._headers(request_id, b""),
+            }
+        )
+        await response.prepare(request)
+        for number in range(first, self._events + 1):
+            if mode == "cut" and number == 3 and first == 1:
+                # The first run ends in the middle of an event.
+                await response.write(b"id: 3\nda")
+                server.drop_connection(request)
+                return response
+            text = f"id: {number}\ndata: event {number}\n\n"
+            await response.write(text.encode())
+            await asyncio.sleep(self._pace_s)
+        await response.write_eof()
+        return response
+
+    def _headers(self, request_id: str, body: bytes) -> dict[str, str]:
+        digest = hashlib.sha256(body).hexdigest()[:8]
+        return {
+            "X-Request-Id": request_id,
+            "X-Response-Stamp": f"{self._server_id}.{digest}",
+            "X-Weight-Versions": str(self._version),
+        }
+
+
+def _reset(transport: Any) -> None:
+    """Resets a connection in place of closing it."""
+    opened = transport.get_extra_info("socket")
+    opened.setsockopt(
+        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+    )
+    transport.abort()
+
+
+def _raw_answers(
+    request_id: str, text: bytes, headers: dict[str, str]
+) -> dict[str, bytes]:
+    """Returns the bytes of answers that break the protocol, by mode."""
+    head = "HTTP/1.1 200 OK\r\n" + "".join(
+        f"{name}: {value}\r\n" for name, value in headers.items()
+    )
+    foreign = head.replace(request_id, "other-request")
+    length = f"Content-Length: {len(text)}\r\n\r\n"
+    return {
+        "cut": (head + length).encode() + text[:5],
+        "unframed": (head + "\r\n").encode() + text,
+        "unframed_reset": (head + "\r\n").encode() + text[:5],
+        "twice": (foreign + length).encode()
+        + text
+        + (head + length).encode()
+        + text,
+        "garbage": b"\x00\x01 this is no answer\r\n\r\n",
+    }
--- /dev/null
+++ b/hibiscusstile_standins/store.py
@@ -0,0 +1,142 @@
+"""Stand-in for the platform's store: the log with topics and keyed records."""
+
+from __future__ import annotations
+
+import asyncio
+import base64
+import struct
+from typing import Any
+
+from aiohttp import web
+
+import hibiscusstile_standins
+from hibiscusstile_standins import log, server
+
+__all__ = ["PlatformStoreService"]
+
+_MAX_WAIT_S = 30.0
+_LENGTH = struct.Struct(">I")
+_ENDS = struct.Struct(">QQ")
+
+
+@hibiscusstile_standins.stand_ins.register()
+class PlatformStoreService(log.LogService):
+    """The log service as the users' platform speaks it.
+
+    Topics are the log's streams, with one partition each. Keyed topics keep
+    the newest record of each key for ever.
+    """
+
+    name = "store"
+
+    def __init__(
+        self,
+        appends_per_s: float = 0.0,
+        keep_entries: int = 0,
+        keep_s: float = 0.0,
+    ) -> None:
+        super().__init__(appends_per_s, keep_entries, keep_s)
+        self._newest: dict[str, dict[str, tuple[bytes, int]]] = {}
+        self._calls: list[str] = []
+
+    @property
+    def calls(self) -> tuple[str, ...]:
+        """Names of the calls that came, in order."""
+        return tuple(self._calls)
+
+    def application(self) -> web.Application:
+        """Returns the application with its routes."""
+        app = super().application()
+        app.router.add_post("/v1/log-append", self._append_records)
+        app.router.add_get("/v1/log-read", self._read_records)
+        app.router.add_get("/v1/log-newest", self._read_newest)
+        return app
+
+    async def put(self, topic: str, key: str, value: bytes) -> int:
+        """Writes a keyed record, as operators and servers do.
+
+        Args:
+            topic: A topic whose name begins with `keyed.`.
+            key: The record's key.
+            value: Its value; empty drops the key.
+        """
+        raw = key.encode()
+        return await self._append_one(topic, bytes([len(raw)]) + raw + value)
+
+    @server.fault
+    def forget_history(self, topic: str) -> None:
+        """Deletes a topic's records; the newest of each key stay."""
+        self._streams[topic].entries.clear()
+
+    async def _append_one(self, topic: str, payload: bytes) -> int:
+        offset = await self.append(topic, payload)
+        if topic.startswith("keyed."):
+            size = payload[0]
+            key, value = payload[1 : 1 + size].decode(), payload[1 + size :]
+            keys = self._newest.setdefault(topic, {})
+            if value:
+                keys[key] = value, offset
+            else:
+                keys.pop(key, None)
+        return offset
+
+    async def _admit(self, call: str) -> None:
+        self._calls.append(call)
+        await asyncio.sleep(self._delay_s)
+        if self._down:
+            raise web.HTTPServiceUnavailable
+
+    async def _append_records(self, request: web.Request) -> web.Response:
+        await self._admit("append")
+        topic = request.query["topic"]
+        end = self._streams[topic].end
+        if "at" in request.query and int(request.query["at"]) != end:
+            return web.json_response({"end": end}, status=412)
+        body = await request.read()
+        position = 0
+        while position < len(body):
+            (size,) = _LENGTH.unpack_from(body, position)
+            position += _LENGTH.size
+            await self._append_one(topic, body[position : position + size])
+            position += size
+        if self._answers_to_lose:
+            self._answers_to_lose -= 1
+            server.drop_connection(request)
+        return web.json_response(
+            {"offset": end, "end": self._streams[topic].end}
+        )
+
+    async def _read_records(self, request: web.Request) -> web.Response:
+        await self._admit("read")
+        stream = self._streams[request.query["topic"]]
+        offset = int(request.query["from"])
+        wait_s = min(int(request.query.get("wait_ms", "0")) / 1000, _MAX_WAIT_S)
+        if offset < stream.earliest:
+            return web.json_response({"first": stream.earliest}, status=410)
+        await self._wait_for(stream, offset, wait_s)
+        if self._down:
+            raise web.HTTPServiceUnavailable
+        body = _ENDS.pack(stream.end, stream.earliest)
+        for entry in stream.entries:
+            if entry.offset >= offset:
+                body += _LENGTH.pack(len(entry.payload)) + entry.payload
+        return web.Response(body=body)
+
+    async def _read_newest(self, request: web.Request) -> web.Response:
+        await self._admit("newest")
+        topic = request.query["topic"]
+        items: list[dict[str, Any]] = [
+            {
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+                "offset": offset,
+            }
+            for key, (value, offset) in self._newest.get(topic, {}).items()
+        ]
+        return web.json_response(
+            {
+                "items": items,
+                "has_more": False,
+                "end": self._streams[topic].end,
+            }
+        )
--- /dev/null
+++ b/tests/builders/gateway.py
@@ -0,0 +1,307 @@
+"""Builders of the platform's records, requests and gateway processes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import datetime
+import json
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import multidict
+import yarl
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.gateway import exchange, fleet, routes, service, state
+from hibiscusstile.platform import (
+    feeds,
+    ingress,
+    keyed_log,
+    operatorrecords,
+    serverentries,
+    servers,
+)
+from hibiscusstile.gateway import follower
+from hibiscusstile import supervisor
+from hibiscusstile_standins import runner as runner_lib
+from hibiscusstile_standins import store as store_lib
+
+__all__ = [
+    "GatewayWorld",
+    "backend_server",
+    "configuration_record",
+    "forwarded_request",
+    "gateway_state",
+    "gateway_world",
+    "operator_route",
+    "routing_table",
+]
+
+ENGINE_SERVICE = "engines"
+PLAIN_SERVICE = "accounts"
+HOST = "callers.example"
+KEY = "key-of-growers"
+_POLL = datetime.timedelta(milliseconds=10)
+
+
+def operator_route(name: str, prefix: str, **fields: Any) -> dict[str, Any]:
+    """Returns a route as operators write it."""
+    return {
+        "name": name,
+        "host": HOST,
+        "path_prefix": prefix,
+        "kind": "idempotent",
+        "timeout_ms": 2000,
+        "target_latency_ms": 500,
+        "priority": 2,
+        "service": PLAIN_SERVICE,
+        "attempts": 2,
+        "allow_anonymous": False,
+        **fields,
+    }
+
+
+def configuration_record(
+    version: int = 1, **changes: Any
+) -> dict[str, Any]:
+    """Returns a configuration with one engine and one plain service."""
+    fields: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            operator_route("lookup", "/lookup/"),
+            operator_route(
+                "payment", "/payment/", kind="non_idempotent", attempts=1
+            ),
+            operator_route(
+                "question",
+                "/question/",
+                kind="streaming",
+                service=ENGINE_SERVICE,
+                attempts=1,
+                resumable=False,
+            ),
+            operator_route(
+                "dossier",
+                "/dossier/",
+                kind="streaming",
+                service=ENGINE_SERVICE,
+                attempts=2,
+                resumable=True,
+            ),
+        ],
+        "services": [
+            {
+                "name": ENGINE_SERVICE,
+                "health_path": "/healthz",
+                "max_connections": 100,
+                "engine": {
+                    "slots": 8,
+                    "kv_tokens": 100_000,
+                    "models": [{"name": "m1"}],
+                },
+            },
+            {
+                "name": PLAIN_SERVICE,
+                "health_path": "/healthz",
+                "max_connections": 100,
+            },
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 1_000_000,
+            "header_timeout_ms": 3000,
+            "idle_timeout_ms": 15000,
+        },
+        "tenants": [
+            {"name": "growers", "api_keys": [KEY], "isolated": False}
+        ],
+    }
+    return {**fields, **changes}
+
+
+def routing_table(version: int = 1, **changes: Any) -> routes.RoutingTable:
+    """Returns the decoded configuration."""
+    record = configuration_record(version, **changes)
+    return operatorrecords.decode_configuration(json.dumps(record).encode())
+
+
+def backend_server(
+    server_id: str = "i-1",
+    service_name: str = ENGINE_SERVICE,
+    *,
+    zone: str = "z1",
+    leaving: bool = False,
+    weights: dict[str, int] | None = None,
+) -> fleet.BackendServer:
+    """Returns a listed backend server."""
+    return fleet.BackendServer(
+        server_id,
+        service_name,
+        f"10.0.0.1:{sum(server_id.encode())}",
+        zone,
+        slots=8,
+        leaving=leaving,
+        weights=weights or {},
+    )
+
+
+def forwarded_request(
+    request_id: str = "r1",
+    target: str = "/dossier/1",
+    *,
+    parts: tuple[tuple[str, int], ...] = (("aa", 10_000), ("bb", 2_000)),
+    received_s: float = 0.0,
+    body: bytes = b"{}",
+) -> exchange.ForwardedRequest:
+    """Returns a request with a prompt."""
+    prompt = tuple(exchange.PromptPart(*part) for part in parts)
+    return exchange.ForwardedRequest(
+        request_id,
+        "POST",
+        target,
+        HOST,
+        KEY,
+        (),
+        body,
+        received_s,
+        model="m1",
+        parts=prompt,
+        prompt_tokens=sum(part.tokens for part in prompt),
+        max_output_tokens=100,
+    )
+
+
+def gateway_state(
+    clock: clock_lib.Clock, *, zone: str = "z1", reserve: float = 10.0
+) -> state.GatewayState:
+    """Returns the state of a gateway that has read nothing yet."""
+    return state.GatewayState(clock, zone, state.RetryPolicy(0.2, reserve))
+
+
+class GatewayWorld:
+    """A gateway on sockets, with its store and its backend servers."""
+
+    def __init__(
+        self,
+        store: store_lib.PlatformStoreService,
+        known: state.GatewayState,
+        gateway: service.Gateway,
+        front: ingress.Ingress,
+    ) -> None:
+        self.store = store
+        self.known = known
+        self.gateway = gateway
+        self.front = front
+        self.runners: list[runner_lib.Runner] = []
+        self.session = aiohttp.ClientSession()
+
+    @property
+    def url(self) -> str:
+        """Base URL for callers."""
+        return f"http://127.0.0.1:{self.front.port}"
+
+    async def add_runner(
+        self, service_name: str, server_id: str, **options: Any
+    ) -> runner_lib.Runner:
+        """Starts a backend server and lists it."""
+        runner = runner_lib.Runner(server_id, **options)
+        await runner.start()
+        self.runners.append(runner)
+        await self.store.put(
+            serverentries.SERVER_TOPIC, server_id, runner.entry(service_name)
+        )
+        await self.until(lambda: self.known.fleet.get(server_id) is not None)
+        return runner
+
+    async def until(self, holds: Any, timeout_s: float = 5.0) -> None:
+        """Waits until a condition holds."""
+        clock = clock_lib.SystemClock()
+        end_s = clock.monotonic() + timeout_s
+        while not holds():
+            assert clock.monotonic() < end_s, "the condition never held"
+            await clock.sleep(_POLL)
+
+    async def call(
+        self,
+        path: str,
+        request_id: str = "r1",
+        *,
+        method: str = "POST",
+        body: bytes = b"{}",
+        **headers: str,
+    ) -> tuple[int, bytes, multidict.CIMultiDict[str]]:
+        """Sends a request and returns status, body and headers."""
+        sent = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "2000",
+            "Authorization": f"Token {KEY}",
+            **{name.replace("_", "-"): text for name, text in headers.items()},
+        }
+        async with self.session.request(
+            method,
+            yarl.URL(self.url + path, encoded=True),
+            data=body or None,
+            headers=sent,
+        ) as response:
+            received = multidict.CIMultiDict(response.headers)
+            return response.status, await response.read(), received
+
+
+@contextlib.asynccontextmanager
+async def gateway_world(**changes: Any) -> AsyncIterator[GatewayWorld]:
+    """Runs a gateway, its store and no backend servers yet."""
+    clock = clock_lib.SystemClock()
+    store = store_lib.PlatformStoreService()
+    await store.start()
+    await store.put(
+        operatorrecords.OPERATOR_TOPIC,
+        "config",
+        json.dumps(configuration_record(**changes)).encode(),
+    )
+    known = gateway_state(clock)
+    client = servers.HttpServerClient()
+    gateway = service.Gateway(known, client)
+    front = ingress.Ingress("127.0.0.1:0", gateway, clock)
+    log = keyed_log.PlatformStore(f"127.0.0.1:{store.port}")
+    tree = supervisor.Supervisor("gateway", clock)
+    for name, run in (
+        (
+            "operators",
+            follower.KeyedFollower(
+                log,
+                operatorrecords.OPERATOR_TOPIC,
+                feeds.OperatorFeed(known),
+                clock,
+            ).run,
+        ),
+        (
+            "servers",
+            follower.KeyedFollower(
+                log,
+                serverentries.SERVER_TOPIC,
+                feeds.ServerFeed(known),
+                clock,
+            ).run,
+        ),
+        ("callers", front.run),
+    ):
+        tree.add(supervisor.ChildSpec(name, run))
+    task = asyncio.ensure_future(tree.run())
+    world = GatewayWorld(store, known, gateway, front)
+    try:
+        await front.wait_listening()
+        await world.until(lambda: known.table is not None)
+        yield world
+    finally:
+        await world.session.close()
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+        await client.close()
+        await log.close()
+        for runner in world.runners:
+            await runner.close()
+        await store.close()
--- /dev/null
+++ b/tests/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the gateway."""
--- /dev/null
+++ b/tests/gateway/test_answers.py
@@ -0,0 +1,156 @@
+"""Tests of what callers get when servers answer badly, on real sockets."""
+
+from __future__ import annotations
+
+import aiohttp
+import pytest
+
+from tests.builders import gateway as builders
+
+_MODEL = {
+    "X_Model": "m1",
+    "X_Token_Usage": "12000,100",
+    "X_Prompt_Prefix": "aa:10000,bb:2000",
+}
+
+
+async def test_a_request_passes_unchanged_with_own_headers_only() -> None:
+    """Guards against a forged workspace and a key that reaches a server."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        status, body, headers = await world.call(
+            "/lookup/a%20b?x=1&y=%2F",
+            body=b"\x00body",
+            X_Tenant_Id="forged",
+            X_Cache_Salt="forged",
+            X_Hold="forged",
+            Connection="X-Private",
+            X_Private="1",
+        )
+        arrival = runner.arrivals[0]
+    assert status == 200
+    assert body == b"answer to r1 of i-1"
+    assert headers["X-Response-Stamp"].startswith("i-1.")
+    assert arrival.target == "/lookup/a%20b?x=1&y=%2F"
+    assert arrival.body == b"\x00body"
+    assert arrival.headers["X-Tenant-Id"] == "growers"
+    assert arrival.headers["X-Expect-Instance"] == "i-1"
+    assert 0 < int(arrival.headers["X-Deadline-Ms"]) <= 2000
+    for name in ("Authorization", "X-Cache-Salt", "X-Hold", "X-Private"):
+        assert name not in arrival.headers
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [
+        ("/nowhere/", builders.KEY, 404),
+        ("/lookup/1", "unknown", 401),
+        ("/lookup/1", "", 401),
+    ],
+)
+async def test_what_the_configuration_forbids_is_refused(
+    path: str, key: str, status: int
+) -> None:
+    """Guards against requests that run without a route or a key."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        answer = await world.call(path, Authorization=f"Token {key}")
+        assert answer[0] == status
+        assert not runner.arrivals
+
+
+async def test_an_answer_reset_without_a_length_is_not_complete() -> None:
+    """Guards against half an answer that looks whole."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        runner.misbehave("unframed_reset")
+        status, _, _ = await world.call("/payment/1")
+    assert status == 502
+
+
+async def test_an_answer_without_a_length_is_passed_on() -> None:
+    """Guards against refusing answers that end with their connection."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        runner.misbehave("unframed")
+        status, body, _ = await world.call("/payment/1")
+    assert (status, body) == (200, b"answer to r1 of i-1")
+
+
+async def test_an_answer_to_another_request_is_skipped() -> None:
+    """Guards against a late answer that reaches the wrong caller."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        runner.misbehave("twice")
+        status, body, headers = await world.call("/payment/1")
+    assert (status, body) == (200, b"answer to r1 of i-1")
+    assert headers["X-Request-Id"] == "r1"
+
+
+@pytest.mark.parametrize("mode", ["lose_answer", "cut", "garbage"])
+async def test_a_payment_that_may_have_run_is_not_repeated(mode: str) -> None:
+    """Guards against a payment that runs twice, or is denied untruly."""
+    async with builders.gateway_world() as world:
+        first = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        second = await world.add_runner(builders.PLAIN_SERVICE, "i-2")
+        first.misbehave_always(mode)
+        second.misbehave_always(mode)
+        status, _, _ = await world.call("/payment/1")
+        assert len(first.arrivals) + len(second.arrivals) == 1
+    assert status == 502
+
+
+@pytest.mark.parametrize("mode", ["lose_answer", "cut", "garbage", "full"])
+async def test_a_lookup_is_repeated_at_another_server(mode: str) -> None:
+    """Guards against a failure that a second server would have mended."""
+    async with builders.gateway_world() as world:
+        first = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        second = await world.add_runner(builders.PLAIN_SERVICE, "i-2")
+        first.misbehave_always(mode)
+        second.misbehave_always(mode)
+        first.misbehave(mode)
+        world_status, _, _ = await world.call("/lookup/1")
+        assert len(first.arrivals) + len(second.arrivals) >= 2
+        first.misbehave_always("")
+        second.misbehave_always("")
+        assert (await world.call("/lookup/1", "r2"))[0] == 200
+    assert world_status in (502, 503)
+
+
+async def test_a_refusal_of_full_servers_promises_not_run() -> None:
+    """Guards against a refusal without a time to come back."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        runner.misbehave_always("full")
+        status, _, headers = await world.call("/payment/1")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert not any(arrival.ran for arrival in runner.arrivals)
+
+
+async def test_a_cut_stream_goes_on_at_another_server() -> None:
+    """Guards against lost, doubled or joined events."""
+    async with builders.gateway_world() as world:
+        for server_id in ("i-1", "i-2"):
+            runner = await world.add_runner(builders.ENGINE_SERVICE, server_id)
+            runner.misbehave_always("cut")
+        status, body, _ = await world.call("/dossier/1", **_MODEL)
+        arrivals = [each for r in world.runners for each in r.arrivals]
+    ids = [line for line in body.decode().splitlines() if line[:3] == "id:"]
+    assert status == 200
+    assert ids == ["id: 1", "id: 2", "id: 3", "id: 4"]
+    assert sorted(
+        each.headers.get("Last-Event-Id", "") for each in arrivals
+    ) == ["", "2"]
+
+
+async def test_a_cut_stream_that_may_not_resume_looks_incomplete() -> None:
+    """Guards against a stream that ends early and looks whole."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.ENGINE_SERVICE, "i-1")
+        await world.add_runner(builders.ENGINE_SERVICE, "i-2")
+        runner.misbehave("cut")
+        world.runners[1].misbehave("cut")
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await world.call("/question/1", **_MODEL)
+        assert sum(len(each.arrivals) for each in world.runners) == 1
