Close callers' connections at once when a process stops

Cause: aiohttp's shutdown waits for each handler in turn, 5 s with 30 open streams, so that processes outlived the grace time and were killed. Change: connections are closed when the drain has ended.

--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -102,8 +102,10 @@
         try:
             await loop.create_future()
         finally:
+            # aiohttp's own shutdown waits for each handler in turn.
             server.close()
-            await manager.shutdown(0)
+            for protocol in manager.connections:
+                protocol.force_close()
 
     def close_idle(self) -> None:
         """Closes connections on which no request is under way."""
@@ -348,7 +350,8 @@
             await loop.create_future()
         finally:
             server.close()
-            await manager.shutdown(0)
+            for protocol in manager.connections:
+                protocol.force_close()
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != _READY_PATH:
