Refuse early what would come too late, and share loads between gateways

Cause: in a burst engines held queues of 6 s, so that callers left before their first event and the work was lost; each gateway knew its own load only. Change: gateways tell each other of loads, prefixes and weights over websockets; the estimate counts slots; a request that every server would answer after twice its target is refused at once; parts of older weights are fetched if they were stored before newer ones were named; the retry reserve is divided by the gateways.

--- a/hibiscusstile/gateway/choice.py
+++ b/hibiscusstile/gateway/choice.py
@@ -13,6 +13,9 @@
 # A request must not begin on weights that were replaced longer ago than the
 # users' bound (8 s and more); the rest is for queues at the engine.
 _BEHIND_LIMIT_S = 5.0
+# A server that has work sends something several times a second, but for the
+# 0.6 s in which an engine loads weights.
+_SILENCE_S = 0.8
 
 
 def choose_server(
@@ -46,11 +49,13 @@
     ]
     if not candidates:
         return None
+    now_s = known.clock.monotonic()
     sound = [
         each
         for each in candidates
         if known.health.is_up(each.server.server_id)
         and not known.weights.is_changing(each.server.server_id)
+        and each.load.silence_s(now_s) < _SILENCE_S
     ]
     name = _ENGINE_SELECTION if service.engine else _PLAIN_SELECTION
     chosen = selection.get_selection_by_name(name)()
@@ -73,15 +78,24 @@
         return None
     version = known.weights.version_at(server_id, need.request.model)
     salt = cache_salt(wall, version)
+    now_s = known.clock.monotonic()
+    load = known.loads.of(server_id, cache_tokens)
     return selection.Candidate(
         server,
-        known.loads.of(server_id, cache_tokens),
+        load,
         known.health.failures(server_id),
         behind_s,
         cache_tokens,
         salt,
-        _stored_tokens(known, need, salt) if not behind_s else 0,
+        _stored_tokens(known, need, salt, behind_s),
         version,
+        load.running + load.others_running(now_s),
+        load.waiting_tokens(need.rank) + load.others_waiting(now_s),
+        sum(
+            part.tokens
+            for part in need.request.parts[:-1]
+            if known.reads.is_recent(salt, part.part_id, now_s)
+        ),
     )
 
 
@@ -95,14 +109,28 @@
 
 
 def _stored_tokens(
-    known: state.GatewayState, need: selection.Need, salt: str
+    known: state.GatewayState,
+    need: selection.Need,
+    salt: str,
+    behind_s: float,
 ) -> int:
+    """Returns how many prompt tokens can be fetched from a store.
+
+    Once newer weights are named, an engine may change them while it saves
+    parts under the older version's salt. Parts of older versions count only
+    if all shared ones were stored before that.
+    """
     store = known.prefix_store()
-    if store is None or not need.request.parts:
+    parts = need.request.parts
+    if store is None or not parts:
         return 0
-    return known.prefix_stores.held_tokens(
-        store.address, salt, need.request.parts
+    named = known.weights.named(need.request.model)
+    if not behind_s or named is None:
+        return known.prefix_stores.held_tokens(store.address, salt, parts)
+    held = known.prefix_stores.held_tokens(
+        store.address, salt, parts[:-1], named.learnt_s
     )
+    return held if held == sum(part.tokens for part in parts[:-1]) else 0
 
 
 def _behind_s(known: state.GatewayState, model: str, server_id: str) -> float:
--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -106,9 +106,7 @@
         if server_id not in self._servers:
             return
         if self._clock.monotonic() < self._unstable_until_s:
-            self._missing_since_s.setdefault(
-                server_id, self._clock.monotonic()
-            )
+            self._missing_since_s.setdefault(server_id, self._clock.monotonic())
             return
         self._drop(server_id)
 
--- a/hibiscusstile/gateway/load.py
+++ b/hibiscusstile/gateway/load.py
@@ -4,10 +4,11 @@
 
 import collections
 import dataclasses
+from collections.abc import Iterable
 
 from hibiscusstile.gateway import exchange
 
-__all__ = ["LoadTable", "ServerLoad", "Work"]
+__all__ = ["Elsewhere", "LoadTable", "ServerLoad", "Work"]
 
 # Part of an engine's cache memory that is assumed to hold idle prefixes; the
 # rest is taken by running requests.
@@ -15,6 +16,8 @@
 _DEFAULT_CACHE_TOKENS = 100_000
 # Weight of the newest observation in the average of an engine's slowness.
 _SLOWNESS_GAIN = 0.15
+_FIRST_HOLD_S = 0.4
+_HOLD_GAIN = 0.05
 _MIN_SLOWNESS = 0.5
 _MAX_SLOWNESS = 8.0
 
@@ -30,6 +33,7 @@
         sent_s: When it was sent, on the monotonic clock.
         expected_s: Time to the first token that was expected.
         started: Whether its first event has come.
+        started_s: When it came.
     """
 
     rank: int
@@ -38,10 +42,26 @@
     sent_s: float
     expected_s: float
     started: bool = False
+    started_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Elsewhere:
+    """What another process has under way at a server.
+
+    Attributes:
+        running: Requests.
+        waiting_tokens: Prompt tokens of those that have not started.
+        until_s: When this is too old to count.
+    """
+
+    running: int
+    waiting_tokens: int
+    until_s: float
 
 
 class ServerLoad:
-    """The load of one server, as far as this process causes it.
+    """The load of one server, as its gateways cause it.
 
     Args:
         cache_tokens: Tokens of cache memory, 0 for plain services.
@@ -52,17 +72,40 @@
             (cache_tokens or _DEFAULT_CACHE_TOKENS) * _RETAINED_SHARE
         )
         self._by_id: dict[int, Work] = {}
+        self._heard_s = 0.0
+        self._elsewhere: dict[str, Elsewhere] = {}
         self._parts: collections.OrderedDict[tuple[str, str], int] = (
             collections.OrderedDict()
         )
         self._cached_tokens = 0
         self._slowness = 1.0
+        self._hold_s = _FIRST_HOLD_S
 
     @property
     def running(self) -> int:
         """Requests under way."""
         return len(self._by_id)
 
+    def others_running(self, now_s: float) -> int:
+        """Returns the requests that other processes have under way."""
+        return sum(
+            each.running
+            for each in self._elsewhere.values()
+            if now_s < each.until_s
+        )
+
+    def others_waiting(self, now_s: float) -> int:
+        """Returns the prompt tokens of other processes that wait here."""
+        return sum(
+            each.waiting_tokens
+            for each in self._elsewhere.values()
+            if now_s < each.until_s
+        )
+
+    def note_elsewhere(self, peer_id: str, known: Elsewhere) -> None:
+        """Takes in what another process has under way here."""
+        self._elsewhere[peer_id] = known
+
     @property
     def memory_tokens(self) -> int:
         """Cache memory that the requests under way hold."""
@@ -73,6 +116,22 @@
         """Observed times to the first token over expected ones."""
         return self._slowness
 
+    def silence_s(self, now_s: float) -> float:
+        """Returns for how long a server that has work sent nothing."""
+        if not self._by_id:
+            return 0.0
+        oldest_s = min(work.sent_s for work in self._by_id.values())
+        return now_s - max(oldest_s, self._heard_s)
+
+    def note_heard(self, now_s: float) -> None:
+        """Notes that bytes came from the server."""
+        self._heard_s = now_s
+
+    @property
+    def hold_s(self) -> float:
+        """Average time from a request's first event to its end."""
+        return self._hold_s
+
     def waiting_tokens(self, rank: int) -> int:
         """Returns the prompt tokens to compute before one of this rank."""
         return sum(
@@ -111,14 +170,23 @@
         if work.started:
             return
         work.started = True
+        work.started_s = now_s
         if work.expected_s > 0:
             ratio = (now_s - work.sent_s) / work.expected_s
             ratio = min(_MAX_SLOWNESS, max(_MIN_SLOWNESS, ratio))
             self._slowness += _SLOWNESS_GAIN * (ratio - self._slowness)
 
-    def end(self, work: Work) -> None:
+    def end(self, work: Work, now_s: float) -> None:
         """Removes a request that has ended."""
         self._by_id.pop(id(work), None)
+        if work.started:
+            held_s = now_s - work.started_s
+            self._hold_s += _HOLD_GAIN * (held_s - self._hold_s)
+
+    def note_read(self, salt: str, part_id: str, tokens: int) -> None:
+        """Notes a prompt part that the engine reads for another process."""
+        self._remember_part(salt, part_id, tokens)
+        self._drop_oldest()
 
     def forget_cache(self) -> None:
         """Notes that the engine's cache is empty."""
@@ -130,11 +198,17 @@
     ) -> None:
         # The last part is the request's own and comes only once, mostly.
         for part in parts[:-1]:
-            key = (salt, part.part_id)
-            if key not in self._parts:
-                self._cached_tokens += part.tokens
-            self._parts[key] = part.tokens
-            self._parts.move_to_end(key)
+            self._remember_part(salt, part.part_id, part.tokens)
+        self._drop_oldest()
+
+    def _remember_part(self, salt: str, part_id: str, tokens: int) -> None:
+        key = (salt, part_id)
+        if key not in self._parts:
+            self._cached_tokens += tokens
+        self._parts[key] = tokens
+        self._parts.move_to_end(key)
+
+    def _drop_oldest(self) -> None:
         while self._cached_tokens > self._cache_limit and self._parts:
             _, tokens = self._parts.popitem(last=False)
             self._cached_tokens -= tokens
@@ -153,6 +227,10 @@
             load = self._loads[server_id] = ServerLoad(cache_tokens)
         return load
 
+    def items(self) -> Iterable[tuple[str, ServerLoad]]:
+        """Returns every server id with its load."""
+        return self._loads.items()
+
     def keep_only(self, server_ids: set[str]) -> None:
         """Forgets servers that are not listed and have nothing under way."""
         for server_id in list(self._loads):
--- /dev/null
+++ b/hibiscusstile/gateway/notices.py
@@ -0,0 +1,156 @@
+"""What gateways tell each other, and what they do with it.
+
+Notices are soft state: one that is lost costs a worse choice of server, never
+a wrong answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from hibiscusstile.gateway import load
+from hibiscusstile.peers import messages
+
+if TYPE_CHECKING:
+    from hibiscusstile.gateway import state
+
+__all__ = ["NoticeBoard", "NoticeReader"]
+
+# Another process's load that was not told again for this long is forgotten.
+_LOAD_AGE_S = 1.5
+# Loads are told again when they differ by this much from what was told.
+_RUNNING_STEP = 2
+_WAITING_STEP = 1_500
+# Shorter parts cost less to compute than to tell.
+_MIN_PART_TOKENS = 500
+
+
+class NoticeBoard:
+    """Collects what other gateways are to be told."""
+
+    def __init__(self) -> None:
+        self._prefixes: list[messages.NoticedPrefix] = []
+        self._changes: list[messages.NoticedChange] = []
+        self._weights: list[messages.NoticedWeights] = []
+        self._claims: list[messages.NoticedClaim] = []
+        self._urgent = asyncio.Event()
+
+    @property
+    def urgent(self) -> asyncio.Event:
+        """Set when the next notice should not wait."""
+        return self._urgent
+
+    def note_prefix(
+        self, server_id: str, salt: str, part_id: str, tokens: int
+    ) -> None:
+        """Tells of a prompt part that an engine reads."""
+        if tokens >= _MIN_PART_TOKENS:
+            self._prefixes.append(
+                messages.NoticedPrefix(server_id, salt, part_id, tokens)
+            )
+
+    def note_change(self, server_id: str, for_s: float) -> None:
+        """Tells of an engine that takes new weights, at once."""
+        self._changes.append(messages.NoticedChange(server_id, for_s))
+        self._urgent.set()
+
+    def note_weights(self, model: str, version: int, server_id: str) -> None:
+        """Tells of an engine's weights, or of a version named."""
+        self._weights.append(messages.NoticedWeights(model, version, server_id))
+
+    def note_claim(self, fence: int) -> None:
+        """Tells that this process has won the duty of ordering weights."""
+        self._claims.append(messages.NoticedClaim(fence))
+        self._urgent.set()
+
+    def take(
+        self, loads: tuple[messages.NoticedLoad, ...]
+    ) -> messages.GatewayNotice | None:
+        """Returns what is new, with the loads, or None if nothing is."""
+        self._urgent.clear()
+        notice = messages.GatewayNotice(
+            loads,
+            tuple(self._prefixes),
+            tuple(self._changes),
+            tuple(self._weights),
+            tuple(self._claims),
+        )
+        for collected in (
+            self._prefixes,
+            self._changes,
+            self._weights,
+            self._claims,
+        ):
+            collected.clear()
+        return notice if notice != messages.GatewayNotice() else None
+
+
+class NoticeReader:
+    """Writes this process's notices and takes in those of others.
+
+    Args:
+        known: What this process knows.
+    """
+
+    def __init__(self, known: state.GatewayState) -> None:
+        self._known = known
+        self._told: dict[str, tuple[int, int, float]] = {}
+        self._claim: tuple[str, int, float] | None = None
+
+    @property
+    def claim(self) -> tuple[str, int, float] | None:
+        """Holder and fencing token of the last claim told, and when."""
+        return self._claim
+
+    def next_notice(self) -> messages.GatewayNotice | None:
+        """Returns what other gateways are to be told now."""
+        return self._known.notices.take(self._changed_loads())
+
+    def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
+        """Takes in another gateway's notice."""
+        now_s = self._known.clock.monotonic()
+        for told in notice.loads:
+            self._known.loads.of(told.server).note_elsewhere(
+                peer_id,
+                load.Elsewhere(told.running, told.waiting, now_s + _LOAD_AGE_S),
+            )
+        for prefix in notice.prefixes:
+            self._known.loads.of(prefix.server).note_read(
+                prefix.salt, prefix.part, prefix.tokens
+            )
+            self._known.reads.note(prefix.salt, prefix.part, now_s)
+        for change in notice.changes:
+            self._known.weights.note_changing(change.server, change.for_s)
+        for weights in notice.weights:
+            self._apply_weights(weights)
+        for claim in notice.claims:
+            self._claim = (peer_id, claim.fence, now_s)
+
+    def _apply_weights(self, weights: messages.NoticedWeights) -> None:
+        table = self._known.weights
+        if not weights.server:
+            table.name_version(weights.model, weights.version)
+            return
+        known = table.version_at(weights.server, weights.model)
+        if known is not None and weights.version > known:
+            self._known.note_weights(
+                weights.server, weights.model, weights.version, told=True
+            )
+
+    def _changed_loads(self) -> tuple[messages.NoticedLoad, ...]:
+        now_s = self._known.clock.monotonic()
+        changed = []
+        for server_id, each in self._known.loads.items():
+            running, waiting = each.running, each.waiting_tokens(99)
+            before = self._told.get(server_id, (0, 0, 0.0))
+            stale = now_s - before[2] > _LOAD_AGE_S / 2 and (running or waiting)
+            if (
+                abs(running - before[0]) < _RUNNING_STEP
+                and abs(waiting - before[1]) < _WAITING_STEP
+                and not stale
+            ):
+                continue
+            self._told[server_id] = (running, waiting, now_s)
+            changed.append(messages.NoticedLoad(server_id, running, waiting))
+        return tuple(changed)
--- /dev/null
+++ b/hibiscusstile/gateway/overload.py
@@ -0,0 +1,37 @@
+"""Refuses requests early that every server would answer too late."""
+
+from __future__ import annotations
+
+import datetime
+
+from hibiscusstile import outcome
+
+__all__ = ["refusal"]
+
+# Callers leave a stream without an event after four times its target; work
+# on a request that has waited so long is lost for everybody. Half of that
+# leaves room for errors of the estimate.
+_LIMIT_SHARE = 2.0
+# Servers' queues shrink by about this part of a second each second.
+_RETRY_SHARE = 0.5
+_MIN_RETRY_S = 0.3
+_MAX_RETRY_S = 2.0
+
+
+def refusal(expected_s: float, target_s: float) -> outcome.Refusal | None:
+    """Returns the refusal of a request, None if it should be sent.
+
+    Args:
+        expected_s: Time to the first event at the best server.
+        target_s: Time in which the answer has its full value.
+    """
+    limit_s = _LIMIT_SHARE * target_s
+    if expected_s <= limit_s:
+        return None
+    retry_s = _RETRY_SHARE * (expected_s - target_s)
+    retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s))
+    return outcome.Refusal(
+        outcome.Reason.OVERLOADED,
+        "no server can answer in time",
+        retry_after=datetime.timedelta(seconds=round(retry_s, 2)),
+    )
--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -14,6 +14,7 @@
     exchange,
     fleet,
     load,
+    overload,
     routes,
     selection,
     state,
@@ -189,6 +190,7 @@
                 self._turned_away | self._used,
             )
             if selected is not None:
+                self._check_overload(selected)
                 return selected
             elapsed_s = self._now_s() - self._request.received_s
             patience_s = _PATIENCE_SHARE * self._where.route.target_s
@@ -197,6 +199,16 @@
             self._turned_away.clear()
             await self._known.clock.sleep(_TURNED_AWAY_PAUSE)
 
+    def _check_overload(self, selected: selection.Selected) -> None:
+        """Raises the refusal of a request that would come too late."""
+        if self._caller.started or self._arrivals:
+            return
+        refusal = overload.refusal(
+            selected.expected_s, self._where.route.target_s
+        )
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+
     def _verdict_now(self) -> outcome.Verdict:
         """Returns the verdict, an attempt under way included."""
         if self._sent:
@@ -233,20 +245,20 @@
         self._sent = True
         self._run_counted = False
         serving.begin(work, selected.candidate.cache_salt, request.parts)
+        self._tell_prefix(selected.candidate)
         self._log_selection(selected)
         try:
             async with self._client.send(
                 server, request, self._options(selected.candidate)
             ) as reply:
+                serving.note_heard(self._now_s())
                 self._note_head(server, reply.head)
                 if reply.head.event_stream:
-                    await self._relay_stream(
-                        selected.candidate, work, reply
-                    )
+                    await self._relay_stream(selected.candidate, work, reply)
                 else:
                     await self._relay_whole(server, reply)
         finally:
-            serving.end(work)
+            serving.end(work, self._now_s())
 
     async def _relay_whole(
         self, server: fleet.BackendServer, reply: exchange.Reply
@@ -277,6 +289,7 @@
     ) -> None:
         server = candidate.server
         async for event in reply.events():
+            candidate.load.note_heard(self._now_s())
             if not work.started:
                 candidate.load.note_started(work, self._now_s())
                 self._note_run(outcome.Verdict.RAN)
@@ -294,6 +307,15 @@
         await self._caller.finish_stream()
         self._log_attempt(server, "streamed")
 
+    def _tell_prefix(self, candidate: selection.Candidate) -> None:
+        """Tells other gateways where the prompt's shared parts are read."""
+        salt = candidate.cache_salt
+        for part in self._request.parts[:-1]:
+            self._known.reads.note(salt, part.part_id, self._now_s())
+            self._known.notices.note_prefix(
+                candidate.server.server_id, salt, part.part_id, part.tokens
+            )
+
     def _note_head(
         self, server: fleet.BackendServer, head: exchange.AnswerHead
     ) -> None:
@@ -301,12 +323,8 @@
         if head.weights_version is not None:
             self._note_version(server, head.weights_version)
 
-    def _note_version(
-        self, server: fleet.BackendServer, version: int
-    ) -> None:
-        self._known.note_weights(
-            server.server_id, self._request.model, version
-        )
+    def _note_version(self, server: fleet.BackendServer, version: int) -> None:
+        self._known.note_weights(server.server_id, self._request.model, version)
 
     def _note_run(self, verdict: outcome.Verdict) -> None:
         self._verdict = self._verdict.joined(verdict)
@@ -355,9 +373,7 @@
         named = self._known.weights.named(model)
         known = self._known.weights.version_at(server_id, model)
         if failure.weights_version is not None:
-            self._known.note_weights(
-                server_id, model, failure.weights_version
-            )
+            self._known.note_weights(server_id, model, failure.weights_version)
         elif (
             failure.cause is exchange.Cause.MISDIRECTED
             and named is not None
@@ -419,11 +435,8 @@
             return
         await self._caller.refuse(refusal)
 
-    def _options(
-        self, candidate: selection.Candidate
-    ) -> exchange.SendOptions:
+    def _options(self, candidate: selection.Candidate) -> exchange.SendOptions:
         workspace = self._where.workspace
-        store_address = self._store_address(candidate)
         return exchange.SendOptions(
             workspace=workspace.name if workspace else "",
             rank=self._where.rank,
@@ -431,20 +444,28 @@
             cache_salt=candidate.cache_salt if candidate.cache_tokens else "",
             weights_version=candidate.version,
             resume_after=self._last_event,
-            fetch_from=store_address,
-            save_to=store_address,
+            fetch_from=self._fetch_address(candidate),
+            save_to=self._save_address(candidate),
         )
 
-    def _store_address(self, candidate: selection.Candidate) -> str:
-        """Returns the store of KV cache to use for an attempt, if any.
+    def _fetch_address(self, candidate: selection.Candidate) -> str:
+        """Returns the store of KV cache to fetch from, if any."""
+        if candidate.behind_s and not candidate.stored_tokens:
+            return ""
+        return self._store_address(candidate)
 
-        Only the newest weights use it: an engine that takes newer weights
-        meanwhile may save parts that were made by both versions, and nobody
-        fetches them any more once the newer version is named.
+    def _save_address(self, candidate: selection.Candidate) -> str:
+        """Returns the store of KV cache to save to, if any.
+
+        Only the newest weights are saved: an engine that takes newer weights
+        meanwhile saves parts that were made by both versions.
         """
-        if candidate.version is None or candidate.behind_s:
-            return ""
+        return "" if candidate.behind_s else self._store_address(candidate)
+
+    def _store_address(self, candidate: selection.Candidate) -> str:
         parts = self._request.parts[:-1]
+        if candidate.version is None:
+            return ""
         if sum(part.tokens for part in parts) < _MIN_FETCH_TOKENS:
             return ""
         store = self._known.prefix_store()
--- a/hibiscusstile/gateway/prefixstores.py
+++ b/hibiscusstile/gateway/prefixstores.py
@@ -21,7 +21,10 @@
 @dataclasses.dataclass(slots=True)
 class _View:
     alive: bool = True
-    parts: dict[tuple[str, str], int] = dataclasses.field(default_factory=dict)
+    # When each part was first seen there, by salt and part id.
+    parts: dict[tuple[str, str], float] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 class PrefixStoreTable:
@@ -34,9 +37,7 @@
         self, stores: tuple[routes.PrefixStore, ...], zone: str
     ) -> routes.PrefixStore | None:
         """Returns the store to use from a zone, None if none answers."""
-        alive = [
-            store for store in stores if self._of(store.address).alive
-        ]
+        alive = [store for store in stores if self._of(store.address).alive]
         return min(alive, key=lambda each: each.zone != zone, default=None)
 
     def held_tokens(
@@ -44,25 +45,33 @@
         address: str,
         salt: str,
         parts: tuple[exchange.PromptPart, ...],
+        before_s: float = float("inf"),
     ) -> int:
-        """Returns how many leading prompt tokens a store holds."""
+        """Returns how many leading prompt tokens a store holds.
+
+        Args:
+            address: The store.
+            salt: Namespace of the parts.
+            parts: The prompt.
+            before_s: Count only parts that were seen there before then.
+        """
         held = self._of(address).parts
         tokens = 0
         for part in parts:
-            if (salt, part.part_id) not in held:
+            if held.get((salt, part.part_id), float("inf")) >= before_s:
                 break
             tokens += part.tokens
         return tokens
 
     def note_part(
-        self, address: str, salt: str, part_id: str, tokens: int
+        self, address: str, salt: str, part_id: str, seen_s: float | None
     ) -> None:
-        """Notes a part that a store holds now; 0 tokens for a dropped one."""
+        """Notes a part that a store holds since `seen_s`, None if dropped."""
         parts = self._of(address).parts
-        if not tokens:
+        if seen_s is None:
             parts.pop((salt, part_id), None)
             return
-        parts[(salt, part_id)] = tokens
+        parts.setdefault((salt, part_id), seen_s)
         if len(parts) > _MAX_PARTS:
             del parts[next(iter(parts))]
 
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -21,7 +21,7 @@
 import logbook
 
 from hibiscusstile import logs, platform
-from hibiscusstile.gateway import fleet, state
+from hibiscusstile.gateway import fleet, notices, state
 from hibiscusstile.platform import topics
 
 __all__ = [
@@ -138,6 +138,7 @@
         known: What this process knows.
         log: Holds the claims.
         orders: Speaks to engines.
+        reader: Knows the claims that other processes told of.
         name: Name of this process, unique among all.
         pause: Least time between the orders of two holders.
         mode: What becomes of requests that run during a change.
@@ -148,6 +149,7 @@
         known: state.GatewayState,
         log: topics.KeyedLog,
         orders: EngineOrders,
+        reader: notices.NoticeReader,
         name: str,
         pause: datetime.timedelta,
         mode: str = "continue",
@@ -156,6 +158,7 @@
         self._clock = known.clock
         self._log = log
         self._orders = orders
+        self._reader = reader
         self._name = name
         self._pause_s = pause.total_seconds()
         self._mode = mode
@@ -170,7 +173,11 @@
         """Watches until cancelled."""
         while True:
             await self._clock.sleep(_TICK)
-            if self._note_progress() and self._may_claim() and await self._claim():
+            if (
+                self._note_progress()
+                and self._may_claim()
+                and await self._claim()
+            ):
                 await self._hold()
 
     def _behind(self) -> list[tuple[str, fleet.BackendServer]]:
@@ -237,6 +244,7 @@
                 result.offset + 1,
                 sent_s + _CLAIM.total_seconds(),
             )
+            self._known.notices.note_claim(result.offset + 1)
             logs.event(_log, "duty_won", fence=result.offset + 1)
             return True
         if isinstance(result, topics.Conflict):
@@ -279,8 +287,12 @@
             holder = str(json.loads(payload)["holder"])
         except (ValueError, KeyError, TypeError):
             holder = ""
-        now_s = self._clock.monotonic()
-        until_s = now_s + _CLAIM.total_seconds()
+        # The claim was sent before it was read, or told by its holder.
+        sent_s = self._clock.monotonic()
+        told = self._reader.claim
+        if told is not None and told[:2] == (holder, fence):
+            sent_s = told[2]
+        until_s = sent_s + _CLAIM.total_seconds()
         self._last_claim = _Claim(holder, fence, until_s)
         if holder != self._name:
             self._not_before_s = until_s + self._pause_s
@@ -297,11 +309,7 @@
                         del under_way[server_id]
                 if not behind and not under_way:
                     return
-                if (
-                    behind
-                    and left_s < _RENEWAL_S
-                    and not await self._claim()
-                ):
+                if behind and left_s < _RENEWAL_S and not await self._claim():
                     return
                 for model, server in self._next(behind, set(under_way)):
                     under_way[server.server_id] = changes.create_task(
@@ -362,6 +370,7 @@
             await self._clock.sleep(_REPORT_PAUSE)
             return
         self._known.weights.note_changing(server.server_id, _CHANGE_S)
+        self._known.notices.note_change(server.server_id, _CHANGE_S)
         self._loading_until_s.pop(server.server_id, None)
         result = await self._orders.change_weights(
             server,
--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -50,6 +50,10 @@
         cache_salt: Namespace of the prompt's parts in its cache.
         stored_tokens: Leading prompt tokens that it can fetch from a store.
         version: Version of its weights, None if unknown.
+        running: Requests under way there, of all processes.
+        waiting_tokens: Prompt tokens that wait there, of all processes.
+        reread_tokens: Shared prompt tokens that another server has read
+            lately, whether or not this one holds them too.
     """
 
     server: fleet.BackendServer
@@ -60,6 +64,9 @@
     cache_salt: str = ""
     stored_tokens: int = 0
     version: int | None = None
+    running: int = 0
+    waiting_tokens: int = 0
+    reread_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/gateway/selection/expected_first_token.py
+++ b/hibiscusstile/gateway/selection/expected_first_token.py
@@ -37,6 +37,8 @@
 # Prices as charged to the users of today's sites: 1,000 tokens of shared
 # parts read again, 1 MB to another zone, 1,000 tokens of KV cache moved.
 _REREAD_PER_TOKEN = 1.6e-3
+# Chance that two processes read the same prompt at the same moment.
+_RACE_SHARE = 0.02
 _REMOTE_PER_BYTE = 32e-6
 _FETCH_PER_TOKEN = 1.7e-5
 # Bytes of an answer, and of the heads of both messages.
@@ -50,6 +52,16 @@
 # Memory beyond this share is short: requests get preempted.
 _MEMORY_SHARE = 0.85
 _MEMORY_WEIGHT = 3.0
+# A prompt with more tokens to compute than this is long. While an engine
+# computes one, each step of its other requests takes ten times as long.
+_LONG_TOKENS = 2_048
+# Share of the engines of a zone that long prompts go to first, and the price
+# of the first long prompt on another engine.
+_LONG_SHARE = 0.6
+_LONG_ELSEWHERE = 2.0
+# Price of a short request for each second of prompts waiting at its engine.
+_INTERFERENCE = 1.0
+_LONG_KEY = 1
 # Among equal servers the one with less to do is preferred by this much.
 _SPREAD_WEIGHT = 0.02
 
@@ -64,9 +76,11 @@
         self, need: selection.Need, candidates: Sequence[selection.Candidate]
     ) -> selection.Selected:
         """Returns the server with the lowest cost."""
-        home = _home(need, candidates)
+        long_ids = _long_engines(candidates)
+        home = _home(need, candidates, long_ids)
         options = [
-            self._weigh(need, candidate, home) for candidate in candidates
+            self._weigh(need, candidate, home, long_ids)
+            for candidate in candidates
         ]
         return min(options, key=lambda each: each.cost)
 
@@ -75,6 +89,7 @@
         need: selection.Need,
         candidate: selection.Candidate,
         home: str,
+        long_ids: frozenset[str],
     ) -> selection.Selected:
         parts = need.request.parts
         cached = candidate.load.cached_tokens(candidate.cache_salt, parts)
@@ -85,12 +100,19 @@
         cost = _ANSWER_VALUE * _risk(expected_s / need.target_s)
         cost += _price(need, candidate)
         cost += fetched * _FETCH_PER_TOKEN
+        if own > _LONG_TOKENS:
+            if candidate.server.server_id not in long_ids:
+                cost += _LONG_ELSEWHERE
+        else:
+            waiting = candidate.waiting_tokens
+            cost += _INTERFERENCE * waiting / _PREFILL_TOKENS_PER_S
+        reread = max(0, candidate.reread_tokens - cached - fetched)
+        cost += reread * _REREAD_PER_TOKEN
         if candidate.server.server_id != home:
-            # Another server may hold what this process does not know of.
-            cost += max(0, shared - cached - fetched) * _REREAD_PER_TOKEN
-        return selection.Selected(
-            candidate, expected_s, cached + fetched, cost
-        )
+            # Another process may be about to read the prompt at its home.
+            unread = max(0, shared - reread - cached - fetched)
+            cost += unread * _REREAD_PER_TOKEN * _RACE_SHARE
+        return selection.Selected(candidate, expected_s, cached + fetched, cost)
 
     @staticmethod
     def _expected_s(
@@ -100,12 +122,15 @@
         fetched: int,
     ) -> float:
         load = candidate.load
-        ahead = load.waiting_tokens(need.rank)
+        ahead = candidate.waiting_tokens
         compute_s = (ahead + own) / _PREFILL_TOKENS_PER_S
         compute_s += _PAIR_S * own * (need.request.prompt_tokens - own / 2)
         fetch_s = fetched * _FETCH_S_PER_TOKEN
-        return load.slowness * (
-            _BASE_S + _RUNNING_S * load.running + compute_s + fetch_s
+        slots = max(1, candidate.server.slots)
+        queued = max(0, candidate.running + 1 - slots)
+        slot_s = load.hold_s * queued / slots
+        return slot_s + load.slowness * (
+            _BASE_S + _RUNNING_S * candidate.running + compute_s + fetch_s
         )
 
 
@@ -136,18 +161,45 @@
             candidate.cache_tokens
         )
         cost += max(0.0, used - _MEMORY_SHARE) * _MEMORY_WEIGHT
-        if candidate.load.running >= max(1, candidate.server.slots):
+        if candidate.running >= max(1, candidate.server.slots):
             cost += _ANSWER_VALUE
     return cost
 
 
+def _long_engines(
+    candidates: Sequence[selection.Candidate],
+) -> frozenset[str]:
+    """Returns the engines that long prompts go to first.
+
+    Every process selects alike, zone by zone, while it knows the same
+    servers.
+    """
+    zones: dict[str, list[str]] = {}
+    for candidate in candidates:
+        server = candidate.server
+        zones.setdefault(server.zone, []).append(server.server_id)
+    return frozenset(
+        server_id
+        for names in zones.values()
+        for server_id in rendezvous.top_nodes(
+            _LONG_KEY, names, max(1, round(len(names) * _LONG_SHARE))
+        )
+    )
+
+
 def _home(
-    need: selection.Need, candidates: Sequence[selection.Candidate]
+    need: selection.Need,
+    candidates: Sequence[selection.Candidate],
+    long_ids: frozenset[str],
 ) -> str:
     """Returns the server that all processes rank first for a prompt."""
     parts = need.request.parts
     if len(parts) < 2:
         return ""
+    if need.request.prompt_tokens > _LONG_TOKENS:
+        candidates = [
+            each for each in candidates if each.server.server_id in long_ids
+        ]
     near = [
         candidate.server.server_id
         for candidate in candidates
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -12,7 +12,9 @@
     fleet,
     health,
     load,
+    notices,
     prefixstores,
+    reads,
     routes,
     weights,
 )
@@ -21,14 +23,18 @@
 
 _log = logbook.Logger("state")
 
+# Processes that the reserve of retries is divided by at least: a process that
+# has just started does not know the others yet.
+_LEAST_PROCESSES = 6
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RetryPolicy:
-    """Limits on retries, of this process's share.
+    """Limits on retries.
 
     Attributes:
         share: Retries that each request to a service allows.
-        reserve: Retries allowed beyond that.
+        reserve: Retries that all processes together have beyond that.
     """
 
     share: float
@@ -55,7 +61,10 @@
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
         self._weights = weights.WeightsTable(clock)
+        self._notices = notices.NoticeBoard()
+        self._reads = reads.RecentReads()
         self._prefix_stores = prefixstores.PrefixStoreTable()
+        self._processes = _LEAST_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
 
     @property
@@ -98,13 +107,21 @@
         """What the stores of KV cache hold."""
         return self._prefix_stores
 
+    @property
+    def reads(self) -> reads.RecentReads:
+        """Which prompt parts some engine has read lately."""
+        return self._reads
+
+    @property
+    def notices(self) -> notices.NoticeBoard:
+        """What other gateways are to be told."""
+        return self._notices
+
     def prefix_store(self) -> routes.PrefixStore | None:
         """Returns the store of KV cache to use, if one answers."""
         if self._table is None:
             return None
-        return self._prefix_stores.select(
-            self._table.prefix_stores, self._zone
-        )
+        return self._prefix_stores.select(self._table.prefix_stores, self._zone)
 
     def apply_table(self, table: routes.RoutingTable) -> bool:
         """Puts a configuration in force unless a newer one is."""
@@ -129,15 +146,39 @@
         if budget is None:
             budget = self._budgets[service] = retrybudget.RetryBudget(
                 share=self._retries.share,
-                initial_tokens=self._retries.reserve,
-                max_tokens=self._retries.reserve,
+                initial_tokens=self._retries.reserve / self._processes,
+                max_tokens=self._retries.reserve / self._processes,
             )
         return budget
 
-    def note_weights(self, server_id: str, model: str, version: int) -> None:
-        """Notes a server's weights; a change empties its cache."""
-        if self._weights.note_version(server_id, model, version):
-            self._loads.of(server_id).forget_cache()
+    def note_processes(self, count: int) -> None:
+        """Divides the reserve of retries by the number of processes."""
+        self._processes = max(_LEAST_PROCESSES, count)
+        for budget in self._budgets.values():
+            budget.resize(self._retries.reserve / self._processes)
+
+    def note_weights(
+        self, server_id: str, model: str, version: int, *, told: bool = False
+    ) -> None:
+        """Notes a server's weights; a change empties its cache.
+
+        Args:
+            server_id: The server.
+            model: The model.
+            version: Version of its weights.
+            told: Whether another gateway has told it.
+        """
+        before = self._weights.version_at(server_id, model)
+        if not self._weights.note_version(server_id, model, version):
+            return
+        self._loads.of(server_id).forget_cache()
+        if before is not None and not told:
+            self._notices.note_weights(model, version, server_id)
+
+    def name_weights(self, model: str, version: int) -> None:
+        """Notes a version that operators named, and tells others."""
+        if self._weights.name_version(model, version):
+            self._notices.note_weights(model, version, "")
 
     def forget_unlisted(self) -> None:
         """Drops what is known of servers that are not listed any more."""
--- /dev/null
+++ b/hibiscusstile/peers/mesh.py
@@ -0,0 +1,213 @@
+"""Connections between gateways: each one tells all others what is new."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import datetime
+import secrets
+
+import logbook
+from websockets.asyncio import client as ws_client
+from websockets.exceptions import WebSocketException
+
+from hibiscusstile import logs, supervisor
+from hibiscusstile.gateway import notices, state
+from hibiscusstile.peers import codec, handshake, messages, server
+from hibiscusstile.peers import connection as connection_lib
+
+__all__ = ["Mesh", "Peer"]
+
+_log = logbook.Logger("mesh")
+
+_ROLE = "gateway"
+_SECRET_BYTES = 16
+_OPEN_TIMEOUT_S = 1.0
+_CLOSE_TIMEOUT_S = 0.2
+# Notices are collected this long: half the time of a short answer.
+_INTERVAL_S = 0.2
+# A peer that takes no notice for this long is cut off or frozen.
+_SEND_TIMEOUT_S = 1.5
+_FIRST_RETRY_S = 0.5
+_MAX_RETRY_S = 8.0
+_QUEUE_NOTICES = 16
+
+
+class Peer:
+    """Another gateway.
+
+    Attributes:
+        name: Name of its instance.
+        address: Where it listens, as `ip:port`.
+        secret: What a connecting process must prove to know.
+    """
+
+    __slots__ = ("address", "name", "secret")
+
+    def __init__(self, name: str, address: str, secret: str) -> None:
+        self.name = name
+        self.address = address
+        self.secret = secret
+
+
+class Mesh:
+    """Accepts other gateways' notices and sends its own to each of them.
+
+    Each process sends on connections that it has opened, one task a peer. A
+    peer's secret stands in the platform's store, which only processes of the
+    system can read.
+
+    Args:
+        name: Name of this instance.
+        host: IP address to listen on.
+        port: Port to listen on.
+        known: What this process knows.
+        reader: Writes notices and takes them in.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        port: int,
+        known: state.GatewayState,
+        reader: notices.NoticeReader,
+    ) -> None:
+        self._me = handshake.Identity(name, _ROLE)
+        self._host = host
+        self._known = known
+        self._reader = reader
+        self._secret = secrets.token_hex(_SECRET_BYTES)
+        self._server = server.PeerServer(
+            self._me,
+            host,
+            port,
+            self._secret.encode(),
+            self._revision,
+            self._receive,
+        )
+        self._links = supervisor.Supervisor("links", known.clock)
+        self._queues: dict[str, asyncio.Queue[messages.GatewayNotice]] = {}
+        self._peers: dict[str, Peer] = {}
+
+    @property
+    def name(self) -> str:
+        """Name of this instance."""
+        return self._me.peer_id
+
+    @property
+    def secret(self) -> str:
+        """What other processes must know to connect here."""
+        return self._secret
+
+    @property
+    def address(self) -> str:
+        """Where this process listens."""
+        return f"{self._host}:{self._server.port}"
+
+    @property
+    def peers(self) -> tuple[str, ...]:
+        """Names of the other gateways."""
+        return tuple(self._peers)
+
+    async def wait_listening(self) -> None:
+        """Waits until the port is open."""
+        await self._server.wait_listening()
+
+    async def run_server(self) -> None:
+        """Accepts other gateways until cancelled."""
+        await self._server.run()
+
+    async def run_links(self) -> None:
+        """Sends notices until cancelled."""
+        self._links.add(supervisor.ChildSpec("broadcast", self._broadcast))
+        await self._links.run()
+
+    async def set_peers(self, peers: dict[str, Peer]) -> None:
+        """Connects to the gateways that are listed now."""
+        for name in set(self._peers) - set(peers):
+            await self._drop(name)
+        for name, peer in peers.items():
+            known = self._peers.get(name)
+            if known is not None and known.secret == peer.secret:
+                continue
+            if known is not None:
+                await self._drop(name)
+            self._peers[name] = peer
+            self._queues[name] = asyncio.Queue(_QUEUE_NOTICES)
+            self._links.add(
+                supervisor.ChildSpec(
+                    f"peer {name}", lambda peer=peer: self._link(peer)
+                )
+            )
+
+    async def _drop(self, name: str) -> None:
+        self._peers.pop(name, None)
+        self._queues.pop(name, None)
+        await self._links.remove(f"peer {name}")
+
+    async def _broadcast(self) -> None:
+        """Hands each notice to every peer's task."""
+        board = self._known.notices
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_INTERVAL_S):
+                    await board.urgent.wait()
+            notice = self._reader.next_notice()
+            if notice is None:
+                continue
+            for queue in self._queues.values():
+                if queue.full():
+                    # An old notice is worth less than a new one.
+                    queue.get_nowait()
+                queue.put_nowait(notice)
+
+    async def _link(self, peer: Peer) -> None:
+        """Sends notices to one peer, on one connection after the other."""
+        delay_s = _FIRST_RETRY_S
+        while True:
+            try:
+                await self._send_all(peer)
+            except (
+                OSError,
+                TimeoutError,
+                WebSocketException,
+                connection_lib.ConnectionLost,
+                handshake.HandshakeError,
+            ) as error:
+                logs.event(_log, "peer_lost", peer=peer.name, error=repr(error))
+            await self._known.clock.sleep(datetime.timedelta(seconds=delay_s))
+            delay_s = min(_MAX_RETRY_S, delay_s * 2)
+
+    async def _send_all(self, peer: Peer) -> None:
+        async with ws_client.connect(
+            f"ws://{peer.address}",
+            max_size=codec.MAX_FRAME_BYTES,
+            open_timeout=_OPEN_TIMEOUT_S,
+            close_timeout=_CLOSE_TIMEOUT_S,
+            compression=None,
+            ping_interval=None,
+            proxy=None,
+        ) as socket:
+            connection = connection_lib.PeerConnection(socket, self._revision)
+            await handshake.connect(connection, self._me, peer.secret.encode())
+            logs.event(_log, "peer_connected", peer=peer.name)
+            queue = self._queues[peer.name]
+            while True:
+                notice = await queue.get()
+                async with asyncio.timeout(_SEND_TIMEOUT_S):
+                    await connection.send(notice)
+
+    async def _receive(
+        self,
+        connection: connection_lib.PeerConnection,
+        other: handshake.Identity,
+    ) -> None:
+        while True:
+            envelope = await connection.receive()
+            if isinstance(envelope.message, messages.GatewayNotice):
+                self._reader.apply(other.peer_id, envelope.message)
+
+    def _revision(self) -> int:
+        table = self._known.table
+        return table.version if table else 0
--- a/hibiscusstile/peers/messages/__init__.py
+++ b/hibiscusstile/peers/messages/__init__.py
@@ -12,6 +12,14 @@
     ConfigFetch,
     ConfigState,
 )
+from hibiscusstile.peers.messages.gateway import (
+    GatewayNotice,
+    NoticedChange,
+    NoticedClaim,
+    NoticedLoad,
+    NoticedPrefix,
+    NoticedWeights,
+)
 from hibiscusstile.peers.messages.session import (
     HandshakeChallenge,
     HandshakeProof,
@@ -56,11 +64,17 @@
     "Dispatch",
     "End",
     "Failed",
+    "GatewayNotice",
     "HandshakeChallenge",
     "HandshakeProof",
     "HandshakeStart",
     "Hello",
     "Leaving",
+    "NoticedChange",
+    "NoticedClaim",
+    "NoticedLoad",
+    "NoticedPrefix",
+    "NoticedWeights",
     "PeerAddress",
     "PeerInfo",
     "PeerMessage",
--- /dev/null
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -0,0 +1,126 @@
+"""Messages between gateways: soft state that may be lost."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Annotated
+
+import pydantic
+
+from hibiscusstile.peers.messages.base import (
+    Count,
+    PeerMessage,
+    Seconds,
+    ShortText,
+    message_types,
+)
+
+__all__ = [
+    "GatewayNotice",
+    "NoticedChange",
+    "NoticedClaim",
+    "NoticedLoad",
+    "NoticedPrefix",
+    "NoticedWeights",
+]
+
+_MAX_ENTRIES = 4096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticedLoad:
+    """What the sender has under way at a backend server.
+
+    Attributes:
+        server: The server's id.
+        running: Requests.
+        waiting: Prompt tokens of those that have not started.
+    """
+
+    server: ShortText
+    running: Count
+    waiting: Count
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticedPrefix:
+    """A prompt part that an engine reads, and will hold in its cache.
+
+    Attributes:
+        server: The engine's id.
+        salt: Namespace of the part.
+        part: The part's id.
+        tokens: Its length.
+    """
+
+    server: ShortText
+    salt: ShortText
+    part: ShortText
+    tokens: Count
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticedChange:
+    """An engine that is about to take new weights.
+
+    Attributes:
+        server: The engine's id.
+        for_s: How long it is expected to be away.
+    """
+
+    server: ShortText
+    for_s: Seconds
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticedWeights:
+    """A version of weights that the sender has learnt of.
+
+    Attributes:
+        model: The model.
+        version: The version.
+        server: The engine that has it; empty for a version named by
+            operators.
+    """
+
+    model: ShortText
+    version: Count
+    server: ShortText = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticedClaim:
+    """The sender has won the duty of ordering new weights.
+
+    Attributes:
+        fence: The fencing token.
+    """
+
+    fence: Count
+
+
+_Loads = Annotated[
+    tuple[NoticedLoad, ...], pydantic.Field(max_length=_MAX_ENTRIES)
+]
+_Prefixes = Annotated[
+    tuple[NoticedPrefix, ...], pydantic.Field(max_length=_MAX_ENTRIES)
+]
+_Changes = Annotated[
+    tuple[NoticedChange, ...], pydantic.Field(max_length=_MAX_ENTRIES)
+]
+_Weights = Annotated[
+    tuple[NoticedWeights, ...], pydantic.Field(max_length=_MAX_ENTRIES)
+]
+
+
+@message_types.register()
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayNotice(PeerMessage):
+    """What has changed at the sender since its last notice."""
+
+    name = "gateway_notice"
+    loads: _Loads = ()
+    prefixes: _Prefixes = ()
+    changes: _Changes = ()
+    weights: _Weights = ()
+    claims: tuple[NoticedClaim, ...] = ()
--- a/hibiscusstile/platform/cacheevents.py
+++ b/hibiscusstile/platform/cacheevents.py
@@ -103,9 +103,10 @@
         if len(row) < 5:
             return
         _, sign, salt, part_id, tokens = row[:5]
-        held = tokens if sign == "+" and isinstance(tokens, int) else 0
+        held = sign == "+" and isinstance(tokens, int) and tokens > 0
+        seen_s = self._known.clock.monotonic() if held else None
         self._known.prefix_stores.note_part(
-            address, str(salt), str(part_id), held
+            address, str(salt), str(part_id), seen_s
         )
 
     async def _read(
--- a/hibiscusstile/platform/feeds.py
+++ b/hibiscusstile/platform/feeds.py
@@ -41,7 +41,7 @@
                 )
             elif operatorrecords.is_version_key(record.key):
                 named = operatorrecords.decode_version(record.value)
-                self._known.weights.name_version(named.model, named.version)
+                self._known.name_weights(named.model, named.version)
         except operatorrecords.RecordError as error:
             logs.warn(
                 _log,
--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -126,9 +126,7 @@
         return listener.CallerProtocol(
             manager,
             loop=loop,
-            head_timeout_s=max(
-                limits.header_timeout_s, limits.idle_timeout_s
-            ),
+            head_timeout_s=max(limits.header_timeout_s, limits.idle_timeout_s),
             access_log=None,
             keepalive_timeout=limits.idle_timeout_s,
             max_line_size=limits.header_bytes,
@@ -245,9 +243,7 @@
         """Whether the answer's head was sent."""
         return self._response is not None
 
-    async def send_answer(
-        self, head: exchange.AnswerHead, body: bytes
-    ) -> None:
+    async def send_answer(self, head: exchange.AnswerHead, body: bytes) -> None:
         """Sends a whole answer."""
         response = web.Response(
             status=head.status,
--- a/hibiscusstile/platform/keyed_log.py
+++ b/hibiscusstile/platform/keyed_log.py
@@ -61,7 +61,9 @@
         self._address = address
         await self.close()
 
-    async def newest(self, topic: str) -> topics.Newest | platform.LogUnavailable:
+    async def newest(
+        self, topic: str
+    ) -> topics.Newest | platform.LogUnavailable:
         """Returns the newest record of each key of a topic."""
         records: list[topics.KeyedRecord] = []
         parameters = {"topic": topic, "part": "0"}
@@ -76,7 +78,9 @@
             except pydantic.ValidationError:
                 return platform.LogUnavailable("the answer is malformed")
             records += [
-                topics.KeyedRecord(each.key, base64.b64decode(each.value), each.offset)
+                topics.KeyedRecord(
+                    each.key, base64.b64decode(each.value), each.offset
+                )
                 for each in page.items
             ]
             if not page.has_more or not page.items:
--- a/hibiscusstile/retrybudget.py
+++ b/hibiscusstile/retrybudget.py
@@ -9,9 +9,9 @@
 _SHARE = 0.1
 _INITIAL_TOKENS = 10.0
 _MAX_TOKENS = 50.0
-# Left for streams that a caller is already reading: cutting one wastes the
-# work that was done for it.
-_STARTED_TOKENS = 5.0
+# Share of the most tokens that is left for streams that a caller is already
+# reading: cutting one wastes the work that was done for it.
+_STARTED_SHARE = 0.1
 _REDIRECTS = (outcome.Reason.LEAVING, outcome.Reason.STALE_REVISION)
 
 
@@ -51,6 +51,11 @@
         """Retries denied since the start."""
         return self._denied
 
+    def resize(self, max_tokens: float) -> None:
+        """Changes how many retries can be saved up."""
+        self._max_tokens = max_tokens
+        self._tokens = min(self._tokens, max_tokens)
+
     def note_first(self) -> None:
         """Counts a request's first attempt."""
         self._tokens = min(self._max_tokens, self._tokens + self._share)
@@ -67,7 +72,7 @@
             and refusal.reason in _REDIRECTS
         ):
             return True
-        floor = 0.0 if started else _STARTED_TOKENS
+        floor = 0.0 if started else _STARTED_SHARE * self._max_tokens
         # Ten times 0.1 is less than 1 in binary fractions.
         if self._tokens - floor < 1.0 - 1e-6:
             self._denied += 1
--- a/hibiscusstile/roles/__init__.py
+++ b/hibiscusstile/roles/__init__.py
@@ -83,7 +83,9 @@
 
 
 roles: registry.Registry[Role] = registry.Registry(
-    "role", RoleNotFound, (f"{__name__}.entry", f"{__name__}.gateway", f"{__name__}.sidecar")
+    "role",
+    RoleNotFound,
+    (f"{__name__}.entry", f"{__name__}.gateway", f"{__name__}.sidecar"),
 )
 
 
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -11,13 +11,21 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, roles, settings, supervisor
-from hibiscusstile.gateway import follower, rollout, service, state
+from hibiscusstile.gateway import (
+    follower,
+    notices,
+    rollout,
+    service,
+    state,
+)
+from hibiscusstile.peers import mesh
 from hibiscusstile.platform import (
     boot,
     cacheevents,
     feeds,
     ingress,
     keyed_log,
+    members,
     operatorrecords,
     orders,
     serverentries,
@@ -31,15 +39,16 @@
 # Entries change with every server that starts, fills up or leaves, and each
 # read is charged; a leaving server must be known well within two seconds.
 _SERVER_PAUSE = datetime.timedelta(milliseconds=700)
+_MEMBER_PAUSE = datetime.timedelta(milliseconds=300)
 _SETTINGS_POLL = datetime.timedelta(milliseconds=500)
 # The load balancer asks once a second and needs two misses.
 _BALANCER_DELAY_S = 2.4
 _DRAIN_POLL = datetime.timedelta(milliseconds=50)
 # Left of the time before the kill signal for closing connections.
 _EXIT_MARGIN_S = 1.0
-# Processes that the shared retry budget is divided by; the settings do not
-# tell their number, and today's sites have four and five.
-_EXPECTED_PROCESSES = 6
+# Part of the allowed retries that is used; the rest is for requests that are
+# counted in another window than their retries.
+_RETRY_SHARE = 0.9
 
 
 @roles.roles.register()
@@ -60,8 +69,7 @@
             clock,
             config.zone,
             state.RetryPolicy(
-                config.retry_share * 0.9,
-                config.retry_reserve / _EXPECTED_PROCESSES,
+                config.retry_share * _RETRY_SHARE, config.retry_reserve
             ),
         )
         self._client = servers.HttpServerClient()
@@ -78,6 +86,18 @@
             feeds.OperatorFeed(self._known),
             clock,
         )
+        self._board = notices.NoticeReader(self._known)
+        self._mesh = mesh.Mesh(
+            config.name,
+            config.address,
+            config.internal_ports[0],
+            self._known,
+            self._board,
+        )
+        self._members = members.MemberFeed(self._store, self._mesh, self._known)
+        self._members_feed = follower.KeyedFollower(
+            self._store, members.TOPIC, self._members, clock, _MEMBER_PAUSE
+        )
         self._servers_feed = follower.KeyedFollower(
             self._store,
             serverentries.SERVER_TOPIC,
@@ -89,6 +109,7 @@
             self._known,
             self._store,
             self._orders,
+            self._board,
             config.name,
             datetime.timedelta(seconds=config.lease_s),
         )
@@ -110,6 +131,10 @@
         specs = [
             ("operators", self._operators_feed.run),
             ("servers", self._servers_feed.run),
+            ("peers", self._mesh.run_server),
+            ("links", self._mesh.run_links),
+            ("announcement", self._members.announce),
+            ("members", self._members_feed.run),
             ("rollout", self._rollout.run),
             ("cache_events", self._cache_events.run),
             ("settings", self._watch_settings),
@@ -132,6 +157,7 @@
         started_s = self._clock.monotonic()
         logs.event(_log, "leaving", active=self._gateway.active)
         self._gateway.leave()
+        await self._members.withdraw()
         end_s = started_s + self._config.grace_s - _EXIT_MARGIN_S
         await self._clock.sleep(datetime.timedelta(seconds=_BALANCER_DELAY_S))
         while self._clock.monotonic() < end_s:
--- a/tools/deploylock.py
+++ b/tools/deploylock.py
@@ -27,9 +27,7 @@
         pending += _requirements(name)
     lines = (_ROOT / "requirements.lock").read_text().splitlines()
     kept = [line for line in lines if _normalise(line) in needed]
-    (_ROOT / "deploy" / "requirements.lock").write_text(
-        "\n".join(kept) + "\n"
-    )
+    (_ROOT / "deploy" / "requirements.lock").write_text("\n".join(kept) + "\n")
 
 
 def _requirements(name: str) -> list[str]:
