Repeat an order without an answer at once, and pass replaced servers over

Cause: an order without an answer held its engine's place in the wave and kept requests from it for 1.5 s; a server that crashed and came back under another id was ordered again and again (421) until discovery dropped its entry. Change: such an order is repeated after 0.3 s, valid only while the engine has not taken it; a 421 that names another server passes the old entry over.

--- a/hibiscusstile/eventlog.py
+++ b/hibiscusstile/eventlog.py
@@ -30,7 +30,7 @@
 _STDOUT = 1
 
 
-class JsonHandler(logbook.Handler):
+class JsonHandler(logbook.Handler):  # type: ignore[misc]
     """Writes records as JSON lines to a file descriptor.
 
     Args:
--- a/hibiscusstile/gateway/health.py
+++ b/hibiscusstile/gateway/health.py
@@ -17,6 +17,8 @@
 # doubles while checks fail.
 _FIRST_PAUSE_S = 0.5
 _MAX_PAUSE_S = 4.0
+# Discovery drops the entry of a server that is gone within this time.
+_REPLACED_PAUSE_S = 6.0
 # Weight of the newest answer in the average of failures.
 _FAILURE_GAIN = 0.12
 # A server that fails this much more often than the others is passed over.
@@ -76,6 +78,12 @@
         state.unreachable = True
         state.pause_s = min(_MAX_PAUSE_S, state.pause_s * 2)
 
+    def note_replaced(self, server_id: str) -> None:
+        """Passes a server over whose address another server has now."""
+        self._pass_over(
+            server_id, self._of(server_id), _REPLACED_PAUSE_S, "replaced"
+        )
+
     def note_silent(self, server_id: str) -> None:
         """Counts a request that a server did not answer, or broke off."""
         state = self._of(server_id)
--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -354,7 +354,11 @@
             self._unreached += 1
             self._known.health.note_unreachable(server_id)
             self._turned_away.add(server_id)
-        elif cause in (exchange.Cause.FULL, exchange.Cause.MISDIRECTED):
+        elif cause is exchange.Cause.REPLACED:
+            self._arrivals += 1
+            self._used.add(server_id)
+            self._known.health.note_replaced(server_id)
+        elif cause in (exchange.Cause.FULL, exchange.Cause.OTHER_WEIGHTS):
             self._arrivals += 1
             self._turned_away.add(server_id)
             if self._where.service.engine is not None:
@@ -375,7 +379,7 @@
         if failure.weights_version is not None:
             self._known.note_weights(server_id, model, failure.weights_version)
         elif (
-            failure.cause is exchange.Cause.MISDIRECTED
+            failure.cause is exchange.Cause.OTHER_WEIGHTS
             and named is not None
             and known is not None
             and known < named.version
@@ -386,13 +390,13 @@
 
     def _check_retry(self, failure: exchange.AttemptFailed) -> None:
         """Raises the refusal of a request that is not sent again."""
-        if failure.verdict is not outcome.Verdict.NOT_RUN:
-            if not self._may_run_again():
-                raise _refused(
-                    outcome.Reason.BACKEND_FAILED,
-                    "the server gave no complete answer",
-                    verdict=self._verdict,
-                )
+        ran = failure.verdict is not outcome.Verdict.NOT_RUN
+        if ran and not self._may_run_again():
+            raise _refused(
+                outcome.Reason.BACKEND_FAILED,
+                "the server gave no complete answer",
+                verdict=self._verdict,
+            )
         if failure.cause is exchange.Cause.NOT_REACHED:
             # Nothing arrived, so this is no retry for the budget.
             if self._unreached <= _MAX_UNREACHED:
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -27,6 +27,7 @@
 __all__ = [
     "EngineOrders",
     "EngineReport",
+    "OrderAnswer",
     "OrderResult",
     "Rollout",
     "WeightsOrder",
@@ -57,6 +58,8 @@
 # Processes that could claim at the same moment spread over this time.
 _SPREAD_S = 0.4
 _RETRY_S = 0.5
+_MAX_REFUSAL_PAUSE = datetime.timedelta(seconds=1.2)
+_UNKNOWN_PAUSE = datetime.timedelta(milliseconds=20)
 # A lost answer to an order is followed up by reports for this long.
 _ORDER_S = 6.0
 
@@ -68,6 +71,20 @@
     HOLDS = "holds"
     REFUSED = "refused"
     UNKNOWN = "unknown"
+    REPLACED = "replaced"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OrderAnswer:
+    """Answer to an order.
+
+    Attributes:
+        result: What became of the order.
+        detail: Why, for logs.
+    """
+
+    result: OrderResult
+    detail: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -120,7 +137,7 @@
     @abc.abstractmethod
     async def change_weights(
         self, server: fleet.BackendServer, order: WeightsOrder
-    ) -> OrderResult:
+    ) -> OrderAnswer:
         """Orders an engine to load a version, once."""
 
 
@@ -166,6 +183,7 @@
         self._end: int | None = None
         self._not_before_s = 0.0
         self._loading_until_s: dict[str, float] = {}
+        self._refusals: dict[str, int] = {}
         self._behind_ids: frozenset[str] = frozenset()
         self._behind_since_s = 0.0
 
@@ -197,7 +215,11 @@
                     version = self._known.weights.version_at(
                         server.server_id, model
                     )
-                    if version is not None and version < named.version:
+                    if (
+                        version is not None
+                        and version < named.version
+                        and self._known.health.is_up(server.server_id)
+                    ):
                         found.append((model, server))
         return found
 
@@ -372,7 +394,7 @@
         self._known.weights.note_changing(server.server_id, _CHANGE_S)
         self._known.notices.note_change(server.server_id, _CHANGE_S)
         self._loading_until_s.pop(server.server_id, None)
-        result = await self._orders.change_weights(
+        answer = await self._orders.change_weights(
             server,
             WeightsOrder(
                 model,
@@ -389,18 +411,37 @@
             server=server.server_id,
             model=model,
             version=named.version,
-            result=result.value,
+            result=answer.result.value,
+            detail=answer.detail,
             running=report.running,
             fence=claim.fence,
         )
-        if result is OrderResult.REFUSED:
-            await self._clock.sleep(_REPORT_PAUSE)
+        if answer.result is OrderResult.REPLACED:
+            self._known.health.note_replaced(server.server_id)
             return
+        if answer.result in (OrderResult.REFUSED, OrderResult.UNKNOWN):
+            # An order without an answer may be carried out later; the next
+            # one is valid only as long as the engine has not taken it.
+            self._known.weights.note_changing(server.server_id, 0.0)
+            self._known.notices.note_change(server.server_id, 0.0)
+            await self._clock.sleep(self._refusal_pause(server, answer))
+            return
+        self._refusals.pop(server.server_id, None)
         self._loading_until_s[server.server_id] = (
             self._clock.monotonic() + _LOAD.total_seconds()
         )
         await self._wait_changed(model, named.version, server)
 
+    def _refusal_pause(
+        self, server: fleet.BackendServer, answer: OrderAnswer
+    ) -> datetime.timedelta:
+        """Returns the time before the next order to an engine."""
+        if answer.result is OrderResult.UNKNOWN:
+            return _UNKNOWN_PAUSE
+        refusals = self._refusals.get(server.server_id, 0)
+        self._refusals[server.server_id] = refusals + 1
+        return min(_MAX_REFUSAL_PAUSE, _REPORT_PAUSE * 2**refusals)
+
     async def _wait_changed(
         self, model: str, version: int, server: fleet.BackendServer
     ) -> None:
--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import datetime
+import functools
 import secrets
 
 import logbook
@@ -137,7 +138,7 @@
             self._queues[name] = asyncio.Queue(_QUEUE_NOTICES)
             self._links.add(
                 supervisor.ChildSpec(
-                    f"peer {name}", lambda peer=peer: self._link(peer)
+                    f"peer {name}", functools.partial(self._link, peer)
                 )
             )
 
--- a/hibiscusstile/platform/keyed_log.py
+++ b/hibiscusstile/platform/keyed_log.py
@@ -142,7 +142,7 @@
         method: str,
         call: str,
         parameters: dict[str, str],
-        timeout: datetime.timedelta,
+        limit: datetime.timedelta,
         data: bytes | None = None,
     ) -> tuple[int, bytes]:
         """Returns status and body; status 0 and the error if none came."""
@@ -153,7 +153,7 @@
                 params=parameters,
                 data=data,
                 timeout=aiohttp.ClientTimeout(
-                    total=timeout.total_seconds(),
+                    total=limit.total_seconds(),
                     sock_connect=_CONNECT_TIMEOUT_S,
                 ),
             ) as response:
--- a/hibiscusstile/platform/orders.py
+++ b/hibiscusstile/platform/orders.py
@@ -10,7 +10,13 @@
 
 __all__ = ["HttpOrders"]
 
-_TIMEOUT = aiohttp.ClientTimeout(total=0.6, sock_connect=0.4)
+# Engines answer within a few ms; an order is repeated after that.
+_TIMEOUT = aiohttp.ClientTimeout(total=0.3, sock_connect=0.3)
+_RESULTS = {
+    200: rollout.OrderResult.HOLDS,
+    202: rollout.OrderResult.ACCEPTED,
+    421: rollout.OrderResult.REPLACED,
+}
 
 
 class _Weights(pydantic.BaseModel):
@@ -63,7 +69,7 @@
 
     async def change_weights(
         self, server: fleet.BackendServer, order: rollout.WeightsOrder
-    ) -> rollout.OrderResult:
+    ) -> rollout.OrderAnswer:
         """Orders an engine to load a version, once."""
         body = {
             "operation": "version",
@@ -80,16 +86,15 @@
                 json=body,
                 headers={headers.EXPECTED_SERVER: server.server_id},
             ) as response:
-                status = response.status
-        except aiohttp.ClientConnectorError:
-            return rollout.OrderResult.REFUSED
-        except (aiohttp.ClientError, TimeoutError, OSError):
-            return rollout.OrderResult.UNKNOWN
-        if status == 202:
-            return rollout.OrderResult.ACCEPTED
-        if status == 200:
-            return rollout.OrderResult.HOLDS
-        return rollout.OrderResult.REFUSED
+                detail = f"{response.status} {await response.text()}"
+                result = _RESULTS.get(
+                    response.status, rollout.OrderResult.REFUSED
+                )
+        except aiohttp.ClientConnectorError as error:
+            return rollout.OrderAnswer(rollout.OrderResult.REFUSED, repr(error))
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            return rollout.OrderAnswer(rollout.OrderResult.UNKNOWN, repr(error))
+        return rollout.OrderAnswer(result, detail)
 
     async def close(self) -> None:
         """Closes connections."""
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -127,7 +127,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _no_answer(attempt, error) from None
         try:
-            _check_executed(response)
+            _check_executed(server, response)
             assert isinstance(response, _CheckedResponse)
             yield _HttpReply(response)
         finally:
@@ -240,13 +240,17 @@
     return outgoing
 
 
-def _check_executed(response: aiohttp.ClientResponse) -> None:
+def _check_executed(
+    server: fleet.BackendServer, response: aiohttp.ClientResponse
+) -> None:
     """Raises `AttemptFailed` for an answer that is no result."""
     if response.status == _MISDIRECTED:
         raise exchange.AttemptFailed(
-            exchange.Cause.MISDIRECTED,
+            exchange.Cause.REPLACED
+            if response.headers.get(headers.SERVER_ID, "") != server.server_id
+            else exchange.Cause.OTHER_WEIGHTS,
             outcome.Verdict.NOT_RUN,
-            "another server or other weights",
+            f"the server is {response.headers.get(headers.SERVER_ID)}",
             _weights_version(response),
         )
     if headers.NOT_RUN in response.headers:
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -14,7 +14,15 @@
 import yarl
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile.gateway import exchange, fleet, routes, service, state
+from hibiscusstile import supervisor
+from hibiscusstile.gateway import (
+    exchange,
+    fleet,
+    follower,
+    routes,
+    service,
+    state,
+)
 from hibiscusstile.platform import (
     feeds,
     ingress,
@@ -23,8 +31,6 @@
     serverentries,
     servers,
 )
-from hibiscusstile.gateway import follower
-from hibiscusstile import supervisor
 from hibiscusstile_standins import runner as runner_lib
 from hibiscusstile_standins import store as store_lib
 
