Tell refused callers to come back when the present queue is served

Change: Retry-After is the expected time to the first event. Processes import only the role they run.

--- a/hibiscusstile/gateway/overload.py
+++ b/hibiscusstile/gateway/overload.py
@@ -12,10 +12,10 @@
 # on a request that has waited so long is lost for everybody. Half of that
 # leaves room for errors of the estimate.
 _LIMIT_SHARE = 2.0
-# Servers' queues shrink by about this part of a second each second.
-_RETRY_SHARE = 0.5
-_MIN_RETRY_S = 0.3
-_MAX_RETRY_S = 2.0
+# A request that comes back sooner than the present queue has been served is
+# refused again. Callers wait up to a third of their time, 3.3 s at most.
+_MIN_RETRY_S = 0.5
+_MAX_RETRY_S = 3.0
 
 
 def refusal(expected_s: float, target_s: float) -> outcome.Refusal | None:
@@ -28,8 +28,7 @@
     limit_s = _LIMIT_SHARE * target_s
     if expected_s <= limit_s:
         return None
-    retry_s = _RETRY_SHARE * (expected_s - target_s)
-    retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, retry_s))
+    retry_s = min(_MAX_RETRY_S, max(_MIN_RETRY_S, expected_s))
     return outcome.Refusal(
         outcome.Reason.OVERLOADED,
         "no server can answer in time",
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -440,7 +440,8 @@
             return _UNKNOWN_PAUSE
         refusals = self._refusals.get(server.server_id, 0)
         self._refusals[server.server_id] = refusals + 1
-        return min(_MAX_REFUSAL_PAUSE, _REPORT_PAUSE * 2**refusals)
+        pause: datetime.timedelta = _REPORT_PAUSE * 2**refusals
+        return min(_MAX_REFUSAL_PAUSE, pause)
 
     async def _wait_changed(
         self, model: str, version: int, server: fleet.BackendServer
--- a/hibiscusstile/registry.py
+++ b/hibiscusstile/registry.py
@@ -22,8 +22,8 @@
     Args:
         family: What the classes are, for error messages ("policy").
         not_found: The error raised for an unknown name.
-        modules: Modules that register classes. They are imported at the
-            first look-up, so that a family's base classes can be used
+        modules: Modules that register classes. They are imported when they
+            are looked up, so that a family's base classes can be used
             without the libraries that its members need.
     """
 
@@ -70,7 +70,9 @@
         Raises:
             NameNotFound: No class has it.
         """
-        self._load()
+        self._load_named(name)
+        if name not in self._classes:
+            self._load()
         try:
             return self._classes[name]
         except KeyError:
@@ -85,8 +87,21 @@
 
     def _load(self) -> None:
         while self._unloaded:
-            module = self._unloaded[-1]
-            importlib.import_module(module)
-            # Only now, so that a failed import is tried and reported again.
-            if module in self._unloaded:
-                self._unloaded.remove(module)
+            self._import(self._unloaded[-1])
+
+    def _load_named(self, name: str) -> None:
+        """Imports the module called like a class, if there is one.
+
+        A process that needs one class of a family starts sooner without the
+        libraries of the others.
+        """
+        for module in self._unloaded:
+            if module.rpartition(".")[2] == name:
+                self._import(module)
+                return
+
+    def _import(self, module: str) -> None:
+        importlib.import_module(module)
+        # Only now, so that a failed import is tried and reported again.
+        if module in self._unloaded:
+            self._unloaded.remove(module)
