Count every prompt that waits at an engine, whatever its rank

Cause: short requests were expected after 0.3 s and came after 1.1 s: an engine computes the prompts that it has taken in their order, and only its queue knows ranks. Change: the estimate counts all prompt tokens that have not started.

--- a/hibiscusstile/gateway/choice.py
+++ b/hibiscusstile/gateway/choice.py
@@ -90,7 +90,7 @@
         _stored_tokens(known, need, salt, behind_s),
         version,
         load.running + load.others_running(now_s),
-        load.waiting_tokens(need.rank) + load.others_waiting(now_s),
+        load.waiting_tokens + load.others_waiting(now_s),
         sum(
             part.tokens
             for part in need.request.parts[:-1]
--- a/hibiscusstile/gateway/load.py
+++ b/hibiscusstile/gateway/load.py
@@ -27,7 +27,6 @@
     """One request at one server.
 
     Attributes:
-        rank: The request's rank, 0 first.
         prefill_tokens: Prompt tokens that the engine has to compute.
         memory_tokens: Tokens that the request holds in cache memory.
         sent_s: When it was sent, on the monotonic clock.
@@ -36,7 +35,6 @@
         started_s: When it came.
     """
 
-    rank: int
     prefill_tokens: int
     memory_tokens: int
     sent_s: float
@@ -132,12 +130,17 @@
         """Average time from a request's first event to its end."""
         return self._hold_s
 
-    def waiting_tokens(self, rank: int) -> int:
-        """Returns the prompt tokens to compute before one of this rank."""
+    @property
+    def waiting_tokens(self) -> int:
+        """Prompt tokens of the requests that have not started.
+
+        An engine computes the prompts that it has taken in their order; ranks
+        count only for its queue.
+        """
         return sum(
             work.prefill_tokens
             for work in self._by_id.values()
-            if not work.started and work.rank <= rank
+            if not work.started
         )
 
     def cached_tokens(
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -142,7 +142,7 @@
         now_s = self._known.clock.monotonic()
         changed = []
         for server_id, each in self._known.loads.items():
-            running, waiting = each.running, each.waiting_tokens(99)
+            running, waiting = each.running, each.waiting_tokens
             before = self._told.get(server_id, (0, 0, 0.0))
             stale = now_s - before[2] > _LOAD_AGE_S / 2 and (running or waiting)
             if (
--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -234,7 +234,6 @@
         serving = selected.candidate.load
         request = self._request
         work = load.Work(
-            rank=self._where.rank,
             prefill_tokens=max(
                 0, request.prompt_tokens - selected.cached_tokens
             ),
