Explain a request from the gateways' logs

Cause: on-call engineers have only logs, and nothing put a request's lines and the beliefs behind them together. Change: hibiscusctl explain and log summary; hibiscusctl check reads the platform's settings and the deploy file; a refusal's line has its inputs.

--- a/hibiscusstile/ctl/__init__.py
+++ b/hibiscusstile/ctl/__init__.py
@@ -57,6 +57,8 @@
     (
         f"{__name__}.check",
         f"{__name__}.demo",
+        f"{__name__}.explain",
+        f"{__name__}.log_summary",
         f"{__name__}.records_append",
         f"{__name__}.records_list",
         f"{__name__}.records_show",
@@ -79,7 +81,7 @@
     app = cyclopts.App(
         name="hibiscusctl",
         version=__version__,
-        help="Checks files, appends records and shows what is in force.",
+        help="Checks files, appends records and explains what happened.",
         result_action="return_value",
     )
     groups: dict[str, cyclopts.App] = {}
--- a/hibiscusstile/ctl/check.py
+++ b/hibiscusstile/ctl/check.py
@@ -8,9 +8,12 @@
 
 from hibiscusstile import ctl
 from hibiscusstile.ctl import checking, files, log_access, output
+from hibiscusstile.platform import platformfiles
 
 __all__ = ["CheckCommand", "check"]
 
+_PLATFORM_SUFFIX = ".toml"
+
 
 @ctl.commands.register()
 class CheckCommand(ctl.Command):
@@ -30,7 +33,8 @@
     """Checks a file of settings or of records and prints every fault.
 
     Args:
-        file: YAML settings, or one or more records as YAML or JSON.
+        file: YAML settings, the platform's settings or deploy file (TOML), or
+            one or more records as YAML or JSON.
         log: Also look for named records on this log.
         json: Print the result as JSON.
     """
@@ -56,6 +60,8 @@
 
 
 def _find_faults(file: pathlib.Path, log_url: str) -> list[files.FileFault]:
+    if file.suffix == _PLATFORM_SUFFIX:
+        return platformfiles.find_faults(file)
     try:
         documents = files.read_documents(file)
     except files.FileUnreadable as error:
--- /dev/null
+++ b/hibiscusstile/ctl/explain.py
@@ -0,0 +1,65 @@
+"""`hibiscusctl explain`: what became of one request."""
+
+from __future__ import annotations
+
+import pathlib
+from collections.abc import Callable
+from typing import Annotated
+
+import cyclopts
+
+from hibiscusstile import ctl, explaining, logreader
+from hibiscusstile.ctl import output
+
+__all__ = ["ExplainCommand", "explain"]
+
+
+@ctl.commands.register()
+class ExplainCommand(ctl.Command):
+    """Explains a request."""
+
+    name = "explain"
+
+    @property
+    def handler(self) -> Callable[..., int]:
+        """Function that the command line calls."""
+        return explain
+
+
+def explain(
+    request_id: str,
+    *files: pathlib.Path,
+    as_json: Annotated[
+        bool, cyclopts.Parameter(name="--json", negative="")
+    ] = False,
+) -> int:
+    """Prints a request's way through the gateways, and its cause.
+
+    Args:
+        request_id: The request's X-Request-Id.
+        files: Logs of the gateways, in any order.
+        as_json: Print the result as JSON.
+    """
+    if not files:
+        output.print_error("name at least one log")
+        return ctl.EXIT_BAD_USAGE
+    try:
+        events = logreader.read_events(files)
+    except OSError as error:
+        output.print_error(str(error))
+        return ctl.EXIT_BAD_USAGE
+    explanation = explaining.explain(events, request_id)
+    if as_json:
+        output.print_json(
+            {
+                "request": request_id,
+                "found": explanation.found,
+                "lines": [event.text() for event in explanation.events],
+                "cause": explanation.cause,
+            }
+        )
+    else:
+        for event in explanation.events:
+            print(event.text())
+        print(f"cause: {explanation.cause}")
+    return ctl.EXIT_DONE if explanation.found else ctl.EXIT_REFUSED
--- /dev/null
+++ b/hibiscusstile/ctl/log_summary.py
@@ -0,0 +1,88 @@
+"""`hibiscusctl log summary`: refusals, failures and losses by second."""
+
+from __future__ import annotations
+
+import collections
+import pathlib
+from collections.abc import Callable, Sequence
+
+from hibiscusstile import ctl, logreader
+from hibiscusstile.ctl import output
+
+__all__ = ["LogSummaryCommand", "log_summary"]
+
+_LOSSES = frozenset(
+    {
+        "store_lost",
+        "store_back",
+        "server_suspected",
+        "server_gone",
+        "prefix_store_lost",
+        "prefix_store_back",
+        "peer_lost",
+        "started",
+        "leaving",
+        "record_unreadable",
+        "settings_rejected",
+        "duty_won",
+        "weights_named",
+        "configuration_applied",
+    }
+)
+
+
+@ctl.commands.register()
+class LogSummaryCommand(ctl.Command):
+    """Summarises logs."""
+
+    name = "log summary"
+
+    @property
+    def handler(self) -> Callable[..., int]:
+        """Function that the command line calls."""
+        return log_summary
+
+
+def log_summary(*files: pathlib.Path) -> int:
+    """Prints what went wrong, by second and instance.
+
+    Args:
+        files: Logs of the gateways, in any order.
+    """
+    if not files:
+        output.print_error("name at least one log")
+        return ctl.EXIT_BAD_USAGE
+    try:
+        events = logreader.read_events(files)
+    except OSError as error:
+        output.print_error(str(error))
+        return ctl.EXIT_BAD_USAGE
+    for line in _summarise(events):
+        print(line)
+    return ctl.EXIT_DONE
+
+
+def _summarise(events: Sequence[logreader.LogEvent]) -> list[str]:
+    counts: collections.Counter[tuple[str, str, str]] = collections.Counter()
+    dropped = 0
+    for event in events:
+        dropped += int(event.fields.get("lines_dropped", 0))
+        what = _what(event)
+        if what:
+            second = event.time.strftime("%H:%M:%S")
+            counts[second, event.instance, what] += 1
+    lines = [
+        f"{second} {instance} {what} {count}"
+        for (second, instance, what), count in sorted(counts.items())
+    ]
+    return [*lines, f"{len(events)} lines, {dropped} dropped"]
+
+
+def _what(event: logreader.LogEvent) -> str:
+    """Returns what an event counts as, empty for a request served."""
+    if event.name == "request_ended":
+        result = str(event.fields.get("result"))
+        return "" if result == "served" else f"request {result}"
+    if event.name == "request_refused":
+        return f"request {event.fields.get('reason')}"
+    return event.name if event.name in _LOSSES else ""
--- /dev/null
+++ b/hibiscusstile/explaining.py
@@ -0,0 +1,168 @@
+"""Explains what became of one request, from the logs of all gateways."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+from collections.abc import Sequence
+
+from hibiscusstile.logreader import LogEvent
+
+__all__ = ["Explanation", "explain"]
+
+# Beliefs about a server that are older than this are not shown.
+_BELIEF_AGE = datetime.timedelta(seconds=10)
+_PROCESS_EVENTS = frozenset(
+    {"started", "leaving", "stopped", "settings_reloaded"}
+)
+_CONFIGURATION = "configuration_applied"
+_STORE_EVENTS = frozenset({"store_lost", "store_back"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Explanation:
+    """A request's way.
+
+    Attributes:
+        events: Its own lines, and the beliefs that they rest on, by time.
+        cause: One sentence that says why it ended as it did.
+        found: Whether any line is about the request.
+    """
+
+    events: tuple[LogEvent, ...]
+    cause: str
+    found: bool
+
+
+def explain(events: Sequence[LogEvent], request_id: str) -> Explanation:
+    """Returns a request's way and its cause.
+
+    Args:
+        events: The events of all logs in order of time.
+        request_id: The caller's identifier of the attempt.
+    """
+    own = [event for event in events if event.request_id == request_id]
+    if not own:
+        return Explanation(
+            (),
+            "no log has a line: the request reached no gateway, or it was on "
+            "a connection that its gateway had not read",
+            False,
+        )
+    beliefs = _beliefs(events, own)
+    shown = sorted([*own, *beliefs], key=lambda event: event.time)
+    return Explanation(tuple(shown), _cause(events, own), True)
+
+
+def _beliefs(
+    events: Sequence[LogEvent], own: Sequence[LogEvent]
+) -> list[LogEvent]:
+    """Returns what the request's gateway believed while it served it."""
+    instance = own[0].instance
+    first, last = own[0].time - _BELIEF_AGE, own[-1].time
+    servers = {event.server_id for event in own if event.server_id}
+    before = [
+        event
+        for event in events
+        if event.instance == instance
+        and event.time <= last
+        and not event.request_id
+    ]
+    configuration = [e for e in before if e.name == _CONFIGURATION][-1:]
+    return configuration + [
+        event
+        for event in before
+        if event.time >= first
+        and (
+            event.server_id in servers
+            or event.name in _STORE_EVENTS
+            or event.name in _PROCESS_EVENTS
+        )
+    ]
+
+
+def _cause(events: Sequence[LogEvent], own: Sequence[LogEvent]) -> str:
+    ends = [
+        event
+        for event in own
+        if event.name in ("request_ended", "request_refused")
+    ]
+    if not ends:
+        return _unfinished(events, own)
+    end = ends[-1]
+    if end.name == "request_refused":
+        return _refused(end)
+    return _ended(end, own)
+
+
+def _unfinished(events: Sequence[LogEvent], own: Sequence[LogEvent]) -> str:
+    instance, last = own[-1].instance, own[-1].time
+    restart = next(
+        (
+            event
+            for event in events
+            if event.instance == instance
+            and event.name == "started"
+            and event.time > last
+        ),
+        None,
+    )
+    if restart is None:
+        return f"the log of {instance} ends while the request is under way"
+    return (
+        f"{instance} died while the request was under way, and started again "
+        f"at {restart.time:%H:%M:%S}"
+    )
+
+
+def _refused(end: LogEvent) -> str:
+    version = end.fields.get("configuration")
+    reason = end.fields.get("reason")
+    where = f"{end.fields.get('host')}{end.fields.get('path')}"
+    texts = {
+        "not_found": f"configuration {version} has no route for {where}",
+        "unauthorized": f"configuration {version} does not know the key",
+        "not_ready": f"{end.instance} had read no configuration yet",
+        "no_backend": f"configuration {version} lacks the route's service",
+    }
+    return texts.get(str(reason), f"refused: {reason}")
+
+
+def _ended(end: LogEvent, own: Sequence[LogEvent]) -> str:
+    result = str(end.fields.get("result"))
+    elapsed_s = end.fields.get("elapsed_s")
+    selected = [each for each in own if each.name == "server_selected"]
+    server = selected[-1].server_id if selected else "no server"
+    failed = [
+        each
+        for each in own
+        if each.name == "attempt" and "detail" in each.fields
+    ]
+    last_failure = (
+        f"{failed[-1].server_id}: {failed[-1].fields['detail']}"
+        if failed
+        else ""
+    )
+    started = end.fields.get("first_event_s") is not None
+    progress = "its answer had begun" if started else "no first event had come"
+    if result == "served":
+        return f"served by {server} after {elapsed_s} s"
+    if result == "cancelled":
+        return (
+            f"the caller left after {elapsed_s} s while {server} worked; "
+            f"{progress}"
+        )
+    if result == "timed_out":
+        return f"time was up after {elapsed_s} s at {server}; {progress}"
+    if result == "overloaded":
+        busy = [each for each in own if each.name == "server_too_busy"]
+        if busy:
+            expected_s = busy[-1].fields.get("expected_s")
+            return (
+                "refused early: the best server would have taken "
+                f"{expected_s} s to the first event"
+            )
+        return f"every server turned it away, last {last_failure or server}"
+    if result == "backend_failed":
+        return f"its server failed and it may not run again, {last_failure}"
+    return f"ended as {result}, {last_failure or server}"
--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -131,6 +131,7 @@
             else _SHARED_WALL
         )
         self._verdict = outcome.Verdict.NOT_RUN
+        self._refusal: outcome.Refusal | None = None
         self._sent = False
         self._run_counted = False
         self._turned_away: set[str] = set()
@@ -161,6 +162,7 @@
             )
         except outcome.Refused as refused:
             result = refused.refusal.reason.value
+            self._refusal = refused.refusal
             await self._end(refused.refusal)
         except asyncio.CancelledError:
             result = "cancelled"
@@ -207,6 +209,7 @@
             selected.expected_s, self._where.route.target_s
         )
         if refusal is not None:
+            self._log_selection(selected, "server_too_busy")
             raise outcome.Refused(refusal)
 
     def _verdict_now(self) -> outcome.Verdict:
@@ -474,6 +477,11 @@
         store = self._known.prefix_store()
         return store.address if store else ""
 
+    def _retry_after_s(self) -> float | None:
+        if self._refusal is None or self._refusal.retry_after is None:
+            return None
+        return self._refusal.retry_after.total_seconds()
+
     def _need(self) -> selection.Need:
         return selection.Need(
             self._request,
@@ -493,17 +501,21 @@
             self._first_event_s = self._elapsed_s()
             metrics.observe_first_event(self._where.rank, self._first_event_s)
 
-    def _log_selection(self, selected: selection.Selected) -> None:
+    def _log_selection(
+        self, selected: selection.Selected, event: str = "server_selected"
+    ) -> None:
         candidate = selected.candidate
         parts = self._request.parts
         logs.event(
             _log,
-            "server_selected",
+            event,
             request=self._request.request_id,
             server=candidate.server.server_id,
             service=self._where.service.name,
             zone=candidate.server.zone,
             running=candidate.load.running,
+            running_elsewhere=candidate.running - candidate.load.running,
+            waiting_tokens=candidate.waiting_tokens or None,
             expected_s=round(selected.expected_s, 4),
             cost=round(selected.cost, 3),
             salt=candidate.cache_salt if parts else None,
@@ -537,7 +549,9 @@
             "request_ended",
             request=self._request.request_id,
             result=result,
-            verdict=self._verdict.value,
+            verdict=self._verdict_now().value,
+            detail=self._refusal.message if self._refusal else None,
+            retry_after_s=self._retry_after_s(),
             route=route.name,
             service=self._where.service.name,
             rank=self._where.rank,
--- /dev/null
+++ b/hibiscusstile/logreader.py
@@ -0,0 +1,94 @@
+"""Reads the gateways' structured logs."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import json
+import pathlib
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+__all__ = ["LogEvent", "parse_line", "read_events"]
+
+_COMMON = ("time", "level", "part", "event", "instance")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LogEvent:
+    """One line of a log.
+
+    Attributes:
+        time: When it was written, by the clock of its instance.
+        instance: Name of the instance.
+        name: What happened.
+        fields: The inputs and the outcome.
+    """
+
+    time: datetime.datetime
+    instance: str
+    name: str
+    fields: dict[str, Any]
+
+    @property
+    def request_id(self) -> str:
+        """The request that the line is about, empty if none."""
+        return str(self.fields.get("request", ""))
+
+    @property
+    def server_id(self) -> str:
+        """The backend server that the line is about, empty if none."""
+        return str(self.fields.get("server", ""))
+
+    def text(self) -> str:
+        """Returns the line for a person, without empty fields."""
+        shown = " ".join(
+            f"{name}={value}"
+            for name, value in self.fields.items()
+            if value is not None
+        )
+        moment = self.time.strftime("%H:%M:%S.%f")[:-3]
+        return f"{moment} {self.instance} {self.name} {shown}"
+
+
+def parse_line(line: str) -> LogEvent | None:
+    """Returns a line's event; None for text that is no event.
+
+    Text before the JSON object, such as a collector's prefix, is ignored.
+    """
+    start = line.find('{"time"')
+    if start < 0:
+        return None
+    try:
+        parsed = json.loads(line[start:])
+        return LogEvent(
+            datetime.datetime.fromisoformat(parsed["time"]),
+            str(parsed.get("instance", "")),
+            str(parsed["event"]),
+            {
+                name: value
+                for name, value in parsed.items()
+                if name not in _COMMON
+            },
+        )
+    except (ValueError, KeyError, TypeError):
+        return None
+
+
+def read_events(paths: Iterable[pathlib.Path]) -> list[LogEvent]:
+    """Returns the events of several logs in order of time.
+
+    Raises:
+        OSError: A file cannot be read.
+    """
+    events = [event for path in paths for event in _read_file(path)]
+    events.sort(key=lambda event: event.time)
+    return events
+
+
+def _read_file(path: pathlib.Path) -> Iterator[LogEvent]:
+    with path.open(errors="replace") as lines:
+        for line in lines:
+            event = parse_line(line)
+            if event is not None:
+                yield event
