--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -10,7 +10,7 @@
 import logbook
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import logs, roles, settings, supervisor
+from hibiscusstile import logs, operators, roles, settings, supervisor
 from hibiscusstile.gateway import (
     follower,
     notices,
@@ -43,6 +43,8 @@
 _SETTINGS_POLL = datetime.timedelta(milliseconds=500)
 # The load balancer asks once a second and needs two misses.
 _BALANCER_DELAY_S = 2.4
+# The port that deploy/system.toml names for metrics.
+_METRICS_PORT = 9464
 _DRAIN_POLL = datetime.timedelta(milliseconds=50)
 # Left of the time before the kill signal for closing connections.
 _EXIT_MARGIN_S = 1.0
@@ -79,6 +81,10 @@
         )
         self._orders = orders.HttpOrders()
         self._cache_events = cacheevents.CacheEventFeed(self._known)
+        self._operators = operators.OperatorsServer(
+            settings.Address(host=config.address, port=_METRICS_PORT),
+            self._status,
+        )
         self._ready = ingress.ReadyPage(config.ready_address, self._gateway)
         self._operators_feed = follower.KeyedFollower(
             self._store,
@@ -139,11 +145,36 @@
             ("cache_events", self._cache_events.run),
             ("settings", self._watch_settings),
             ("ready", self._ready.run),
+            ("metrics", self._operators.run),
             ("callers", self._ingress.run),
         ]
         for name, start in specs:
             root.add(supervisor.ChildSpec(name, start))
 
+    def _status(self) -> dict[str, object]:
+        """Returns what the operators' port shows."""
+        table = self._known.table
+        return {
+            "role": self.name,
+            "peer_id": self._config.name,
+            "revision": table.version if table else None,
+            "ready": self._gateway.ready,
+            "leaving": self._gateway.leaving,
+            "active_requests": self._gateway.active,
+            "peers": list(self._mesh.peers),
+            "backend_servers": [
+                {
+                    "server": server.server_id,
+                    "service": server.service,
+                    "zone": server.zone,
+                    "leaving": server.leaving,
+                    "up": self._known.health.is_up(server.server_id),
+                    "running": self._known.loads.of(server.server_id).running,
+                }
+                for server in self._known.fleet.servers
+            ],
+        }
+
     def reload(self) -> None:
         """Asks for the settings file to be read again."""
         self._reload_asked.set()
