--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import argparse
 import asyncio
 import dataclasses
 import hashlib
@@ -71,6 +72,24 @@
         self._modes: list[str] = []
         self._standing = ""
 
+    @classmethod
+    def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
+        """Adds the runner's command-line options."""
+        parser.add_argument("--server-id", default="i-1")
+        parser.add_argument("--model", default="m1")
+        parser.add_argument("--events", type=int, default=4)
+        parser.add_argument("--pace-s", type=float, default=0.0)
+
+    @classmethod
+    def from_arguments(cls, arguments: argparse.Namespace) -> Runner:
+        """Returns a runner configured from the command line."""
+        return cls(
+            arguments.server_id,
+            arguments.model,
+            arguments.events,
+            arguments.pace_s,
+        )
+
     @property
     def server_id(self) -> str:
         """Its id in discovery."""
