--- a/soak/faults.py
+++ b/soak/faults.py
@@ -58,7 +58,7 @@
         gateway.send(signal.SIGTERM)
         loop = asyncio.get_running_loop()
         end_s = loop.time() + _GRACE_S
-        while gateway.running and loop.time() < end_s:
+        while gateway.running and loop.time() < end_s:  # noqa: ASYNC110
             await asyncio.sleep(0.05)
         gateway.end()
         gateway.start()
