--- a/hibiscusstile/__init__.py
+++ b/hibiscusstile/__init__.py
@@ -4,4 +4,4 @@
 
 __all__ = ["__version__"]
 
-__version__ = "0.1.0"
+__version__ = "0.2.0"
--- /dev/null
+++ b/hibiscusstile/__main__.py
@@ -0,0 +1,23 @@
+"""Starts the daemon: `python -m hibiscusstile`.
+
+A signal to read the settings again may come before the daemon's libraries are
+loaded; without a handler it would end the process. It is ignored until then,
+since the settings are read afterwards anyway.
+"""
+
+from __future__ import annotations
+
+import signal
+
+
+def main() -> None:
+    """Entry point of the program."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Imported only now, as loading takes half a second.
+    from hibiscusstile import daemon  # noqa: PLC0415
+
+    daemon.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/soak/world.py
+++ b/soak/world.py
@@ -203,7 +203,7 @@
         )
         process = Process(
             f"gateway-{number}",
-            [sys.executable, "-m", "hibiscusstile.daemon"],
+            [sys.executable, "-m", "hibiscusstile"],
             {"HIBISCUSSTILE_NODE_FILE": str(settings)},
             self._folder / f"gateway-{number}.log",
         )
--- a/tests/peers/test_bad_input.py
+++ b/tests/peers/test_bad_input.py
@@ -40,10 +40,15 @@
     fleet: processes.Fleet,
 ) -> AsyncIterator[ws_client.ClientConnection]:
     port = fleet.peer_ports["sidecar-engine-1"]
-    async with ws_client.connect(
+    open_socket = await ws_client.connect(
         f"ws://127.0.0.1:{port}", compression=None, max_size=None, proxy=None
-    ) as open_socket:
+    )
+    try:
         yield open_socket
+    finally:
+        # Closing a socket that the sidecar has reset fails in asyncio.
+        if not open_socket.transport.is_closing():
+            await open_socket.close()
 
 
 async def _wait_closed(open_socket: ws_client.ClientConnection) -> None:
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,6 +8,14 @@
 import pytest
 
 _DECISIONS = (
+    "gateway.choice",
+    "gateway.follower",
+    "gateway.notices",
+    "gateway.passage",
+    "gateway.rollout",
+    "gateway.selection.expected_first_token",
+    "gateway.selection.least_running",
+    "gateway.service",
     "admission",
     "bidder",
     "cacheview",
--- /dev/null
+++ b/tests/test_signals.py
@@ -0,0 +1,43 @@
+"""Tests of signals that come while a process starts."""
+
+from __future__ import annotations
+
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+import time
+
+_STARTING_S = 0.1
+_ALIVE_S = 1.5
+
+
+def test_a_reload_signal_while_starting_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a process that ends before it can read its settings.
+
+    Found by the soak, seed 225.
+    """
+    settings = tmp_path / "node.toml"
+    settings.write_text(
+        'node = "n"\nzone = "z"\nip = "127.77.0.1"\n'
+        "internal_ports = [0, 0]\n"
+        '[listen]\nfront = "127.77.0.1:0"\nready = "127.77.0.1:0"\n'
+        '[platform]\naddress = "127.77.0.1:1"\n'
+    )
+    process = subprocess.Popen(
+        [sys.executable, "-m", "hibiscusstile"],
+        env={**os.environ, "HIBISCUSSTILE_NODE_FILE": str(settings)},
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        time.sleep(_STARTING_S)
+        process.send_signal(signal.SIGHUP)
+        time.sleep(_ALIVE_S)
+        assert process.poll() is None
+    finally:
+        process.kill()
+        process.wait()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -10,8 +10,8 @@
 from soak import callers, checks
 
 # Seeds that failed once: 200 and 235 (a wrong belief about weights that every
-# gateway took over), 225 (the soak itself started a gateway twice).
-_SEEDS = (1, 200)
+# gateway took over), 225 (SIGHUP ended a gateway that was starting).
+_SEEDS = (1, 200, 225)
 _SECONDS = 3.0
 
 
