--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/passage.py
@@ -250,9 +250,9 @@
         )
         self._sent = True
         self._run_counted = False
+        self._log_selection(selected)
         serving.begin(work, selected.candidate.cache_salt, request.parts)
         self._tell_prefix(selected.candidate)
-        self._log_selection(selected)
         try:
             async with self._client.send(
                 server, request, self._options(selected.candidate)
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -46,6 +46,7 @@
 _BALANCER_DELAY_S = 2.4
 # The port that deploy/system.toml names for metrics.
 _METRICS_PORT = 9464
+_METRICS_RETRY = datetime.timedelta(seconds=10)
 _DRAIN_POLL = datetime.timedelta(milliseconds=50)
 # Left of the time before the kill signal for closing connections.
 _EXIT_MARGIN_S = 1.0
@@ -148,7 +149,7 @@
             ("cache_events", self._cache_events.run),
             ("settings", self._watch_settings),
             ("ready", self._ready.run),
-            ("metrics", self._operators.run),
+            ("metrics", self._serve_metrics),
             ("callers", self._ingress.run),
         ]
         for name, start in specs:
@@ -213,6 +214,15 @@
         await self._cache_events.close()
         await self._store.close()
 
+    async def _serve_metrics(self) -> None:
+        """Serves the operators' port; callers are served without it too."""
+        while True:
+            try:
+                await self._operators.run()
+            except OSError as error:
+                logs.warn(_log, "metrics_not_served", error=str(error))
+            await self._clock.sleep(_METRICS_RETRY)
+
     async def _watch_settings(self) -> None:
         """Reads the settings file again when it changes."""
         path = boot.settings_path()
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -28,7 +28,7 @@
         folder: For settings and logs.
     """
     rng = random.Random(seed)
-    scene = world.World(folder, 1 + (seed + os.getpid()) % _NETWORKS)
+    scene = world.World(folder, 1 + (seed + 31 * os.getpid()) % _NETWORKS)
     seen: list[callers.Seen] = []
     injected: list[str] = []
     stop_faults, stop_callers = asyncio.Event(), asyncio.Event()
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
+import socket
+import struct
 
 __all__ = ["Proxy"]
 
@@ -47,7 +48,7 @@
     def reset(self) -> None:
         """Resets all connections."""
         for writer in self._writers:
-            writer.transport.abort()
+            _reset(writer)
 
     def silence(self, direction: str) -> None:
         """Holds the bytes of one direction back, `up` or `down`."""
@@ -64,14 +65,14 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if self.refusing:
-            writer.transport.abort()
+            _reset(writer)
             return
         try:
             other_reader, other_writer = await asyncio.open_connection(
                 self._host, self._target_port
             )
         except OSError:
-            writer.transport.abort()
+            _reset(writer)
             return
         self._writers |= {writer, other_writer}
         try:
@@ -79,10 +80,13 @@
                 self._pump(reader, other_writer, "up"),
                 self._pump(other_reader, writer, "down"),
             )
+            writer.close()
+            other_writer.close()
+        except OSError:
+            _reset(writer)
+            _reset(other_writer)
         finally:
             self._writers -= {writer, other_writer}
-            writer.transport.abort()
-            other_writer.transport.abort()
 
     async def _pump(
         self,
@@ -90,11 +94,24 @@
         writer: asyncio.StreamWriter,
         direction: str,
     ) -> None:
-        with contextlib.suppress(OSError):
-            while data := await reader.read(_CHUNK):
-                await self._open[direction].wait()
-                await asyncio.sleep(self.delay_s)
-                writer.write(data)
-                await writer.drain()
-            if writer.can_write_eof():
-                writer.write_eof()
+        while data := await reader.read(_CHUNK):
+            await self._open[direction].wait()
+            await asyncio.sleep(self.delay_s)
+            writer.write(data)
+            await writer.drain()
+        if writer.can_write_eof():
+            writer.write_eof()
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection.
+
+    An abort alone ends it properly, by which half an answer without a length
+    would look whole.
+    """
+    opened = writer.get_extra_info("socket")
+    if opened is not None and opened.fileno() >= 0:
+        opened.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
+        )
+    writer.transport.abort()
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import contextlib
 import os
 import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -13,13 +15,7 @@
 _ALIVE_S = 1.5
 
 
-def test_a_reload_signal_while_starting_does_not_end_the_process(
-    tmp_path: pathlib.Path,
-) -> None:
-    """Guards against a process that ends before it can read its settings.
-
-    Found by the soak, seed 225.
-    """
+def _start(tmp_path: pathlib.Path) -> subprocess.Popen[bytes]:
     settings = tmp_path / "node.toml"
     settings.write_text(
         'node = "n"\nzone = "z"\nip = "127.77.0.1"\n'
@@ -27,12 +23,22 @@
         '[listen]\nfront = "127.77.0.1:0"\nready = "127.77.0.1:0"\n'
         '[platform]\naddress = "127.77.0.1:1"\n'
     )
-    process = subprocess.Popen(
+    return subprocess.Popen(
         [sys.executable, "-m", "hibiscusstile"],
         env={**os.environ, "HIBISCUSSTILE_NODE_FILE": str(settings)},
         stdout=subprocess.DEVNULL,
         stderr=subprocess.DEVNULL,
     )
+
+
+def test_a_reload_signal_while_starting_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a process that ends before it can read its settings.
+
+    Found by the soak, seed 225.
+    """
+    process = _start(tmp_path)
     try:
         time.sleep(_STARTING_S)
         process.send_signal(signal.SIGHUP)
@@ -41,3 +47,24 @@
     finally:
         process.kill()
         process.wait()
+
+
+def test_a_taken_metrics_port_does_not_end_the_process(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against callers that are not served for want of metrics.
+
+    Found by the soak, seed 316, beside another one on the same address.
+    """
+    with socket.socket() as taken:
+        taken.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        with contextlib.suppress(OSError):
+            taken.bind(("127.77.0.1", 9464))
+            taken.listen()
+        process = _start(tmp_path)
+        try:
+            time.sleep(_ALIVE_S)
+            assert process.poll() is None
+        finally:
+            process.kill()
+            process.wait()
