--- /dev/null
+++ b/hibiscusstile/gateway/passagelog.py
@@ -0,0 +1,152 @@
+"""Log lines and counters of one request."""
+
+from __future__ import annotations
+
+import logbook
+
+from hibiscusstile import logs, metrics, outcome
+from hibiscusstile.gateway import exchange, resolving, selection, state
+
+__all__ = ["PassageLog"]
+
+_log = logbook.Logger("passage")
+
+
+class PassageLog:
+    """Writes down what is decided about a request.
+
+    Args:
+        known: What this process knows.
+        request: The request.
+        where: Where it goes.
+    """
+
+    def __init__(
+        self,
+        known: state.GatewayState,
+        request: exchange.ForwardedRequest,
+        where: resolving.Destination,
+    ) -> None:
+        self._known = known
+        self._request = request
+        self._where = where
+        self._first_event_s = 0.0
+        self._status: int | None = None
+
+    def note_status(self, status: int) -> None:
+        """Notes the status that the caller gets from a server."""
+        self._status = status
+
+    def note_first_event(self) -> None:
+        """Notes that the answer's first event has come."""
+        if not self._first_event_s:
+            self._first_event_s = self._elapsed_s()
+            metrics.observe_first_event(self._where.rank, self._first_event_s)
+
+    def selected(
+        self, selected: selection.Selected, event: str = "server_selected"
+    ) -> None:
+        """Logs a selected server and what it was selected by."""
+        candidate = selected.candidate
+        parts = self._request.parts
+        logs.event(
+            _log,
+            event,
+            request=self._request.request_id,
+            server=candidate.server.server_id,
+            service=self._where.service.name,
+            zone=candidate.server.zone,
+            running=candidate.load.running,
+            running_elsewhere=candidate.running - candidate.load.running,
+            waiting_tokens=candidate.waiting_tokens or None,
+            expected_s=round(selected.expected_s, 4),
+            cost=round(selected.cost, 3),
+            salt=candidate.cache_salt if parts else None,
+            prefix=parts[-2].part_id if len(parts) > 1 else None,
+            prompt_tokens=self._request.prompt_tokens or None,
+            cached_tokens=selected.cached_tokens or None,
+            stored_tokens=candidate.stored_tokens or None,
+            behind_s=round(candidate.behind_s, 2) or None,
+            failures=round(candidate.failures, 3) or None,
+            elapsed_s=self._elapsed_s(),
+        )
+
+    def attempt_failed(
+        self, server_id: str, failure: exchange.AttemptFailed
+    ) -> None:
+        """Logs and counts an attempt that gave no answer."""
+        self._attempt(
+            server_id,
+            failure.cause.value,
+            failure.verdict,
+            detail=str(failure),
+        )
+
+    def attempt_ended(self, server_id: str, result: str) -> None:
+        """Logs and counts an attempt that gave an answer."""
+        self._attempt(server_id, result, outcome.Verdict.RAN)
+
+    def retry(self, granted: bool) -> None:
+        """Counts a retry, and logs one that the budget denied."""
+        service = self._where.service.name
+        metrics.count_retry(service, granted)
+        if not granted:
+            logs.event(
+                _log,
+                "retry_denied",
+                request=self._request.request_id,
+                budget=service,
+            )
+
+    def ended(
+        self,
+        result: str,
+        verdict: outcome.Verdict,
+        refusal: outcome.Refusal | None,
+        runs: int,
+    ) -> None:
+        """Logs and counts the request's end."""
+        route = self._where.route
+        metrics.count_request(route.kind.value, self._where.rank, result)
+        table = self._known.table
+        retry_after = refusal.retry_after if refusal else None
+        logs.event(
+            _log,
+            "request_ended",
+            request=self._request.request_id,
+            result=result,
+            verdict=verdict.value,
+            status=self._status,
+            detail=refusal.message if refusal else None,
+            retry_after_s=retry_after.total_seconds() if retry_after else None,
+            route=route.name,
+            service=self._where.service.name,
+            rank=self._where.rank,
+            runs=runs,
+            first_event_s=self._first_event_s or None,
+            elapsed_s=self._elapsed_s(),
+            configuration=table.version if table else None,
+        )
+
+    def _attempt(
+        self,
+        server_id: str,
+        result: str,
+        verdict: outcome.Verdict,
+        **fields: str,
+    ) -> None:
+        metrics.count_attempt(result)
+        logs.event(
+            _log,
+            "attempt",
+            request=self._request.request_id,
+            server=server_id,
+            result=result,
+            verdict=verdict.value,
+            elapsed_s=self._elapsed_s(),
+            **fields,
+        )
+
+    def _elapsed_s(self) -> float:
+        now_s = self._known.clock.monotonic()
+        return round(now_s - self._request.received_s, 4)
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -5,7 +5,7 @@
 import logbook
 
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import exchange, passage, state
+from hibiscusstile.gateway import exchange, passage, resolving, state
 
 __all__ = ["Gateway"]
 
@@ -62,7 +62,7 @@
         """Serves one request."""
         self._active += 1
         try:
-            where = passage.resolve(self._known.table, request)
+            where = resolving.resolve(self._known.table, request)
         except outcome.Refused as refused:
             self._log_refusal(request, refused.refusal)
             await caller.refuse(refused.refusal)
--- a/hibiscusstile/outcome.py
+++ b/hibiscusstile/outcome.py
@@ -6,7 +6,7 @@
 import datetime
 import enum
 
-__all__ = ["Reason", "Refusal", "Refused", "Verdict"]
+__all__ = ["Reason", "Refusal", "Refused", "Verdict", "refused"]
 
 
 class Verdict(enum.Enum):
@@ -77,3 +77,13 @@
     def __init__(self, refusal: Refusal) -> None:
         super().__init__(f"{refusal.reason.value}: {refusal.message}")
         self.refusal = refusal
+
+
+def refused(
+    reason: Reason,
+    message: str,
+    retry_after: datetime.timedelta | None = None,
+    verdict: Verdict = Verdict.NOT_RUN,
+) -> Refused:
+    """Returns the exception of a refusal."""
+    return Refused(Refusal(reason, message, verdict, retry_after))
