--- /dev/null
+++ b/hibiscusstile/gateway/duty.py
@@ -0,0 +1,186 @@
+"""The duty of ordering weights, which one process has at a time.
+
+A process claims it with a record that the log takes only where the duty's
+topic ends. The record's offset is the fencing token. A claim holds for a fixed
+time from the moment before it was sent, and the next one may come only after
+the claim and a pause have passed since it was read, so that two holders never
+order within the lease.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import hashlib
+import json
+
+import logbook
+
+from hibiscusstile import logs, platform
+from hibiscusstile.gateway import notices, state
+from hibiscusstile.platform import topics
+
+__all__ = ["Claim", "OrderingDuty"]
+
+_log = logbook.Logger("duty")
+
+_TOPIC = "hibiscusstile.weights"
+# A rollout of today's fleets takes two to three seconds; a claim is renewed.
+_CLAIM = datetime.timedelta(seconds=2.5)
+# The holder of the last claim goes on at once; others wait until no engine
+# has changed for this long.
+_SUCCESSION_S = 2.0
+# Processes that could claim at the same moment spread over this time.
+_SPREAD_S = 0.4
+_RETRY_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim of the duty.
+
+    Attributes:
+        holder: Name of the process that claimed it.
+        fence: Its fencing token.
+        until_s: When it ends, on the monotonic clock.
+    """
+
+    holder: str
+    fence: int
+    until_s: float
+
+
+class OrderingDuty:
+    """Claims the duty, and knows who holds it.
+
+    Args:
+        known: What this process knows.
+        log: Holds the claims.
+        reader: Knows the claims that other processes told of.
+        name: Name of this process, unique among all.
+        pause: Least time between the orders of two holders.
+    """
+
+    def __init__(
+        self,
+        known: state.GatewayState,
+        log: topics.KeyedLog,
+        reader: notices.NoticeReader,
+        name: str,
+        pause: datetime.timedelta,
+    ) -> None:
+        self._known = known
+        self._clock = known.clock
+        self._log = log
+        self._reader = reader
+        self._name = name
+        self._pause_s = pause.total_seconds()
+        self._last_claim: Claim | None = None
+        self._end: int | None = None
+        self._not_before_s = 0.0
+
+    @property
+    def held(self) -> Claim | None:
+        """This process's claim, None if it holds none now."""
+        claim = self._last_claim
+        if claim is None or claim.holder != self._name:
+            return None
+        return claim if self._clock.monotonic() < claim.until_s else None
+
+    @property
+    def left_s(self) -> float:
+        """Seconds for which this process still holds the duty."""
+        claim = self.held
+        return claim.until_s - self._clock.monotonic() if claim else 0.0
+
+    def may_claim(self, waited_s: float) -> bool:
+        """Returns whether it is this process's turn to claim the duty.
+
+        Args:
+            waited_s: For how long the duty has been neglected.
+        """
+        now_s = self._clock.monotonic()
+        if now_s < self._not_before_s:
+            return False
+        last = self._last_claim
+        if last is not None and last.holder == self._name:
+            return True
+        if last is None and self._end is None:
+            return waited_s >= _SPREAD_S * self._position()
+        return waited_s >= _SUCCESSION_S + _SPREAD_S * self._position()
+
+    def _position(self) -> float:
+        """Returns this process's place in the order of claims, 0 to 1."""
+        digest = hashlib.blake2b(self._name.encode(), digest_size=2).digest()
+        return int.from_bytes(digest, "big") / 65_536
+
+    async def claim(self) -> bool:
+        """Appends a claim where the topic ends; returns whether it holds."""
+        if self._end is None and not await self._read_claims():
+            self._not_before_s = self._clock.monotonic() + _RETRY_S
+            return False
+        if self._clock.monotonic() < self._not_before_s:
+            return False
+        sent_s = self._clock.monotonic()
+        payload = json.dumps({"holder": self._name}).encode()
+        result = await self._log.append(_TOPIC, payload, self._end)
+        if isinstance(result, platform.Appended):
+            self._end = result.offset + 1
+            self._last_claim = Claim(
+                self._name,
+                result.offset + 1,
+                sent_s + _CLAIM.total_seconds(),
+            )
+            self._known.notices.note_claim(result.offset + 1)
+            logs.event(_log, "duty_won", fence=result.offset + 1)
+            return True
+        if isinstance(result, topics.Conflict):
+            logs.event(_log, "duty_lost", end=result.end)
+            await self._read_claims()
+            return False
+        # An append without an answer may still be done seconds later, but
+        # only while the topic ends where it did; the claims are read anew.
+        logs.event(_log, "duty_unknown", error=result.message)
+        self._end = None
+        self._not_before_s = self._clock.monotonic() + _RETRY_S
+        return False
+
+    async def _read_claims(self) -> bool:
+        """Learns the last claim and when the next one may come."""
+        offset = self._end or 0
+        last: bytes | None = None
+        while True:
+            records = await self._log.read(
+                _TOPIC, offset, datetime.timedelta(0)
+            )
+            if isinstance(records, platform.LogUnavailable):
+                self._end = None
+                return False
+            if isinstance(records, topics.Trimmed):
+                offset = records.first
+                continue
+            if records.payloads:
+                last = records.payloads[-1]
+            offset = records.next_offset
+            if offset >= records.end or not records.payloads:
+                break
+        self._end = records.end
+        if last is not None:
+            self._note_claim(last, records.end)
+        return True
+
+    def _note_claim(self, payload: bytes, fence: int) -> None:
+        try:
+            holder = str(json.loads(payload)["holder"])
+        except (ValueError, KeyError, TypeError):
+            holder = ""
+        # The claim was sent before it was read, or told by its holder.
+        sent_s = self._clock.monotonic()
+        told = self._reader.claim
+        if told is not None and told[:2] == (holder, fence):
+            sent_s = told[2]
+        until_s = sent_s + _CLAIM.total_seconds()
+        self._last_claim = Claim(holder, fence, until_s)
+        if holder != self._name:
+            self._not_before_s = until_s + self._pause_s
+            logs.event(_log, "duty_held", holder=holder, fence=fence)
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -1,43 +1,20 @@
-"""Brings engines to the newest weights, a few at a time.
-
-One process gives all orders for a while: it claims the duty with a record
-that the log takes only where the duty's topic ends. The record's offset is
-the fencing token. A claim holds for a fixed time from the moment before it
-was sent, and the next one may come only after the claim and a pause have
-passed since it was read, so that two holders never order within the lease.
-"""
+"""Brings engines to the newest weights, a few at a time."""
 
 from __future__ import annotations
 
-import abc
 import asyncio
-import dataclasses
 import datetime
-import enum
-import hashlib
-import json
-from collections.abc import Mapping
 
 import logbook
 
-from hibiscusstile import logs, platform
-from hibiscusstile.gateway import fleet, notices, state
-from hibiscusstile.platform import topics
+from hibiscusstile import logs
+from hibiscusstile.gateway import duty as duty_lib
+from hibiscusstile.gateway import engineorders, fleet, state
 
-__all__ = [
-    "EngineOrders",
-    "EngineReport",
-    "OrderAnswer",
-    "OrderResult",
-    "Rollout",
-    "WeightsOrder",
-]
+__all__ = ["Rollout"]
 
 _log = logbook.Logger("rollout")
 
-_TOPIC = "hibiscusstile.weights"
-# A rollout of today's fleets takes two to three seconds.
-_CLAIM = datetime.timedelta(seconds=2.5)
 # Engines of a model that change weights at the same time. Loading slows down
 # beyond a third of the fleet on all of today's deployments.
 _WAVE_SHARE = 1 / 3
@@ -50,138 +27,39 @@
 # Loading takes 0.57 s; the next engine's order goes out then, while reports,
 # which are up to 200 ms old, still show the load.
 _LOAD = datetime.timedelta(milliseconds=600)
-# The holder of the last claim goes on at once; others wait until no engine
-# has changed for this long.
-_SUCCESSION_S = 2.0
 # A claim is renewed when less than this is left and engines are behind.
 _RENEWAL_S = 1.2
-# Processes that could claim at the same moment spread over this time.
-_SPREAD_S = 0.4
-_RETRY_S = 0.5
 _MAX_REFUSAL_PAUSE = datetime.timedelta(seconds=1.2)
 _UNKNOWN_PAUSE = datetime.timedelta(milliseconds=20)
 # A lost answer to an order is followed up by reports for this long.
 _ORDER_S = 6.0
 
 
-class OrderResult(enum.Enum):
-    """What became of an order."""
-
-    ACCEPTED = "accepted"
-    HOLDS = "holds"
-    REFUSED = "refused"
-    UNKNOWN = "unknown"
-    REPLACED = "replaced"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class OrderAnswer:
-    """Answer to an order.
-
-    Attributes:
-        result: What became of the order.
-        detail: Why, for logs.
-    """
-
-    result: OrderResult
-    detail: str = ""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class EngineReport:
-    """What an engine says of itself.
-
-    Attributes:
-        versions: Versions of weights by model.
-        busy: Whether it carries out an order.
-        orders_taken: Orders accepted in its lifetime.
-        running: Requests that run.
-        waiting: Requests that wait.
-    """
-
-    versions: Mapping[str, int]
-    busy: bool
-    orders_taken: int
-    running: int
-    waiting: int
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class WeightsOrder:
-    """An order to load a version of a model's weights.
-
-    Attributes:
-        model: The model.
-        version: The version.
-        mode: What becomes of requests that run.
-        holder: Name of the process that orders.
-        fence: Fencing token of its claim.
-        orders_taken: Orders that the engine must have accepted before.
-    """
-
-    model: str
-    version: int
-    mode: str
-    holder: str
-    fence: int
-    orders_taken: int
-
-
-class EngineOrders(abc.ABC):
-    """Gives orders to engines."""
-
-    @abc.abstractmethod
-    async def report(self, server: fleet.BackendServer) -> EngineReport | None:
-        """Returns an engine's report, None if it gave none."""
-
-    @abc.abstractmethod
-    async def change_weights(
-        self, server: fleet.BackendServer, order: WeightsOrder
-    ) -> OrderAnswer:
-        """Orders an engine to load a version, once."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Claim:
-    holder: str
-    fence: int
-    until_s: float
-
-
 class Rollout:
     """Watches for engines with older weights and has them changed.
 
     Args:
         known: What this process knows.
-        log: Holds the claims.
+        duty: Says whether this process may give orders.
         orders: Speaks to engines.
-        reader: Knows the claims that other processes told of.
         name: Name of this process, unique among all.
-        pause: Least time between the orders of two holders.
         mode: What becomes of requests that run during a change.
     """
 
     def __init__(
         self,
         known: state.GatewayState,
-        log: topics.KeyedLog,
-        orders: EngineOrders,
-        reader: notices.NoticeReader,
+        duty: duty_lib.OrderingDuty,
+        orders: engineorders.EngineOrders,
         name: str,
-        pause: datetime.timedelta,
         mode: str = "continue",
     ) -> None:
         self._known = known
         self._clock = known.clock
-        self._log = log
+        self._duty = duty
         self._orders = orders
-        self._reader = reader
         self._name = name
-        self._pause_s = pause.total_seconds()
         self._mode = mode
-        self._last_claim: _Claim | None = None
-        self._end: int | None = None
-        self._not_before_s = 0.0
         self._loading_until_s: dict[str, float] = {}
         self._refusals: dict[str, int] = {}
         self._behind_ids: frozenset[str] = frozenset()
@@ -191,11 +69,10 @@
         """Watches until cancelled."""
         while True:
             await self._clock.sleep(_TICK)
-            if (
-                self._note_progress()
-                and self._may_claim()
-                and await self._claim()
-            ):
+            if not self._note_progress():
+                continue
+            waited_s = self._clock.monotonic() - self._behind_since_s
+            if self._duty.may_claim(waited_s) and await self._duty.claim():
                 await self._hold()
 
     def _behind(self) -> list[tuple[str, fleet.BackendServer]]:
@@ -229,107 +106,22 @@
             self._behind_since_s = self._clock.monotonic()
         return bool(behind)
 
-    def _may_claim(self) -> bool:
-        """Returns whether it is this process's turn to claim the duty."""
-        now_s = self._clock.monotonic()
-        if now_s < self._not_before_s:
-            return False
-        last = self._last_claim
-        if last is not None and last.holder == self._name:
-            return True
-        waited_s = now_s - self._behind_since_s
-        if last is None and self._end is None:
-            return waited_s >= _SPREAD_S * self._position()
-        return waited_s >= _SUCCESSION_S + _SPREAD_S * self._position()
-
-    def _position(self) -> float:
-        """Returns this process's place in the order of claims, 0 to 1."""
-        digest = hashlib.blake2b(self._name.encode(), digest_size=2).digest()
-        return int.from_bytes(digest, "big") / 65_536
-
-    async def _claim(self) -> bool:
-        """Appends a claim where the topic ends; returns whether it holds."""
-        if self._end is None and not await self._read_claims():
-            self._not_before_s = self._clock.monotonic() + _RETRY_S
-            return False
-        if self._clock.monotonic() < self._not_before_s:
-            return False
-        sent_s = self._clock.monotonic()
-        payload = json.dumps({"holder": self._name}).encode()
-        result = await self._log.append(_TOPIC, payload, self._end)
-        if isinstance(result, platform.Appended):
-            self._end = result.offset + 1
-            self._last_claim = _Claim(
-                self._name,
-                result.offset + 1,
-                sent_s + _CLAIM.total_seconds(),
-            )
-            self._known.notices.note_claim(result.offset + 1)
-            logs.event(_log, "duty_won", fence=result.offset + 1)
-            return True
-        if isinstance(result, topics.Conflict):
-            logs.event(_log, "duty_lost", end=result.end)
-            await self._read_claims()
-            return False
-        # An append without an answer may still be done seconds later, but
-        # only while the topic ends where it did; the claims are read anew.
-        logs.event(_log, "duty_unknown", error=result.message)
-        self._end = None
-        self._not_before_s = self._clock.monotonic() + _RETRY_S
-        return False
-
-    async def _read_claims(self) -> bool:
-        """Learns the last claim and when the next one may come."""
-        offset = self._end or 0
-        last: bytes | None = None
-        while True:
-            records = await self._log.read(
-                _TOPIC, offset, datetime.timedelta(0)
-            )
-            if isinstance(records, platform.LogUnavailable):
-                self._end = None
-                return False
-            if isinstance(records, topics.Trimmed):
-                offset = records.first
-                continue
-            if records.payloads:
-                last = records.payloads[-1]
-            offset = records.next_offset
-            if offset >= records.end or not records.payloads:
-                break
-        self._end = records.end
-        if last is not None:
-            self._note_claim(last, records.end)
-        return True
-
-    def _note_claim(self, payload: bytes, fence: int) -> None:
-        try:
-            holder = str(json.loads(payload)["holder"])
-        except (ValueError, KeyError, TypeError):
-            holder = ""
-        # The claim was sent before it was read, or told by its holder.
-        sent_s = self._clock.monotonic()
-        told = self._reader.claim
-        if told is not None and told[:2] == (holder, fence):
-            sent_s = told[2]
-        until_s = sent_s + _CLAIM.total_seconds()
-        self._last_claim = _Claim(holder, fence, until_s)
-        if holder != self._name:
-            self._not_before_s = until_s + self._pause_s
-            logs.event(_log, "duty_held", holder=holder, fence=fence)
-
     async def _hold(self) -> None:
         """Changes engines in waves until all are done or the claim ends."""
         async with asyncio.TaskGroup() as changes:
             under_way: dict[str, asyncio.Task[None]] = {}
-            while (left_s := self._claimed_s()) > 0:
+            while (left_s := self._duty.left_s) > 0:
                 behind = self._behind()
                 for server_id in list(under_way):
                     if under_way[server_id].done():
                         del under_way[server_id]
                 if not behind and not under_way:
                     return
-                if behind and left_s < _RENEWAL_S and not await self._claim():
+                if (
+                    behind
+                    and left_s < _RENEWAL_S
+                    and not await self._duty.claim()
+                ):
                     return
                 for model, server in self._next(behind, set(under_way)):
                     under_way[server.server_id] = changes.create_task(
@@ -337,13 +129,6 @@
                     )
                 await self._clock.sleep(_POLL)
 
-    def _claimed_s(self) -> float:
-        """Returns for how long this process still holds the duty."""
-        claim = self._last_claim
-        if claim is None or claim.holder != self._name:
-            return 0.0
-        return claim.until_s - self._clock.monotonic()
-
     def _next(
         self,
         behind: list[tuple[str, fleet.BackendServer]],
@@ -385,8 +170,8 @@
         self._note_report(server, report)
         if report.versions.get(model, named.version) >= named.version:
             return
-        claim = self._last_claim
-        if report.busy or claim is None or self._claimed_s() <= 0:
+        claim = self._duty.held
+        if report.busy or claim is None:
             await self._clock.sleep(_REPORT_PAUSE)
             return
         self._known.weights.note_changing(server.server_id, _CHANGE_S)
@@ -394,7 +179,7 @@
         self._loading_until_s.pop(server.server_id, None)
         answer = await self._orders.change_weights(
             server,
-            WeightsOrder(
+            engineorders.WeightsOrder(
                 model,
                 named.version,
                 self._mode,
@@ -414,10 +199,13 @@
             running=report.running,
             fence=claim.fence,
         )
-        if answer.result is OrderResult.REPLACED:
+        if answer.result is engineorders.OrderResult.REPLACED:
             self._known.health.note_replaced(server.server_id)
             return
-        if answer.result in (OrderResult.REFUSED, OrderResult.UNKNOWN):
+        if answer.result in (
+            engineorders.OrderResult.REFUSED,
+            engineorders.OrderResult.UNKNOWN,
+        ):
             # An order without an answer may be carried out later; the next
             # one is valid only as long as the engine has not taken it.
             self._known.weights.note_changing(server.server_id, 0.0)
@@ -431,10 +219,10 @@
         await self._wait_changed(model, named.version, server)
 
     def _refusal_pause(
-        self, server: fleet.BackendServer, answer: OrderAnswer
+        self, server: fleet.BackendServer, answer: engineorders.OrderAnswer
     ) -> datetime.timedelta:
         """Returns the time before the next order to an engine."""
-        if answer.result is OrderResult.UNKNOWN:
+        if answer.result is engineorders.OrderResult.UNKNOWN:
             return _UNKNOWN_PAUSE
         refusals = self._refusals.get(server.server_id, 0)
         self._refusals[server.server_id] = refusals + 1
@@ -460,7 +248,7 @@
             await self._clock.sleep(_REPORT_PAUSE)
 
     def _note_report(
-        self, server: fleet.BackendServer, report: EngineReport
+        self, server: fleet.BackendServer, report: engineorders.EngineReport
     ) -> None:
         for model, version in report.versions.items():
             known = self._known.weights.version_at(server.server_id, model)
--- a/hibiscusstile/platform/orders.py
+++ b/hibiscusstile/platform/orders.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pydantic
 
-from hibiscusstile.gateway import fleet, rollout
+from hibiscusstile.gateway import engineorders, fleet
 from hibiscusstile.platform import headers, sockets
 
 __all__ = ["HttpOrders"]
@@ -13,9 +13,9 @@
 # Engines answer within a few ms; an order is repeated after that.
 _TIMEOUT = aiohttp.ClientTimeout(total=0.3, sock_connect=0.3)
 _RESULTS = {
-    200: rollout.OrderResult.HOLDS,
-    202: rollout.OrderResult.ACCEPTED,
-    421: rollout.OrderResult.REPLACED,
+    200: engineorders.OrderResult.HOLDS,
+    202: engineorders.OrderResult.ACCEPTED,
+    421: engineorders.OrderResult.REPLACED,
 }
 
 
@@ -34,7 +34,7 @@
     running: int = 0
 
 
-class HttpOrders(rollout.EngineOrders):
+class HttpOrders(engineorders.EngineOrders):
     """Speaks to the engines' order interface."""
 
     def __init__(self) -> None:
@@ -42,7 +42,7 @@
 
     async def report(
         self, server: fleet.BackendServer
-    ) -> rollout.EngineReport | None:
+    ) -> engineorders.EngineReport | None:
         """Returns an engine's report, None if it gave none."""
         try:
             async with self._open_session().get(
@@ -59,7 +59,7 @@
             pydantic.ValidationError,
         ):
             return None
-        return rollout.EngineReport(
+        return engineorders.EngineReport(
             versions={each.name: each.version for each in parsed.models},
             busy=parsed.busy,
             orders_taken=parsed.sequence,
@@ -68,8 +68,8 @@
         )
 
     async def change_weights(
-        self, server: fleet.BackendServer, order: rollout.WeightsOrder
-    ) -> rollout.OrderAnswer:
+        self, server: fleet.BackendServer, order: engineorders.WeightsOrder
+    ) -> engineorders.OrderAnswer:
         """Orders an engine to load a version, once."""
         body = {
             "operation": "version",
@@ -88,13 +88,17 @@
             ) as response:
                 detail = f"{response.status} {await response.text()}"
                 result = _RESULTS.get(
-                    response.status, rollout.OrderResult.REFUSED
+                    response.status, engineorders.OrderResult.REFUSED
                 )
         except aiohttp.ClientConnectorError as error:
-            return rollout.OrderAnswer(rollout.OrderResult.REFUSED, repr(error))
+            return engineorders.OrderAnswer(
+                engineorders.OrderResult.REFUSED, repr(error)
+            )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return rollout.OrderAnswer(rollout.OrderResult.UNKNOWN, repr(error))
-        return rollout.OrderAnswer(result, detail)
+            return engineorders.OrderAnswer(
+                engineorders.OrderResult.UNKNOWN, repr(error)
+            )
+        return engineorders.OrderAnswer(result, detail)
 
     async def close(self) -> None:
         """Closes connections."""
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -13,6 +13,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, operators, roles, settings, supervisor
 from hibiscusstile.gateway import (
+    duty,
     follower,
     notices,
     rollout,
@@ -117,11 +118,15 @@
         )
         self._rollout = rollout.Rollout(
             self._known,
-            self._store,
+            duty.OrderingDuty(
+                self._known,
+                self._store,
+                self._board,
+                config.name,
+                datetime.timedelta(seconds=config.lease_s),
+            ),
             self._orders,
-            self._board,
             config.name,
-            datetime.timedelta(seconds=config.lease_s),
         )
 
     @property
--- a/tests/builders/rollout.py
+++ b/tests/builders/rollout.py
@@ -5,7 +5,7 @@
 import datetime
 
 from hibiscusstile import platform
-from hibiscusstile.gateway import fleet, rollout, state
+from hibiscusstile.gateway import engineorders, fleet, state
 from hibiscusstile.platform import topics
 
 __all__ = ["MemoryEngines", "MemoryLog"]
@@ -58,32 +58,37 @@
         """Does nothing."""
 
 
-class MemoryEngines(rollout.EngineOrders):
+class MemoryEngines(engineorders.EngineOrders):
     """Engines that load at once, and keep the orders that they took."""
 
     def __init__(self, known: state.GatewayState, model: str = "m1") -> None:
         self._known = known
         self._model = model
         self.versions: dict[str, int] = {}
-        self.orders: list[tuple[float, str, rollout.WeightsOrder]] = []
-        self.results: list[rollout.OrderResult] = []
+        self.orders: list[tuple[float, str, engineorders.WeightsOrder]] = []
+        self.results: list[engineorders.OrderResult] = []
 
     async def report(
         self, server: fleet.BackendServer
-    ) -> rollout.EngineReport | None:
+    ) -> engineorders.EngineReport | None:
         """Returns an engine's version and the orders it took."""
         version = self.versions.setdefault(server.server_id, 1)
         taken = sum(each[1] == server.server_id for each in self.orders)
-        return rollout.EngineReport({self._model: version}, False, taken, 0, 0)
+        return engineorders.EngineReport(
+            {self._model: version}, False, taken, 0, 0
+        )
 
     async def change_weights(
-        self, server: fleet.BackendServer, order: rollout.WeightsOrder
-    ) -> rollout.OrderAnswer:
+        self, server: fleet.BackendServer, order: engineorders.WeightsOrder
+    ) -> engineorders.OrderAnswer:
         """Takes an order, or answers as the test asks."""
         result = self.results.pop(0) if self.results else None
-        if result is not None and result is not rollout.OrderResult.ACCEPTED:
-            return rollout.OrderAnswer(result, "as the test asks")
+        if (
+            result is not None
+            and result is not engineorders.OrderResult.ACCEPTED
+        ):
+            return engineorders.OrderAnswer(result, "as the test asks")
         now_s = self._known.clock.monotonic()
         self.orders.append((now_s, server.server_id, order))
         self.versions[server.server_id] = order.version
-        return rollout.OrderAnswer(rollout.OrderResult.ACCEPTED)
+        return engineorders.OrderAnswer(engineorders.OrderResult.ACCEPTED)
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -7,7 +7,13 @@
 import datetime
 import itertools
 
-from hibiscusstile.gateway import notices, rollout, state
+from hibiscusstile.gateway import (
+    duty,
+    engineorders,
+    notices,
+    rollout,
+    state,
+)
 from tests import builders as base
 from tests.builders import gateway as builders
 from tests.builders import rollout as rollouts
@@ -57,7 +63,8 @@
     name: str,
 ) -> rollout.Rollout:
     reader = notices.NoticeReader(known)
-    return rollout.Rollout(known, log, engines, reader, name, _PAUSE)
+    duty_held = duty.OrderingDuty(known, log, reader, name, _PAUSE)
+    return rollout.Rollout(known, duty_held, engines, name)
 
 
 async def test_engines_change_a_third_at_a_time() -> None:
@@ -123,7 +130,7 @@
     clock = _SteppingClock()
     known = _state(clock, 1)
     engines = rollouts.MemoryEngines(known)
-    engines.results = [rollout.OrderResult.UNKNOWN] * 3
+    engines.results = [engineorders.OrderResult.UNKNOWN] * 3
     known.name_weights("m1", 2)
     await _run(clock, [_rollout(known, rollouts.MemoryLog(), engines, "a")], 3)
     assert len(engines.orders) == 1
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,6 +9,7 @@
 
 _DECISIONS = (
     "gateway.choice",
+    "gateway.duty",
     "gateway.follower",
     "gateway.notices",
     "gateway.passage",
