--- a/hibiscusstile/platform/keyed_log.py
+++ b/hibiscusstile/platform/keyed_log.py
@@ -167,8 +167,12 @@
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = aiohttp.ClientSession(
+                # A kept connection may have fallen silent in a cut, and would
+                # hold the first read after it for seconds.
                 connector=aiohttp.TCPConnector(
-                    limit=_CONNECTIONS, socket_factory=sockets.open_socket
+                    limit=_CONNECTIONS,
+                    force_close=True,
+                    socket_factory=sockets.open_socket,
                 ),
                 cookie_jar=aiohttp.DummyCookieJar(),
             )
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 import json
 
@@ -156,3 +157,33 @@
     """Guards against an error that does not say where it is."""
     with pytest.raises(operatorrecords.RecordError, match="version"):
         operatorrecords.decode_configuration(b'{"routes": []}')
+
+
+async def test_a_connection_that_fell_silent_is_not_used_again() -> None:
+    """Guards against a read that waits on a connection from before a cut.
+
+    Found on a played day: the read hung for 3 s after the cut had healed, and
+    the gateway refused keys by an older configuration (CONFIG).
+    """
+
+    async def answer_once(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        body = b'{"items": [], "end": 0}'
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body)
+        )
+        writer.write(body)
+        await reader.read()
+        writer.close()
+
+    server = await asyncio.start_server(answer_once, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    log = keyed_log.PlatformStore(f"127.0.0.1:{port}")
+    try:
+        for _ in range(2):
+            assert await log.newest("keyed.op") == topics.Newest((), 0)
+    finally:
+        await log.close()
+        server.close()
