Name by the field's terms, and write shared parts once

The gateway's passage, duty, notice board and wall are forwarding, rollout lease, notice outbox and cache scope. The claims' state machine has a module of its own. The two catch-alls of the sidecar say why they are there.

--- a/bench/hop.py
+++ b/bench/hop.py
@@ -17,7 +17,6 @@
 import pstats
 import secrets
 import signal
-import socket
 import statistics
 import subprocess
 import sys
@@ -30,6 +29,7 @@
 
 from hibiscusstile import identity
 from hibiscusstile.entry import auth
+from hibiscusstile_standins import ports
 
 __all__ = ["main"]
 
@@ -79,7 +79,7 @@
             self._start_stand_in(name, kind)
         await self._publish()
         for name in ("peers", "http", "sidecar-operators", "entry-operators"):
-            self._ports[name] = _free_port()
+            self._ports[name] = ports.reserve_port()
         self._start_daemon("sidecar", self._sidecar_settings())
         self._start_daemon("entry", self._entry_settings())
         await self._wait_answering()
@@ -339,11 +339,5 @@
     return {"host": "127.0.0.1", "port": port}
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 if __name__ == "__main__":
     main()
--- a/hibiscusstile/ctl/explain.py
+++ b/hibiscusstile/ctl/explain.py
@@ -8,8 +8,8 @@
 
 import cyclopts
 
-from hibiscusstile import ctl, explaining, logreader
-from hibiscusstile.ctl import output
+from hibiscusstile import ctl, explaining
+from hibiscusstile.ctl import logfiles, output
 
 __all__ = ["ExplainCommand", "explain"]
 
@@ -40,13 +40,8 @@
         files: Logs of the gateways, in any order.
         as_json: Print the result as JSON.
     """
-    if not files:
-        output.print_error("name at least one log")
-        return ctl.EXIT_BAD_USAGE
-    try:
-        events = logreader.read_events(files)
-    except OSError as error:
-        output.print_error(str(error))
+    events = logfiles.read_logs(files)
+    if events is None:
         return ctl.EXIT_BAD_USAGE
     explanation = explaining.explain(events, request_id)
     if as_json:
--- a/hibiscusstile/ctl/log_summary.py
+++ b/hibiscusstile/ctl/log_summary.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable, Sequence
 
 from hibiscusstile import ctl, logreader
-from hibiscusstile.ctl import output
+from hibiscusstile.ctl import logfiles
 
 __all__ = ["LogSummaryCommand", "log_summary"]
 
@@ -24,7 +24,7 @@
         "leaving",
         "record_unreadable",
         "settings_rejected",
-        "duty_won",
+        "lease_won",
         "weights_named",
         "configuration_applied",
     }
@@ -49,13 +49,8 @@
     Args:
         files: Logs of the gateways, in any order.
     """
-    if not files:
-        output.print_error("name at least one log")
-        return ctl.EXIT_BAD_USAGE
-    try:
-        events = logreader.read_events(files)
-    except OSError as error:
-        output.print_error(str(error))
+    events = logfiles.read_logs(files)
+    if events is None:
         return ctl.EXIT_BAD_USAGE
     for line in _summarise(events):
         print(line)
--- a/hibiscusstile/gateway/choice.py
+++ b/hibiscusstile/gateway/choice.py
@@ -22,7 +22,7 @@
     known: state.GatewayState,
     service: routes.Service,
     need: selection.Need,
-    wall: str,
+    scope: str,
     excluded: Collection[str],
 ) -> selection.Selected | None:
     """Returns the server for the next attempt, None if there is none.
@@ -34,7 +34,7 @@
         known: What this process knows.
         service: The service that the request goes to.
         need: What the request needs.
-        wall: Namespace of prompt parts that the request may share.
+        scope: Who shares cached prompt parts with the request.
         excluded: Servers not to use.
     """
     candidates = [
@@ -43,7 +43,7 @@
         if server.server_id not in excluded
         and (
             candidate := _candidate(
-                known, service, need, wall, server.server_id
+                known, service, need, scope, server.server_id
             )
         )
     ]
@@ -66,7 +66,7 @@
     known: state.GatewayState,
     service: routes.Service,
     need: selection.Need,
-    wall: str,
+    scope: str,
     server_id: str,
 ) -> selection.Candidate | None:
     server = known.fleet.get(server_id)
@@ -86,7 +86,7 @@
         cache_tokens = service.engine.cache_tokens
         load.set_cache_tokens(cache_tokens)
     version = known.weights.version_at(server_id, need.request.model)
-    salt = cache_salt(wall, version)
+    salt = cache_salt(scope, version)
     return selection.Candidate(
         server,
         load,
@@ -106,13 +106,13 @@
     )
 
 
-def cache_salt(wall: str, version: int | None) -> str:
+def cache_salt(scope: str, version: int | None) -> str:
     """Returns the namespace of cached prompt parts.
 
-    Parts are never shared between versions of the weights, nor across a wall
-    between workspaces.
+    Parts are never shared between versions of the weights, nor with an
+    isolated workspace.
     """
-    return f"v{version}.{wall}"
+    return f"v{version}.{scope}"
 
 
 def _stored_tokens(
--- a/hibiscusstile/gateway/passage.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -12,7 +12,7 @@
     fleet,
     load,
     overload,
-    passagelog,
+    requestlog,
     resolving,
     routes,
     selection,
@@ -20,7 +20,7 @@
     state,
 )
 
-__all__ = ["Passage"]
+__all__ = ["Forwarding"]
 
 # Servers that may see one request, the ones that turned it away included.
 _MAX_ARRIVALS = 5
@@ -36,11 +36,9 @@
 # How long a server that turned a request away is taken to change weights.
 _CHANGING_S = 0.25
 _SERVER_ERROR = 500
-# Cached prompt parts that workspaces may share.
-_SHARED_WALL = "shared"
 
 
-class Passage:
+class Forwarding:
     """Sends one request to servers until one has answered it.
 
     Args:
@@ -69,12 +67,6 @@
             self._deadline_s = min(
                 self._deadline_s, request.received_s + request.budget_s
             )
-        isolated = where.workspace is not None and where.workspace.isolated
-        self._wall = (
-            f"workspace-{where.workspace.name}"
-            if isolated and where.workspace
-            else _SHARED_WALL
-        )
         self._verdict = outcome.Verdict.NOT_RUN
         self._refusal: outcome.Refusal | None = None
         self._sent = False
@@ -86,7 +78,7 @@
         self._runs = 0
         self._failed_s = 0.0
         self._last_event = request.resume_after
-        self._log = passagelog.PassageLog(known, request, where)
+        self._log = requestlog.RequestLog(known, request, where)
         self._last_answer: tuple[exchange.AnswerHead, bytes] | None = None
 
     async def run(self) -> None:
@@ -136,7 +128,7 @@
                 self._known,
                 self._where.service,
                 self._need(),
-                self._wall,
+                self._where.cache_scope,
                 self._turned_away | self._used,
             )
             if selected is not None:
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from hibiscusstile.gateway import state
 
-__all__ = ["NoticeBoard", "NoticeReader"]
+__all__ = ["NoticeHandler", "NoticeOutbox"]
 
 # Another process's load that was not told again for this long is forgotten.
 _LOAD_AGE_S = 1.5
@@ -27,7 +27,7 @@
 _MIN_PART_TOKENS = 500
 
 
-class NoticeBoard:
+class NoticeOutbox:
     """Collects what other gateways are to be told."""
 
     def __init__(self) -> None:
@@ -71,7 +71,7 @@
         self._weights.append(messages.NoticedWeights(model, version, server_id))
 
     def note_claim(self, fence: int) -> None:
-        """Tells that this process has won the duty of ordering weights."""
+        """Tells that this process has acquired the rollout lease."""
         self._claims.append(messages.NoticedClaim(fence))
         self._urgent.set()
 
@@ -97,7 +97,7 @@
         return notice if notice != messages.GatewayNotice() else None
 
 
-class NoticeReader:
+class NoticeHandler:
     """Writes this process's notices and takes in those of others.
 
     Args:
--- a/hibiscusstile/gateway/passagelog.py
+++ b/hibiscusstile/gateway/requestlog.py
@@ -7,12 +7,12 @@
 from hibiscusstile import logs, metrics, outcome
 from hibiscusstile.gateway import exchange, resolving, selection, state
 
-__all__ = ["PassageLog"]
+__all__ = ["RequestLog"]
 
-_log = logbook.Logger("passage")
+_log = logbook.Logger("request")
 
 
-class PassageLog:
+class RequestLog:
     """Writes down what is decided about a request.
 
     Args:
--- a/hibiscusstile/gateway/resolving.py
+++ b/hibiscusstile/gateway/resolving.py
@@ -14,6 +14,7 @@
 # has just started reads it within half a second.
 _RETRY_AFTER = datetime.timedelta(milliseconds=400)
 _RETRY_AFTER_STARTING = datetime.timedelta(milliseconds=500)
+_SHARED_SCOPE = "shared"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +33,13 @@
     workspace: routes.Workspace | None
     rank: int
 
+    @property
+    def cache_scope(self) -> str:
+        """Who shares cached prompt parts with the request."""
+        if self.workspace is not None and self.workspace.isolated:
+            return f"workspace-{self.workspace.name}"
+        return _SHARED_SCOPE
+
 
 def resolve(
     table: routes.RoutingTable | None, request: exchange.ForwardedRequest
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -8,8 +8,8 @@
 import logbook
 
 from hibiscusstile import logs
-from hibiscusstile.gateway import duty as duty_lib
 from hibiscusstile.gateway import engineorders, fleet, state
+from hibiscusstile.gateway import rolloutlease as lease_lib
 
 __all__ = ["Rollout"]
 
@@ -40,7 +40,7 @@
 
     Args:
         known: What this process knows.
-        duty: Says whether this process may give orders.
+        lease: Says whether this process may give orders.
         orders: Speaks to engines.
         name: Name of this process, unique among all.
     """
@@ -48,13 +48,13 @@
     def __init__(
         self,
         known: state.GatewayState,
-        duty: duty_lib.OrderingDuty,
+        lease: lease_lib.RolloutLease,
         orders: engineorders.EngineOrders,
         name: str,
     ) -> None:
         self._known = known
         self._clock = known.clock
-        self._duty = duty
+        self._lease = lease
         self._orders = orders
         self._name = name
         self._loading_until_s: dict[str, float] = {}
@@ -69,7 +69,7 @@
             if not self._note_progress():
                 continue
             waited_s = self._clock.monotonic() - self._behind_since_s
-            if self._duty.may_claim(waited_s) and await self._duty.claim():
+            if self._lease.may_claim(waited_s) and await self._lease.claim():
                 await self._hold()
 
     def _behind(self) -> list[tuple[str, fleet.BackendServer]]:
@@ -109,7 +109,7 @@
         self._refusals.clear()
         async with asyncio.TaskGroup() as changes:
             under_way: dict[str, asyncio.Task[None]] = {}
-            while (left_s := self._duty.left_s) > 0:
+            while (left_s := self._lease.left_s) > 0:
                 behind = self._behind()
                 for server_id in list(under_way):
                     if under_way[server_id].done():
@@ -119,7 +119,7 @@
                 if (
                     behind
                     and left_s < _RENEWAL_S
-                    and not await self._duty.claim()
+                    and not await self._lease.claim()
                 ):
                     return
                 for model, server in self._next(behind, set(under_way)):
@@ -169,7 +169,7 @@
         self._note_report(server, report)
         if report.versions.get(model, named.version) >= named.version:
             return
-        claim = self._duty.held
+        claim = self._lease.held
         if report.busy or claim is None:
             await self._clock.sleep(_REPORT_PAUSE)
             return
--- a/hibiscusstile/gateway/duty.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -1,6 +1,6 @@
-"""The duty of ordering weights, which one process has at a time.
+"""The lease for weights orders, which one process holds at a time.
 
-A process claims it with a record that the log takes only where the duty's
+A process claims it with a record that the log takes only where the lease's
 topic ends. The record's offset is the fencing token. A claim holds for a fixed
 time from the moment before it was sent, and the next one may come only after
 the claim and a pause have passed since it was read, so that two holders never
@@ -20,9 +20,9 @@
 from hibiscusstile.gateway import notices, state
 from hibiscusstile.platform import topics
 
-__all__ = ["Claim", "OrderingDuty"]
+__all__ = ["Claim", "RolloutLease"]
 
-_log = logbook.Logger("duty")
+_log = logbook.Logger("rolloutlease")
 
 _TOPIC = "hibiscusstile.weights"
 # A rollout of today's fleets takes two to three seconds; a claim is renewed.
@@ -40,7 +40,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
-    """A claim of the duty.
+    """A claim of the lease.
 
     Attributes:
         holder: Name of the process that claimed it.
@@ -53,8 +53,8 @@
     until_s: float
 
 
-class OrderingDuty:
-    """Claims the duty, and knows who holds it.
+class RolloutLease:
+    """Claims the lease, and knows who holds it.
 
     Args:
         known: What this process knows.
@@ -68,7 +68,7 @@
         self,
         known: state.GatewayState,
         log: topics.KeyedLog,
-        reader: notices.NoticeReader,
+        reader: notices.NoticeHandler,
         name: str,
         pause: datetime.timedelta,
     ) -> None:
@@ -92,15 +92,15 @@
 
     @property
     def left_s(self) -> float:
-        """Seconds for which this process still holds the duty."""
+        """Seconds for which this process still holds the lease."""
         claim = self.held
         return claim.until_s - self._clock.monotonic() if claim else 0.0
 
     def may_claim(self, waited_s: float) -> bool:
-        """Returns whether it is this process's turn to claim the duty.
+        """Returns whether it is this process's turn to claim the lease.
 
         Args:
-            waited_s: For how long the duty has been neglected.
+            waited_s: For how long no engine has changed.
         """
         now_s = self._clock.monotonic()
         if now_s < self._not_before_s:
@@ -135,15 +135,15 @@
                 sent_s + _CLAIM.total_seconds(),
             )
             self._known.notices.note_claim(result.offset + 1)
-            logs.event(_log, "duty_won", fence=result.offset + 1)
+            logs.event(_log, "lease_won", fence=result.offset + 1)
             return True
         if isinstance(result, topics.Conflict):
-            logs.event(_log, "duty_lost", end=result.end)
+            logs.event(_log, "lease_lost", end=result.end)
             await self._read_claims()
             return False
         # An append without an answer may still be done seconds later, but
         # only while the topic ends where it did; the claims are read anew.
-        logs.event(_log, "duty_unknown", error=result.message)
+        logs.event(_log, "lease_unknown", error=result.message)
         self._end = None
         self._not_before_s = self._clock.monotonic() + _RETRY_S
         return False
@@ -186,4 +186,4 @@
         self._last_claim = Claim(holder, fence, until_s)
         if holder != self._name:
             self._not_before_s = until_s + _DELIVERY_S + self._pause_s
-            logs.event(_log, "duty_held", holder=holder, fence=fence)
+            logs.event(_log, "lease_held_elsewhere", holder=holder, fence=fence)
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -5,7 +5,7 @@
 import logbook
 
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import exchange, passage, resolving, state
+from hibiscusstile.gateway import exchange, forwarding, resolving, state
 
 __all__ = ["Gateway"]
 
@@ -72,7 +72,7 @@
             )
             await caller.refuse(refused.refusal)
         else:
-            await passage.Passage(
+            await forwarding.Forwarding(
                 self._known, self._client, request, caller, where
             ).run()
         finally:
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -61,7 +61,7 @@
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
         self._weights = weights.WeightsTable(clock)
-        self._notices = notices.NoticeBoard()
+        self._notices = notices.NoticeOutbox()
         self._reads = reads.RecentReads()
         self._prefix_stores = prefixstores.PrefixStoreTable()
         self._processes = _LEAST_PROCESSES
@@ -113,7 +113,7 @@
         return self._reads
 
     @property
-    def notices(self) -> notices.NoticeBoard:
+    def notices(self) -> notices.NoticeOutbox:
         """What other gateways are to be told."""
         return self._notices
 
--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -71,7 +71,7 @@
         host: str,
         port: int,
         known: state.GatewayState,
-        reader: notices.NoticeReader,
+        reader: notices.NoticeHandler,
     ) -> None:
         self._me = handshake.Identity(name, _ROLE)
         self._host = host
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -91,7 +91,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoticedClaim:
-    """The sender has won the duty of ordering new weights.
+    """The sender has acquired the lease for weights orders.
 
     Attributes:
         fence: The fencing token.
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -13,10 +13,10 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, operators, roles, settings, supervisor
 from hibiscusstile.gateway import (
-    duty,
     follower,
     notices,
     rollout,
+    rolloutlease,
     service,
     state,
 )
@@ -95,7 +95,7 @@
             feeds.OperatorFeed(self._known),
             clock,
         )
-        self._board = notices.NoticeReader(self._known)
+        self._board = notices.NoticeHandler(self._known)
         self._mesh = mesh.Mesh(
             config.name,
             config.address,
@@ -121,7 +121,7 @@
         )
         self._rollout = rollout.Rollout(
             self._known,
-            duty.OrderingDuty(
+            rolloutlease.RolloutLease(
                 self._known,
                 self._store,
                 self._board,
--- a/hibiscusstile/sidecar/calls.py
+++ b/hibiscusstile/sidecar/calls.py
@@ -132,6 +132,7 @@
         except outcome.Refused as refused:
             return failures.failed_message(call.attempt_id, refused.refusal)
         except Exception:
+            # A fault of this program; the entry must not wait for an answer.
             _log.exception("call_failed attempt={}", call.attempt_id)
             return failures.failed_message(call.attempt_id, _FAILED)
 
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -218,6 +218,7 @@
                 failures.failed_message(dispatch.attempt_id, refused.refusal)
             )
         except Exception:
+            # A fault of this program; the entry must not wait for an end.
             _log.exception("attempt_failed attempt={}", dispatch.attempt_id)
             await running.stream.send_failed(
                 failures.failed_message(dispatch.attempt_id, failures.INTERNAL)
--- a/soak/world.py
+++ b/soak/world.py
@@ -8,13 +8,13 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 from typing import Any
 
 import aiohttp
 
+from hibiscusstile_standins import ports
 from soak import proxy
 
 __all__ = ["HOST", "KEY", "World"]
@@ -192,13 +192,13 @@
 
     def _start_gateway(self, number: int) -> None:
         host = f"127.{self._network}.0.{number + 2}"
-        ports = [_free_port(host) for _ in range(3)]
+        numbers = [ports.reserve_port(host) for _ in range(3)]
         settings = self._folder / f"gateway-{number}.toml"
         settings.write_text(
             f'node = "gateway-{number}"\nzone = "z1"\nip = "{host}"\n'
-            f"internal_ports = [{ports[0]}, {ports[0]}]\n"
-            f'[listen]\nfront = "{host}:{ports[1]}"\n'
-            f'ready = "{host}:{ports[2]}"\n'
+            f"internal_ports = [{numbers[0]}, {numbers[0]}]\n"
+            f'[listen]\nfront = "{host}:{numbers[1]}"\n'
+            f'ready = "{host}:{numbers[2]}"\n'
             f'[platform]\naddress = "{self.store_proxy.address}"\n'
         )
         process = Process(
@@ -209,7 +209,7 @@
         )
         process.start()
         self.gateways.append(process)
-        self.addresses.append(f"{host}:{ports[1]}")
+        self.addresses.append(f"{host}:{numbers[1]}")
 
     async def _serves(self, address: str) -> bool:
         assert self.session is not None
@@ -279,9 +279,3 @@
             ],
             "tenants": [{"name": "soak", "api_keys": [KEY]}],
         }
-
-
-def _free_port(host: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((host, 0))
-        return int(probe.getsockname()[1])
--- a/tests/backends/test_engine_chat.py
+++ b/tests/backends/test_engine_chat.py
@@ -11,8 +11,8 @@
 
 from hibiscusstile import backends, outcome, request
 from hibiscusstile.backends import engine_chat
-from hibiscusstile_standins import engine, weights
-from tests import builders, processes
+from hibiscusstile_standins import engine, ports, weights
+from tests import builders
 
 
 @contextlib.asynccontextmanager
@@ -56,7 +56,7 @@
 
 async def test_no_connection_is_not_run() -> None:
     """Guards against calling a request lost that nobody has seen."""
-    client = engine_chat.EngineChat(f"http://127.0.0.1:{processes.free_port()}")
+    client = engine_chat.EngineChat(f"http://127.0.0.1:{ports.reserve_port()}")
     refusal = await _refusal(client, builders.generate_order([]))
     await client.close()
     assert refusal.verdict is outcome.Verdict.NOT_RUN
--- a/tests/backends/test_plain_service.py
+++ b/tests/backends/test_plain_service.py
@@ -10,8 +10,8 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.backends import plain_service
-from hibiscusstile_standins import service
-from tests import builders, processes
+from hibiscusstile_standins import ports, service
+from tests import builders
 
 
 @contextlib.asynccontextmanager
@@ -54,7 +54,7 @@
 
 async def test_no_connection_is_not_run() -> None:
     """Guards against a payment reported lost that was never sent."""
-    url = f"http://127.0.0.1:{processes.free_port()}"
+    url = f"http://127.0.0.1:{ports.reserve_port()}"
     client = plain_service.PlainService(url)
     refusal = await _refusal(client)
     await client.close()
--- /dev/null
+++ b/tests/builders/claims.py
@@ -0,0 +1,44 @@
+"""State that the machine of the claims keeps of calls and sidecars."""
+
+from __future__ import annotations
+
+import dataclasses
+from typing import Any
+
+from hibiscusstile import outcome
+from hibiscusstile.claims import ledger, outbox, tickets
+
+__all__ = ["Run", "Send", "Sidecar"]
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """One run of a call at the service."""
+
+    key: str
+    body: bytes
+    time_s: float
+    reply: Any
+
+
+@dataclasses.dataclass(eq=False)
+class Send:
+    """One sender's call; `state` is where its task stands."""
+
+    key: str
+    body: bytes
+    slot: int
+    ticket: tickets.Ticket
+    state: str = "deciding"
+    told: outcome.Verdict | None = None
+    run: Run | None = None
+
+
+@dataclasses.dataclass(eq=False)
+class Sidecar:
+    """One sidecar; `batch` is on its way to the log."""
+
+    ledger: ledger.Ledger
+    frozen: bool = False
+    batch: outbox.Batch | None = None
+    landed: bool = False
--- /dev/null
+++ b/tests/claims_machine.py
@@ -0,0 +1,399 @@
+"""State machine of three sidecars' ledgers that share a log and a service."""
+
+from __future__ import annotations
+
+import datetime
+from typing import Any
+
+from hypothesis import stateful
+from hypothesis import strategies as st
+
+from hibiscusstile import outcome, platform
+from hibiscusstile.claims import encoding, entries, ledger, tickets
+from tests import builders
+from tests.builders import claims
+
+__all__ = ["ClaimsMachine"]
+
+_SLOTS = st.integers(0, 2)
+_KEYS = st.sampled_from(["k1", "k1", "k1", "k2"])
+_PICK = st.integers(0, 50)
+_DAY_S = 24 * 3600.0
+_RETENTION = datetime.timedelta(hours=25)
+_CALL_TIME = datetime.timedelta(seconds=5)
+_RUN_TIME = datetime.timedelta(seconds=38)
+
+
+class ClaimsMachine(stateful.RuleBasedStateMachine):
+    """Every step of every task can be the last, or wait, or come twice."""
+
+    ledger_class = ledger.Ledger
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.clock = builders.ManualClock()
+        self.log = builders.StreamLog(self.clock)
+        self.late: list[bytes] = []
+        self.sends: list[claims.Send] = []
+        self.runs: list[claims.Run] = []
+        self.starts = 0
+        self.sidecars: list[claims.Sidecar | None] = [None, None, None]
+        for slot in range(3):
+            self.restart(slot)
+
+    # The sidecars' life.
+
+    @stateful.rule(slot=_SLOTS)
+    def restart(self, slot: int) -> None:
+        """Crashes the process, if it lives, and starts it anew."""
+        self.crash(slot)
+        self.starts += 1
+        self.sidecars[slot] = claims.Sidecar(
+            self.ledger_class(
+                f"s{slot}",
+                f"inc-{self.starts}",
+                self.clock,
+                ledger.LedgerLimits(),
+            )
+        )
+
+    @stateful.rule(slot=_SLOTS)
+    def crash(self, slot: int) -> None:
+        """Ends a process; what it sent to the log may still appear."""
+        sidecar = self.sidecars[slot]
+        if sidecar is not None and sidecar.batch and not sidecar.landed:
+            self.late.append(encoding.encode(sidecar.batch.records))
+        self.sidecars[slot] = None
+        for send in self._open(slot):
+            send.state = "ended"
+            send.told = send.told or outcome.Verdict.MAY_HAVE_RUN
+
+    @stateful.rule(slot=_SLOTS, frozen=st.booleans())
+    def freeze(self, slot: int, frozen: bool) -> None:
+        sidecar = self.sidecars[slot]
+        if sidecar is not None:
+            sidecar.frozen = frozen
+
+    # The log.
+
+    @stateful.rule(down=st.booleans())
+    def outage(self, down: bool) -> None:
+        self.log.down = down
+
+    @stateful.rule(slot=_SLOTS, reads=st.booleans())
+    def exchange(self, slot: int, reads: bool) -> None:
+        """An append and a read without any fault."""
+        self.send_batch(slot)
+        self.land_batch(slot)
+        self.answer_batch(slot, "ok")
+        if reads:
+            self.read(slot, 20)
+
+    @stateful.rule(slot=_SLOTS)
+    def send_batch(self, slot: int) -> None:
+        sidecar = self._awake(slot)
+        if sidecar is not None and sidecar.batch is None:
+            sidecar.batch = sidecar.ledger.outbox.next_batch()
+            sidecar.landed = False
+
+    @stateful.precondition(lambda self: self._has_batch())
+    @stateful.rule(slot=_SLOTS)
+    def land_batch(self, slot: int) -> None:
+        sidecar = self.sidecars[slot]
+        if self.log.down or sidecar is None or sidecar.batch is None:
+            return
+        if not sidecar.landed:
+            self.log.append(encoding.encode(sidecar.batch.records))
+            sidecar.landed = True
+
+    @stateful.precondition(lambda self: self._has_batch())
+    @stateful.rule(
+        slot=_SLOTS, answer=st.sampled_from(["ok", "lost", "refused"])
+    )
+    def answer_batch(self, slot: int, answer: str) -> None:
+        """Lets the append return; without an answer it may land later."""
+        sidecar = self._awake(slot)
+        if sidecar is None or sidecar.batch is None:
+            return
+        result: Any = platform.AppendUnknown("lost")
+        if sidecar.landed and answer == "ok":
+            result = platform.Appended(0)
+        elif not sidecar.landed and answer == "refused":
+            result = platform.AppendRefused("full")
+        elif not sidecar.landed:
+            self.late.append(encoding.encode(sidecar.batch.records))
+        sidecar.ledger.note_append(sidecar.batch, result)
+        sidecar.batch = None
+
+    @stateful.precondition(lambda self: self.late)
+    @stateful.rule(pick=_PICK, again=st.booleans())
+    def land_late(self, pick: int, again: bool) -> None:
+        """An append without an answer takes effect, perhaps twice."""
+        payload = self.late[pick % len(self.late)]
+        self.log.append(payload)
+        if not again:
+            self.late.remove(payload)
+
+    @stateful.rule(slot=_SLOTS, limit=st.integers(1, 20))
+    def read(self, slot: int, limit: int) -> None:
+        sidecar = self._awake(slot)
+        if sidecar is None:
+            return
+        if self.log.down:
+            sidecar.ledger.note_unreadable()
+            return
+        sidecar.ledger.apply(self.log.read(sidecar.ledger.next_offset, limit))
+
+    @stateful.rule(
+        seconds=st.sampled_from([0.2, 0.2, 0.2, 1.0, 3.0, 40.0, 3600.0])
+    )
+    def pass_time(self, seconds: float) -> None:
+        self.clock.advance(seconds)
+        self.log.drop_older_than(_RETENTION)
+
+    @stateful.rule()
+    def pass_a_day(self) -> None:
+        """More than a key's lifetime; no process is frozen in mid-send."""
+        if not any(send.state == "checked" for send in self.sends):
+            self.late.clear()
+            self.pass_time(_DAY_S + 1800.0)
+
+    # The senders.
+
+    @stateful.rule(slot=_SLOTS, key=_KEYS, body=st.sampled_from([b"5", b"9"]))
+    def send(self, slot: int, key: str, body: bytes) -> None:
+        sidecar = self._awake(slot)
+        if sidecar is None:
+            return
+        call = entries.keyed_call(
+            "growers", builders.service_call(key, body=body)
+        )
+        ticket = sidecar.ledger.open(call, _CALL_TIME, _RUN_TIME)
+        send = claims.Send(key, body, slot, ticket)
+        self.sends.append(send)
+        self._decide(send)
+
+    @stateful.precondition(lambda self: self._in_state("deciding"))
+    @stateful.rule(pick=_PICK)
+    def cut(self, pick: int) -> None:
+        """The sender's connection breaks; the sidecar goes on."""
+        waiting = [s for s in self.sends if s.told is None]
+        if waiting:
+            waiting[pick % len(waiting)].told = outcome.Verdict.MAY_HAVE_RUN
+
+    @stateful.precondition(lambda self: self._in_state("started", "checked"))
+    @stateful.rule(pick=_PICK)
+    def step_started(self, pick: int) -> None:
+        self.step(pick)
+
+    @stateful.precondition(
+        lambda self: self._in_state("deciding", "started", "checked")
+    )
+    @stateful.rule(pick=_PICK)
+    def step(self, pick: int) -> None:
+        """Lets one sender's task take its next step."""
+        ready = [
+            send
+            for slot in range(3)
+            if self._awake(slot)
+            for send in self._open(slot)
+        ]
+        if not ready:
+            return
+        send = ready[pick % len(ready)]
+        if send.state == "deciding":
+            self._decide(send)
+        elif send.state == "started":
+            self._check(send)
+        elif send.state == "checked":
+            self._run(send)
+
+    @stateful.precondition(lambda self: self._in_state("running"))
+    @stateful.rule(
+        pick=_PICK,
+        size=st.sampled_from([0, 5000]),
+        end=st.sampled_from(["answer", "answer", "lost"]),
+    )
+    def service_ends(self, pick: int, size: int, end: str) -> None:
+        running = [
+            send
+            for send in self.sends
+            if send.state == "running" and self._awake(send.slot)
+        ]
+        if not running:
+            return
+        send = running[pick % len(running)]
+        run = send.run
+        assert run is not None
+        sidecar = self.sidecars[send.slot]
+        assert sidecar is not None
+        if end == "lost":
+            sidecar.ledger.finish(send.ticket, outcome.Verdict.MAY_HAVE_RUN)
+            self._tell(send, outcome.Verdict.MAY_HAVE_RUN)
+            return
+        run.reply = builders.service_reply(len(self.runs), size)
+        sidecar.ledger.finish(send.ticket, outcome.Verdict.RAN, run.reply)
+        self._tell(send, outcome.Verdict.RAN)
+
+    @stateful.precondition(lambda self: self._in_state("checked"))
+    @stateful.rule(pick=_PICK)
+    def service_is_down(self, pick: int) -> None:
+        """The connection is refused before the first byte."""
+        checked = [
+            send
+            for send in self.sends
+            if send.state == "checked" and self._awake(send.slot)
+        ]
+        if not checked:
+            return
+        send = checked[pick % len(checked)]
+        sidecar = self.sidecars[send.slot]
+        assert sidecar is not None
+        sidecar.ledger.note_unsent(send.ticket)
+        self._tell(send, outcome.Verdict.NOT_RUN)
+
+    def _decide(self, send: claims.Send) -> None:
+        sidecar = self.sidecars[send.slot]
+        assert sidecar is not None
+        decision = sidecar.ledger.decide(send.ticket)
+        run = self._last_run(send.key)
+        match decision:
+            case tickets.Wait():
+                assert decision.until_s > self.clock.monotonic()
+            case tickets.Start():
+                send.state = "started"
+            case tickets.Answer():
+                assert run and decision.reply == run.reply
+                assert run.body == send.body
+                self._tell(send, outcome.Verdict.RAN)
+            case tickets.ReadAnswer():
+                self._check_logged(decision, run)
+                self._tell(send, outcome.Verdict.RAN)
+            case outcome.Refusal():
+                self._check_refusal(send, decision, run)
+                self._tell(send, decision.verdict)
+
+    def _check(self, send: claims.Send) -> None:
+        sidecar = self.sidecars[send.slot]
+        assert sidecar is not None
+        refusal = sidecar.ledger.start(send.ticket)
+        if refusal is None:
+            send.state = "checked"
+        else:
+            self._check_refusal(send, refusal, self._last_run(send.key))
+            self._tell(send, refusal.verdict)
+
+    def _run(self, send: claims.Send) -> None:
+        """The first byte reaches the service: this is the oracle."""
+        now_s = self.clock.monotonic()
+        for run in self.runs:
+            assert run.key != send.key or now_s - run.time_s > _DAY_S - 60.0
+        assert send.told in (None, outcome.Verdict.MAY_HAVE_RUN)
+        send.run = claims.Run(send.key, send.body, now_s, None)
+        self.runs.append(send.run)
+        send.state = "running"
+
+    def _tell(self, send: claims.Send, verdict: outcome.Verdict) -> None:
+        """Ends the sender's task, as its `finally` clause does."""
+        sidecar = self.sidecars[send.slot]
+        assert sidecar is not None
+        sidecar.ledger.abandon(send.ticket)
+        send.state = "ended"
+        send.told = send.told or verdict
+
+    def _check_refusal(
+        self,
+        send: claims.Send,
+        refusal: outcome.Refusal,
+        run: claims.Run | None,
+    ) -> None:
+        others = [s for s in self.sends if s is not send and s.key == send.key]
+        if refusal.reason is outcome.Reason.KEY_CONFLICT:
+            assert any(other.body != send.body for other in others)
+        if refusal.verdict is outcome.Verdict.RAN:
+            assert run is not None
+        elif refusal.verdict is outcome.Verdict.NOT_RUN:
+            assert send.run is None
+            if all(o.told is outcome.Verdict.NOT_RUN for o in others):
+                assert run is None
+
+    def _check_logged(
+        self, decision: tickets.ReadAnswer, run: claims.Run | None
+    ) -> None:
+        page = self.log.read(decision.offset, 1)
+        records = encoding.decode(page.entries[0].payload)
+        replies = [
+            r.reply
+            for r in records
+            if isinstance(r, entries.Completed)
+            and r.claim_id == decision.claim_id
+        ]
+        assert run is not None
+        assert replies == [run.reply]
+
+    def _last_run(self, key: str) -> claims.Run | None:
+        """Returns the newest run of a key.
+
+        On an idle stream no log time passes, so that a key may be remembered
+        for longer than its lifetime.
+        """
+        runs = [run for run in self.runs if run.key == key]
+        return runs[-1] if runs else None
+
+    def _in_state(self, *states: str) -> bool:
+        return any(send.state in states for send in self.sends)
+
+    def _has_batch(self) -> bool:
+        return any(sidecar and sidecar.batch for sidecar in self.sidecars)
+
+    def _awake(self, slot: int) -> claims.Sidecar | None:
+        sidecar = self.sidecars[slot]
+        return None if sidecar is None or sidecar.frozen else sidecar
+
+    def _open(self, slot: int) -> list[claims.Send]:
+        return [
+            send
+            for send in self.sends
+            if send.slot == slot and send.state != "ended"
+        ]
+
+    def teardown(self) -> None:
+        """With all faults gone, work flows and memory is given back."""
+        self.log.down = False
+        for slot in range(3):
+            self.freeze(slot, False)
+            if self.sidecars[slot] is None:
+                self.restart(slot)
+        for _ in range(40):
+            self.pass_time(1.0)
+            for slot in range(3):
+                self.answer_batch(slot, "ok")
+                self.send_batch(slot)
+                self.land_batch(slot)
+                self.answer_batch(slot, "ok")
+                self.read(slot, 500)
+            for _ in range(len(self.sends)):
+                self.step(0)
+                self.service_ends(0, 0, "answer")
+        assert not any(self._open(slot) for slot in range(3))
+        self._check_flow()
+
+    def _check_flow(self) -> None:
+        self.pass_time(_DAY_S + 60.0)
+        before = len(self.runs)
+        for slot in range(3):
+            self.send(slot, f"fresh-{slot}", b"5")
+        for _ in range(5):
+            for slot in range(3):
+                self.send_batch(slot)
+                self.land_batch(slot)
+                self.answer_batch(slot, "ok")
+                self.read(slot, 500)
+            for _ in range(3):
+                self.step(0)
+            self.service_ends(0, 0, "answer")
+            self.pass_time(0.2)
+        assert len(self.runs) == before + 3
+        for sidecar in self.sidecars:
+            assert sidecar is not None
+            assert len(sidecar.ledger) <= 3 + 3
--- a/tests/ctl/test_demo.py
+++ b/tests/ctl/test_demo.py
@@ -10,7 +10,7 @@
 import pytest
 
 from hibiscusstile.ctl import demoload
-from hibiscusstile_standins import text
+from hibiscusstile_standins import ports, text
 from tests import builders, callers, processes
 
 _MODULE = "hibiscusstile.ctl"
@@ -31,7 +31,7 @@
 
 async def test_serving_ends_gracefully(tmp_path: pathlib.Path) -> None:
     """Guards against a first line that promises too much, and a cut stop."""
-    port = processes.free_port()
+    port = ports.reserve_port()
     demo = processes.ManagedProcess(
         "demo", [_MODULE, "demo", "--serve", "--port", str(port)], tmp_path
     )
--- a/tests/ctl/test_status.py
+++ b/tests/ctl/test_status.py
@@ -8,6 +8,7 @@
 import subprocess
 import sys
 
+from hibiscusstile_standins import ports
 from tests import processes
 
 
@@ -45,6 +46,6 @@
 
 async def test_no_answer_exits_with_1_and_one_line() -> None:
     """Guards against a stack trace where a process is down."""
-    result = await _run("--url", f"http://127.0.0.1:{processes.free_port()}")
+    result = await _run("--url", f"http://127.0.0.1:{ports.reserve_port()}")
     assert result.returncode == 1
     assert len(result.stderr.splitlines()) == 1
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -13,7 +13,7 @@
 from tests import builders as base
 from tests.builders import gateway as builders
 
-_WALL = "shared"
+_SCOPE = "shared"
 
 
 def _state(
@@ -43,7 +43,7 @@
         "z1",
     )
     service = known.table.services[builders.ENGINE_SERVICE]
-    return choice.choose_server(known, service, need, _WALL, excluded)
+    return choice.choose_server(known, service, need, _SCOPE, excluded)
 
 
 def _chosen(known: state.GatewayState, **request: object) -> str:
@@ -113,11 +113,11 @@
     assert _chosen(known) == "i-1"
 
 
-def test_the_salt_carries_version_and_wall() -> None:
+def test_the_salt_carries_version_and_scope() -> None:
     """Guards against cache shared across weights or isolated workspaces."""
     salts = {
-        choice.cache_salt(wall, version)
-        for wall in ("shared", "workspace-a")
+        choice.cache_salt(scope, version)
+        for scope in ("shared", "workspace-a")
         for version in (1, 2, None)
     }
     assert len(salts) == 6
@@ -202,7 +202,7 @@
     clock, known = _state(zones=("z1",))
     known.weights.note_changing("i-1", 5.0)
     known.health.note_silent(builders.backend_server("i-1"))
-    handler = notices.NoticeReader(known)
+    handler = notices.NoticeHandler(known)
     _send(known, "i-1")
     assert handler.next_notice() is not None
     known.fleet.remove("i-1")
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -105,15 +105,15 @@
 
 
 async def test_a_conditional_append_fails_where_the_topic_has_grown() -> None:
-    """Guards against two processes that both hold the duty."""
+    """Guards against two processes that both hold the lease."""
     store = store_lib.PlatformStoreService()
     await store.start()
     log = keyed_log.PlatformStore(f"127.0.0.1:{store.port}")
     try:
-        await log.append("duty", b"a", 0)
-        result = await log.append("duty", b"b", 0)
+        await log.append("lease", b"a", 0)
+        result = await log.append("lease", b"b", 0)
         assert result == topics.Conflict(1)
-        records = await log.read("duty", 0, _NO_WAIT)
+        records = await log.read("lease", 0, _NO_WAIT)
         assert isinstance(records, topics.Records)
         assert records.payloads == (b"a",)
     finally:
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -8,7 +8,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 from collections.abc import AsyncIterator
@@ -17,6 +16,7 @@
 import pytest
 
 from hibiscusstile import clock as clock_lib
+from hibiscusstile_standins import ports
 from hibiscusstile_standins import runner as runner_lib
 from hibiscusstile_standins import store as store_lib
 from tests.builders import gateway as builders
@@ -34,12 +34,6 @@
 }
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind((_HOST, 0))
-        return int(probe.getsockname()[1])
-
-
 class _Scene:
     """A gateway process, its store and an engine."""
 
@@ -49,7 +43,7 @@
         self.engine = runner_lib.Runner("i-1", events=60, pace_s=0.05)
         self.settings = folder / "node.toml"
         self.log = folder / "gateway.log"
-        self.ports = [_free_port() for _ in range(3)]
+        self.ports = [ports.reserve_port(_HOST) for _ in range(3)]
         self.process: subprocess.Popen[bytes] | None = None
 
     @property
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -8,10 +8,10 @@
 import itertools
 
 from hibiscusstile.gateway import (
-    duty,
     engineorders,
     notices,
     rollout,
+    rolloutlease,
     state,
 )
 from tests import builders as base
@@ -62,22 +62,33 @@
     engines: rollouts.MemoryEngines,
     name: str,
 ) -> rollout.Rollout:
-    reader = notices.NoticeReader(known)
-    duty_held = duty.OrderingDuty(known, log, reader, name, _PAUSE)
-    return rollout.Rollout(known, duty_held, engines, name)
+    reader = notices.NoticeHandler(known)
+    lease = rolloutlease.RolloutLease(known, log, reader, name, _PAUSE)
+    return rollout.Rollout(known, lease, engines, name)
+
+
+class _Scene:
+    """One process with engines, a log and a newer version named."""
+
+    def __init__(self, engines: int) -> None:
+        self.clock = _SteppingClock()
+        self.known = _state(self.clock, engines)
+        self.log = rollouts.MemoryLog()
+        self.engines = rollouts.MemoryEngines(self.known)
+        self.known.name_weights("m1", 2)
+
+    async def run(self, for_s: float) -> None:
+        changes = _rollout(self.known, self.log, self.engines, "a")
+        await _run(self.clock, [changes], for_s)
 
 
 async def test_engines_change_a_third_at_a_time() -> None:
     """Guards against a model that loses most of its engines at once."""
-    clock = _SteppingClock()
-    known = _state(clock, 9)
-    log = rollouts.MemoryLog()
-    engines = rollouts.MemoryEngines(known)
-    known.name_weights("m1", 2)
-    await _run(clock, [_rollout(known, log, engines, "a")], 4.0)
-    times = [at_s for at_s, _, _ in engines.orders]
+    scene = _Scene(9)
+    await scene.run(4.0)
+    times = [at_s for at_s, _, _ in scene.engines.orders]
     assert len(times) == 9
-    assert set(engines.versions.values()) == {2}
+    assert set(scene.engines.versions.values()) == {2}
     for start_s in times:
         assert sum(start_s <= t < start_s + 0.5 for t in times) <= 3
 
@@ -112,38 +123,27 @@
 
 
 async def test_a_claim_whose_answer_is_lost_gives_no_orders() -> None:
-    """Guards against orders of a process that may not hold the duty."""
-    clock = _SteppingClock()
-    known = _state(clock, 3)
-    log = rollouts.MemoryLog()
-    log.lose_next = True
-    engines = rollouts.MemoryEngines(known)
-    known.name_weights("m1", 2)
-    await _run(clock, [_rollout(known, log, engines, "a")], 0.6)
-    assert not engines.orders
-    await _run(clock, [_rollout(known, log, engines, "a")], 8.0)
-    assert len(engines.orders) == 3
+    """Guards against orders of a process that may not hold the lease."""
+    scene = _Scene(3)
+    scene.log.lose_next = True
+    await scene.run(0.6)
+    assert not scene.engines.orders
+    await scene.run(8.0)
+    assert len(scene.engines.orders) == 3
 
 
 async def test_an_order_without_an_answer_is_repeated_safely() -> None:
     """Guards against an order that is carried out twice."""
-    clock = _SteppingClock()
-    known = _state(clock, 1)
-    engines = rollouts.MemoryEngines(known)
-    engines.results = [engineorders.OrderResult.UNKNOWN] * 3
-    known.name_weights("m1", 2)
-    await _run(clock, [_rollout(known, rollouts.MemoryLog(), engines, "a")], 3)
-    assert len(engines.orders) == 1
-    assert engines.orders[0][2].orders_taken == 0
+    scene = _Scene(1)
+    scene.engines.results = [engineorders.OrderResult.UNKNOWN] * 3
+    await scene.run(3.0)
+    assert len(scene.engines.orders) == 1
+    assert scene.engines.orders[0][2].orders_taken == 0
 
 
 async def test_the_store_away_means_no_orders() -> None:
-    """Guards against orders without the duty."""
-    clock = _SteppingClock()
-    known = _state(clock, 3)
-    log = rollouts.MemoryLog()
-    log.down = True
-    engines = rollouts.MemoryEngines(known)
-    known.name_weights("m1", 2)
-    await _run(clock, [_rollout(known, log, engines, "a")], 5.0)
-    assert not engines.orders
+    """Guards against orders without the lease."""
+    scene = _Scene(3)
+    scene.log.down = True
+    await scene.run(5.0)
+    assert not scene.engines.orders
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -13,7 +13,6 @@
 import os
 import pathlib
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -24,12 +23,12 @@
 import yaml
 
 from hibiscusstile.entry import auth
+from hibiscusstile_standins import ports
 from tests import builders
 
 __all__ = [
     "Fleet",
     "ManagedProcess",
-    "free_port",
     "process_fleet",
     "start_fleet",
 ]
@@ -43,13 +42,6 @@
 KEY_SECRET = "tests-secret-part-of-the-key"
 
 
-def free_port() -> int:
-    """Returns a port that the kernel says is free."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
-
-
 class ManagedProcess:
     """One process, addressed by its own id only."""
 
@@ -313,7 +305,7 @@
         name,
         [
             "hibiscusstile_standins",
-            *("--kind", kind, "--port", str(free_port())),
+            *("--kind", kind, "--port", str(ports.reserve_port())),
             *arguments,
         ],
         folder,
@@ -322,7 +314,7 @@
 
 async def _add_sidecar(fleet: Fleet, backend: ManagedProcess) -> None:
     name = f"sidecar-{backend.name}"
-    port = free_port()
+    port = ports.reserve_port()
     is_engine = backend in fleet.engines
     config = {
         **_common(fleet, name),
@@ -348,7 +340,7 @@
 
 
 def _add_entry(fleet: Fleet, name: str, settings: dict[str, Any]) -> None:
-    port = free_port()
+    port = ports.reserve_port()
     config = {
         **_common(fleet, name),
         "role": "entry",
@@ -360,7 +352,7 @@
 
 
 def _common(fleet: Fleet, name: str) -> dict[str, Any]:
-    port = free_port()
+    port = ports.reserve_port()
     fleet.operators[name] = f"http://127.0.0.1:{port}"
     return {
         "peer_id": name,
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -9,10 +9,10 @@
 
 _DECISIONS = (
     "gateway.choice",
-    "gateway.duty",
+    "gateway.rolloutlease",
     "gateway.follower",
     "gateway.notices",
-    "gateway.passage",
+    "gateway.forwarding",
     "gateway.rollout",
     "gateway.selection.expected_first_token",
     "gateway.selection.least_running",
