--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -21,7 +21,8 @@
 from hibiscusstile_standins import store as store_lib
 from tests.builders import gateway as builders
 
-_HOST = "127.78.0.1"
+# The port for metrics is fixed, so that runs side by side need own addresses.
+_HOST = f"127.{2 + os.getpid() % 250}.1.1"
 _METRICS = f"http://{_HOST}:9464"
 _GRACE_S = 8.0
 _HEADERS = {
