--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -246,12 +246,12 @@
         )
         if refusal is not None:
             return refusal
-        if mode == "hang":
-            await asyncio.Event().wait()
         if mode == "lose_answer":
             server.drop_connection(request)
             return web.Response()
         try:
+            if mode == "hang":
+                await asyncio.Event().wait()
             if "X-Model" in request.headers:
                 return await self._stream(request, mode)
             return await self._answer(request, mode)
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -102,7 +102,10 @@
 @pytest.mark.parametrize("mode", ["lose_answer", "cut", "garbage", "no_digest"])
 async def test_a_payment_that_may_have_run_is_not_repeated(mode: str) -> None:
     """Guards against a payment that runs twice, or is denied untruly."""
-    async with builders.gateway_world() as world:
+    payment = builders.operator_route(
+        "payment", "/payment/", kind="non_idempotent", attempts=3
+    )
+    async with builders.gateway_world(routes=[payment]) as world:
         first = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
         second = await world.add_runner(builders.PLAIN_SERVICE, "i-2")
         first.misbehave_always(mode)
@@ -215,12 +218,16 @@
     assert status == 504
 
 
-async def test_a_caller_that_leaves_ends_the_work_at_the_server() -> None:
+@pytest.mark.parametrize("mode", ["", "hang"])
+async def test_a_caller_that_leaves_ends_the_work_at_the_server(
+    mode: str,
+) -> None:
     """Guards against engines that work for callers who have gone."""
     async with builders.gateway_world() as world:
         runner = await world.add_runner(
             builders.ENGINE_SERVICE, "i-1", events=100, pace_s=0.05
         )
+        runner.misbehave(mode)
         call = asyncio.ensure_future(world.call("/dossier/1", **_MODEL))
         await world.until(lambda: bool(runner.arrivals))
         await asyncio.sleep(0.1)
