Keep waits on the store short after news

A configuration was appended within some ms of the start of the gateway's waiting read, which ended only with its 8 s and found nothing; the next read had it at once. Ruled out: a silent connection (the read was answered), records skipped (the next read began at the same offset). Change: the first wait after records, a failure or a whole listing is 1 s, then 3 s, then 8 s. Before: 8 s late. Conclusion: two more calls to the store for each change.

--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -20,6 +20,11 @@
 # Calls to the store are charged, so that a wait is as long as a lost
 # connection may go unnoticed.
 _WAIT = datetime.timedelta(seconds=8)
+# A wait that begins within milliseconds of an append may not end with it, and
+# changes come in series. Configuration must be in force within two seconds,
+# so the first wait after news is short.
+_FIRST_WAIT = datetime.timedelta(seconds=1)
+_WAIT_GROWTH = 3
 # The store is asked again this soon after a failure: configuration and
 # leaving servers must be known within two seconds of its return.
 _FIRST_RETRY_S = 0.25
@@ -70,6 +75,7 @@
         self._pause = pause
         self._offset: int | None = None
         self._failures = 0
+        self._wait = _FIRST_WAIT
 
     def restart(self) -> None:
         """Reads every key anew: another log has other offsets."""
@@ -95,10 +101,11 @@
         self._consumer.apply_all(newest.records)
         self._note_answer()
         self._offset = newest.end
+        self._wait = _FIRST_WAIT
         return True
 
     async def _read_on(self, offset: int) -> bool:
-        wait = _WAIT if not self._failures else datetime.timedelta(0)
+        wait = self._wait if not self._failures else datetime.timedelta(0)
         records = await self._log.read(self._topic, offset, wait)
         if isinstance(records, platform.LogUnavailable):
             self._note_failure(records.message)
@@ -107,6 +114,11 @@
             self._offset = None
             return True
         self._note_answer()
+        self._wait = (
+            _FIRST_WAIT
+            if records.payloads
+            else min(_WAIT, self._wait * _WAIT_GROWTH)
+        )
         for number, payload in enumerate(records.payloads):
             try:
                 record = topics.decode_keyed(payload, offset + number)
@@ -139,6 +151,7 @@
                 failures=self._failures,
             )
             self._consumer.note_back()
+            self._wait = _FIRST_WAIT
         self._failures = 0
 
     def _retry_delay(self) -> datetime.timedelta:
