--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -197,6 +197,8 @@
         self._log.selected(selected)
         serving.begin(work, selected.candidate.cache_salt, request.parts)
         self._tell_prefix(selected.candidate)
+        if work.prefill_tokens > load.LONG_PROMPT_TOKENS:
+            self._known.notices.send_soon()
         try:
             async with self._client.send(
                 server, request, self._options(selected.candidate)
--- a/hibiscusstile/gateway/load.py
+++ b/hibiscusstile/gateway/load.py
@@ -8,7 +8,11 @@
 
 from hibiscusstile.gateway import exchange
 
-__all__ = ["Elsewhere", "LoadTable", "ServerLoad", "Work"]
+__all__ = ["LONG_PROMPT_TOKENS", "Elsewhere", "LoadTable", "ServerLoad", "Work"]
+
+# A prompt with more tokens to compute than this is long: it delays the first
+# token of the requests behind it by 40 ms and more.
+LONG_PROMPT_TOKENS = 2_048
 
 # Part of an engine's cache memory that is assumed to hold idle prefixes; the
 # rest is taken by running requests.
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -52,6 +52,10 @@
         """Set when the next notice should not wait."""
         return self._urgent
 
+    def send_soon(self) -> None:
+        """Has the next notice sent without waiting for more to tell."""
+        self._urgent.set()
+
     def note_prefix(
         self, server_id: str, salt: str, part_id: str, tokens: int
     ) -> None:
--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -26,8 +26,10 @@
 _SECRET_BYTES = 16
 _OPEN_TIMEOUT_S = 1.0
 _CLOSE_TIMEOUT_S = 0.2
-# Notices are collected this long: half the time of a short answer.
+# Notices are collected this long, unless one is urgent.
 _INTERVAL_S = 0.2
+# Least time between two notices, which bounds their number under load.
+_LEAST_INTERVAL = datetime.timedelta(milliseconds=10)
 # A peer that takes no notice for this long is cut off or frozen.
 _SEND_TIMEOUT_S = 1.5
 _FIRST_RETRY_S = 0.5
@@ -173,6 +175,7 @@
                     # An old notice is worth less than a new one.
                     queue.get_nowait()
                 queue.put_nowait(notice)
+            await self._known.clock.sleep(_LEAST_INTERVAL)
 
     async def _link(self, peer: Peer) -> None:
         """Sends notices to one peer, on one connection after the other."""
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -10,6 +10,10 @@
 
 from tests.builders import gateway as builders
 
+_QUESTION = {
+    "X_Token_Usage": "300,40",
+    "X_Prompt_Prefix": "aa:200,bb:100",
+}
 _MODEL = {
     "X_Model": "m1",
     "X_Token_Usage": "12000,100",
@@ -244,3 +248,16 @@
     assert status == 413
     refusals = [r for r in log.records if r.message == "request_refused"]
     assert [r.extra["request"] for r in refusals] == ["r1"]
+
+
+@pytest.mark.parametrize(
+    ("prompt", "told"), [(_MODEL, True), ({**_MODEL, **_QUESTION}, False)]
+)
+async def test_a_long_prompt_is_told_at_once(
+    prompt: dict[str, str], told: bool
+) -> None:
+    """Guards against gateways that queue questions behind a long prompt."""
+    async with builders.gateway_world() as world:
+        await world.add_runner(builders.ENGINE_SERVICE, "i-1")
+        await world.call("/dossier/1", **prompt)
+        assert world.known.notices.urgent.is_set() is told
