Let an engine compute waiting prompts before its order

Cause: an order turns away the requests that wait for their first token. The engine to order was selected by this process's requests alone. Prompts that an engine reads while it changes weights count as read for the newer ones and are read again. Change: engines with the least waiting of all gateways go first; an engine that is to change gets no new requests and is ordered once less than 1,500 tokens wait, after 0.6 s at most.

--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -27,6 +27,11 @@
 # Loading takes 0.57 s; the next engine's order goes out then, while reports,
 # which are up to 200 ms old, still show the load.
 _LOAD = datetime.timedelta(milliseconds=600)
+# An engine turns the requests away that wait for their first token when it is
+# ordered; it computes their prompts first, down to this many tokens and for
+# this long at most. New requests go to other engines meanwhile.
+_DRAINED_TOKENS = 1_500
+_DRAIN_S = 0.6
 # A claim is renewed when less than this is left and engines are behind.
 _RENEWAL_S = 1.2
 _MAX_REFUSAL_PAUSE = datetime.timedelta(seconds=1.2)
@@ -133,7 +138,7 @@
         behind: list[tuple[str, fleet.BackendServer]],
         under_way: set[str],
     ) -> list[tuple[str, fleet.BackendServer]]:
-        """Returns the engines to change now, the least busy ones first."""
+        """Returns the engines to change now, the least loaded ones first."""
         waiting = [
             (model, server)
             for model, server in behind
@@ -143,14 +148,19 @@
             return []
         fleet_size = len(self._known.fleet.usable(waiting[0][1].service))
         room = max(1, int(fleet_size * _WAVE_SHARE)) - self._loading(under_way)
-        waiting.sort(
-            key=lambda each: (
-                self._known.loads.of(each[1].server_id).running,
-                each[1].server_id,
-            )
-        )
+        waiting.sort(key=lambda each: self._work_at(each[1].server_id))
         return waiting[: max(0, room)]
 
+    def _work_at(self, server_id: str) -> tuple[int, int, str]:
+        """Returns waiting prompt tokens, requests and id, to sort by."""
+        now_s = self._clock.monotonic()
+        load = self._known.loads.of(server_id)
+        return (
+            load.waiting_tokens + load.others_waiting(now_s),
+            load.running + load.others_running(now_s),
+            server_id,
+        )
+
     def _loading(self, under_way: set[str]) -> int:
         """Returns how many engines under way have not loaded yet."""
         now_s = self._clock.monotonic()
@@ -169,13 +179,16 @@
         self._note_report(server, report)
         if report.versions.get(model, named.version) >= named.version:
             return
-        claim = self._lease.held
-        if report.busy or claim is None:
+        if report.busy or self._lease.held is None:
             await self._clock.sleep(_REPORT_PAUSE)
             return
-        self._known.weights.note_changing(server.server_id, _CHANGE_S)
-        self._known.notices.note_change(server.server_id, _CHANGE_S)
+        self._tell_changing(server, _DRAIN_S + _CHANGE_S)
         self._loading_until_s.pop(server.server_id, None)
+        await self._drain(server)
+        claim = self._lease.held
+        if claim is None:
+            self._tell_changing(server, 0.0)
+            return
         answer = await self._orders.change_weights(
             server,
             engineorders.WeightsOrder(
@@ -206,8 +219,7 @@
         ):
             # An order without an answer may be carried out later; the next
             # one is valid only as long as the engine has not taken it.
-            self._known.weights.note_changing(server.server_id, 0.0)
-            self._known.notices.note_change(server.server_id, 0.0)
+            self._tell_changing(server, 0.0)
             await self._clock.sleep(self._refusal_pause(server, answer))
             return
         self._refusals.pop(server.server_id, None)
@@ -216,6 +228,20 @@
         )
         await self._wait_changed(model, named.version, server)
 
+    def _tell_changing(self, server: fleet.BackendServer, for_s: float) -> None:
+        """Has all processes pass an engine over, if another takes requests."""
+        self._known.weights.note_changing(server.server_id, for_s)
+        self._known.notices.note_change(server.server_id, for_s)
+
+    async def _drain(self, server: fleet.BackendServer) -> None:
+        """Waits until an engine has computed the prompts that wait there."""
+        end_s = self._clock.monotonic() + _DRAIN_S
+        while (
+            self._work_at(server.server_id)[0] > _DRAINED_TOKENS
+            and self._clock.monotonic() < end_s
+        ):
+            await self._clock.sleep(_POLL)
+
     def _refusal_pause(
         self, server: fleet.BackendServer, answer: engineorders.OrderAnswer
     ) -> datetime.timedelta:
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -9,6 +9,7 @@
 
 from hibiscusstile.gateway import (
     engineorders,
+    load,
     notices,
     rollout,
     rolloutlease,
@@ -147,3 +148,33 @@
     scene.log.down = True
     await scene.run(5.0)
     assert not scene.engines.orders
+
+
+async def test_an_engine_computes_waiting_prompts_before_its_order() -> None:
+    """Guards against orders that turn waiting requests away."""
+    scene = _Scene(3)
+    waiting = load.Work(20_000, 20_000, scene.clock.monotonic(), 0.4)
+    busy = scene.known.loads.of("i-0")
+    busy.begin(waiting, "v1.shared", ())
+    run = asyncio.ensure_future(scene.run(6.0))
+    while len(scene.engines.orders) < 2:  # noqa: ASYNC110 - the run moves it
+        await asyncio.sleep(0)
+    assert "i-0" not in {each for _, each, _ in scene.engines.orders}
+    while not scene.known.weights.is_changing("i-0"):  # noqa: ASYNC110
+        await asyncio.sleep(0)
+    end_s = scene.clock.monotonic() + 0.4
+    while scene.clock.monotonic() < end_s:  # noqa: ASYNC110
+        await asyncio.sleep(0)
+    busy.note_started(waiting, end_s)
+    await run
+    ordered_s = {each: at_s for at_s, each, _ in scene.engines.orders}
+    assert end_s <= ordered_s["i-0"] < end_s + 0.2
+
+
+async def test_an_engine_with_a_long_queue_is_ordered_all_the_same() -> None:
+    """Guards against weights that stay old under load."""
+    scene = _Scene(1)
+    busy = scene.known.loads.of("i-0")
+    busy.begin(load.Work(90_000, 90_000, 0.0, 2.0), "v1.shared", ())
+    await scene.run(3.0)
+    assert scene.engines.versions == {"i-0": 2}
