Keep questions apart from long prompts in a burst

The engines for long prompts were selected anew from those not changing weights, so that others took them during every rollout; with two engines a zone, half of the fleet took them. Change: gateway/pools selects from all engines that are up, over the zones; long prompts on another engine cost most of a late answer, questions among long prompts a part of one.

--- a/hibiscusstile/gateway/choice.py
+++ b/hibiscusstile/gateway/choice.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Collection
 
-from hibiscusstile.gateway import routes, selection, state
+from hibiscusstile.gateway import fleet, pools, routes, selection, state
 
 __all__ = ["cache_salt", "choose_server"]
 
@@ -37,13 +37,24 @@
         scope: Who shares cached prompt parts with the request.
         excluded: Servers not to use.
     """
+    usable = known.fleet.usable(service.name)
+    long_ids: frozenset[str] = frozenset()
+    if service.engine is not None:
+        long_ids = pools.long_prompt_engines(
+            each for each in usable if known.health.is_up(each.server_id)
+        )
     candidates = [
         candidate
-        for server in known.fleet.usable(service.name)
+        for server in usable
         if server.server_id not in excluded
         and (
             candidate := _candidate(
-                known, service, need, scope, server.server_id
+                known,
+                service,
+                need,
+                scope,
+                server,
+                takes_long=server.server_id in long_ids,
             )
         )
     ]
@@ -67,11 +78,11 @@
     service: routes.Service,
     need: selection.Need,
     scope: str,
-    server_id: str,
+    server: fleet.BackendServer,
+    *,
+    takes_long: bool,
 ) -> selection.Candidate | None:
-    server = known.fleet.get(server_id)
-    if server is None:
-        return None
+    server_id = server.server_id
     behind_s = _behind_s(known, need.request.model, server_id)
     if behind_s > _BEHIND_LIMIT_S:
         return None
@@ -103,6 +114,7 @@
             for part in need.request.parts[:-1]
             if known.reads.is_recent(salt, part.part_id, now_s)
         ),
+        takes_long=takes_long,
     )
 
 
--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -54,6 +54,7 @@
         waiting_tokens: Prompt tokens that wait there, of all processes.
         reread_tokens: Shared prompt tokens that another server has read
             lately, whether or not this one holds them too.
+        takes_long: Whether long prompts go to it first.
     """
 
     server: fleet.BackendServer
@@ -67,6 +68,7 @@
     running: int = 0
     waiting_tokens: int = 0
     reread_tokens: int = 0
+    takes_long: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/gateway/selection/expected_first_token.py
+++ b/hibiscusstile/gateway/selection/expected_first_token.py
@@ -13,6 +13,7 @@
 import xxhash
 
 from hibiscusstile import rendezvous
+from hibiscusstile.gateway import load as load_lib
 from hibiscusstile.gateway import selection
 
 __all__ = ["ExpectedFirstToken"]
@@ -52,16 +53,14 @@
 # Memory beyond this share is short: requests get preempted.
 _MEMORY_SHARE = 0.85
 _MEMORY_WEIGHT = 3.0
-# A prompt with more tokens to compute than this is long. While an engine
-# computes one, each step of its other requests takes ten times as long.
-_LONG_TOKENS = 2_048
-# Share of the engines of a zone that long prompts go to first, and the price
-# of the first long prompt on another engine.
-_LONG_SHARE = 0.6
-_LONG_ELSEWHERE = 2.0
+# Price of a long prompt on an engine that is kept for short ones: most of a
+# late answer's, as it makes others late.
+_LONG_ELSEWHERE = 2.5
+# Price of a short request on an engine that long prompts go to: one may come
+# before its answer has ended, and slow it down.
+_SHORT_AMONG_LONG = 0.6
 # Price of a short request for each second of prompts waiting at its engine.
 _INTERFERENCE = 1.0
-_LONG_KEY = 1
 # Among equal servers the one with less to do is preferred by this much.
 _SPREAD_WEIGHT = 0.02
 
@@ -76,11 +75,9 @@
         self, need: selection.Need, candidates: Sequence[selection.Candidate]
     ) -> selection.Selected:
         """Returns the server with the lowest cost."""
-        long_ids = _long_engines(candidates)
-        home = _home(need, candidates, long_ids)
+        home = _home(need, candidates)
         options = [
-            self._weigh(need, candidate, home, long_ids)
-            for candidate in candidates
+            self._weigh(need, candidate, home) for candidate in candidates
         ]
         return min(options, key=lambda each: each.cost)
 
@@ -89,7 +86,6 @@
         need: selection.Need,
         candidate: selection.Candidate,
         home: str,
-        long_ids: frozenset[str],
     ) -> selection.Selected:
         parts = need.request.parts
         cached = candidate.load.cached_tokens(candidate.cache_salt, parts)
@@ -100,10 +96,15 @@
         cost = _ANSWER_VALUE * _risk(expected_s / need.target_s)
         cost += _price(need, candidate)
         cost += fetched * _FETCH_PER_TOKEN
-        if own > _LONG_TOKENS:
-            if candidate.server.server_id not in long_ids:
+        if own > load_lib.LONG_PROMPT_TOKENS:
+            if not candidate.takes_long:
                 cost += _LONG_ELSEWHERE
         else:
+            if (
+                candidate.takes_long
+                and need.request.prompt_tokens <= load_lib.LONG_PROMPT_TOKENS
+            ):
+                cost += _SHORT_AMONG_LONG
             waiting = candidate.waiting_tokens
             cost += _INTERFERENCE * waiting / _PREFILL_TOKENS_PER_S
         reread = max(0, candidate.reread_tokens - cached - fetched)
@@ -166,40 +167,16 @@
     return cost
 
 
-def _long_engines(
-    candidates: Sequence[selection.Candidate],
-) -> frozenset[str]:
-    """Returns the engines that long prompts go to first.
-
-    Every process selects alike, zone by zone, while it knows the same
-    servers.
-    """
-    zones: dict[str, list[str]] = {}
-    for candidate in candidates:
-        server = candidate.server
-        zones.setdefault(server.zone, []).append(server.server_id)
-    return frozenset(
-        server_id
-        for names in zones.values()
-        for server_id in rendezvous.top_nodes(
-            _LONG_KEY, names, max(1, round(len(names) * _LONG_SHARE))
-        )
-    )
-
-
 def _home(
-    need: selection.Need,
-    candidates: Sequence[selection.Candidate],
-    long_ids: frozenset[str],
+    need: selection.Need, candidates: Sequence[selection.Candidate]
 ) -> str:
     """Returns the server that all processes rank first for a prompt."""
     parts = need.request.parts
     if len(parts) < 2:
         return ""
-    if need.request.prompt_tokens > _LONG_TOKENS:
-        candidates = [
-            each for each in candidates if each.server.server_id in long_ids
-        ]
+    if need.request.prompt_tokens > load_lib.LONG_PROMPT_TOKENS:
+        long_ones = [each for each in candidates if each.takes_long]
+        candidates = long_ones or candidates
     near = [
         candidate.server.server_id
         for candidate in candidates
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -162,6 +162,26 @@
     assert _chosen(known, **question) == "i-2"
 
 
+def test_questions_and_long_prompts_keep_apart() -> None:
+    """Guards against questions that wait behind long prompts in a burst."""
+    _, known = _state(zones=("z1",) * 5)
+    question = {"parts": (("aa", 50), ("bb", 200))}
+    taken = set()
+    for number in range(12):
+        selected = _choose(known, parts=((f"p{number}", 12_000), ("own", 900)))
+        assert selected is not None
+        taken.add(selected.candidate.server.server_id)
+        _send(known, selected.candidate.server.server_id)
+    assert len(taken) == 3
+    assert _chosen(known, **question) not in taken
+    # Also while engines that take long prompts load weights.
+    for server_id in sorted(taken)[:2]:
+        known.weights.note_changing(server_id, 1.0)
+    for number in range(12, 15):
+        long = _chosen(known, parts=((f"p{number}", 12_000), ("own", 900)))
+        assert long in taken
+
+
 def test_a_server_s_connections_are_not_exceeded() -> None:
     """Guards against connections that a server resets."""
     clock, known = _state(zones=("z1",))
@@ -172,7 +192,9 @@
         _send(known, "i-1", 10)
     assert _choose(known) is not None
     known.loads.of("i-1").note_elsewhere(
-        "peer", load.Elsewhere(1, 0, clock.monotonic() + 1), clock.monotonic()
+        "peer",
+        load.Elsewhere(1, 0, clock.monotonic() + 1),
+        clock.monotonic(),
     )
     assert _choose(known) is None
 
