Wait for busy engines, and save only what the store lacks

Each request also had its prompt saved again, over the link that fetches wait for. Change: a first event is due when it was expected; 0.65 s after that the server is silent. A prompt is saved until the store holds its shared parts.

--- a/hibiscusstile/gateway/choice.py
+++ b/hibiscusstile/gateway/choice.py
@@ -15,7 +15,7 @@
 _BEHIND_LIMIT_S = 5.0
 # A server that has work sends something several times a second, but for the
 # 0.6 s in which an engine loads weights.
-_SILENCE_S = 0.8
+_SILENCE_S = 0.65
 
 
 def choose_server(
--- a/hibiscusstile/gateway/load.py
+++ b/hibiscusstile/gateway/load.py
@@ -126,11 +126,18 @@
         return self._slowness
 
     def silence_s(self, now_s: float) -> float:
-        """Returns for how long a server that has work sent nothing."""
+        """Returns for how long a server has owed some bytes.
+
+        A request's first event is due when it was expected, not when the
+        request was sent: long prompts may wait for each other.
+        """
         if not self._by_id:
             return 0.0
-        oldest_s = min(work.sent_s for work in self._by_id.values())
-        return now_s - max(oldest_s, self._heard_s)
+        due_s = min(
+            work.started_s if work.started else work.sent_s + work.expected_s
+            for work in self._by_id.values()
+        )
+        return now_s - max(due_s, self._heard_s)
 
     def note_heard(self, now_s: float) -> None:
         """Notes that bytes came from the server."""
--- a/hibiscusstile/gateway/sending.py
+++ b/hibiscusstile/gateway/sending.py
@@ -82,9 +82,11 @@
     """Returns the store of KV cache to save to, if any.
 
     Only the newest weights are saved: an engine that takes newer weights
-    meanwhile saves parts that were made by both versions.
+    meanwhile saves parts that were made by both versions. What the store
+    holds is not saved again: an engine's transfers wait for each other.
     """
-    if candidate.behind_s:
+    shared = sum(part.tokens for part in request.parts[:-1])
+    if candidate.behind_s or candidate.stored_tokens >= shared:
         return ""
     return _store_address(known, request, candidate)
 
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -113,6 +113,23 @@
     assert _chosen(known) == "i-1"
 
 
+def test_an_engine_with_a_long_queue_is_not_taken_for_silent() -> None:
+    """Guards against prompts read again elsewhere while an engine is busy.
+
+    Found on a played day: engines with 70,000 tokens waiting sent nothing for
+    a second, and the prefixes that they held went to others.
+    """
+    clock, known = _state()
+    work = load.Work(70_000, 70_000, clock.monotonic(), 1.6)
+    parts = builders.forwarded_request().parts
+    known.loads.of("i-1").begin(work, "v1.shared", parts)
+    known.reads.note("v1.shared", parts[0].part_id, clock.monotonic())
+    clock.advance(1.2)
+    assert _chosen(known) == "i-1"
+    clock.advance(1.3)
+    assert _chosen(known) == "i-2"
+
+
 def test_the_salt_carries_version_and_scope() -> None:
     """Guards against cache shared across weights or isolated workspaces."""
     salts = {
--- /dev/null
+++ b/tests/gateway/test_sending.py
@@ -0,0 +1,70 @@
+"""Tests of what the gateway adds to a request."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from hibiscusstile.gateway import (
+    exchange,
+    load,
+    resolving,
+    selection,
+    sending,
+    state,
+)
+from tests import builders as base
+from tests.builders import gateway as builders
+
+_STORE = {"name": "prefixes", "kv_store_addr": "10.0.0.9:1", "zone": "z1"}
+
+
+def _state() -> state.GatewayState:
+    known = builders.gateway_state(base.ManualClock())
+    services = [*builders.configuration_record()["services"], _STORE]
+    known.apply_table(builders.routing_table(services=services))
+    known.name_weights("m1", 1)
+    return known
+
+
+def _candidate(**fields: object) -> selection.Candidate:
+    candidate = selection.Candidate(
+        builders.backend_server(),
+        load.ServerLoad(),
+        cache_tokens=100_000,
+        cache_salt="v1.shared",
+        version=1,
+    )
+    return dataclasses.replace(candidate, **fields)  # type: ignore[arg-type]
+
+
+def _options(
+    known: state.GatewayState, candidate: selection.Candidate
+) -> exchange.SendOptions:
+    request = builders.forwarded_request()
+    request = dataclasses.replace(request, key=builders.KEY)
+    return sending.send_options(
+        known,
+        request,
+        resolving.resolve(known.table, request),
+        candidate,
+        time_left_s=1.0,
+        resume_after="",
+    )
+
+
+def test_a_prefix_is_saved_until_the_store_holds_it() -> None:
+    """Guards against transfers that make those of new prefixes wait."""
+    known = _state()
+    first = _options(known, _candidate())
+    assert first.save_to == first.fetch_from == "10.0.0.9:1"
+    partly = _options(known, _candidate(stored_tokens=4_000))
+    assert partly.save_to == "10.0.0.9:1"
+    again = _options(known, _candidate(stored_tokens=10_000))
+    assert again.save_to == ""
+    assert again.fetch_from == "10.0.0.9:1"
+
+
+def test_replaced_weights_are_not_saved() -> None:
+    """Guards against KV cache that two versions of the weights made."""
+    known = _state()
+    assert _options(known, _candidate(behind_s=0.5)).save_to == ""
