--- a/hibiscusstile/ctl/checking.py
+++ b/hibiscusstile/ctl/checking.py
@@ -10,7 +10,14 @@
 
 import pydantic
 
-from hibiscusstile import backends, platform, records, registry, settings
+from hibiscusstile import (
+    backends,
+    platform,
+    records,
+    registry,
+    settings,
+    settingsfaults,
+)
 from hibiscusstile.configuration import envelope as envelope_lib
 from hibiscusstile.configuration import store as store_lib
 from hibiscusstile.ctl import files
@@ -54,7 +61,7 @@
     """Returns every fault of a settings file."""
     try:
         config = settings.load_settings(path)
-    except settings.SettingsError as error:
+    except settingsfaults.SettingsError as error:
         return list(error.faults)
     faults = []
     for where, look_up, name in _named_classes(config):
--- a/hibiscusstile/ctl/demofleet.py
+++ b/hibiscusstile/ctl/demofleet.py
@@ -19,7 +19,8 @@
 import aiohttp
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import daemon, settings
+from hibiscusstile import process as process_lib
+from hibiscusstile import settings
 from hibiscusstile.entry import auth
 from hibiscusstile_standins import engine, instancelist, log, service
 
@@ -169,8 +170,8 @@
 
     async def _run(
         self, config: settings.EntrySettings | settings.SidecarSettings
-    ) -> daemon.Process:
-        process = daemon.Process(config, clock_lib.SystemClock())
+    ) -> process_lib.Process:
+        process = process_lib.Process(config, clock_lib.SystemClock())
         stop = asyncio.Event()
         running = asyncio.ensure_future(process.run(stop))
         self._running.append((stop, running))
--- a/hibiscusstile/ctl/files.py
+++ b/hibiscusstile/ctl/files.py
@@ -9,12 +9,12 @@
 
 import yaml
 
-from hibiscusstile import settings
+from hibiscusstile import settingsfaults
 from hibiscusstile.configuration import envelope as envelope_lib
 
 __all__ = ["FileFault", "FileUnreadable", "is_records", "read_documents"]
 
-FileFault = settings.SettingsFault
+FileFault = settingsfaults.SettingsFault
 # A list of records is one level deeper than a record.
 _MAX_DEPTH = envelope_lib.MAX_DEPTH + 1
 _RECORD_FIELDS = {"kind", "schema_version", "body"}
--- a/hibiscusstile/daemon.py
+++ b/hibiscusstile/daemon.py
@@ -1,35 +1,15 @@
-"""The daemon: `hibiscusstiled --settings FILE`."""
+"""The daemon's command line: `hibiscusstiled --settings FILE`."""
 
 from __future__ import annotations
 
-import asyncio
-import contextlib
 import pathlib
-import signal
-import sys
 from typing import Annotated
 
-import aiomisc
 import cyclopts
-import logbook
 
-from hibiscusstile import (
-    __version__,
-    eventlog,
-    logs,
-    roles,
-    settings,
-    supervisor,
-)
-from hibiscusstile import clock as clock_lib
-from hibiscusstile.platform import boot
-
-__all__ = ["Process", "main"]
+from hibiscusstile import __version__, process
 
-_log = logbook.Logger("daemon")
-
-_EXIT_FAILED = 1
-_EXIT_BAD_SETTINGS = 2
+__all__ = ["main"]
 
 app = cyclopts.App(
     name="hibiscusstiled",
@@ -38,50 +18,6 @@
 )
 
 
-class Process:
-    """One role under its root supervisor.
-
-    Args:
-        config: Validated settings.
-        clock: The clock that every part gets.
-    """
-
-    def __init__(
-        self,
-        config: roles.RoleSettings,
-        clock: clock_lib.Clock,
-    ) -> None:
-        self._role = roles.get_role_by_name(config.role)(config, clock)
-        self._root = supervisor.Supervisor(config.role, clock)
-        self._role.build(self._root)
-
-    @property
-    def role(self) -> roles.Role:
-        """The role."""
-        return self._role
-
-    async def run(self, stop: asyncio.Event) -> None:
-        """Serves until `stop` is set, then drains and stops.
-
-        Raises:
-            IntensityExceeded: A part kept failing.
-        """
-        tree = asyncio.ensure_future(self._root.run())
-        stopping = asyncio.ensure_future(stop.wait())
-        try:
-            await asyncio.wait(
-                {tree, stopping}, return_when=asyncio.FIRST_COMPLETED
-            )
-            if not tree.done():
-                await self._role.drain()
-        finally:
-            stopping.cancel()
-            tree.cancel()
-            with contextlib.suppress(asyncio.CancelledError):
-                await tree
-            await self._role.close()
-
-
 @app.default
 def run(
     *,
@@ -96,42 +32,11 @@
     Args:
         settings_file: YAML file with the settings.
     """
-    try:
-        process = _build(settings_file)
-    except settings.SettingsError as error:
-        for fault in error.faults:
-            print(f"{fault.path}: {fault.message}", file=sys.stderr)
-        sys.exit(_EXIT_BAD_SETTINGS)
-    try:
-        with aiomisc.entrypoint(log_config=False) as loop:
-            loop.run_until_complete(_run(process))
-    except supervisor.IntensityExceeded as error:
-        _log.error("process_failed error={}", error)
-        sys.exit(_EXIT_FAILED)
-
-
-def _build(settings_file: pathlib.Path | None) -> Process:
-    clock = clock_lib.SystemClock()
-    if settings_file is None:
-        boot_settings = boot.load_boot_settings(boot.settings_path())
-        eventlog.start_logging(clock, boot_settings.name)
-        return Process(boot_settings, clock)
-    config = settings.load_settings(settings_file)
-    logs.start_logging(config.logging.format, config.logging.level)
-    return Process(config, clock)
-
-
-async def _run(process: Process) -> None:
-    stop = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    loop.add_signal_handler(signal.SIGHUP, process.role.reload)
-    await process.run(stop)
+    process.run_process(settings_file)
 
 
 def main() -> None:
-    """Entry point of the program."""
+    """Entry point of the command line."""
     app()
 
 
--- a/hibiscusstile/operators.py
+++ b/hibiscusstile/operators.py
@@ -7,7 +7,7 @@
 
 from aiohttp import web
 
-from hibiscusstile import metrics, settings
+from hibiscusstile import metrics
 
 __all__ = ["OperatorsServer"]
 
@@ -16,18 +16,20 @@
     """Serves `GET /metrics` and `GET /status`.
 
     Args:
-        address: Where to listen.
+        host: IP address to listen on.
+        port: Port to listen on.
         status: Returns the status page's fields.
     """
 
     def __init__(
         self,
-        address: settings.Address,
+        host: str,
+        port: int,
         status: Callable[[], Mapping[str, object]],
     ) -> None:
-        self._address = address
+        self._host = host
         self._status = status
-        self._port = address.port
+        self._port = port
         self._listening = asyncio.Event()
 
     @property
@@ -47,7 +49,7 @@
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
         try:
-            site = web.TCPSite(runner, self._address.host_text, self._port)
+            site = web.TCPSite(runner, self._host, self._port)
             await site.start()
             self._port = runner.addresses[0][1]
             self._listening.set()
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -9,7 +9,7 @@
 
 import pydantic
 
-from hibiscusstile import settings
+from hibiscusstile import settingsfaults
 
 __all__ = ["BootSettings", "load_boot_settings", "settings_path"]
 
@@ -88,8 +88,8 @@
     """
     path = os.environ.get(_PATH_VARIABLE, "")
     if not path:
-        raise settings.SettingsError(
-            [settings.SettingsFault(_PATH_VARIABLE, "is not set")]
+        raise settingsfaults.SettingsError(
+            [settingsfaults.SettingsFault(_PATH_VARIABLE, "is not set")]
         )
     return pathlib.Path(path)
 
@@ -103,10 +103,12 @@
     try:
         parsed = _File.model_validate(tomllib.loads(path.read_text()))
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        fault = settings.SettingsFault(path.name, str(error))
-        raise settings.SettingsError([fault]) from None
+        fault = settingsfaults.SettingsFault(path.name, str(error))
+        raise settingsfaults.SettingsError([fault]) from None
     except pydantic.ValidationError as error:
-        raise settings.SettingsError(settings.faults_of(error)) from None
+        raise settingsfaults.SettingsError(
+            settingsfaults.faults_of(error)
+        ) from None
     return BootSettings(
         name=parsed.node,
         zone=parsed.zone,
--- a/hibiscusstile/platform/platformfiles.py
+++ b/hibiscusstile/platform/platformfiles.py
@@ -8,7 +8,7 @@
 
 import pydantic
 
-from hibiscusstile import settings
+from hibiscusstile import settingsfaults
 from hibiscusstile.platform import boot
 
 __all__ = ["find_faults"]
@@ -38,7 +38,7 @@
     roles: dict[str, _Role] = pydantic.Field(min_length=1)
 
 
-def find_faults(path: pathlib.Path) -> list[settings.SettingsFault]:
+def find_faults(path: pathlib.Path) -> list[settingsfaults.SettingsFault]:
     """Returns every fault of a file, by its path in the file.
 
     A file with a table of roles is a deploy file, any other one the settings
@@ -47,19 +47,19 @@
     try:
         parsed = tomllib.loads(path.read_text())
     except (OSError, UnicodeDecodeError, tomllib.TOMLDecodeError) as error:
-        return [settings.SettingsFault("(file)", str(error))]
+        return [settingsfaults.SettingsFault("(file)", str(error))]
     if _ROLES_TABLE not in parsed:
         return _settings_faults(path)
     try:
         _DeployFile.model_validate(parsed)
     except pydantic.ValidationError as error:
-        return settings.faults_of(error)
+        return settingsfaults.faults_of(error)
     return []
 
 
-def _settings_faults(path: pathlib.Path) -> list[settings.SettingsFault]:
+def _settings_faults(path: pathlib.Path) -> list[settingsfaults.SettingsFault]:
     try:
         boot.load_boot_settings(path)
-    except settings.SettingsError as error:
+    except settingsfaults.SettingsError as error:
         return list(error.faults)
     return []
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -105,7 +105,7 @@
             config.limits.body_timeout_s,
         )
         self._operators = operators.OperatorsServer(
-            config.operators, self.status
+            config.operators.host_text, config.operators.port, self.status
         )
 
     @property
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -4,14 +4,13 @@
 
 import asyncio
 import datetime
-import ipaddress
 import os
 from collections.abc import Mapping
 
 import logbook
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import logs, operators, roles, settings, supervisor
+from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
     follower,
     notices,
@@ -83,10 +82,7 @@
         self._orders = orders.HttpOrders()
         self._cache_events = cacheevents.CacheEventFeed(self._known)
         self._operators = operators.OperatorsServer(
-            settings.Address(
-                host=ipaddress.ip_address(config.address), port=_METRICS_PORT
-            ),
-            self._status,
+            config.address, _METRICS_PORT, self._status
         )
         self._ready = ingress.ReadyPage(config.ready_address, self._gateway)
         self._operators_feed = follower.KeyedFollower(
@@ -251,7 +247,7 @@
     async def _reload(self) -> None:
         try:
             config = boot.load_boot_settings(boot.settings_path())
-        except settings.SettingsError as error:
+        except settingsfaults.SettingsError as error:
             logs.warn(_log, "settings_rejected", error=str(error))
             return
         changed = [
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -155,7 +155,7 @@
             self._service.serve,
         )
         self._operators = operators.OperatorsServer(
-            config.operators, self.status
+            config.operators.host_text, config.operators.port, self.status
         )
 
     @property
--- a/hibiscusstile/settings.py
+++ b/hibiscusstile/settings.py
@@ -6,13 +6,17 @@
 import datetime
 import os
 import pathlib
-from collections.abc import Sequence
 from typing import Annotated, Literal
 
 import pydantic
 import yaml
 
 from hibiscusstile import logs
+from hibiscusstile.settingsfaults import (
+    SettingsError,
+    SettingsFault,
+    faults_of,
+)
 
 __all__ = [
     "Address",
@@ -24,11 +28,8 @@
     "QueueSettings",
     "SecretSource",
     "ServiceSettings",
-    "SettingsError",
-    "SettingsFault",
     "SidecarSettings",
     "StopSettings",
-    "faults_of",
     "load_settings",
     "parse_settings",
 ]
@@ -42,27 +43,6 @@
 _Positive = Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SettingsFault:
-    """One fault in a file.
-
-    Attributes:
-        path: Where in the file, as `platform.log.url`.
-        message: What is wrong.
-    """
-
-    path: str
-    message: str
-
-
-class SettingsError(ValueError):
-    """The settings cannot be used; `faults` lists every fault."""
-
-    def __init__(self, faults: Sequence[SettingsFault]) -> None:
-        self.faults = tuple(faults)
-        super().__init__("; ".join(f"{f.path}: {f.message}" for f in faults))
-
-
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
@@ -284,17 +264,6 @@
 )
 
 
-def faults_of(error: pydantic.ValidationError) -> list[SettingsFault]:
-    """Returns every fault of a failed validation, without input values."""
-    return [
-        SettingsFault(
-            ".".join(str(part) for part in each["loc"]) or "(file)",
-            each["msg"],
-        )
-        for each in error.errors(include_input=False, include_url=False)
-    ]
-
-
 def parse_settings(text: str) -> EntrySettings | SidecarSettings:
     """Returns validated settings from YAML text.
 
--- /dev/null
+++ b/hibiscusstile/settingsfaults.py
@@ -0,0 +1,42 @@
+"""Faults found in a file of settings."""
+
+from __future__ import annotations
+
+import dataclasses
+from collections.abc import Sequence
+
+import pydantic
+
+__all__ = ["SettingsError", "SettingsFault", "faults_of"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SettingsFault:
+    """One fault in a file.
+
+    Attributes:
+        path: Where in the file, as `platform.log.url`.
+        message: What is wrong.
+    """
+
+    path: str
+    message: str
+
+
+class SettingsError(ValueError):
+    """The settings cannot be used; `faults` lists every fault."""
+
+    def __init__(self, faults: Sequence[SettingsFault]) -> None:
+        self.faults = tuple(faults)
+        super().__init__("; ".join(f"{f.path}: {f.message}" for f in faults))
+
+
+def faults_of(error: pydantic.ValidationError) -> list[SettingsFault]:
+    """Returns every fault of a failed validation, without input values."""
+    return [
+        SettingsFault(
+            ".".join(str(part) for part in each["loc"]) or "(file)",
+            each["msg"],
+        )
+        for each in error.errors(include_input=False, include_url=False)
+    ]
--- a/tests/builders/calls.py
+++ b/tests/builders/calls.py
@@ -12,13 +12,13 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import (
-    daemon,
     outcome,
     platform,
     policies,
     request,
     settings,
 )
+from hibiscusstile import process as process_lib
 from hibiscusstile.claims import encoding, entries, ledger, tickets
 from hibiscusstile.configuration import store, view
 from hibiscusstile.entry import auth, calls
@@ -144,7 +144,7 @@
             else {"role": "sidecar", "peers": address, "backend": backend}
         )
         text = json.dumps({**common, **own, "peer_id": name}, default=str)
-        process = daemon.Process(
+        process = process_lib.Process(
             settings.parse_settings(text), clock_lib.SystemClock()
         )
         stops[name] = asyncio.Event()
--- a/tests/configuration/test_processes.py
+++ b/tests/configuration/test_processes.py
@@ -11,7 +11,7 @@
 import pytest
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import daemon
+from hibiscusstile import process as process_lib
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile_standins import log as log_standin
 from tests import builders
@@ -38,7 +38,7 @@
     role: str, name: str, log_url: str, **fields: Any
 ) -> AsyncIterator[Any]:
     config = builders.process_settings(role, name, log_url, _UNUSED, **fields)
-    process = daemon.Process(config, clock_lib.SystemClock())
+    process = process_lib.Process(config, clock_lib.SystemClock())
     stop = asyncio.Event()
     task = asyncio.ensure_future(process.run(stop))
     await process.role.wait_ready()
