Read a prefix once before requests with it follow

An engine looks for cached parts when a request arrives. Gateways that start anew know nothing of prefixes for a second. Change: a request waits at its gateway while another one has its prefix read, at most two targets, as it would at the engine, and is then sent anew; gateways tell each other when a prefix is read. A new connection between gateways begins with the prefixes and loads of its sender's own requests.

--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -12,6 +12,7 @@
     fleet,
     load,
     overload,
+    prefixturn,
     requestlog,
     resolving,
     routes,
@@ -79,6 +80,9 @@
         self._failed_s = 0.0
         self._last_event = request.resume_after
         self._log = requestlog.RequestLog(known, request, where)
+        self._prefix = prefixturn.PrefixTurn(
+            known, request, where.route.target_s
+        )
         self._last_answer: tuple[exchange.AnswerHead, bytes] | None = None
 
     async def run(self) -> None:
@@ -133,7 +137,11 @@
             )
             if selected is not None:
                 self._check_overload(selected)
-                return selected
+                if self._caller.started or not await self._prefix.wait(
+                    selected
+                ):
+                    return selected
+                continue
             if not self._may_wait():
                 self._refuse_without_server()
             self._turned_away.clear()
@@ -196,9 +204,7 @@
         self._run_counted = False
         self._log.selected(selected)
         serving.begin(work, selected.candidate.cache_salt, request.parts)
-        self._tell_prefix(selected.candidate)
-        if work.prefill_tokens > load.LONG_PROMPT_TOKENS:
-            self._known.notices.send_soon()
+        self._prefix.begin(selected)
         try:
             async with self._client.send(
                 server, request, self._options(selected.candidate)
@@ -210,6 +216,7 @@
                 else:
                     await self._relay_whole(server, reply)
         finally:
+            self._prefix.finish()
             serving.end(work, self._now_s())
 
     async def _relay_whole(
@@ -247,6 +254,7 @@
             candidate.load.note_heard(self._now_s())
             if not work.started:
                 candidate.load.note_started(work, self._now_s())
+                self._prefix.finish()
                 self._note_run(outcome.Verdict.RAN)
                 self._known.health.note_answer(server, False)
                 self._log.note_first_event()
@@ -262,15 +270,6 @@
         await self._caller.finish_stream()
         self._log.attempt_ended(server.server_id, "streamed")
 
-    def _tell_prefix(self, candidate: selection.Candidate) -> None:
-        """Tells other gateways where the prompt's shared parts are read."""
-        salt = candidate.cache_salt
-        for part in self._request.parts[:-1]:
-            self._known.reads.note(salt, part.part_id, self._now_s())
-            self._known.notices.note_prefix(
-                candidate.server.server_id, salt, part.part_id, part.tokens
-            )
-
     def _note_head(
         self, server: fleet.BackendServer, head: exchange.AnswerHead
     ) -> None:
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -8,9 +8,10 @@
 
 import asyncio
 import collections
+import dataclasses
 from typing import TYPE_CHECKING
 
-from hibiscusstile.gateway import load
+from hibiscusstile.gateway import exchange, load
 from hibiscusstile.peers import messages
 
 if TYPE_CHECKING:
@@ -23,6 +24,10 @@
 # Loads are told again when they differ by this much from what was told.
 _RUNNING_STEP = 2
 _WAITING_STEP = 1_500
+# Parts that a process that starts anew is told: those that it would be charged
+# for if it had them read again.
+_RECENT_S = 10.0
+_MAX_RECENT = 512
 # Shorter parts cost less to compute than to tell.
 _MIN_PART_TOKENS = 500
 
@@ -45,6 +50,12 @@
         self._claims: collections.deque[messages.NoticedClaim] = (
             collections.deque(maxlen=most)
         )
+        self._reads: collections.deque[messages.NoticedRead] = (
+            collections.deque(maxlen=most)
+        )
+        # What a process that starts anew is told, oldest first.
+        self._recent: collections.deque[tuple[float, messages.NoticedPrefix]]
+        self._recent = collections.deque(maxlen=_MAX_RECENT)
         self._urgent = asyncio.Event()
 
     @property
@@ -57,13 +68,35 @@
         self._urgent.set()
 
     def note_prefix(
-        self, server_id: str, salt: str, part_id: str, tokens: int
+        self,
+        server_id: str,
+        salt: str,
+        part: exchange.PromptPart,
+        *,
+        reading: bool,
+        now_s: float,
     ) -> None:
-        """Tells of a prompt part that an engine reads."""
-        if tokens >= _MIN_PART_TOKENS:
-            self._prefixes.append(
-                messages.NoticedPrefix(server_id, salt, part_id, tokens)
+        """Tells of a prompt part that an engine reads or holds."""
+        if part.tokens >= _MIN_PART_TOKENS:
+            notice = messages.NoticedPrefix(
+                server_id, salt, part.part_id, part.tokens, reading
             )
+            self._prefixes.append(notice)
+            self._recent.append((now_s, notice))
+
+    def recent_prefixes(
+        self, since_s: float
+    ) -> tuple[messages.NoticedPrefix, ...]:
+        """Returns the prompt parts told since then, on the monotonic clock."""
+        return tuple(
+            notice for told_s, notice in self._recent if told_s >= since_s
+        )
+
+    def note_read(self, salt: str, part: exchange.PromptPart) -> None:
+        """Tells, at once, of a prompt part that is not being read any more."""
+        if part.tokens >= _MIN_PART_TOKENS:
+            self._reads.append(messages.NoticedRead(salt, part.part_id))
+            self._urgent.set()
 
     def note_change(self, server_id: str, for_s: float) -> None:
         """Tells of an engine that takes new weights, at once."""
@@ -90,12 +123,14 @@
             tuple(self._changes),
             tuple(self._weights),
             tuple(self._claims),
+            tuple(self._reads),
         )
         for collected in (
             self._prefixes,
             self._changes,
             self._weights,
             self._claims,
+            self._reads,
         ):
             collected.clear()
         return notice if notice != messages.GatewayNotice() else None
@@ -122,6 +157,34 @@
         """Returns what other gateways are to be told now."""
         return self._known.notices.take(self._changed_loads())
 
+    def snapshot(self) -> messages.GatewayNotice:
+        """Returns what a process that has just connected has to know.
+
+        Each process tells what its own requests do, so that the snapshots of
+        all of them add up to the whole.
+        """
+        now_s = self._known.clock.monotonic()
+        return messages.GatewayNotice(
+            loads=tuple(
+                messages.NoticedLoad(
+                    server_id, each.running, each.waiting_tokens
+                )
+                for server_id, each in self._known.loads.items()
+                if each.running
+            ),
+            prefixes=tuple(
+                dataclasses.replace(
+                    prefix,
+                    reading=self._known.pending_reads.is_pending(
+                        prefix.salt, prefix.part
+                    ),
+                )
+                for prefix in self._known.notices.recent_prefixes(
+                    now_s - _RECENT_S
+                )
+            ),
+        )
+
     def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
         """Takes in another gateway's notice."""
         now_s = self._known.clock.monotonic()
@@ -136,6 +199,14 @@
                 prefix.salt, prefix.part, prefix.tokens
             )
             self._known.reads.note(prefix.salt, prefix.part, now_s)
+            if prefix.reading:
+                self._known.pending_reads.begin(
+                    prefix.salt,
+                    exchange.PromptPart(prefix.part, prefix.tokens),
+                    prefix.server,
+                )
+        for read in notice.reads:
+            self._known.pending_reads.finish(read.salt, read.part)
         for change in notice.changes:
             self._known.weights.note_changing(change.server, change.for_s)
         for weights in notice.weights:
--- /dev/null
+++ b/hibiscusstile/gateway/pendingreads.py
@@ -0,0 +1,97 @@
+"""Prompt parts that engines read at this moment.
+
+An engine finds cached parts when a request arrives. A request that arrives
+while another one's prompt waits there has the same parts read a second time,
+so that it is better sent once they have been read.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+from collections.abc import Iterable
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.gateway import exchange
+
+__all__ = ["PendingRead", "PendingReads"]
+
+# Shorter parts cost less to read again than to wait for.
+_MIN_PART_TOKENS = 1_000
+# A read that nobody reported as done is given up; requests that wait longer
+# for their first token are refused or late.
+_MAX_AGE_S = 4.0
+_MAX_PARTS = 5_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingRead:
+    """A part that an engine reads.
+
+    Attributes:
+        server_id: The engine.
+        until_s: When the entry is given up, on the monotonic clock.
+        done: Set when the part was read, or its request has failed.
+    """
+
+    server_id: str
+    until_s: float
+    done: asyncio.Event
+
+
+class PendingReads:
+    """Which parts are being read, by this and other processes' requests.
+
+    Args:
+        clock: Ends entries whose end nobody told.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._reads: dict[tuple[str, str], PendingRead] = {}
+
+    def __len__(self) -> int:
+        """Parts that are being read."""
+        return len(self._reads)
+
+    def begin(
+        self, salt: str, part: exchange.PromptPart, server_id: str
+    ) -> None:
+        """Notes that a request has been sent that has a part read."""
+        if part.tokens < _MIN_PART_TOKENS or len(self._reads) >= _MAX_PARTS:
+            return
+        key = (salt, part.part_id)
+        if self._current(key) is None:
+            self._reads[key] = PendingRead(
+                server_id,
+                self._clock.monotonic() + _MAX_AGE_S,
+                asyncio.Event(),
+            )
+
+    def finish(self, salt: str, part_id: str) -> None:
+        """Notes that a part was read, or that its request has failed."""
+        read = self._reads.pop((salt, part_id), None)
+        if read is not None:
+            read.done.set()
+
+    def find(
+        self, salt: str, parts: Iterable[exchange.PromptPart]
+    ) -> PendingRead | None:
+        """Returns the first read under way of some parts."""
+        for part in parts:
+            read = self._current((salt, part.part_id))
+            if read is not None:
+                return read
+        return None
+
+    def is_pending(self, salt: str, part_id: str) -> bool:
+        """Returns whether a part is being read."""
+        return self._current((salt, part_id)) is not None
+
+    def _current(self, key: tuple[str, str]) -> PendingRead | None:
+        read = self._reads.get(key)
+        if read is not None and self._clock.monotonic() >= read.until_s:
+            del self._reads[key]
+            read.done.set()
+            return None
+        return read
--- /dev/null
+++ b/hibiscusstile/gateway/prefixturn.py
@@ -0,0 +1,111 @@
+"""Has requests with the same prefix wait until it has been read once."""
+
+from __future__ import annotations
+
+import asyncio
+
+import logbook
+
+from hibiscusstile import logs
+from hibiscusstile.gateway import exchange, load, pendingreads, selection, state
+
+__all__ = ["PrefixTurn"]
+
+_log = logbook.Logger("prefixturn")
+
+# Targets that a request waits at most; at the engine it would wait for the
+# same read. Callers leave after four.
+_PATIENCE_SHARE = 2.0
+
+
+class PrefixTurn:
+    """One request's part in reading its prefix.
+
+    Args:
+        known: What this process knows.
+        request: The request.
+        target_s: Time in which its answer has its full value.
+    """
+
+    def __init__(
+        self,
+        known: state.GatewayState,
+        request: exchange.ForwardedRequest,
+        target_s: float,
+    ) -> None:
+        self._known = known
+        self._request = request
+        self._until_s = request.received_s + _PATIENCE_SHARE * target_s
+        self._shared = request.parts[:-1]
+        self._shared_tokens = sum(part.tokens for part in self._shared)
+        self._reading_salt: str | None = None
+
+    async def wait(self, selected: selection.Selected) -> bool:
+        """Waits while another request has the prefix read.
+
+        Returns:
+            Whether the server should be selected anew.
+        """
+        read = self._known.pending_reads.find(
+            selected.candidate.cache_salt, self._shared
+        )
+        left_s = self._until_s - self._known.clock.monotonic()
+        if read is None or left_s <= 0 or self._is_held(selected, read):
+            return False
+        logs.event(
+            _log,
+            "prefix_awaited",
+            request=self._request.request_id,
+            server=read.server_id,
+            most_s=round(left_s, 3),
+        )
+        try:
+            async with asyncio.timeout(left_s):
+                await read.done.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def begin(self, selected: selection.Selected) -> None:
+        """Notes, and tells other gateways, that the request is sent."""
+        candidate = selected.candidate
+        salt, server_id = candidate.cache_salt, candidate.server.server_id
+        reading = selected.cached_tokens < self._shared_tokens
+        if reading:
+            self._reading_salt = salt
+        now_s = self._known.clock.monotonic()
+        for part in self._shared:
+            self._known.reads.note(salt, part.part_id, now_s)
+            self._known.notices.note_prefix(
+                server_id, salt, part, reading=reading, now_s=now_s
+            )
+            if reading:
+                self._known.pending_reads.begin(salt, part, server_id)
+        unread = self._request.prompt_tokens - selected.cached_tokens
+        if unread > load.LONG_PROMPT_TOKENS:
+            self._known.notices.send_soon()
+
+    def finish(self) -> None:
+        """Notes that the prefix was read, or that its request has ended."""
+        salt, self._reading_salt = self._reading_salt, None
+        if salt is None:
+            return
+        for part in self._shared:
+            self._known.pending_reads.finish(salt, part.part_id)
+            self._known.notices.note_read(salt, part)
+
+    def _is_held(
+        self, selected: selection.Selected, read: pendingreads.PendingRead
+    ) -> bool:
+        """Returns whether the server need not read the prefix."""
+        candidate = selected.candidate
+        if candidate.stored_tokens >= self._shared_tokens:
+            return True
+        cached = candidate.load.cached_tokens(
+            candidate.cache_salt, self._shared
+        )
+        # The reading engine's parts count as cached before they are read.
+        return (
+            cached >= self._shared_tokens
+            and read.server_id != candidate.server.server_id
+        )
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -13,6 +13,7 @@
     health,
     load,
     notices,
+    pendingreads,
     prefixstores,
     reads,
     routes,
@@ -63,6 +64,7 @@
         self._weights = weights.WeightsTable(clock)
         self._notices = notices.NoticeOutbox()
         self._reads = reads.RecentReads()
+        self._pending_reads = pendingreads.PendingReads(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
         self._processes = _LEAST_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -112,6 +114,11 @@
         """Which prompt parts some engine has read lately."""
         return self._reads
 
+    @property
+    def pending_reads(self) -> pendingreads.PendingReads:
+        """Which prompt parts engines read at this moment."""
+        return self._pending_reads
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """What other gateways are to be told."""
--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -214,6 +214,7 @@
             queue = self._queues[peer.name]
             self._lost_since_s.pop(peer.name, None)
             try:
+                await connection.send(self._reader.snapshot())
                 while True:
                     notice = await queue.get()
                     async with asyncio.timeout(_SEND_TIMEOUT_S):
--- a/hibiscusstile/peers/messages/__init__.py
+++ b/hibiscusstile/peers/messages/__init__.py
@@ -19,6 +19,7 @@
     NoticedClaim,
     NoticedLoad,
     NoticedPrefix,
+    NoticedRead,
     NoticedWeights,
 )
 from hibiscusstile.peers.messages.session import (
@@ -76,6 +77,7 @@
     "NoticedClaim",
     "NoticedLoad",
     "NoticedPrefix",
+    "NoticedRead",
     "NoticedWeights",
     "PeerAddress",
     "PeerInfo",
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -22,6 +22,7 @@
     "NoticedClaim",
     "NoticedLoad",
     "NoticedPrefix",
+    "NoticedRead",
     "NoticedWeights",
 ]
 
@@ -45,19 +46,34 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoticedPrefix:
-    """A prompt part that an engine reads, and will hold in its cache.
+    """A prompt part that an engine reads, or holds in its cache.
 
     Attributes:
         server: The engine's id.
         salt: Namespace of the part.
         part: The part's id.
         tokens: Its length.
+        reading: Whether the engine has still to read it.
     """
 
     server: ShortText
     salt: ShortText
     part: ShortText
     tokens: Count
+    reading: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoticedRead:
+    """A prompt part that is not being read any more.
+
+    Attributes:
+        salt: Namespace of the part.
+        part: The part's id.
+    """
+
+    salt: ShortText
+    part: ShortText
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -106,6 +122,9 @@
 _Prefixes = Annotated[
     tuple[NoticedPrefix, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
+_Reads = Annotated[
+    tuple[NoticedRead, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
+]
 _Changes = Annotated[
     tuple[NoticedChange, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
@@ -129,3 +148,4 @@
     changes: _Changes = ()
     weights: _Weights = ()
     claims: _Claims = ()
+    reads: _Reads = ()
--- /dev/null
+++ b/tests/gateway/test_prefixturn.py
@@ -0,0 +1,184 @@
+"""Tests of reading a prefix once before requests with it follow."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import dataclasses
+
+import aiohttp
+import pytest
+
+from hibiscusstile.gateway import (
+    exchange,
+    load,
+    notices,
+    prefixturn,
+    selection,
+    state,
+)
+from tests import builders as base
+from tests.builders import gateway as builders
+
+_SALT = "v1.shared"
+_TARGET_S = 1.5
+_MODEL = {
+    "X_Model": "m1",
+    "X_Token_Usage": "12000,100",
+    "X_Prompt_Prefix": "aa:10000,bb:2000",
+}
+
+
+def _state() -> state.GatewayState:
+    return builders.gateway_state(base.ManualClock())
+
+
+def _turn(
+    known: state.GatewayState, **request: object
+) -> prefixturn.PrefixTurn:
+    forwarded = builders.forwarded_request(**request)  # type: ignore[arg-type]
+    forwarded = dataclasses.replace(
+        forwarded, received_s=known.clock.monotonic()
+    )
+    return prefixturn.PrefixTurn(known, forwarded, _TARGET_S)
+
+
+def _selected(
+    server_id: str = "i-1", cached: int = 0, **fields: object
+) -> selection.Selected:
+    candidate = selection.Candidate(
+        builders.backend_server(server_id), load.ServerLoad(), cache_salt=_SALT
+    )
+    candidate = dataclasses.replace(candidate, **fields)  # type: ignore[arg-type]
+    return selection.Selected(candidate, 0.3, cached)
+
+
+async def _waits(
+    turn: prefixturn.PrefixTurn, selected: selection.Selected
+) -> asyncio.Task[bool]:
+    task = asyncio.ensure_future(turn.wait(selected))
+    for _ in range(5):
+        await asyncio.sleep(0)
+    return task
+
+
+async def test_a_prefix_is_read_before_the_next_request_is_sent() -> None:
+    """Guards against an engine that reads a prefix for each request.
+
+    Found on a played day: requests that waited at one engine with the same
+    prefix each had it read, a tenth of all tokens read.
+    """
+    known = _state()
+    first = _turn(known)
+    first.begin(_selected())
+    second = await _waits(_turn(known), _selected(cached=10_000))
+    assert not second.done()
+    first.finish()
+    assert await second is True
+    assert await _turn(known).wait(_selected(cached=10_000)) is False
+
+
+async def test_other_gateways_wait_too() -> None:
+    """Guards against a prefix that two gateways have read at once."""
+    known, other = _state(), _state()
+    teller, hearer = notices.NoticeHandler(known), notices.NoticeHandler(other)
+    first = _turn(known)
+    first.begin(_selected())
+    notice = teller.next_notice()
+    assert notice is not None
+    hearer.apply("peer", notice)
+    second = await _waits(_turn(other), _selected())
+    assert not second.done()
+    first.finish()
+    assert known.notices.urgent.is_set()
+    notice = teller.next_notice()
+    assert notice is not None
+    hearer.apply("peer", notice)
+    assert await second is True
+
+
+async def test_a_gateway_that_starts_anew_learns_of_prefixes() -> None:
+    """Guards against prefixes read again after each restart of a gateway."""
+    clock = base.ManualClock()
+    known, fresh = builders.gateway_state(clock), builders.gateway_state(clock)
+    handler = notices.NoticeHandler(known)
+    _turn(known, parts=(("old", 9_000), ("x", 9))).begin(_selected("i-2"))
+    clock.advance(11.0)
+    read = _turn(known)
+    read.begin(_selected("i-1"))
+    read.finish()
+    _turn(known, parts=(("cc", 8_000), ("x", 9))).begin(_selected("i-2"))
+    handler.next_notice()
+    notices.NoticeHandler(fresh).apply("peer", handler.snapshot())
+    part = exchange.PromptPart("aa", 10_000)
+    assert fresh.loads.of("i-1").cached_tokens(_SALT, (part,)) == 10_000
+    assert fresh.reads.is_recent(_SALT, "aa", clock.monotonic())
+    assert not fresh.reads.is_recent(_SALT, "old", clock.monotonic())
+    assert not fresh.pending_reads.is_pending(_SALT, "aa")
+    assert fresh.pending_reads.is_pending(_SALT, "cc")
+
+
+@pytest.mark.parametrize(
+    ("parts", "selected"),
+    [
+        ((("aa", 10_000), ("own", 5)), _selected(stored_tokens=10_000)),
+        ((("cc", 10_000), ("own", 5)), _selected()),
+        ((("dd", 200), ("own", 5)), _selected()),
+    ],
+)
+async def test_nothing_is_waited_for_without_need(
+    parts: tuple[tuple[str, int], ...], selected: selection.Selected
+) -> None:
+    """Guards against delays where the prefix can be fetched or is short."""
+    known = _state()
+    for begun in ("aa", "dd"):
+        tokens = 10_000 if begun == "aa" else 200
+        _turn(known, parts=((begun, tokens), ("x", 9))).begin(_selected())
+    assert await _turn(known, parts=parts).wait(selected) is False
+
+
+async def test_an_engine_that_holds_the_prefix_gets_the_request() -> None:
+    """Guards against waiting for another engine's copy."""
+    known = _state()
+    holder = load.ServerLoad()
+    holder.note_read(_SALT, "aa", 10_000)
+    _turn(known).begin(_selected("i-2"))
+    selected = _selected("i-1", 10_000, load=holder)
+    assert await _turn(known).wait(selected) is False
+
+
+async def test_waiting_ends_with_the_request_s_patience() -> None:
+    """Guards against a request that is held until its caller leaves."""
+    clock = base.ManualClock()
+    known = builders.gateway_state(clock)
+    _turn(known).begin(_selected())
+    late = _turn(known)
+    clock.advance(2.0 * _TARGET_S)
+    assert await late.wait(_selected()) is False
+    clock.advance(4.0)
+    assert await _turn(known).wait(_selected()) is False
+    assert len(known.pending_reads) == 0
+
+
+@pytest.mark.parametrize("mode", ["", "full", "cut", "lose_answer"])
+async def test_no_prefix_stays_pending(mode: str) -> None:
+    """Guards against requests that wait for one that has failed."""
+    async with builders.gateway_world() as world:
+        runner = await world.add_runner(builders.ENGINE_SERVICE, "i-1")
+        if mode:
+            runner.misbehave(mode)
+        with contextlib.suppress(aiohttp.ClientError):
+            await world.call("/dossier/1", **_MODEL)
+        assert len(world.known.pending_reads) == 0
+
+
+async def test_a_held_request_is_served() -> None:
+    """Guards against a request that is lost while it waits."""
+    async with builders.gateway_world() as world:
+        await world.add_runner(builders.ENGINE_SERVICE, "i-1")
+        part = exchange.PromptPart("aa", 10_000)
+        world.known.pending_reads.begin("v1.shared", part, "i-1")
+        call = asyncio.ensure_future(world.call("/dossier/1", **_MODEL))
+        await world.until(lambda: world.gateway.active == 1)
+        world.known.pending_reads.finish("v1.shared", "aa")
+        assert (await call)[0] == 200
