Pass the configuration on to gateways without the store

Cause: a gateway that the store turns away, or that is cut off from it, keeps its configuration, and refuses keys that were added meanwhile; its peers have the newer record and tell it of weights only. Change: each message between gateways already shows its sender's version. A peer that shows an older one half a second after a change gets the record; peers take turns. A record that is older than the one in force changes nothing.

--- /dev/null
+++ b/hibiscusstile/gateway/configurationrelay.py
@@ -0,0 +1,107 @@
+"""Passes the configuration on to gateways that the store turns away.
+
+The store may reject some processes while it serves the others. A process whose
+messages still show an older version than the one in force here gets the record
+from a peer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+import logbook
+import xxhash
+
+from hibiscusstile import logs
+from hibiscusstile.gateway import follower, state
+from hibiscusstile.peers import messages
+from hibiscusstile.platform import topics
+
+__all__ = ["ConfigurationRelay"]
+
+_log = logbook.Logger("configurationrelay")
+
+# The store tells all processes of a version within some ms; one that lacks it
+# for longer has no connection to the store.
+_LAG_S = 0.5
+# Peers take turns, so that one record is sent and not one by each of them.
+_TURN_S = 1.5
+_REPEAT_S = 4.0
+
+
+class ConfigurationRelay(follower.Consumer):
+    """Keeps the newest record that was put in force, and offers it to peers.
+
+    Args:
+        name: Name of this process.
+        known: The state.
+        consumer: Puts records in force.
+        key: Key of the configuration's record.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        known: state.GatewayState,
+        consumer: follower.Consumer,
+        key: str,
+    ) -> None:
+        self._name = name
+        self._known = known
+        self._clock = known.clock
+        self._consumer = consumer
+        self._key = key
+        self._record: topics.KeyedRecord | None = None
+        self._since_s = 0.0
+        self._behind: set[str] = set()
+        self._sent_s: dict[str, float] = {}
+
+    def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
+        """Puts the newest record of every key in force."""
+        for record in records:
+            self.apply(record)
+
+    def apply(self, record: topics.KeyedRecord) -> None:
+        """Puts a record in force, and keeps it if it is the configuration."""
+        before = self._known.table
+        self._consumer.apply(record)
+        if record.key == self._key and self._known.table is not before:
+            self._record = record
+            self._since_s = self._clock.monotonic()
+            self._behind.clear()
+            self._sent_s.clear()
+
+    def receive(
+        self, peer_id: str, message: messages.GatewayConfiguration
+    ) -> None:
+        """Puts a record that a peer has passed on in force, if it is newer."""
+        logs.event(_log, "configuration_received", peer=peer_id)
+        self.apply(topics.KeyedRecord(self._key, message.record, -1))
+
+    def note_version(self, peer_id: str, version: int) -> None:
+        """Notes the version that a peer's message shows."""
+        table = self._known.table
+        age_s = self._clock.monotonic() - self._since_s
+        if table is not None and version < table.version and age_s > _LAG_S:
+            self._behind.add(peer_id)
+        else:
+            self._behind.discard(peer_id)
+
+    def offer(self, peer_id: str) -> messages.GatewayConfiguration | None:
+        """Returns the record if a peer lacks it and it is this one's turn."""
+        now_s = self._clock.monotonic()
+        if self._record is None or peer_id not in self._behind:
+            return None
+        if now_s < self._since_s + _LAG_S + self._turn(peer_id) * _TURN_S:
+            return None
+        sent_s = self._sent_s.get(peer_id)
+        if sent_s is not None and now_s - sent_s < _REPEAT_S:
+            return None
+        self._sent_s[peer_id] = now_s
+        logs.event(_log, "configuration_passed_on", peer=peer_id)
+        return messages.GatewayConfiguration(self._record.value)
+
+    def _turn(self, peer_id: str) -> float:
+        """Returns this process's place among a peer's peers, 0 to 1."""
+        digest = xxhash.xxh3_64_intdigest(f"{self._name} {peer_id}".encode())
+        return float(digest / 2**64)
--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -14,7 +14,7 @@
 from websockets.exceptions import WebSocketException
 
 from hibiscusstile import logs, supervisor
-from hibiscusstile.gateway import notices, state
+from hibiscusstile.gateway import configurationrelay, notices, state
 from hibiscusstile.peers import codec, handshake, messages, server
 from hibiscusstile.peers import connection as connection_lib
 
@@ -65,6 +65,7 @@
         port: Port to listen on.
         known: What this process knows.
         reader: Writes notices and takes them in.
+        relay: Offers the configuration to gateways that lack it.
     """
 
     def __init__(
@@ -74,11 +75,13 @@
         port: int,
         known: state.GatewayState,
         reader: notices.NoticeHandler,
+        relay: configurationrelay.ConfigurationRelay,
     ) -> None:
         self._me = handshake.Identity(name, _ROLE)
         self._host = host
         self._known = known
         self._reader = reader
+        self._relay = relay
         self._secret = secrets.token_hex(_SECRET_BYTES)
         self._server = server.PeerServer(
             self._me,
@@ -89,7 +92,7 @@
             self._receive,
         )
         self._links = supervisor.Supervisor("links", known.clock)
-        self._queues: dict[str, asyncio.Queue[messages.GatewayNotice]] = {}
+        self._queues: dict[str, asyncio.Queue[messages.PeerMessage]] = {}
         self._peers: dict[str, Peer] = {}
         self._lost_since_s: dict[str, float] = {}
 
@@ -168,13 +171,12 @@
                 async with asyncio.timeout(_INTERVAL_S):
                     await board.urgent.wait()
             notice = self._reader.next_notice()
+            for name, queue in self._queues.items():
+                for message in (notice, self._relay.offer(name)):
+                    if message is not None:
+                        _put(queue, message)
             if notice is None:
                 continue
-            for queue in self._queues.values():
-                if queue.full():
-                    # An old notice is worth less than a new one.
-                    queue.get_nowait()
-                queue.put_nowait(notice)
             await self._known.clock.sleep(_LEAST_INTERVAL)
 
     async def _link(self, peer: Peer) -> None:
@@ -232,9 +234,21 @@
         connection.set_probes()
         while True:
             envelope = await connection.receive()
+            self._relay.note_version(other.peer_id, envelope.revision)
             if isinstance(envelope.message, messages.GatewayNotice):
                 self._reader.apply(other.peer_id, envelope.message)
+            elif isinstance(envelope.message, messages.GatewayConfiguration):
+                self._relay.receive(other.peer_id, envelope.message)
 
     def _revision(self) -> int:
         table = self._known.table
         return table.version if table else 0
+
+
+def _put(
+    queue: asyncio.Queue[messages.PeerMessage], message: messages.PeerMessage
+) -> None:
+    if queue.full():
+        # An old notice is worth less than a new one.
+        queue.get_nowait()
+    queue.put_nowait(message)
--- a/hibiscusstile/peers/messages/__init__.py
+++ b/hibiscusstile/peers/messages/__init__.py
@@ -14,6 +14,7 @@
 )
 from hibiscusstile.peers.messages.gateway import (
     MAX_NOTICE_ENTRIES,
+    GatewayConfiguration,
     GatewayNotice,
     NoticedChange,
     NoticedClaim,
@@ -67,6 +68,7 @@
     "Dispatch",
     "End",
     "Failed",
+    "GatewayConfiguration",
     "GatewayNotice",
     "HandshakeChallenge",
     "HandshakeProof",
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "MAX_NOTICE_ENTRIES",
+    "GatewayConfiguration",
     "GatewayNotice",
     "NoticedChange",
     "NoticedClaim",
@@ -27,6 +28,8 @@
 ]
 
 MAX_NOTICE_ENTRIES = 4096
+# As large as a frame leaves room for.
+_MAX_RECORD_BYTES = 5 * 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,3 +152,16 @@
     weights: _Weights = ()
     claims: _Claims = ()
     reads: _Reads = ()
+
+
+@message_types.register()
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayConfiguration(PeerMessage):
+    """The operators' configuration, for a gateway without the store.
+
+    Attributes:
+        record: Its record, as operators wrote it.
+    """
+
+    name = "gateway_configuration"
+    record: Annotated[bytes, pydantic.Field(max_length=_MAX_RECORD_BYTES)]
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -12,6 +12,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
+    configurationrelay,
     follower,
     notices,
     rollout,
@@ -85,11 +86,14 @@
             config.address, _METRICS_PORT, self._status
         )
         self._ready = ingress.ReadyPage(config.ready_address, self._gateway)
-        self._operators_feed = follower.KeyedFollower(
-            self._store,
-            operatorrecords.OPERATOR_TOPIC,
+        relay = configurationrelay.ConfigurationRelay(
+            config.name,
+            self._known,
             feeds.OperatorFeed(self._known),
-            clock,
+            operatorrecords.CONFIGURATION_KEY,
+        )
+        self._operators_feed = follower.KeyedFollower(
+            self._store, operatorrecords.OPERATOR_TOPIC, relay, clock
         )
         self._board = notices.NoticeHandler(self._known)
         self._mesh = mesh.Mesh(
@@ -98,6 +102,7 @@
             config.internal_ports[0],
             self._known,
             self._board,
+            relay,
         )
         self._members = members.MemberFeed(self._store, self._mesh, self._known)
         self._members_feed = follower.KeyedFollower(
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -16,6 +16,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import supervisor
 from hibiscusstile.gateway import (
+    configurationrelay,
     exchange,
     fleet,
     follower,
@@ -38,6 +39,7 @@
     "GatewayWorld",
     "backend_server",
     "configuration_record",
+    "configuration_relay",
     "forwarded_request",
     "gateway_state",
     "gateway_world",
@@ -182,6 +184,18 @@
     return state.GatewayState(clock, zone, state.RetryPolicy(0.2, reserve))
 
 
+def configuration_relay(
+    known: state.GatewayState, name: str = "a"
+) -> configurationrelay.ConfigurationRelay:
+    """Returns a relay that puts operators' records in force."""
+    return configurationrelay.ConfigurationRelay(
+        name,
+        known,
+        feeds.OperatorFeed(known),
+        operatorrecords.CONFIGURATION_KEY,
+    )
+
+
 class GatewayWorld:
     """A gateway on sockets, with its store and its backend servers."""
 
--- /dev/null
+++ b/tests/gateway/test_configurationrelay.py
@@ -0,0 +1,107 @@
+"""Tests of passing the configuration on to gateways without the store."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import datetime
+import json
+from collections.abc import AsyncIterator
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.gateway import configurationrelay, notices, state
+from hibiscusstile.peers import mesh, messages
+from hibiscusstile.platform import topics
+from tests import builders as base
+from tests.builders import gateway as builders
+
+_PAUSE = datetime.timedelta(milliseconds=20)
+
+
+def _record(version: int) -> topics.KeyedRecord:
+    record = builders.configuration_record(version)
+    return topics.KeyedRecord("config", json.dumps(record).encode(), version)
+
+
+def _relay(
+    clock: clock_lib.Clock, name: str, version: int
+) -> tuple[state.GatewayState, configurationrelay.ConfigurationRelay]:
+    known = builders.gateway_state(clock)
+    relay = builders.configuration_relay(known, name)
+    relay.apply_all([_record(version)])
+    return known, relay
+
+
+def test_a_gateway_that_lacks_a_version_is_offered_it_once() -> None:
+    """Guards against keys refused by a gateway that the store turns away."""
+    clock = base.ManualClock()
+    _, newer = _relay(clock, "a", 5)
+    known, older = _relay(clock, "b", 3)
+    newer.note_version("b", 3)
+    assert newer.offer("b") is None
+    clock.advance(2.1)
+    assert newer.offer("b") is None
+    newer.note_version("b", 3)
+    offered = newer.offer("b")
+    assert offered is not None
+    assert newer.offer("b") is None
+    older.receive("a", offered)
+    assert known.table is not None and known.table.version == 5
+    newer.note_version("b", 5)
+    clock.advance(10.0)
+    assert newer.offer("b") is None
+
+
+def test_a_peer_s_record_never_brings_an_older_version_back() -> None:
+    """Guards against a configuration that goes back (CONFIG)."""
+    clock = base.ManualClock()
+    known, newer = _relay(clock, "a", 5)
+    for value in (_record(3).value, b"not a record"):
+        newer.receive("b", messages.GatewayConfiguration(value))
+        assert known.table is not None and known.table.version == 5
+
+
+@contextlib.asynccontextmanager
+async def _running(*links: mesh.Mesh) -> AsyncIterator[None]:
+    runs = [
+        asyncio.ensure_future(run())
+        for each in links
+        for run in (each.run_server, each.run_links)
+    ]
+    try:
+        for each in links:
+            await each.wait_listening()
+        yield
+    finally:
+        for run in runs:
+            run.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await run
+
+
+async def test_the_configuration_reaches_a_gateway_without_the_store() -> None:
+    """Guards against a relay that no connection carries."""
+    clock = clock_lib.SystemClock()
+    known, links = {}, {}
+    for name, version in (("a", 5), ("b", 3)):
+        known[name], relay = _relay(clock, name, version)
+        links[name] = mesh.Mesh(
+            name,
+            "127.0.0.1",
+            0,
+            known[name],
+            notices.NoticeHandler(known[name]),
+            relay,
+        )
+    async with _running(*links.values()):
+        for name, other in (("a", "b"), ("b", "a")):
+            peer = links[other]
+            await links[name].set_peers(
+                {other: mesh.Peer(other, peer.address, peer.secret)}
+            )
+        end_s = clock.monotonic() + 10.0
+        while known["b"].table.version != 5:
+            assert clock.monotonic() < end_s, "the version never came"
+            # A gateway with requests tells others of its loads all the time.
+            known["b"].name_weights("m1", round(clock.monotonic() * 1000))
+            await clock.sleep(_PAUSE)
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -20,7 +20,14 @@
     clock: base.ManualClock, log: rollouts.MemoryLog
 ) -> tuple[members.MemberFeed, mesh.Mesh]:
     known = builders.gateway_state(clock)
-    links = mesh.Mesh("a", "127.0.0.1", 0, known, notices.NoticeHandler(known))
+    links = mesh.Mesh(
+        "a",
+        "127.0.0.1",
+        0,
+        known,
+        notices.NoticeHandler(known),
+        builders.configuration_relay(known),
+    )
     return members.MemberFeed(log, links, known), links
 
 
