--- a/Makefile
+++ b/Makefile
@@ -16,6 +16,7 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m hibiscusstile.ctl demo
+	$(BIN)/python -m soak.demo
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
--- a/soak/world.py
+++ b/soak/world.py
@@ -131,6 +131,18 @@
         value = {"model": "m1", "version": self._weights}
         await self._put("keyed.op", "version/m1", value)
 
+    async def engines_changed(self) -> bool:
+        """Returns whether every engine has the weights named last."""
+        assert self.session is not None
+        versions = set()
+        for number, url in enumerate(self._urls[1:]):
+            if _SERVICES[number % len(_SERVICES)] != "engines":
+                continue
+            async with self.session.get(f"{url}/v1/report") as response:
+                report = await response.json()
+            versions |= {each["version"] for each in report["models"]}
+        return versions == {self._weights}
+
     async def fault(self, number: int, name: str, *arguments: str) -> None:
         """Makes a backend server misbehave."""
         fields = {"mode": arguments[0]} if arguments else {}
