Select anew after a wait in vain; count weights from the first that is lacking

Ruled out: the drain before orders; no order had reached those engines. Change: the server is selected again after any wait; weights remember all versions named, and an engine is behind since the first that it lacks.

--- a/hibiscusstile/gateway/choice.py
+++ b/hibiscusstile/gateway/choice.py
@@ -105,7 +105,7 @@
         behind_s=behind_s,
         cache_tokens=cache_tokens,
         cache_salt=salt,
-        stored_tokens=_stored_tokens(known, need, salt, behind_s),
+        stored_tokens=_stored_tokens(known, need, salt, version),
         version=version,
         running=running,
         waiting_tokens=load.waiting_tokens + load.others_waiting(now_s),
@@ -131,7 +131,7 @@
     known: state.GatewayState,
     need: selection.Need,
     salt: str,
-    behind_s: float,
+    version: int | None,
 ) -> int:
     """Returns how many prompt tokens can be fetched from a store.
 
@@ -143,18 +143,22 @@
     parts = need.request.parts
     if store is None or not parts:
         return 0
-    named = known.weights.named(need.request.model)
-    if not behind_s or named is None:
+    newer = None
+    if version is not None:
+        newer = known.weights.named_after(need.request.model, version)
+    if newer is None:
         return known.prefix_stores.held_tokens(store.address, salt, parts)
     held = known.prefix_stores.held_tokens(
-        store.address, salt, parts[:-1], named.learnt_s
+        store.address, salt, parts[:-1], newer.learnt_s
     )
     return held if held == sum(part.tokens for part in parts[:-1]) else 0
 
 
 def _behind_s(known: state.GatewayState, model: str, server_id: str) -> float:
-    named = known.weights.named(model)
     version = known.weights.version_at(server_id, model)
-    if named is None or version is None or version >= named.version:
+    if version is None:
         return 0.0
-    return max(1e-3, known.clock.monotonic() - named.learnt_s)
+    newer = known.weights.named_after(model, version)
+    if newer is None:
+        return 0.0
+    return max(1e-3, known.clock.monotonic() - newer.learnt_s)
--- a/hibiscusstile/gateway/prefixturn.py
+++ b/hibiscusstile/gateway/prefixturn.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 import logbook
 
@@ -44,7 +45,8 @@
         """Waits while another request has the prefix read.
 
         Returns:
-            Whether the server should be selected anew.
+            Whether it waited: the server must then be selected anew, as it
+            may have left or changed its weights meanwhile.
         """
         read = self._known.pending_reads.find(
             selected.candidate.cache_salt, self._shared
@@ -59,11 +61,9 @@
             server=read.server_id,
             most_s=round(left_s, 3),
         )
-        try:
+        with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(left_s):
                 await read.done.wait()
-        except TimeoutError:
-            return False
         return True
 
     def begin(self, selected: selection.Selected) -> None:
--- a/hibiscusstile/gateway/weights.py
+++ b/hibiscusstile/gateway/weights.py
@@ -13,10 +13,13 @@
 
 _log = logbook.Logger("weights")
 
+# Versions of a model that are remembered; servers have one of the last few.
+_MAX_NAMED = 64
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NamedWeights:
-    """The newest version of a model's weights that operators named.
+    """A version of a model's weights that operators named.
 
     Attributes:
         version: The version.
@@ -39,7 +42,8 @@
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
-        self._named: dict[str, NamedWeights] = {}
+        # Every version that was named, by model, oldest first.
+        self._named: dict[str, list[NamedWeights]] = {}
         self._seen: dict[tuple[str, str], int] = {}
         self._changing_until_s: dict[str, float] = {}
 
@@ -50,14 +54,31 @@
 
     def named(self, model: str) -> NamedWeights | None:
         """Returns the newest version named for a model."""
-        return self._named.get(model)
+        versions = self._named.get(model)
+        return versions[-1] if versions else None
+
+    def named_after(self, model: str, version: int) -> NamedWeights | None:
+        """Returns the oldest known version that is newer than another.
+
+        A server is behind since that one was named, however many followed.
+        """
+        return next(
+            (
+                named
+                for named in self._named.get(model, ())
+                if named.version > version
+            ),
+            None,
+        )
 
     def name_version(self, model: str, version: int) -> bool:
         """Takes in a version that operators named; whether it is newer."""
-        known = self._named.get(model)
+        known = self.named(model)
         if known is not None and known.version >= version:
             return False
-        self._named[model] = NamedWeights(version, self._clock.monotonic())
+        versions = self._named.setdefault(model, [])
+        versions.append(NamedWeights(version, self._clock.monotonic()))
+        del versions[:-_MAX_NAMED]
         logs.event(_log, "weights_named", model=model, version=version)
         return True
 
--- a/tests/gateway/test_choice.py
+++ b/tests/gateway/test_choice.py
@@ -91,6 +91,21 @@
     assert _choose(known, frozenset({"i-2"})) is None
 
 
+def test_an_engine_is_behind_since_the_first_version_it_lacks() -> None:
+    """Guards against requests that begin on weights replaced long ago.
+
+    Found in a hunt: an engine came back with version 1 as version 3 was named,
+    8 s after version 2 (VERSION).
+    """
+    clock, known = _state()
+    known.name_weights("m1", 2)
+    clock.advance(4.0)
+    known.name_weights("m1", 3)
+    known.note_weights("i-2", "m1", 3)
+    clock.advance(2.0)
+    assert _choose(known, frozenset({"i-2"})) is None
+
+
 def test_an_engine_that_changes_weights_gets_nothing() -> None:
     """Guards against requests that an order turns away."""
     _, known = _state()
@@ -164,6 +179,8 @@
     known.prefix_stores.note_part(
         "10.0.0.9:1", "v1.shared", parts[0].part_id, clock.monotonic()
     )
+    clock.advance(0.5)
+    known.name_weights("m1", 3)
     selected = _choose(known)
     assert selected is not None
     assert selected.candidate.stored_tokens == 0
--- a/tests/gateway/test_prefixturn.py
+++ b/tests/gateway/test_prefixturn.py
@@ -160,6 +160,24 @@
     assert len(known.pending_reads) == 0
 
 
+async def test_a_server_is_selected_anew_after_a_wait_in_vain() -> None:
+    """Guards against requests to a server that left during the wait.
+
+    Found in a hunt: a request waited for 3 s and went to an engine that had
+    said 2 s before that it leaves (DRAIN).
+    """
+    known = _state()
+    _turn(known).begin(_selected())
+    turn = prefixturn.PrefixTurn(
+        known,
+        dataclasses.replace(
+            builders.forwarded_request(), received_s=known.clock.monotonic()
+        ),
+        target_s=0.005,
+    )
+    assert await turn.wait(_selected()) is True
+
+
 @pytest.mark.parametrize("mode", ["", "full", "cut", "lose_answer"])
 async def test_no_prefix_stays_pending(mode: str) -> None:
     """Guards against requests that wait for one that has failed."""
