Drop prefix reads whose end was never told

Cause: a reading of the change. A read that a lost notice left behind expired only when it was looked up; once 5,000 had collected, no request would have waited for a prefix any more.

--- a/hibiscusstile/gateway/pendingreads.py
+++ b/hibiscusstile/gateway/pendingreads.py
@@ -58,6 +58,7 @@
         self, salt: str, part: exchange.PromptPart, server_id: str
     ) -> None:
         """Notes that a request has been sent that has a part read."""
+        self._drop_expired()
         if part.tokens < _MIN_PART_TOKENS or len(self._reads) >= _MAX_PARTS:
             return
         key = (salt, part.part_id)
@@ -88,6 +89,15 @@
         """Returns whether a part is being read."""
         return self._current((salt, part_id)) is not None
 
+    def _drop_expired(self) -> None:
+        """Drops reads whose end was never told; the oldest come first."""
+        now_s = self._clock.monotonic()
+        while self._reads:
+            key = next(iter(self._reads))
+            if now_s < self._reads[key].until_s:
+                return
+            self._reads.pop(key).done.set()
+
     def _current(self, key: tuple[str, str]) -> PendingRead | None:
         read = self._reads.get(key)
         if read is not None and self._clock.monotonic() >= read.until_s:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -16,7 +16,6 @@
 _CALLERS = 12
 # Faults end this long before the callers, so that recovery can be seen.
 _RECOVERY_S = 16.0
-_NETWORKS = 250
 
 
 async def run(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
@@ -28,7 +27,7 @@
         folder: For settings and logs.
     """
     rng = random.Random(seed)
-    scene = world.World(folder, 1 + (seed + 31 * os.getpid()) % _NETWORKS)
+    scene = world.World(folder, 1 + (seed + 31 * os.getpid()) % world.NETWORKS)
     seen: list[callers.Seen] = []
     injected: list[str] = []
     stop_faults, stop_callers = asyncio.Event(), asyncio.Event()
--- a/soak/demo.py
+++ b/soak/demo.py
@@ -22,7 +22,6 @@
 # Today's users want new weights on all engines within 8 s.
 _WEIGHTS_S = 8.0
 _POLL_S = 0.1
-_NETWORKS = 250
 
 
 async def run(folder: pathlib.Path) -> list[str]:
@@ -31,7 +30,7 @@
     Args:
         folder: For settings and logs.
     """
-    scene = world.World(folder, 1 + os.getpid() % _NETWORKS)
+    scene = world.World(folder, 1 + os.getpid() % world.NETWORKS)
     seen: list[callers.Seen] = []
     stopping = asyncio.Event()
     try:
--- a/soak/world.py
+++ b/soak/world.py
@@ -17,10 +17,12 @@
 from hibiscusstile_standins import ports
 from soak import proxy
 
-__all__ = ["HOST", "KEY", "World"]
+__all__ = ["HOST", "KEY", "NETWORKS", "World"]
 
 HOST = "soak.example"
 KEY = "soak-key"
+# Loopback networks that soaks side by side choose from.
+NETWORKS = 250
 _ROOT = pathlib.Path(__file__).parent.parent
 _GATEWAYS = 3
 _RUNNERS = 4
--- a/tests/gateway/test_prefixturn.py
+++ b/tests/gateway/test_prefixturn.py
@@ -178,6 +178,17 @@
     assert await turn.wait(_selected()) is True
 
 
+def test_reads_whose_end_is_never_told_are_dropped() -> None:
+    """Guards against a table that fills up, after which nothing waits."""
+    clock = base.ManualClock()
+    known = builders.gateway_state(clock)
+    for number in range(3):
+        part = exchange.PromptPart(f"p{number}", 9_000)
+        known.pending_reads.begin(_SALT, part, "i-1")
+        clock.advance(3.0)
+    assert len(known.pending_reads) == 2
+
+
 @pytest.mark.parametrize("mode", ["", "full", "cut", "lose_answer"])
 async def test_no_prefix_stays_pending(mode: str) -> None:
     """Guards against requests that wait for one that has failed."""
