Bound what a server may send, and tell late copies apart

Cause: the body of a response was held whole, the search for the end of an event began anew with each read, heads without a final response were parsed without a limit, and events of one read were relayed without a pause. One response took 700 MB in 2 s or blocked the event loop for 7.2 s. A copy of a response that arrived on an idle connection, or had no id, answered the next request; one in the middle of a chunked stream left the caller without an end until its deadline.

Change: boundedhttp limits heads, their bytes, and what is read at once, closes a connection with bytes after a response, and ends a body whose framing is malformed. A body is held up to 1 MiB (gateway.held_body_kb) and relayed as it arrives beyond it, except that of an error. Events are limited to 256 KiB and found in linear time. A response without an id counts only on a new connection. Only events with content are progress: a stream without one for half of its caller's patience resumes elsewhere, or ends after all of it. The answers of the store, of engines to orders, and of the cache events are bounded.

--- a/hibiscusstile/backends/engine_chat.py
+++ b/hibiscusstile/backends/engine_chat.py
@@ -8,7 +8,7 @@
 
 import aiohttp
 
-from hibiscusstile import backends, outcome
+from hibiscusstile import backends, boundedhttp, outcome
 from hibiscusstile.backends import engine_protocol, httpsession
 
 __all__ = ["EngineChat", "EngineChatUnfenced"]
@@ -19,6 +19,9 @@
 _STREAM_TIMEOUT = aiohttp.ClientTimeout(total=None, sock_connect=2.0)
 _CRASH_PROBE_TIMEOUT_S = 0.3
 _MAX_MESSAGE_CHARS = 200
+_MAX_CONTROL_BYTES = 256 * 1024
+# Exported KV cache, or a list of all cached blocks.
+_MAX_TRANSFER_BYTES = 16 * 1024 * 1024
 
 
 @backends.backend_kinds.register()
@@ -104,7 +107,7 @@
                 f"{self._url}/health",
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
-                body = await response.read()
+                body = await boundedhttp.read_body(response, _MAX_CONTROL_BYTES)
                 status = response.status
         except TimeoutError:
             return backends.ProbeFailure.SILENT
@@ -192,7 +195,9 @@
             ) as response:
                 if response.status != 200:
                     return None
-                return await response.read()
+                return await boundedhttp.read_body(
+                    response, _MAX_TRANSFER_BYTES
+                )
         except (aiohttp.ClientError, TimeoutError):
             return None
 
@@ -215,7 +220,8 @@
                 allow_redirects=False,
                 trace_request_ctx=trace,
             ) as response:
-                return response.status, await response.text(), True
+                text = await boundedhttp.read_body(response, _MAX_CONTROL_BYTES)
+                return response.status, text.decode(errors="replace"), True
         except (aiohttp.ClientError, TimeoutError) as error:
             return 0, repr(error), trace.connected
 
@@ -238,7 +244,8 @@
 async def _status_refusal(
     response: aiohttp.ClientResponse,
 ) -> outcome.Refusal:
-    text = (await response.text())[:_MAX_MESSAGE_CHARS]
+    body = await boundedhttp.read_body(response, _MAX_CONTROL_BYTES)
+    text = body.decode(errors="replace")[:_MAX_MESSAGE_CHARS]
     try:
         message = str(json.loads(text).get("message", ""))
     except (ValueError, AttributeError):
--- a/hibiscusstile/backends/httpsession.py
+++ b/hibiscusstile/backends/httpsession.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from hibiscusstile import boundedhttp
+
 __all__ = ["RequestLost", "RequestTrace", "open_read_session", "open_session"]
 
 
@@ -61,7 +63,7 @@
     trace_config.on_connection_create_end.append(_note_connected)
     trace_config.on_connection_reuseconn.append(_note_connected)
     if connector is None:
-        connector = aiohttp.TCPConnector(force_close=True, limit=0)
+        connector = boundedhttp.BoundedConnector(force_close=True, limit=0)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
@@ -80,7 +82,7 @@
     connection would be most of the cost of a read.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=_MAX_READ_CONNECTIONS),
+        connector=boundedhttp.BoundedConnector(limit=_MAX_READ_CONNECTIONS),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
 
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -16,6 +16,7 @@
     "FailureCause",
     "ForwardedRequest",
     "Headers",
+    "HeldBody",
     "PromptPart",
     "ResponseHead",
     "ResponseWriter",
@@ -139,8 +140,8 @@
     """The server does not have the required weights version."""
     LOST = "lost"
     """The connection closed early, or the response was invalid."""
-    TIMED_OUT = "timed_out"
-    """No response arrived before the deadline."""
+    STALLED = "stalled"
+    """The response made no progress for longer than its caller waits."""
 
 
 class AttemptFailed(Exception):  # noqa: N818 - an outcome, not a program error
@@ -173,11 +174,26 @@
         data: Encoded event, including the terminating blank line.
         event_id: Event identifier, empty if none.
         weights_version: Weights version from this event on, if it changed.
+        has_content: Whether it carries more than a comment.
     """
 
     data: bytes
     event_id: str = ""
     weights_version: int | None = None
+    has_content: bool = True
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HeldBody:
+    """The body of a response, or its start if it exceeds a limit.
+
+    Attributes:
+        data: The bytes read.
+        complete: Whether the body has ended.
+    """
+
+    data: bytes
+    complete: bool
 
 
 class ServerResponse(abc.ABC):
@@ -189,8 +205,16 @@
         """Status and headers."""
 
     @abc.abstractmethod
-    async def body(self) -> bytes:
-        """Reads the complete body.
+    async def read_held(self, max_bytes: int) -> HeldBody:
+        """Reads the body until it ends or exceeds `max_bytes`.
+
+        Raises:
+            AttemptFailed: The body was truncated.
+        """
+
+    @abc.abstractmethod
+    def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the rest of the body as it arrives.
 
         Raises:
             AttemptFailed: The body was truncated.
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -12,6 +12,7 @@
     load,
     overload,
     prefillcoalescing,
+    progress,
     requestlog,
     resolving,
     routes,
@@ -75,6 +76,8 @@
         self._refusal: outcome.Refusal | None = None
         # Not reset after a response, whose verdict is at least MAY_HAVE_RUN.
         self._attempt_pending = False
+        # Server that has sent the head of a response but not all of its body.
+        self._unfinished_server: fleet.BackendServer | None = None
         self._run_counted = False
         self._excluded_until_pause: set[str] = set()
         self._excluded_for_request: set[str] = set()
@@ -107,6 +110,8 @@
             result = "served"
         except TimeoutError:
             result = "timed_out"
+            if self._unfinished_server is not None:
+                self._state.health.note_no_response(self._unfinished_server)
             await self._finish_failed(
                 outcome.Refusal(
                     outcome.Reason.EXPIRED,
@@ -254,9 +259,19 @@
     async def _relay_body(
         self, server: fleet.BackendServer, response: exchange.ServerResponse
     ) -> None:
-        body = await response.body()
+        """Relays a response that is not a stream of events.
+
+        The whole body decides whether the request is sent again, so it is held
+        up to a limit. A longer one is relayed as it arrives.
+        """
+        self._unfinished_server = server
+        held = await response.read_held(self._state.max_held_body_bytes)
         failed = response.head.status >= _FIRST_SERVER_ERROR_STATUS
         self._note_run(outcome.Verdict.RAN)
+        if not held.complete:
+            await self._relay_long_body(server, response, held.data)
+            return
+        self._unfinished_server = None
         self._state.health.note_response(server, failed)
         self._log.attempt_answered(
             server.server_id, "failed" if failed else "answered"
@@ -265,46 +280,100 @@
             failed
             and self._destination.route.kind is routes.RequestKind.IDEMPOTENT
         ):
-            self._last_error_response = response.head, body
+            self._last_error_response = response.head, held.data
             if self._may_run_again() and self._acquire_retry():
                 self._excluded_for_request.add(server.server_id)
                 await self._attempt_until_answered()
                 return
+        self._require_unstarted()
+        self._log.note_status(response.head.status)
+        await self._writer.send_response(response.head, held.data)
+
+    async def _relay_long_body(
+        self,
+        server: fleet.BackendServer,
+        response: exchange.ServerResponse,
+        start: bytes,
+    ) -> None:
+        """Relays a body of which `start` has been read, as it arrives."""
+        if response.head.status >= _FIRST_SERVER_ERROR_STATUS:
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.LOST,
+                outcome.Verdict.RAN,
+                "the body of an error response exceeds "
+                f"{self._state.max_held_body_bytes} bytes",
+            )
+        self._require_unstarted()
+        self._log.note_status(response.head.status)
+        await self._writer.start_stream(response.head)
+        await self._writer.write(start)
+        async for chunk in response.chunks():
+            await self._writer.write(chunk)
+        self._unfinished_server = None
+        await self._writer.finish_stream()
+        self._state.health.note_response(server, False)
+        self._log.attempt_answered(server.server_id, "answered")
+
+    def _require_unstarted(self) -> None:
         if self._writer.started:
             raise exchange.AttemptFailed(
                 exchange.FailureCause.LOST,
                 outcome.Verdict.RAN,
                 "a complete response cannot continue a started stream",
             )
-        self._log.note_status(response.head.status)
-        await self._writer.send_response(response.head, body)
 
     async def _relay_stream(
         self,
         candidate: selection.Candidate,
         in_flight: load.InFlightRequest,
         response: exchange.ServerResponse,
+    ) -> None:
+        max_gap_s = progress.max_event_gap_s(
+            self._destination.route, may_resume=self._may_run_again()
+        )
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(max_gap_s) as event_due:
+                async for event in response.events():
+                    await self._relay_event(
+                        candidate, in_flight, response, event
+                    )
+                    if event.has_content:
+                        event_due.reschedule(loop.time() + max_gap_s)
+        except TimeoutError:
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.STALLED,
+                outcome.Verdict.MAY_HAVE_RUN,
+                f"no event for {max_gap_s:g} s",
+            ) from None
+        if not self._writer.started:
+            await self._writer.start_stream(response.head)
+        await self._writer.finish_stream()
+        self._log.attempt_answered(candidate.server.server_id, "streamed")
+
+    async def _relay_event(
+        self,
+        candidate: selection.Candidate,
+        in_flight: load.InFlightRequest,
+        response: exchange.ServerResponse,
+        event: exchange.StreamEvent,
     ) -> None:
         server = candidate.server
-        async for event in response.events():
+        if event.has_content:
             candidate.load.note_activity(self._now_s())
-            if not in_flight.started:
-                candidate.load.note_started(in_flight, self._now_s())
-                self._prefill_coalescer.finish()
-                self._note_run(outcome.Verdict.RAN)
-                self._state.health.note_response(server, False)
-                self._log.note_first_event()
-            if event.weights_version is not None:
-                self._note_version(server, event.weights_version)
-            if not self._writer.started:
-                await self._writer.start_stream(response.head)
-            await self._writer.write(event.data)
-            if event.event_id:
-                self._last_event_id = event.event_id
+        if event.has_content and not in_flight.started:
+            candidate.load.note_started(in_flight, self._now_s())
+            self._prefill_coalescer.finish()
+            self._note_run(outcome.Verdict.RAN)
+            self._state.health.note_response(server, False)
+            self._log.note_first_event()
+        if event.weights_version is not None:
+            self._note_version(server, event.weights_version)
         if not self._writer.started:
             await self._writer.start_stream(response.head)
-        await self._writer.finish_stream()
-        self._log.attempt_answered(server.server_id, "streamed")
+        await self._writer.write(event.data)
+        if event.event_id:
+            self._last_event_id = event.event_id
 
     def _note_head(
         self, server: fleet.BackendServer, head: exchange.ResponseHead
@@ -333,6 +402,7 @@
         self._log.attempt_failed(server_id, failure)
         self._verdict = self._verdict.combined_with(failure.verdict)
         self._attempt_pending = False
+        self._unfinished_server = None
         cause = failure.cause
         if cause is exchange.FailureCause.NOT_REACHED:
             self._connect_failures += 1
--- a/hibiscusstile/gateway/routes.py
+++ b/hibiscusstile/gateway/routes.py
@@ -62,6 +62,8 @@
         max_runs: Maximum number of attempts that may run one request.
         anonymous: Whether callers may omit the API key.
         resumable: Whether a stream may continue on another server.
+        event_gap_s: Longest time between two events of a stream that is still
+            on time; 0 if not given.
     """
 
     name: str
@@ -75,6 +77,7 @@
     max_runs: int = 1
     anonymous: bool = False
     resumable: bool = False
+    event_gap_s: float = 0.0
 
     @property
     def retryable(self) -> bool:
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -27,6 +27,7 @@
 # Lower bound on the process count that divides the retry reserve: a process
 # that has just started has not discovered its peers yet.
 _MIN_PROCESSES = 6
+_DEFAULT_MAX_HELD_BODY_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,12 +51,19 @@
         clock: Clock that all tables share.
         zone: Availability zone of this process.
         retries: Limits on retries.
+        max_held_body_bytes: Size up to which the body of a response is held
+            until it is complete.
     """
 
     def __init__(
-        self, clock: clock_lib.Clock, zone: str, retries: RetryPolicy
+        self,
+        clock: clock_lib.Clock,
+        zone: str,
+        retries: RetryPolicy,
+        max_held_body_bytes: int = _DEFAULT_MAX_HELD_BODY_BYTES,
     ) -> None:
         self._clock = clock
+        self._max_held_body_bytes = max_held_body_bytes
         self._zone = zone
         self._retry_policy = retries
         self._table: routes.RoutingTable | None = None
@@ -80,6 +88,11 @@
         """Availability zone of this process."""
         return self._zone
 
+    @property
+    def max_held_body_bytes(self) -> int:
+        """Size up to which the body of a response is held until complete."""
+        return self._max_held_body_bytes
+
     @property
     def table(self) -> routes.RoutingTable | None:
         """Routing configuration in force; None until one is applied."""
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import tomllib
+from typing import Annotated
 
 import pydantic
 
@@ -37,6 +38,10 @@
     address: str
 
 
+class _Gateway(_FileModel):
+    held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
+
+
 class _File(_FileModel):
     node: str
     zone: str
@@ -45,6 +50,8 @@
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
     platform: _Store
+    # The project's own settings.
+    gateway: _Gateway = _Gateway()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -64,6 +71,8 @@
         retry_reserve: Further retries allowed, over all processes.
         lease_s: Minimum time between the orders of two holders of the
             rollout lease.
+        max_held_body_bytes: Size up to which the body of a response is held
+            until it is complete.
         role: Name of the process's role.
     """
 
@@ -78,6 +87,7 @@
     retry_share: float
     retry_reserve: float
     lease_s: float
+    max_held_body_bytes: int
     role: str = "gateway"
 
 
@@ -127,4 +137,5 @@
         retry_share=parsed.bounds.retry_budget_ratio,
         retry_reserve=parsed.bounds.budget_slack,
         lease_s=parsed.bounds.lease_ms / 1000,
+        max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
     )
--- a/hibiscusstile/platform/cacheevents.py
+++ b/hibiscusstile/platform/cacheevents.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pydantic
 
-from hibiscusstile import sockets
+from hibiscusstile import boundedhttp, sockets
 from hibiscusstile.gateway import routes
 from hibiscusstile.gateway import state as state_lib
 
@@ -25,6 +25,8 @@
 # store's call limit. Meanwhile the table of its prompt parts is not updated.
 _THROTTLED_DELAY = datetime.timedelta(seconds=5)
 _TOO_MANY_REQUESTS = 429
+# A store keeps its newest 4,000 events, of about 100 bytes each.
+_MAX_RESPONSE_BYTES = 4 * 1024 * 1024
 _CONFIGURATION_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 
 
@@ -131,7 +133,7 @@
                 "Wait-Ms": str(round(_LONG_POLL_WAIT.total_seconds() * 1000))
             },
         ) as response:
-            body = await response.read()
+            body = await boundedhttp.read_body(response, _MAX_RESPONSE_BYTES)
             if response.status != 200:
                 return response.status, None
             return 200, _Events.model_validate_json(body)
--- a/hibiscusstile/platform/http_instance_list.py
+++ b/hibiscusstile/platform/http_instance_list.py
@@ -7,13 +7,16 @@
 import aiohttp
 import pydantic
 
-from hibiscusstile import platform
+from hibiscusstile import boundedhttp, platform
 
 __all__ = ["HttpInstanceList"]
 
 _TIMEOUT = datetime.timedelta(seconds=3)
 
 
+_MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+
+
 class _Instance(pydantic.BaseModel):
     peer_id: str
     role: str
@@ -48,7 +51,9 @@
     ) -> platform.Listing | platform.ListUnavailable:
         """Returns the instances currently listed for a region."""
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=boundedhttp.BoundedConnector()
+            )
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT.total_seconds())
         try:
             async with self._session.get(
@@ -60,7 +65,9 @@
                     return platform.ListUnavailable(
                         f"instance list returned HTTP status {response.status}"
                     )
-                page = _Page.model_validate_json(await response.read())
+                page = _Page.model_validate_json(
+                    await boundedhttp.read_body(response, _MAX_RESPONSE_BYTES)
+                )
         except (aiohttp.ClientError, TimeoutError) as error:
             return platform.ListUnavailable(
                 f"no response from the instance list: {error!r}"
--- a/hibiscusstile/platform/http_log.py
+++ b/hibiscusstile/platform/http_log.py
@@ -8,13 +8,14 @@
 import aiohttp
 import pydantic
 
-from hibiscusstile import platform
+from hibiscusstile import boundedhttp, platform
 
 __all__ = ["HttpLog"]
 
 _APPEND_TIMEOUT = datetime.timedelta(seconds=3)
 _READ_TIMEOUT_MARGIN = datetime.timedelta(seconds=3)
 _MAX_CLIENT_ERROR_STATUS = 499
+_MAX_RESPONSE_BYTES = 32 * 1024 * 1024
 
 
 class _Entry(pydantic.BaseModel):
@@ -57,7 +58,9 @@
             async with self._get_session().post(
                 f"{self._url}/streams/{stream}", data=payload, timeout=timeout
             ) as response:
-                body = await response.read()
+                body = await boundedhttp.read_body(
+                    response, _MAX_RESPONSE_BYTES
+                )
                 status = response.status
         except aiohttp.ClientConnectorError as error:
             return platform.AppendRefused(f"cannot connect to the log: {error}")
@@ -96,7 +99,9 @@
                     return platform.LogUnavailable(
                         f"log returned HTTP status {response.status}"
                     )
-                page = _Page.model_validate_json(await response.read())
+                page = _Page.model_validate_json(
+                    await boundedhttp.read_body(response, _MAX_RESPONSE_BYTES)
+                )
         except (aiohttp.ClientError, TimeoutError) as error:
             return platform.LogUnavailable(
                 f"no response from the log: {error!r}"
@@ -112,7 +117,9 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(
+                connector=boundedhttp.BoundedConnector()
+            )
         return self._session
 
     @staticmethod
--- a/hibiscusstile/platform/operatorrecords.py
+++ b/hibiscusstile/platform/operatorrecords.py
@@ -49,6 +49,7 @@
     attempts: int = 1
     allow_anonymous: bool = False
     resumable: bool = False
+    gap_aim_ms: float = 0
 
 
 class _ModelName(_RecordModel):
@@ -187,6 +188,7 @@
         max_runs=parsed.attempts,
         anonymous=parsed.allow_anonymous,
         resumable=parsed.resumable,
+        event_gap_s=parsed.gap_aim_ms / 1000,
     )
 
 
--- a/hibiscusstile/platform/orders.py
+++ b/hibiscusstile/platform/orders.py
@@ -5,7 +5,7 @@
 import aiohttp
 import pydantic
 
-from hibiscusstile import sockets
+from hibiscusstile import boundedhttp, sockets
 from hibiscusstile.gateway import engineorders, fleet
 from hibiscusstile.platform import headers
 
@@ -18,6 +18,8 @@
 # change take 1.4 s instead of 0.6 s, and the rollout of one version is then
 # still unfinished when the next one is released.
 _SWAP_MODE = "continue"
+# A report lists the requests that run, a few dozen bytes each.
+_MAX_RESPONSE_BYTES = 256 * 1024
 _RESULT_BY_STATUS = {
     200: engineorders.OrderResult.ALREADY_LOADED,
     202: engineorders.OrderResult.ACCEPTED,
@@ -57,7 +59,9 @@
             ) as response:
                 if response.status != 200:
                     return None
-                parsed = _Report.model_validate_json(await response.read())
+                parsed = _Report.model_validate_json(
+                    await boundedhttp.read_body(response, _MAX_RESPONSE_BYTES)
+                )
         except (
             aiohttp.ClientError,
             TimeoutError,
@@ -92,7 +96,10 @@
                 json=body,
                 headers={headers.EXPECTED_SERVER: server.server_id},
             ) as response:
-                detail = f"{response.status} {await response.text()}"
+                text = await boundedhttp.read_body(
+                    response, _MAX_RESPONSE_BYTES
+                )
+                detail = f"{response.status} {text.decode(errors='replace')}"
                 result = _RESULT_BY_STATUS.get(
                     response.status, engineorders.OrderResult.REFUSED
                 )
--- a/hibiscusstile/platform/platformstore.py
+++ b/hibiscusstile/platform/platformstore.py
@@ -9,7 +9,7 @@
 import aiohttp
 import pydantic
 
-from hibiscusstile import metrics, platform, sockets
+from hibiscusstile import boundedhttp, metrics, platform, sockets
 from hibiscusstile.platform import topics
 
 __all__ = ["PlatformStore"]
@@ -21,6 +21,10 @@
 _READ_HEADER = struct.Struct(">QQ")
 _LENGTH_PREFIX = struct.Struct(">I")
 _MAX_CONNECTIONS = 6
+# A page holds 1 MB of records, which base64 encodes as 1.4 MB.
+_MAX_RESPONSE_BYTES = 4 * 1024 * 1024
+# All pages of the newest records of a topic.
+_MAX_NEWEST_BYTES = 64 * 1024 * 1024
 
 
 class _Item(pydantic.BaseModel):
@@ -68,27 +72,32 @@
         """Reads the newest record of each key of a topic."""
         records: list[topics.KeyedRecord] = []
         parameters = {"topic": topic, "part": "0"}
-        while True:
+        received_bytes = 0
+        while received_bytes <= _MAX_NEWEST_BYTES:
             status, body = await self._call(
                 "GET", "log-newest", parameters, _CALL_TIMEOUT
             )
             if status != 200:
                 return platform.LogUnavailable(_describe_error(status, body))
+            received_bytes += len(body)
             try:
                 page = _NewestPage.model_validate_json(body)
-            except pydantic.ValidationError:
+                records += [
+                    topics.KeyedRecord(
+                        each.key, base64.b64decode(each.value), each.offset
+                    )
+                    for each in page.items
+                ]
+            except ValueError:
                 return platform.LogUnavailable(
                     "the store's response is malformed"
                 )
-            records += [
-                topics.KeyedRecord(
-                    each.key, base64.b64decode(each.value), each.offset
-                )
-                for each in page.items
-            ]
             if not page.has_more or not page.items:
                 return topics.NewestRecords(tuple(records), page.end)
             parameters["after"] = page.items[-1].key
+        return platform.LogUnavailable(
+            f"the newest records of {topic} exceed {_MAX_NEWEST_BYTES} bytes"
+        )
 
     async def read(
         self, topic: str, offset: int, wait: datetime.timedelta
@@ -160,7 +169,9 @@
                     sock_connect=_CONNECT_TIMEOUT_S,
                 ),
             ) as response:
-                body = await response.read()
+                body = await boundedhttp.read_body(
+                    response, _MAX_RESPONSE_BYTES
+                )
                 metrics.count_store_call(endpoint, str(response.status))
                 return response.status, body
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -4,14 +4,14 @@
 
 import asyncio
 import contextlib
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterator
 from typing import Any
 
 import aiohttp
 import multidict
 import yarl
 
-from hibiscusstile import outcome, sockets
+from hibiscusstile import boundedhttp, outcome, sockets
 from hibiscusstile.backends import httpsession
 from hibiscusstile.gateway import exchange, fleet
 from hibiscusstile.platform import eventstream, headers
@@ -37,6 +37,10 @@
 _FIRST_REDIRECT_STATUS = 300
 _MAX_HEADER_FIELD_BYTES = 65_536
 _EVENT_STREAM = "text/event-stream"
+# Body of a response to another request that is read in order to skip it.
+_MAX_SKIPPED_BODY_BYTES = 1024 * 1024
+# Events after which the event loop runs other tasks; a read may hold 60,000.
+_EVENTS_PER_STEP = 128
 
 
 class _CheckedResponse(aiohttp.ClientResponse):
@@ -70,32 +74,50 @@
         Raises:
             RequestLost: None of the first `_MAX_MISMATCHED_RESPONSES` does.
         """
-        expected_id = self.request_info.headers.get(headers.REQUEST_ID)
         self._awaiting_match = True
         for _ in range(_MAX_MISMATCHED_RESPONSES):
             # aiohttp caches the headers of the first head that it read.
             self._cache.clear()
             await super().start(connection)
-            received_id = self.headers.get(headers.REQUEST_ID)
-            if (
-                expected_id is None
-                or received_id is None
-                or received_id == expected_id
-            ):
+            protocol = connection.protocol
+            assert isinstance(protocol, boundedhttp.BoundedResponseHandler)
+            if self._is_match(reused=protocol.reused):
                 self._awaiting_match = False
+                protocol.note_answered()
                 self._watch_connection(connection)
                 if self.content.is_eof():
                     # An empty body has ended while this was suppressed.
                     self._response_eof()
                 return self
             # A connection with a mismatched response is not reused.
-            if connection.protocol is not None:
-                connection.protocol.force_close()
+            protocol.force_close()
             await _skip_body(self.content)
         raise httpsession.RequestLost(
             "received only responses to other requests"
         )
 
+    def _is_match(self, *, reused: bool) -> bool:
+        """Returns whether the response belongs to the request.
+
+        Without an ID, it may be the late copy of a response to an earlier
+        request on the connection. Only the first response on a new connection
+        is then certain to belong to the request.
+
+        Raises:
+            RequestLost: The response has no ID, and the connection is reused.
+        """
+        expected_id = self.request_info.headers.get(headers.REQUEST_ID)
+        received_id = self.headers.get(headers.REQUEST_ID)
+        if expected_id is None or received_id == expected_id:
+            return True
+        if received_id is not None:
+            return False
+        if reused:
+            raise httpsession.RequestLost(
+                "received a response without an ID on a reused connection"
+            )
+        return True
+
     def _response_eof(self) -> None:
         # aiohttp releases the connection at the end of a body; the end of a
         # mismatched response must not do that.
@@ -113,8 +135,19 @@
 
 
 async def _skip_body(content: aiohttp.StreamReader) -> None:
+    """Reads a body to its end.
+
+    Raises:
+        RequestLost: The body exceeds `_MAX_SKIPPED_BODY_BYTES`.
+    """
+    size = 0
     while not content.at_eof():
-        await content.readany()
+        size += len(await content.readany())
+        if size > _MAX_SKIPPED_BODY_BYTES:
+            raise httpsession.RequestLost(
+                "the body of a response to another request exceeds "
+                f"{_MAX_SKIPPED_BODY_BYTES} bytes"
+            )
 
 
 class HttpServerClient(exchange.ServerClient):
@@ -164,7 +197,8 @@
         if self._session is None:
             self._session = httpsession.open_session(
                 auto_decompress=False,
-                connector=aiohttp.TCPConnector(
+                connector=boundedhttp.BoundedConnector(
+                    skips_responses=True,
                     limit=0,
                     keepalive_timeout=_KEEP_ALIVE_S,
                     socket_factory=sockets.create_socket,
@@ -201,30 +235,59 @@
         """Status and headers."""
         return self._head
 
-    async def body(self) -> bytes:
-        """Returns the complete body."""
-        try:
-            body = await self._response.read()
+    async def read_held(self, max_bytes: int) -> exchange.HeldBody:
+        """Reads the body until it ends or exceeds `max_bytes`."""
+        data = bytearray()
+        with _translated_failures():
+            async for chunk in self._response.content.iter_any():
+                data += chunk
+                if len(data) > max_bytes:
+                    return exchange.HeldBody(bytes(data), complete=False)
+            await self._response.check_complete()
+        return exchange.HeldBody(bytes(data), complete=True)
+
+    async def chunks(self) -> AsyncIterator[bytes]:
+        """Yields the rest of the body as it arrives."""
+        with _translated_failures():
+            async for chunk in self._response.content.iter_any():
+                yield chunk
             await self._response.check_complete()
-            return body
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise _body_failure(error) from None
 
     async def events(self) -> AsyncIterator[exchange.StreamEvent]:
         """Yields complete events as they arrive."""
         parser = eventstream.EventStreamParser()
-        try:
+        count = 0
+        with _translated_failures():
             async for data in self._response.content.iter_any():
                 for event in parser.feed(data):
                     yield event
+                    count += 1
+                    if count % _EVENTS_PER_STEP == 0:
+                        await asyncio.sleep(0)
             await self._response.check_complete()
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            raise _body_failure(error) from None
         remainder = parser.flush()
         if remainder is not None:
             yield remainder
 
 
+@contextlib.contextmanager
+def _translated_failures() -> Iterator[None]:
+    """Raises failures of reading a body as `AttemptFailed`."""
+    try:
+        yield
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        OSError,
+        eventstream.EventSizeError,
+    ) as error:
+        raise exchange.AttemptFailed(
+            exchange.FailureCause.LOST,
+            outcome.Verdict.MAY_HAVE_RUN,
+            repr(error),
+        ) from None
+
+
 def _outgoing_headers(
     server: fleet.BackendServer,
     request: exchange.ForwardedRequest,
@@ -302,9 +365,3 @@
     return exchange.AttemptFailed(
         exchange.FailureCause.LOST, outcome.Verdict.MAY_HAVE_RUN, repr(error)
     )
-
-
-def _body_failure(error: Any) -> exchange.AttemptFailed:
-    return exchange.AttemptFailed(
-        exchange.FailureCause.LOST, outcome.Verdict.MAY_HAVE_RUN, repr(error)
-    )
--- a/hibiscusstile/sockets.py
+++ b/hibiscusstile/sockets.py
@@ -7,6 +7,8 @@
 
 import aiohttp
 
+from hibiscusstile import boundedhttp
+
 __all__ = ["create_socket", "open_session", "set_tcp_options"]
 
 # The kernel closes a dead connection within about 3 s, the time in which the
@@ -57,7 +59,7 @@
             then fail only after `_USER_TIMEOUT_MS`.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(
+        connector=boundedhttp.BoundedConnector(
             limit=max_connections,
             force_close=not reuse_connections,
             socket_factory=create_socket,
--- a/hibiscusstile_standins/__init__.py
+++ b/hibiscusstile_standins/__init__.py
@@ -16,6 +16,7 @@
     "stand-in",
     registry.NameNotFound,
     (
+        f"{__name__}.endless",
         f"{__name__}.engine",
         f"{__name__}.instancelist",
         f"{__name__}.log",
--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -296,16 +296,24 @@
     def _refusal_response(
         self, request: web.Request, mode: str
     ) -> web.Response | None:
+        request_id = request.headers.get("X-Request-Id", "")
         expected = request.headers.get("X-Expect-Instance", self._server_id)
         version = request.headers.get("X-Expect-Version")
         if expected != self._server_id or (
             version is not None and int(version) != self._version
         ):
             return web.Response(
-                status=421, headers={"X-Instance-Id": self._server_id}
+                status=421,
+                headers={
+                    "X-Request-Id": request_id,
+                    "X-Instance-Id": self._server_id,
+                },
             )
         if mode == "full" or (self._loading and "X-Model" in request.headers):
-            return web.Response(status=503, headers={"X-Not-Executed": "1"})
+            return web.Response(
+                status=503,
+                headers={"X-Request-Id": request_id, "X-Not-Executed": "1"},
+            )
         return None
 
     async def _send_response(
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -158,6 +158,7 @@
     parts: tuple[tuple[str, int], ...] = (("aa", 10_000), ("bb", 2_000)),
     received_s: float = 0.0,
     body: bytes = b"{}",
+    headers: exchange.Headers = (),
 ) -> exchange.ForwardedRequest:
     """Returns a request with a prompt."""
     prompt = tuple(exchange.PromptPart(*part) for part in parts)
@@ -167,7 +168,7 @@
         target,
         HOST,
         KEY,
-        (),
+        headers,
         body,
         received_s,
         model="m1",
--- /dev/null
+++ b/tests/builders/rawserver.py
@@ -0,0 +1,107 @@
+"""A backend server whose responses the test writes byte by byte."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Awaitable, Callable
+
+__all__ = ["RawConnection", "Script", "raw_server", "response_bytes"]
+
+
+class RawConnection:
+    """One connection of a raw server.
+
+    Args:
+        reader: Bytes of the requests.
+        writer: Bytes of the responses.
+    """
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    async def read_request(self) -> str:
+        """Reads a request with a `Content-Length` and returns its id.
+
+        Raises:
+            IncompleteReadError: The connection has ended.
+        """
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin1")
+        fields = {
+            name.strip().lower(): value.strip()
+            for name, _, value in (
+                line.partition(":") for line in head.split("\r\n")[1:]
+            )
+        }
+        await self._reader.readexactly(int(fields.get("content-length", 0)))
+        return fields.get("x-request-id", "")
+
+    async def send(self, data: bytes) -> None:
+        """Sends bytes and waits until they are on their way."""
+        self._writer.write(data)
+        await self._writer.drain()
+
+    async def wait_closed(self) -> None:
+        """Waits until the peer has closed the connection."""
+        while await self._reader.read(65_536):
+            pass
+
+
+Script = Callable[[RawConnection], Awaitable[None]]
+
+
+def response_bytes(
+    request_id: str | None,
+    body: bytes,
+    *,
+    status: str = "200 OK",
+    framing: str = "length",
+    **fields: str,
+) -> bytes:
+    """Returns a response.
+
+    Args:
+        request_id: Value of `X-Request-Id`; None leaves the header out.
+        body: The body.
+        status: Status code and reason.
+        framing: `length`, `chunked`, or `close` for a body that ends with its
+            connection.
+        **fields: Further header fields, with `_` for `-`.
+    """
+    headers = {"X-Response-Stamp": "s"}
+    if request_id is not None:
+        headers["X-Request-Id"] = request_id
+    if framing == "length":
+        headers["Content-Length"] = str(len(body))
+    elif framing == "chunked":
+        headers["Transfer-Encoding"] = "chunked"
+        body = f"{len(body):x}\r\n".encode() + body + b"\r\n0\r\n\r\n"
+    headers |= {name.replace("_", "-"): text for name, text in fields.items()}
+    lines = [f"HTTP/1.1 {status}"]
+    lines += [f"{name}: {text}" for name, text in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + body
+
+
+@contextlib.asynccontextmanager
+async def raw_server(script: Script) -> AsyncIterator[str]:
+    """Runs a script for each connection and yields the server's address."""
+
+    async def serve(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+        ):
+            await script(RawConnection(reader, writer))
+        writer.close()
+
+    server = await asyncio.start_server(serve, "127.0.0.1", 0)
+    try:
+        yield f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+    finally:
+        server.close()
