Wait for the signal mask before the test sends SIGHUP

Cause: the test sent SIGHUP 0.1 s after the start; beside load the interpreter had not reached the line that ignores it. A process cannot ignore a signal before its interpreter runs. Change: the test waits until the kernel reports SIGHUP as ignored or handled, and then sends it; what is checked stays.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -11,7 +11,8 @@
 import sys
 import time
 
-_STARTUP_S = 0.1
+_STARTUP_LIMIT_S = 20.0
+_POLL_S = 0.005
 _OBSERVATION_S = 1.5
 
 
@@ -31,6 +32,21 @@
     )
 
 
+def _wait_until_ignored(process: subprocess.Popen[bytes], number: int) -> None:
+    """Waits until a process ignores a signal, or has a handler for it."""
+    status = pathlib.Path(f"/proc/{process.pid}/status")
+    limit_s = time.monotonic() + _STARTUP_LIMIT_S
+    while time.monotonic() < limit_s:
+        for line in status.read_text().splitlines():
+            name, _, mask = line.partition(":")
+            if name in ("SigIgn", "SigCgt") and (
+                int(mask, 16) & 1 << (number - 1)
+            ):
+                return
+        time.sleep(_POLL_S)
+    raise TimeoutError(f"the process does not ignore signal {number}")
+
+
 def test_a_reload_signal_while_starting_does_not_end_the_process(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -40,7 +56,7 @@
     """
     process = _start(tmp_path)
     try:
-        time.sleep(_STARTUP_S)
+        _wait_until_ignored(process, signal.SIGHUP)
         process.send_signal(signal.SIGHUP)
         time.sleep(_OBSERVATION_S)
         assert process.poll() is None
