--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -25,6 +25,7 @@
 __all__ = ["Arrival", "FakeBackendServer"]
 
 _WEIGHT_LOAD_S = 0.05
+_COMMENT_INTERVAL_S = 0.02
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -139,6 +140,7 @@
             error: Status 500.
             lose_answer: Executes the request, then drops the connection.
             hang: Sends no response.
+            stall: Sends two events, then comments without end.
             cut: Ends the response in the middle of the body or the stream.
             unframed: No `Content-Length`; the closed connection ends the body.
             unframed_reset: As `unframed`, but with a reset in mid-body.
@@ -146,7 +148,7 @@
             garbage: Bytes that are not HTTP.
             no_digest: No `X-Response-Stamp`.
 
-        Streams support `full`, `lose_answer`, `hang` and `cut` only.
+        Streams support `full`, `lose_answer`, `hang`, `stall` and `cut` only.
         """
         self._queued_modes.extend(modes)
 
@@ -354,6 +356,10 @@
         )
         await response.prepare(request)
         for number in range(first, self._events + 1):
+            if mode == "stall" and number == 3 and first == 1:
+                while True:
+                    await response.write(b": \n\n")
+                    await asyncio.sleep(_COMMENT_INTERVAL_S)
             if mode == "cut" and number == 3 and first == 1:
                 # Cuts a new stream in mid-event; a resumed stream completes.
                 await response.write(b"id: 3\nda")
--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -147,6 +147,47 @@
     assert not any(arrival.executed for arrival in runner.arrivals)
 
 
+async def test_a_stalled_stream_resumes_on_another_server() -> None:
+    """Guards against a stream that comments keep open until its deadline."""
+    async with builders.gateway_harness() as harness:
+        first = await harness.add_runner(builders.ENGINE_SERVICE, "i-1")
+        second = await harness.add_runner(builders.ENGINE_SERVICE, "i-2")
+        first.misbehave_always("stall")
+        second.misbehave_always("stall")
+        started_s = asyncio.get_running_loop().time()
+        status, body, _ = await harness.call("/dossier/1", **_MODEL)
+        elapsed_s = asyncio.get_running_loop().time() - started_s
+        assert len(first.arrivals) + len(second.arrivals) == 2
+        assert len(first.disconnected_requests) + len(
+            second.disconnected_requests
+        )
+        failure_rates = [
+            harness.state.health.failure_rate(each) for each in ("i-1", "i-2")
+        ]
+    assert status == 200
+    events = [each for each in body.split(b"\n\n") if b"id:" in each]
+    assert [each.split(b"\n")[0] for each in events] == [
+        f"id: {number}".encode() for number in range(1, 5)
+    ]
+    assert elapsed_s < 1.9
+    assert max(failure_rates) > 0
+
+
+async def test_a_slow_stream_is_not_cut() -> None:
+    """Guards against a limit on the whole time of a sound stream.
+
+    Each gap is below the limit, their sum is above it.
+    """
+    async with builders.gateway_harness() as harness:
+        runner = await harness.add_runner(
+            builders.ENGINE_SERVICE, "i-1", pace_s=0.45
+        )
+        status, body, _ = await harness.call("/dossier/1", **_MODEL)
+        assert len(runner.arrivals) == 1
+    assert status == 200
+    assert body.count(b"id:") == 4
+
+
 async def test_a_cut_stream_resumes_on_another_server() -> None:
     """Guards against lost, duplicated or merged events."""
     async with builders.gateway_harness() as harness:
