--- /dev/null
+++ b/tests/gateway/test_longbodies.py
@@ -0,0 +1,79 @@
+"""Tests of bodies that are longer than what is read or held at once."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from hibiscusstile.gateway import exchange, fleet
+from hibiscusstile.platform import servers
+from tests.builders import gateway as builders
+from tests.builders import rawserver
+
+_BODY_BYTES = 3_000_000
+_HELD_BYTES = 100_000
+_PAUSE_EVERY_CHUNKS = 5
+_PAUSE_S = 0.005
+
+
+def _chunked(body: bytes, sizes: random.Random) -> bytes:
+    """Encodes a body in chunks of 1 to 200,000 bytes."""
+    encoded = bytearray()
+    position = 0
+    while position < len(body):
+        size = sizes.choice((1, 7, 100, 5_000, 70_000, 200_000))
+        chunk = body[position : position + size]
+        encoded += f"{len(chunk):x}\r\n".encode() + chunk + b"\r\n"
+        position += size
+    return bytes(encoded) + b"0\r\n\r\n"
+
+
+@pytest.mark.parametrize("seed", range(4))
+@pytest.mark.parametrize("framing", ["length", "chunked", "close"])
+async def test_a_long_body_reaches_a_slow_caller_unchanged(
+    framing: str, seed: int
+) -> None:
+    """Guards against bytes that are lost while the caller is slower."""
+    numbers = random.Random(seed)
+    body = numbers.randbytes(_BODY_BYTES)
+
+    async def script(connection: rawserver.RawConnection) -> None:
+        await connection.read_request()
+        if framing == "chunked":
+            head = rawserver.response_bytes(
+                "r1", b"", framing="", Transfer_Encoding="chunked"
+            )
+            await connection.send(head + _chunked(body, numbers))
+        else:
+            await connection.send(
+                rawserver.response_bytes("r1", body, framing=framing)
+            )
+
+    client = servers.HttpServerClient()
+    request = builders.forwarded_request(
+        "r1", headers=(("X-Request-Id", "r1"),)
+    )
+    try:
+        async with (
+            rawserver.raw_server(script) as address,
+            asyncio.timeout(20),
+            client.send(
+                fleet.BackendServer("i-1", "accounts", address, "z1", slots=1),
+                request,
+                exchange.SendOptions("", 0, 20.0),
+            ) as response,
+        ):
+            held = await response.read_held(_HELD_BYTES)
+            assert not held.complete
+            received = bytearray(held.data)
+            count = 0
+            async for chunk in response.chunks():
+                received += chunk
+                count += 1
+                if count % _PAUSE_EVERY_CHUNKS == 0:
+                    await asyncio.sleep(_PAUSE_S)
+    finally:
+        await client.close()
+    assert bytes(received) == body
