Split relaying and the progress of a request from forwarding

An error response that may be retried is returned to the forwarder instead of a nested round of attempts; its server no longer counts as busy during the retry.

--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -1,4 +1,4 @@
-"""Forwards one request: server selection, attempts, retries and relaying."""
+"""Forwards one request: server selection, attempts and retries."""
 
 from __future__ import annotations
 
@@ -12,10 +12,10 @@
     load,
     overload,
     prefillcoalescing,
-    progress,
+    relaying,
     requestlog,
+    requestprogress,
     resolving,
-    routes,
     selection,
     sending,
     serverselection,
@@ -40,7 +40,6 @@
 # An engine that rejects a request as full and reports no weights version is
 # assumed to load new weights for this long.
 _ASSUMED_WEIGHT_CHANGE_S = 0.25
-_FIRST_SERVER_ERROR_STATUS = 500
 
 
 class RequestForwarder:
@@ -72,27 +71,27 @@
             self._deadline_s = min(
                 self._deadline_s, request.received_s + request.caller_timeout_s
             )
-        self._verdict = outcome.Verdict.NOT_RUN
         self._refusal: outcome.Refusal | None = None
-        # Not reset after a response, whose verdict is at least MAY_HAVE_RUN.
-        self._attempt_pending = False
-        # Server that has sent the head of a response but not all of its body.
-        self._unfinished_server: fleet.BackendServer | None = None
-        self._run_counted = False
         self._excluded_until_pause: set[str] = set()
         self._excluded_for_request: set[str] = set()
         self._failed_deliveries = 0
         self._connect_failures = 0
-        self._runs = 0
         self._last_failure_s = 0.0
-        self._last_event_id = request.last_event_id
+        self._progress = requestprogress.RequestProgress(request.last_event_id)
         self._log = requestlog.RequestLog(state, request, destination)
         self._prefill_coalescer = prefillcoalescing.PrefillCoalescer(
             state, request, destination.route.target_latency_s
         )
-        self._last_error_response: (
-            tuple[exchange.ResponseHead, bytes] | None
-        ) = None
+        self._relay = relaying.ResponseRelay(
+            state,
+            request.model,
+            destination.route,
+            writer,
+            self._progress,
+            self._log,
+            self._prefill_coalescer,
+        )
+        self._last_error_response: relaying.HeldError | None = None
 
     async def run(self) -> None:
         """Serves the request.
@@ -110,13 +109,15 @@
             result = "served"
         except TimeoutError:
             result = "timed_out"
-            if self._unfinished_server is not None:
-                self._state.health.note_no_response(self._unfinished_server)
+            if self._relay.unfinished_server is not None:
+                self._state.health.note_no_response(
+                    self._relay.unfinished_server
+                )
             await self._finish_failed(
                 outcome.Refusal(
                     outcome.Reason.EXPIRED,
                     "no complete response before the deadline",
-                    self._current_verdict(),
+                    self._progress.verdict,
                 )
             )
         except outcome.Refused as refused:
@@ -128,18 +129,28 @@
             raise
         finally:
             self._log.request_ended(
-                result, self._current_verdict(), self._refusal, self._runs
+                result,
+                self._progress.verdict,
+                self._refusal,
+                self._progress.runs,
             )
 
     async def _attempt_until_answered(self) -> None:
         while True:
             selected = await self._next_server()
             try:
-                await self._attempt(selected)
-                return
+                held_error = await self._attempt(selected)
             except exchange.AttemptFailed as failure:
                 self._note_failure(selected.candidate.server, failure)
                 self._acquire_retry_or_refuse(failure)
+                continue
+            if held_error is None:
+                return
+            self._last_error_response = held_error
+            if not (self._may_run_again() and self._acquire_retry()):
+                await self._send_last_error()
+                return
+            self._excluded_for_request.add(selected.candidate.server.server_id)
 
     async def _next_server(self) -> selection.SelectedServer:
         """Returns the server for the next attempt.
@@ -203,19 +214,13 @@
             self._log.server_selected(selected, "server_too_busy")
             raise outcome.Refused(refusal)
 
-    def _current_verdict(self) -> outcome.Verdict:
-        """Returns the verdict, taking a pending attempt into account."""
-        if self._attempt_pending:
-            return self._verdict.combined_with(outcome.Verdict.MAY_HAVE_RUN)
-        return self._verdict
-
     def _refuse_further_attempts(self) -> None:
         """Refuses a request for which no further attempt is possible."""
-        if self._verdict is not outcome.Verdict.NOT_RUN:
+        if self._progress.verdict is not outcome.Verdict.NOT_RUN:
             raise outcome.refused(
                 outcome.Reason.BACKEND_FAILED,
                 "the request failed at a server and cannot be sent again",
-                verdict=self._verdict,
+                verdict=self._progress.verdict,
             )
         raise outcome.refused(
             outcome.Reason.OVERLOADED,
@@ -223,7 +228,17 @@
             _RETRY_AFTER,
         )
 
-    async def _attempt(self, selected: selection.SelectedServer) -> None:
+    async def _attempt(
+        self, selected: selection.SelectedServer
+    ) -> relaying.HeldError | None:
+        """Sends the request once and relays its response.
+
+        Returns:
+            An error response that was not relayed; None if it was relayed.
+
+        Raises:
+            AttemptFailed: There was no usable response.
+        """
         server = selected.candidate.server
         server_load = selected.candidate.load
         request = self._request
@@ -235,8 +250,7 @@
             sent_s=self._now_s(),
             expected_s=selected.expected_s,
         )
-        self._attempt_pending = True
-        self._run_counted = False
+        self._progress.note_attempt()
         self._log.server_selected(selected)
         server_load.begin(
             in_flight, selected.candidate.cache_salt, request.parts
@@ -246,155 +260,13 @@
             async with self._client.send(
                 server, request, self._options(selected.candidate)
             ) as response:
-                server_load.note_activity(self._now_s())
-                self._note_head(server, response.head)
-                if response.head.event_stream:
-                    await self._relay_stream(
-                        selected.candidate, in_flight, response
-                    )
-                else:
-                    await self._relay_body(server, response)
+                return await self._relay.relay(
+                    selected.candidate, in_flight, response
+                )
         finally:
             self._prefill_coalescer.finish()
             server_load.end(in_flight, self._now_s())
 
-    async def _relay_body(
-        self, server: fleet.BackendServer, response: exchange.ServerResponse
-    ) -> None:
-        """Relays a response that is not a stream of events.
-
-        The whole body decides whether the request is sent again, so it is held
-        up to a limit. A longer one is relayed as it arrives.
-        """
-        self._unfinished_server = server
-        held = await response.read_held(self._state.max_held_body_bytes)
-        failed = response.head.status >= _FIRST_SERVER_ERROR_STATUS
-        self._note_run(outcome.Verdict.RAN)
-        if not held.complete:
-            await self._relay_long_body(server, response, held.data)
-            return
-        self._unfinished_server = None
-        self._state.health.note_response(server, failed)
-        self._log.attempt_answered(
-            server.server_id, "failed" if failed else "answered"
-        )
-        if (
-            failed
-            and self._destination.route.kind is routes.RequestKind.IDEMPOTENT
-        ):
-            self._last_error_response = response.head, held.data
-            if self._may_run_again() and self._acquire_retry():
-                self._excluded_for_request.add(server.server_id)
-                await self._attempt_until_answered()
-                return
-        self._require_unstarted()
-        self._log.note_status(response.head.status)
-        await self._writer.send_response(response.head, held.data)
-
-    async def _relay_long_body(
-        self,
-        server: fleet.BackendServer,
-        response: exchange.ServerResponse,
-        start: bytes,
-    ) -> None:
-        """Relays a body of which `start` has been read, as it arrives."""
-        if response.head.status >= _FIRST_SERVER_ERROR_STATUS:
-            raise exchange.AttemptFailed(
-                exchange.FailureCause.LOST,
-                outcome.Verdict.RAN,
-                "the body of an error response exceeds "
-                f"{self._state.max_held_body_bytes} bytes",
-            )
-        self._require_unstarted()
-        self._log.note_status(response.head.status)
-        await self._writer.start_stream(response.head)
-        await self._writer.write(start)
-        async for chunk in response.chunks():
-            await self._writer.write(chunk)
-        self._unfinished_server = None
-        await self._writer.finish_stream()
-        self._state.health.note_response(server, False)
-        self._log.attempt_answered(server.server_id, "answered")
-
-    def _require_unstarted(self) -> None:
-        if self._writer.started:
-            raise exchange.AttemptFailed(
-                exchange.FailureCause.LOST,
-                outcome.Verdict.RAN,
-                "a complete response cannot continue a started stream",
-            )
-
-    async def _relay_stream(
-        self,
-        candidate: selection.Candidate,
-        in_flight: load.InFlightRequest,
-        response: exchange.ServerResponse,
-    ) -> None:
-        max_gap_s = progress.max_event_gap_s(
-            self._destination.route, may_resume=self._may_run_again()
-        )
-        loop = asyncio.get_running_loop()
-        try:
-            async with asyncio.timeout(max_gap_s) as event_due:
-                async for event in response.events():
-                    await self._relay_event(
-                        candidate, in_flight, response, event
-                    )
-                    if event.has_content:
-                        event_due.reschedule(loop.time() + max_gap_s)
-        except TimeoutError:
-            raise exchange.AttemptFailed(
-                exchange.FailureCause.STALLED,
-                outcome.Verdict.MAY_HAVE_RUN,
-                f"no event for {max_gap_s:g} s",
-            ) from None
-        if not self._writer.started:
-            await self._writer.start_stream(response.head)
-        await self._writer.finish_stream()
-        self._log.attempt_answered(candidate.server.server_id, "streamed")
-
-    async def _relay_event(
-        self,
-        candidate: selection.Candidate,
-        in_flight: load.InFlightRequest,
-        response: exchange.ServerResponse,
-        event: exchange.StreamEvent,
-    ) -> None:
-        server = candidate.server
-        if event.has_content:
-            candidate.load.note_activity(self._now_s())
-        if event.has_content and not in_flight.started:
-            candidate.load.note_started(in_flight, self._now_s())
-            self._prefill_coalescer.finish()
-            self._note_run(outcome.Verdict.RAN)
-            self._state.health.note_response(server, False)
-            self._log.note_first_event()
-        if event.weights_version is not None:
-            self._note_version(server, event.weights_version)
-        if not self._writer.started:
-            await self._writer.start_stream(response.head)
-        await self._writer.write(event.data)
-        if event.event_id:
-            self._last_event_id = event.event_id
-
-    def _note_head(
-        self, server: fleet.BackendServer, head: exchange.ResponseHead
-    ) -> None:
-        self._verdict = self._verdict.combined_with(
-            outcome.Verdict.MAY_HAVE_RUN
-        )
-        if head.weights_version is not None:
-            self._note_version(server, head.weights_version)
-
-    def _note_version(self, server: fleet.BackendServer, version: int) -> None:
-        self._state.note_weights(server.server_id, self._request.model, version)
-
-    def _note_run(self, verdict: outcome.Verdict) -> None:
-        self._verdict = self._verdict.combined_with(verdict)
-        if not self._run_counted:
-            self._run_counted = True
-            self._runs += 1
-
     def _note_failure(
         self, server: fleet.BackendServer, failure: exchange.AttemptFailed
     ) -> None:
@@ -402,9 +274,8 @@
         server_id = server.server_id
         self._last_failure_s = self._now_s()
         self._log.attempt_failed(server_id, failure)
-        self._verdict = self._verdict.combined_with(failure.verdict)
-        self._attempt_pending = False
-        self._unfinished_server = None
+        self._progress.note_failure(failure.verdict)
+        self._relay.note_failure()
         cause = failure.cause
         if cause is exchange.FailureCause.NOT_REACHED:
             self._connect_failures += 1
@@ -424,7 +295,7 @@
                 self._note_rejection(server_id, failure)
         else:
             self._failed_deliveries += 1
-            self._note_run(failure.verdict)
+            self._progress.note_run(failure.verdict)
             self._excluded_for_request.add(server_id)
             self._state.health.note_no_response(server)
 
@@ -454,7 +325,7 @@
                 outcome.Reason.BACKEND_FAILED,
                 "the server sent no complete response, and the request must not"
                 " run again",
-                verdict=self._verdict,
+                verdict=self._progress.verdict,
             )
         if failure.cause is exchange.FailureCause.NOT_REACHED:
             # No server received the request, so a retry needs no token from the
@@ -469,12 +340,9 @@
         self._refuse_further_attempts()
 
     def _may_run_again(self) -> bool:
-        route = self._destination.route
-        if not route.retryable:
-            return False
-        if self._writer.started and not self._last_event_id:
-            return False
-        return self._runs < route.max_runs
+        return self._progress.may_run_again(
+            self._destination.route, started=self._writer.started
+        )
 
     def _acquire_retry(self) -> bool:
         service = self._destination.service.name
@@ -496,11 +364,16 @@
             self._writer.abort()
             return
         if self._last_error_response is not None:
-            self._log.note_status(self._last_error_response[0].status)
-            await self._writer.send_response(*self._last_error_response)
+            await self._send_last_error()
             return
         await self._writer.refuse(refusal)
 
+    async def _send_last_error(self) -> None:
+        assert self._last_error_response is not None
+        head, body = self._last_error_response
+        self._log.note_status(head.status)
+        await self._writer.send_response(head, body)
+
     def _options(self, candidate: selection.Candidate) -> exchange.SendOptions:
         return sending.send_options(
             self._state,
@@ -508,7 +381,7 @@
             self._destination,
             candidate,
             time_left_s=self._deadline_s - self._now_s(),
-            last_event_id=self._last_event_id,
+            last_event_id=self._progress.last_event_id,
         )
 
     def _selection_context(self) -> selection.SelectionContext:
--- /dev/null
+++ b/hibiscusstile/gateway/relaying.py
@@ -0,0 +1,219 @@
+"""Relays the response to one attempt of a request to the caller."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hibiscusstile import outcome
+from hibiscusstile.gateway import (
+    exchange,
+    fleet,
+    load,
+    prefillcoalescing,
+    progress,
+    requestlog,
+    requestprogress,
+    routes,
+    selection,
+)
+from hibiscusstile.gateway import state as state_lib
+
+__all__ = ["HeldError", "ResponseRelay"]
+
+_FIRST_SERVER_ERROR_STATUS = 500
+
+HeldError = tuple[exchange.ResponseHead, bytes]
+
+
+class ResponseRelay:
+    """Relays responses of servers, and records what they tell.
+
+    Args:
+        state: State of this gateway process.
+        model: Model that the request names, empty for plain services.
+        route: Route of the request.
+        writer: Writes the response to the caller.
+        request_progress: Attempts of the request.
+        log: Log of the request.
+        prefill_coalescer: The request's part in prefills of its prefix.
+    """
+
+    def __init__(
+        self,
+        state: state_lib.GatewayState,
+        model: str,
+        route: routes.Route,
+        writer: exchange.ResponseWriter,
+        request_progress: requestprogress.RequestProgress,
+        log: requestlog.RequestLog,
+        prefill_coalescer: prefillcoalescing.PrefillCoalescer,
+    ) -> None:
+        self._state = state
+        self._model = model
+        self._route = route
+        self._writer = writer
+        self._progress = request_progress
+        self._log = log
+        self._prefill_coalescer = prefill_coalescer
+        self._unfinished_server: fleet.BackendServer | None = None
+
+    @property
+    def unfinished_server(self) -> fleet.BackendServer | None:
+        """Server that has sent the head of a response but not all of its body.
+
+        None while there is none, and for streams of events.
+        """
+        return self._unfinished_server
+
+    async def relay(
+        self,
+        candidate: selection.Candidate,
+        in_flight: load.InFlightRequest,
+        response: exchange.ServerResponse,
+    ) -> HeldError | None:
+        """Relays a response to the caller.
+
+        Returns:
+            A complete error response that was not relayed, since the request
+            may be sent again; None if the response was relayed.
+
+        Raises:
+            AttemptFailed: The response is incomplete or unusable.
+        """
+        candidate.load.note_activity(self._now_s())
+        self._progress.note_verdict(outcome.Verdict.MAY_HAVE_RUN)
+        self._note_version(candidate.server, response.head.weights_version)
+        if response.head.event_stream:
+            await self._relay_stream(candidate, in_flight, response)
+            return None
+        self._unfinished_server = candidate.server
+        held_error = await self._relay_body(candidate.server, response)
+        self._unfinished_server = None
+        return held_error
+
+    def note_failure(self) -> None:
+        """Records that the attempt has ended without a usable response."""
+        self._unfinished_server = None
+
+    async def _relay_body(
+        self, server: fleet.BackendServer, response: exchange.ServerResponse
+    ) -> HeldError | None:
+        """Relays a response that is not a stream of events.
+
+        The whole body decides whether the request is sent again, so it is held
+        up to a limit. A longer one is relayed as it arrives.
+        """
+        held = await response.read_held(self._state.max_held_body_bytes)
+        self._progress.note_run(outcome.Verdict.RAN)
+        if not held.complete:
+            await self._relay_long_body(server, response, held.data)
+            return None
+        failed = response.head.status >= _FIRST_SERVER_ERROR_STATUS
+        self._state.health.note_response(server, failed)
+        self._log.attempt_answered(
+            server.server_id, "failed" if failed else "answered"
+        )
+        if failed and self._route.kind is routes.RequestKind.IDEMPOTENT:
+            return response.head, held.data
+        self._require_unstarted()
+        self._log.note_status(response.head.status)
+        await self._writer.send_response(response.head, held.data)
+        return None
+
+    async def _relay_long_body(
+        self,
+        server: fleet.BackendServer,
+        response: exchange.ServerResponse,
+        start: bytes,
+    ) -> None:
+        """Relays a body of which `start` has been read, as it arrives."""
+        if response.head.status >= _FIRST_SERVER_ERROR_STATUS:
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.LOST,
+                outcome.Verdict.RAN,
+                "the body of an error response exceeds "
+                f"{self._state.max_held_body_bytes} bytes",
+            )
+        self._require_unstarted()
+        self._log.note_status(response.head.status)
+        await self._writer.start_stream(response.head)
+        await self._writer.write(start)
+        async for chunk in response.chunks():
+            await self._writer.write(chunk)
+        await self._writer.finish_stream()
+        self._state.health.note_response(server, False)
+        self._log.attempt_answered(server.server_id, "answered")
+
+    def _require_unstarted(self) -> None:
+        if self._writer.started:
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.LOST,
+                outcome.Verdict.RAN,
+                "a complete response cannot continue a started stream",
+            )
+
+    async def _relay_stream(
+        self,
+        candidate: selection.Candidate,
+        in_flight: load.InFlightRequest,
+        response: exchange.ServerResponse,
+    ) -> None:
+        max_gap_s = progress.max_event_gap_s(
+            self._route,
+            may_resume=self._progress.may_run_again(
+                self._route, started=self._writer.started
+            ),
+        )
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(max_gap_s) as event_due:
+                async for event in response.events():
+                    if event.has_content:
+                        self._note_content(candidate, in_flight)
+                    await self._relay_event(candidate, response.head, event)
+                    if event.has_content:
+                        event_due.reschedule(loop.time() + max_gap_s)
+        except TimeoutError:
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.STALLED,
+                outcome.Verdict.MAY_HAVE_RUN,
+                f"no event for {max_gap_s:g} s",
+            ) from None
+        if not self._writer.started:
+            await self._writer.start_stream(response.head)
+        await self._writer.finish_stream()
+        self._log.attempt_answered(candidate.server.server_id, "streamed")
+
+    def _note_content(
+        self, candidate: selection.Candidate, in_flight: load.InFlightRequest
+    ) -> None:
+        """Records an event with content."""
+        candidate.load.note_activity(self._now_s())
+        if in_flight.started:
+            return
+        candidate.load.note_started(in_flight, self._now_s())
+        self._prefill_coalescer.finish()
+        self._progress.note_run(outcome.Verdict.RAN)
+        self._state.health.note_response(candidate.server, False)
+        self._log.note_first_event()
+
+    async def _relay_event(
+        self,
+        candidate: selection.Candidate,
+        head: exchange.ResponseHead,
+        event: exchange.StreamEvent,
+    ) -> None:
+        self._note_version(candidate.server, event.weights_version)
+        if not self._writer.started:
+            await self._writer.start_stream(head)
+        await self._writer.write(event.data)
+        self._progress.note_event(event.event_id)
+
+    def _note_version(
+        self, server: fleet.BackendServer, version: int | None
+    ) -> None:
+        if version is not None:
+            self._state.note_weights(server.server_id, self._model, version)
+
+    def _now_s(self) -> float:
+        return self._state.clock.monotonic()
