--- a/hibiscusstile/claims/ledger.py
+++ b/hibiscusstile/claims/ledger.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import collections
-import dataclasses
 import datetime
 import enum
 
@@ -13,30 +12,14 @@
     decisions,
     entries,
     keytable,
+    ledgerlimits,
     refusals,
     replica,
     replycache,
 )
 from hibiscusstile.claims import outbox as outbox_lib
 
-__all__ = ["Ledger", "LedgerLimits"]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class LedgerLimits:
-    """Limits of a ledger.
-
-    Attributes:
-        max_keys: Number of keys in memory at which new claims are refused.
-        max_reply_bytes: Size of the reply cache.
-        claim_timeout: Time limit to append a claim and read it back.
-    """
-
-    # At 444 bytes per key (averaged over 100,000 keys) these take 111 MB of
-    # the 256 MB available on a node.
-    max_keys: int = 250_000
-    max_reply_bytes: int = 16 * 1024 * 1024
-    claim_timeout: datetime.timedelta = datetime.timedelta(seconds=2)
+__all__ = ["Ledger"]
 
 
 class _ClaimState(enum.Enum):
@@ -75,7 +58,7 @@
         peer_id: str,
         incarnation: str,
         clock: clock_lib.Clock,
-        limits: LedgerLimits,
+        limits: ledgerlimits.LedgerLimits,
     ) -> None:
         self._peer_id = peer_id
         self._incarnation = incarnation
--- a/hibiscusstile/entry/chunkreader.py
+++ b/hibiscusstile/entry/chunkreader.py
@@ -11,9 +11,9 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.entry import refusals
+from hibiscusstile.peers import attemptchannel, messages
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
-from hibiscusstile.peers import messages
 
 __all__ = ["ChunkReader", "ResponseEnd", "ResponseEvent", "TextDelta"]
 
@@ -51,7 +51,7 @@
     def __init__(
         self,
         link: client_lib.SidecarLink,
-        channel: client_lib.AttemptChannel,
+        channel: attemptchannel.AttemptChannel,
     ) -> None:
         self._link = link
         self._channel = channel
@@ -96,7 +96,7 @@
                 return await self._channel.receive(
                     _INACTIVITY_TIMEOUT.total_seconds()
                 )
-            except client_lib.ChannelLost:
+            except attemptchannel.ChannelLost:
                 self._resumed_from = -1
                 await self._resume()
             except TimeoutError:
--- a/hibiscusstile/entry/httpapi.py
+++ b/hibiscusstile/entry/httpapi.py
@@ -5,7 +5,7 @@
 import asyncio
 import contextlib
 import datetime
-from collections.abc import AsyncGenerator, Awaitable, Callable
+from collections.abc import Awaitable, Callable
 
 import logbook
 from aiohttp import hdrs, web
@@ -18,11 +18,10 @@
 from hibiscusstile.entry import (
     auth,
     chatrelay,
-    chunkreader,
+    chatresponse,
     parsing,
     refusals,
     servicecalls,
-    ssewriter,
 )
 
 __all__ = ["HttpApi"]
@@ -173,8 +172,8 @@
         pending = self._build_pending_chat(request["request_id"], caller, chat)
         async with contextlib.aclosing(self._chat_relay.run(pending)) as events:
             if chat.stream:
-                return await _stream_response(request, pending, events)
-            return await _complete_response(pending, events)
+                return await chatresponse.send_stream(request, pending, events)
+            return await chatresponse.build_complete(pending, events)
 
     async def _call_service(self, request: web.Request) -> web.Response:
         await self._check_configuration()
@@ -335,63 +334,6 @@
         return application
 
 
-async def _stream_response(
-    request: web.Request,
-    pending: chatrelay.PendingChat,
-    events: AsyncGenerator[chunkreader.ResponseEvent],
-) -> web.StreamResponse:
-    """Streams the response; the headers are sent with the first event.
-
-    A failure before the first event still gets an HTTP error status.
-    """
-    first_event = await anext(events)
-    writer = ssewriter.SseWriter(request, pending)
-    await writer.send_headers()
-    try:
-        await writer.send(first_event)
-        async for event in events:
-            await writer.send(event)
-        await writer.send_done_marker()
-    except outcome.Refused as refused:
-        await writer.send_error(refused.refusal)
-    except TimeoutError:
-        writer.abort()
-        return writer.response
-    await writer.close()
-    return writer.response
-
-
-async def _complete_response(
-    pending: chatrelay.PendingChat,
-    events: AsyncGenerator[chunkreader.ResponseEvent],
-) -> web.Response:
-    texts: list[str] = []
-    end: chunkreader.ResponseEnd | None = None
-    async for event in events:
-        if isinstance(event, chunkreader.TextDelta):
-            texts.append(event.text)
-        else:
-            end = event
-    if end is None:
-        raise _refused(outcome.Reason.INTERNAL, "the response has no end")
-    choice = {
-        "index": 0,
-        "message": {"role": "assistant", "content": "".join(texts)},
-        "finish_reason": end.finish_reason,
-    }
-    body = {
-        "id": pending.work_item.work_id,
-        "object": "chat.completion",
-        "created": pending.created,
-        "model": pending.chat.model,
-        "choices": [choice],
-        "usage": ssewriter.usage_fields(end),
-    }
-    return web.json_response(
-        body, headers={refusals.REQUEST_ID_HEADER: pending.work_item.work_id}
-    )
-
-
 def _refused(
     reason: outcome.Reason,
     message: str,
--- a/hibiscusstile/entry/servicecalls.py
+++ b/hibiscusstile/entry/servicecalls.py
@@ -19,9 +19,9 @@
 )
 from hibiscusstile.configuration import view as view_lib
 from hibiscusstile.entry import refusals, sidecarpool
+from hibiscusstile.peers import attemptchannel, messages
 from hibiscusstile.peers import client as client_lib
 from hibiscusstile.peers import connection as connection_lib
-from hibiscusstile.peers import messages
 
 __all__ = ["PendingCall", "ServiceCallRouter"]
 
@@ -163,7 +163,7 @@
             message = await self._receive(pending, link, channel)
         except (
             connection_lib.ConnectionLost,
-            client_lib.ChannelLost,
+            attemptchannel.ChannelLost,
             TimeoutError,
         ):
             raise outcome.Refused(
@@ -181,7 +181,7 @@
         self,
         pending: PendingCall,
         link: client_lib.SidecarLink,
-        channel: client_lib.AttemptChannel,
+        channel: attemptchannel.AttemptChannel,
     ) -> messages.PeerMessage:
         """Returns the first message that is not a progress report.
 
--- a/hibiscusstile/peers/client.py
+++ b/hibiscusstile/peers/client.py
@@ -16,10 +16,10 @@
 from websockets.asyncio import client as ws_client
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile.peers import codec, handshake, messages
+from hibiscusstile.peers import attemptchannel, codec, handshake, messages
 from hibiscusstile.peers import connection as connection_lib
 
-__all__ = ["AttemptChannel", "ChannelLost", "LinkObserver", "SidecarLink"]
+__all__ = ["LinkObserver", "SidecarLink"]
 
 _log = logbook.Logger("peers")
 
@@ -32,14 +32,9 @@
 _MAX_BACKOFF = datetime.timedelta(seconds=1)
 _MAX_RECEIVE_QUEUE_FRAMES = 64
 _WRITE_BUFFER_BYTES = 256 * 1024
-_MAX_CHANNEL_MESSAGES = 1024
 _TIMEOUTS_UNTIL_UNREACHABLE = 2
 
 
-class ChannelLost(Exception):  # noqa: N818 - an expected condition
-    """The connection that carried an attempt has ended."""
-
-
 class LinkObserver(Protocol):
     """Receives everything from a link except replies to its requests."""
 
@@ -58,54 +53,6 @@
         """Notes a reply to a request sent at this monotonic time."""
 
 
-class AttemptChannel:
-    """Queue of the messages of one attempt, in order of arrival."""
-
-    def __init__(self, attempt_id: str) -> None:
-        self._attempt_id = attempt_id
-        self._queue: asyncio.Queue[messages.PeerMessage | None] = asyncio.Queue(
-            _MAX_CHANNEL_MESSAGES
-        )
-
-    @property
-    def attempt_id(self) -> str:
-        """Id of the attempt."""
-        return self._attempt_id
-
-    async def receive(self, timeout_s: float) -> messages.PeerMessage:
-        """Returns the next message.
-
-        Raises:
-            ChannelLost: The connection has ended.
-            TimeoutError: No message arrived within `timeout_s` seconds.
-        """
-        if self._queue.empty():
-            async with asyncio.timeout(timeout_s):
-                message = await self._queue.get()
-        else:
-            message = self._queue.get_nowait()
-        if message is None:
-            raise ChannelLost(self._attempt_id)
-        return message
-
-    def deliver(self, message: messages.PeerMessage | None) -> bool:
-        """Queues a message, or None for a lost connection.
-
-        A `Progress` message is dropped while others are queued: it would
-        carry no further information and could fill a slow caller's channel.
-
-        Returns:
-            False when the queue is full.
-        """
-        if isinstance(message, messages.Progress) and self._queue.qsize():
-            return True
-        try:
-            self._queue.put_nowait(message)
-        except asyncio.QueueFull:
-            return False
-        return True
-
-
 class SidecarLink:
     """An entry's connection to one sidecar, reopened whenever it is lost.
 
@@ -141,7 +88,7 @@
         self._observer = observer
         self._peer_info: messages.PeerInfo | None = None
         self._connection: connection_lib.PeerConnection | None = None
-        self._channels: dict[str, AttemptChannel] = {}
+        self._channels: dict[str, attemptchannel.AttemptChannel] = {}
         self._pending_replies: dict[
             int, asyncio.Future[messages.PeerMessage]
         ] = {}
@@ -276,9 +223,9 @@
         """Returns a request number that is unique on this link."""
         return next(self._request_numbers)
 
-    def open_channel(self, attempt_id: str) -> AttemptChannel:
+    def open_channel(self, attempt_id: str) -> attemptchannel.AttemptChannel:
         """Returns a channel that receives the attempt's messages."""
-        channel = AttemptChannel(attempt_id)
+        channel = attemptchannel.AttemptChannel(attempt_id)
         self._channels[attempt_id] = channel
         return channel
 
--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -24,6 +24,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome as outcome_lib
 from hibiscusstile.claims import ledger as ledger_lib
+from hibiscusstile.claims import ledgerlimits
 from hibiscusstile.configuration import fetching, snapshot_stream
 from hibiscusstile.configuration import follower as follower_lib
 from hibiscusstile.configuration import store as store_lib
@@ -271,7 +272,7 @@
             self._settings.peer_id,
             self._incarnation,
             self._clock,
-            ledger_lib.LedgerLimits(),
+            ledgerlimits.LedgerLimits(),
         )
         return ledgersync.LedgerSync(
             self._log_client,
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -14,7 +14,6 @@
     cacheview,
     logs,
     outcome,
-    request,
     supervisor,
     suspects,
 )
@@ -29,6 +28,7 @@
     cachescopes,
     failures,
     suspectbroadcast,
+    suspectscreen,
 )
 from hibiscusstile.sidecar import revision as revision_lib
 
@@ -93,6 +93,7 @@
         self._scope_resolver = scope_resolver
         self._store = store
         self._suspect_broadcaster = suspect_broadcaster
+        self._suspect_screen = suspectscreen.SuspectScreen(suspect_broadcaster)
         self._crash_location = crash_location
         self._probe_engine = probe_engine
         self._clock = clock
@@ -224,7 +225,7 @@
                 self._store, self._clock, revision
             )
             await self._generate(attempt, dispatch)
-            await self._clear_suspicion(dispatch)
+            await self._suspect_screen.clear(dispatch)
         except outcome.Refused as refused:
             await attempt.stream.send_failed(
                 failures.failed_message(dispatch.attempt_id, refused.refusal)
@@ -243,7 +244,7 @@
     ) -> None:
         generation = self._build_generation_request(dispatch)
         deadline_s = self._clock.monotonic() + dispatch.deadline_s
-        work = self._screen_work(dispatch)
+        work = self._suspect_screen.screen(dispatch)
         cached_tokens = self._cache_view.cached_tokens(
             generation.cache_salt, work.levels
         )
@@ -256,7 +257,7 @@
         served_tokens = 0
         try:
             # The same request may have crashed another engine meanwhile.
-            self._screen_work(dispatch)
+            self._suspect_screen.screen(dispatch)
             attempt.incarnation = self._cache_view.incarnation
             async with asyncio.timeout(None) as attempt.timeout_scope:
                 async for event in self._require_engine().generate(generation):
@@ -325,32 +326,6 @@
         engine = suspects.CrashedEngine(*self._crash_location, incarnation)
         await self._suspect_broadcaster.note_crash(engine, fingerprints)
 
-    def _screen_work(self, dispatch: messages.Dispatch) -> request.WorkItem:
-        """Returns the request's work item, marked if it is a suspect.
-
-        Raises:
-            Refused: The request is blocked because it crashed engines.
-        """
-        table = self._suspect_broadcaster.table
-        if not len(table):
-            return dispatch.work
-        fingerprint = suspects.fingerprint(
-            dispatch.work.workspace, dispatch.chat
-        )
-        refusal = table.refusal(fingerprint)
-        if refusal is not None:
-            raise outcome.Refused(refusal)
-        return dataclasses.replace(
-            dispatch.work,
-            suspect=dispatch.work.suspect or table.is_suspect(fingerprint),
-        )
-
-    async def _clear_suspicion(self, dispatch: messages.Dispatch) -> None:
-        if len(self._suspect_broadcaster.table):
-            await self._suspect_broadcaster.note_completed(
-                suspects.fingerprint(dispatch.work.workspace, dispatch.chat)
-            )
-
     def _build_generation_request(
         self, dispatch: messages.Dispatch
     ) -> backends.GenerationRequest:
--- a/hibiscusstile_standins/engine.py
+++ b/hibiscusstile_standins/engine.py
@@ -260,7 +260,7 @@
                 run.words += 1
             elif event["event"] == "end":
                 run.ended = "end"
-                event = _end_event(run, sequence)
+                event = engineoptions.end_event(run, len(sequence.output_words))
             await response.write(f"data: {json.dumps(event)}\n\n".encode())
             if event["event"] == "end":
                 await response.write_eof()
@@ -390,13 +390,3 @@
 
 def _path_digest(request: web.Request) -> int:
     return int(request.match_info["digest"])
-
-
-def _end_event(run: EngineRun, sequence: batching.Sequence) -> dict[str, Any]:
-    return {
-        "event": "end",
-        "finish_reason": "length",
-        "prompt_tokens": run.prompt_tokens,
-        "cached_tokens": run.cached_tokens,
-        "completion_tokens": len(sequence.output_words),
-    }
--- a/hibiscusstile_standins/engineoptions.py
+++ b/hibiscusstile_standins/engineoptions.py
@@ -4,10 +4,17 @@
 
 import argparse
 import dataclasses
+from typing import Any
 
 from hibiscusstile_standins import batching
 
-__all__ = ["EngineOptions", "EngineRun", "add_arguments", "from_arguments"]
+__all__ = [
+    "EngineOptions",
+    "EngineRun",
+    "add_arguments",
+    "end_event",
+    "from_arguments",
+]
 
 _CRASH_MARK = "CRASH-THE-ENGINE"
 
@@ -97,3 +104,14 @@
         checks_fencing=not arguments.unfenced,
         restart_s=arguments.restart,
     )
+
+
+def end_event(run: EngineRun, completion_tokens: int) -> dict[str, Any]:
+    """Returns the last event of a run's stream."""
+    return {
+        "event": "end",
+        "finish_reason": "length",
+        "prompt_tokens": run.prompt_tokens,
+        "cached_tokens": run.cached_tokens,
+        "completion_tokens": completion_tokens,
+    }
--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -12,15 +12,13 @@
 import dataclasses
 import hashlib
 import json
-import socket
-import struct
 from typing import Any
 
 import multidict
 from aiohttp import web
 
 import hibiscusstile_standins
-from hibiscusstile_standins import server
+from hibiscusstile_standins import malformed, server
 
 __all__ = ["Arrival", "FakeBackendServer"]
 
@@ -327,15 +325,15 @@
             return web.Response(
                 status=500, body=body, headers=self._headers(request_id, body)
             )
-        malformed = _malformed_responses(
+        malformed_responses = malformed.responses(
             request_id, body, self._headers(request_id, body)
         )
-        if mode in malformed:
+        if mode in malformed_responses:
             transport: Any = request.transport
-            transport.write(malformed[mode])
+            transport.write(malformed_responses[mode])
             if mode == "unframed_reset":
                 await asyncio.sleep(0.05)
-                _reset(transport)
+                malformed.reset(transport)
             elif mode != "twice":
                 transport.close()
             else:
@@ -378,37 +376,3 @@
             "X-Response-Stamp": f"{self._server_id}.{digest}",
             "X-Weight-Versions": str(self._version),
         }
-
-
-def _reset(transport: Any) -> None:
-    """Closes a connection with a TCP reset (SO_LINGER of 0 s)."""
-    connection_socket = transport.get_extra_info("socket")
-    connection_socket.setsockopt(
-        socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0)
-    )
-    transport.abort()
-
-
-def _malformed_responses(
-    request_id: str, body: bytes, headers: dict[str, str]
-) -> dict[str, bytes]:
-    """Returns the raw bytes of invalid responses by failure mode."""
-    head = "HTTP/1.1 200 OK\r\n" + "".join(
-        f"{name}: {value}\r\n" for name, value in headers.items()
-    )
-    wrong_id_head = head.replace(request_id, "other-request")
-    head_without_stamp = (
-        "HTTP/1.1 200 OK\r\n" + f"X-Request-Id: {request_id}\r\n"
-    )
-    length_header = f"Content-Length: {len(body)}\r\n\r\n"
-    return {
-        "cut": (head + length_header).encode() + body[:5],
-        "unframed": (head + "\r\n").encode() + body,
-        "unframed_reset": (head + "\r\n").encode() + body[:5],
-        "twice": (wrong_id_head + length_header).encode()
-        + body
-        + (head + length_header).encode()
-        + body,
-        "no_digest": (head_without_stamp + length_header).encode() + body,
-        "garbage": b"\x00\x01 this is no answer\r\n\r\n",
-    }
--- a/tests/builders/calls.py
+++ b/tests/builders/calls.py
@@ -19,10 +19,16 @@
     settings,
 )
 from hibiscusstile import process as process_lib
-from hibiscusstile.claims import decisions, encoding, entries, ledger
+from hibiscusstile.claims import (
+    decisions,
+    encoding,
+    entries,
+    ledger,
+    ledgerlimits,
+)
 from hibiscusstile.configuration import store, view
 from hibiscusstile.entry import auth, servicecalls
-from hibiscusstile.peers import client, messages
+from hibiscusstile.peers import attemptchannel, messages
 from hibiscusstile.sidecar import failures
 from hibiscusstile_standins import instancelist, log, service
 from tests.builders.base import record, work_item
@@ -52,7 +58,7 @@
     max_keys: int = 1000,
 ) -> ledger.Ledger:
     """Returns the ledger of a sidecar that has just started."""
-    limits = ledger.LedgerLimits(max_keys=max_keys)
+    limits = ledgerlimits.LedgerLimits(max_keys=max_keys)
     return ledger.Ledger(peer_id, incarnation, clock, limits)
 
 
@@ -231,9 +237,9 @@
         self.sent: list[messages.PeerMessage] = []
         self._answers = list(answers)
 
-    def open_channel(self, attempt_id: str) -> client.AttemptChannel:
+    def open_channel(self, attempt_id: str) -> attemptchannel.AttemptChannel:
         """Returns a channel that already contains the next answer."""
-        channel = client.AttemptChannel(attempt_id)
+        channel = attemptchannel.AttemptChannel(attempt_id)
         refusal = self._answers.pop(0)
         channel.deliver(
             None
--- a/tests/claims_machine.py
+++ b/tests/claims_machine.py
@@ -9,8 +9,14 @@
 from hypothesis import strategies as st
 
 from hibiscusstile import outcome, platform
-from hibiscusstile.claims import decisions, encoding, entries, ledger
-from tests import builders
+from hibiscusstile.claims import (
+    decisions,
+    encoding,
+    entries,
+    ledger,
+    ledgerlimits,
+)
+from tests import builders, claims_checks
 from tests.builders import claims
 
 __all__ = ["ClaimsMachine"]
@@ -57,7 +63,7 @@
                 f"s{slot}",
                 f"inc-{self.process_starts}",
                 self.clock,
-                ledger.LedgerLimits(),
+                ledgerlimits.LedgerLimits(),
             )
         )
 
@@ -277,10 +283,10 @@
                 assert run.body == call.body
                 self._report(call, outcome.Verdict.RAN)
             case decisions.ReplayFromLog():
-                self._check_logged_reply(decision, run)
+                claims_checks.check_logged_reply(self.log, decision, run)
                 self._report(call, outcome.Verdict.RAN)
             case outcome.Refusal():
-                self._check_refusal(call, decision, run)
+                claims_checks.check_refusal(self.calls, call, decision, run)
                 self._report(call, decision.verdict)
 
     def _start(self, call: claims.ClientCall) -> None:
@@ -290,7 +296,9 @@
         if refusal is None:
             call.state = "checked"
         else:
-            self._check_refusal(call, refusal, self._latest_run(call.key))
+            claims_checks.check_refusal(
+                self.calls, call, refusal, self._latest_run(call.key)
+            )
             self._report(call, refusal.verdict)
 
     def _record_run(self, call: claims.ClientCall) -> None:
@@ -313,36 +321,6 @@
         call.state = "ended"
         call.verdict = call.verdict or verdict
 
-    def _check_refusal(
-        self,
-        call: claims.ClientCall,
-        refusal: outcome.Refusal,
-        run: claims.ServiceRun | None,
-    ) -> None:
-        others = [s for s in self.calls if s is not call and s.key == call.key]
-        if refusal.reason is outcome.Reason.KEY_CONFLICT:
-            assert any(other.body != call.body for other in others)
-        if refusal.verdict is outcome.Verdict.RAN:
-            assert run is not None
-        elif refusal.verdict is outcome.Verdict.NOT_RUN:
-            assert call.run is None
-            if all(o.verdict is outcome.Verdict.NOT_RUN for o in others):
-                assert run is None
-
-    def _check_logged_reply(
-        self, decision: decisions.ReplayFromLog, run: claims.ServiceRun | None
-    ) -> None:
-        page = self.log.read(decision.offset, 1)
-        records = encoding.decode(page.entries[0].payload)
-        replies = [
-            r.reply
-            for r in records
-            if isinstance(r, entries.Completed)
-            and r.claim_id == decision.claim_id
-        ]
-        assert run is not None
-        assert replies == [run.reply]
-
     def _latest_run(self, key: str) -> claims.ServiceRun | None:
         """Returns the latest run of a key.
 
--- a/tests/test_streams.py
+++ b/tests/test_streams.py
@@ -12,7 +12,7 @@
 
 from hibiscusstile import backends, outcome
 from hibiscusstile.entry import chunkreader
-from hibiscusstile.peers import client, connection, messages
+from hibiscusstile.peers import attemptchannel, connection, messages
 from hibiscusstile.sidecar import attemptstream
 from tests import builders
 
@@ -37,13 +37,13 @@
     """A sidecar link whose connection the test drops and restores."""
 
     def __init__(self) -> None:
-        self.channel = client.AttemptChannel(_ATTEMPT)
+        self.channel = attemptchannel.AttemptChannel(_ATTEMPT)
         self.up = asyncio.Event()
         self.up.set()
         self.sent: collections.deque[messages.PeerMessage] = collections.deque()
 
-    def open_channel(self, attempt_id: str) -> client.AttemptChannel:
-        self.channel = client.AttemptChannel(attempt_id)
+    def open_channel(self, attempt_id: str) -> attemptchannel.AttemptChannel:
+        self.channel = attemptchannel.AttemptChannel(attempt_id)
         return self.channel
 
     async def wait_ready(self) -> None:
