Estimate what engines need instead of the first site's figures

Cause: prefill throughput, attention, fixed time, time a running request, time a fetched token and time of a load were those of the first sites' data sheet (expected_first_token, load, rollout).

A long prompt is one whose prefill takes 40 ms.

--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -7,6 +7,7 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    enginerates,
     exchange,
     fleet,
     load,
@@ -79,8 +80,9 @@
         self._last_failure_s = 0.0
         self._progress = requestprogress.RequestProgress(request.last_event_id)
         self._log = requestlog.RequestLog(state, request, destination)
+        self._rates = state.engine_rates(destination.service.name)
         self._prefill_coalescer = prefillcoalescing.PrefillCoalescer(
-            state, request, destination.route.target_latency_s
+            state, request, destination.route.target_latency_s, self._rates
         )
         self._relay = relaying.ResponseRelay(
             state,
@@ -90,6 +92,7 @@
             self._progress,
             self._log,
             self._prefill_coalescer,
+            self._rates,
         )
         self._last_error_response: relaying.HeldError | None = None
 
@@ -249,6 +252,7 @@
             memory_tokens=request.prompt_tokens + request.max_output_tokens,
             sent_s=self._now_s(),
             expected_s=selected.expected_s,
+            work=_observable_work(selected),
         )
         self._progress.note_attempt()
         self._log.server_selected(selected)
@@ -390,7 +394,21 @@
             self._destination.rank,
             self._destination.route.target_latency_s,
             self._state.zone,
+            self._rates,
         )
 
     def _now_s(self) -> float:
         return self._state.clock.monotonic()
+
+
+def _observable_work(
+    selected: selection.SelectedServer,
+) -> enginerates.FirstTokenWork | None:
+    """Returns the work whose time tells how fast the engine is.
+
+    A request that waits for a slot tells how long others run.
+    """
+    candidate = selected.candidate
+    if candidate.running >= candidate.server.slots:
+        return None
+    return selected.work
--- a/hibiscusstile/gateway/load.py
+++ b/hibiscusstile/gateway/load.py
@@ -6,20 +6,15 @@
 import dataclasses
 from collections.abc import Iterable
 
-from hibiscusstile.gateway import exchange
+from hibiscusstile.gateway import enginerates, exchange
 
 __all__ = [
-    "LONG_PROMPT_TOKENS",
     "InFlightRequest",
     "LoadTable",
     "PeerLoad",
     "ServerLoad",
 ]
 
-# Prompts with more uncached tokens than this count as long: prefilling one
-# delays the first token of the requests queued behind it by at least 40 ms.
-LONG_PROMPT_TOKENS = 2_048
-
 # Share of an engine's cache memory assumed to hold idle prefixes; running
 # requests take the rest.
 _IDLE_PREFIX_SHARE = 0.6
@@ -41,6 +36,8 @@
         memory_tokens: Cache memory that the request occupies, in tokens.
         sent_s: Send time on the monotonic clock.
         expected_s: Expected time from `sent_s` to the first event.
+        work: What the engine has to do before the first event; None for plain
+            services.
         started: Whether the first event has arrived.
         started_s: Arrival time of the first event on the monotonic clock.
     """
@@ -49,6 +46,7 @@
     memory_tokens: int
     sent_s: float
     expected_s: float
+    work: enginerates.FirstTokenWork | None = None
     started: bool = False
     started_s: float = 0.0
 
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -200,6 +200,11 @@
                     now_s - _SNAPSHOT_WINDOW_S
                 )
             ),
+            rates=tuple(
+                messages.RatesUpdate(service, each.sizes, each.observations)
+                for service, each in self._state.all_engine_rates.items()
+                if each.observations
+            ),
         )
 
     def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
@@ -228,6 +233,10 @@
                 )
         for done in notice.reads:
             self._state.pending_prefills.finish(done.salt, done.part)
+        for rates in notice.rates:
+            self._state.engine_rates(rates.service).adopt(
+                rates.sizes, rates.observations
+            )
         for change in notice.changes:
             self._state.weights.note_changing(change.server, change.for_s)
         for weights in notice.weights:
--- a/hibiscusstile/gateway/prefillcoalescing.py
+++ b/hibiscusstile/gateway/prefillcoalescing.py
@@ -8,7 +8,12 @@
 import logbook
 
 from hibiscusstile import logs
-from hibiscusstile.gateway import exchange, load, pendingprefills, selection
+from hibiscusstile.gateway import (
+    enginerates,
+    exchange,
+    pendingprefills,
+    selection,
+)
 from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["PrefillCoalescer"]
@@ -28,6 +33,7 @@
         state: State of this gateway process.
         request: The request.
         target_latency_s: Target latency of the route.
+        rates: Estimate of the service's engines.
     """
 
     def __init__(
@@ -35,8 +41,10 @@
         state: state_lib.GatewayState,
         request: exchange.ForwardedRequest,
         target_latency_s: float,
+        rates: enginerates.EngineRates,
     ) -> None:
         self._state = state
+        self._rates = rates
         self._request = request
         self._wait_until_s = (
             request.received_s + _MAX_WAIT_TARGETS * target_latency_s
@@ -98,7 +106,8 @@
             if prefilling:
                 self._state.pending_prefills.begin(salt, part, server_id)
         uncached_tokens = self._request.prompt_tokens - selected.cached_tokens
-        if uncached_tokens > load.LONG_PROMPT_TOKENS:
+        prefill_s = uncached_tokens / self._rates.prefill_tokens_per_s
+        if prefill_s > selection.LONG_PREFILL_S:
             self._state.notices.send_soon()
 
     def finish(self) -> None:
--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -6,6 +6,7 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    enginerates,
     exchange,
     fleet,
     load,
@@ -36,6 +37,7 @@
         request_progress: Attempts of the request.
         log: Log of the request.
         prefill_coalescer: The request's part in prefills of its prefix.
+        rates: Estimate of the service's engines.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         request_progress: requestprogress.RequestProgress,
         log: requestlog.RequestLog,
         prefill_coalescer: prefillcoalescing.PrefillCoalescer,
+        rates: enginerates.EngineRates,
     ) -> None:
         self._state = state
         self._model = model
@@ -55,6 +58,7 @@
         self._progress = request_progress
         self._log = log
         self._prefill_coalescer = prefill_coalescer
+        self._rates = rates
         self._unfinished_server: fleet.BackendServer | None = None
 
     @property
@@ -192,6 +196,10 @@
         if in_flight.started:
             return
         candidate.load.note_started(in_flight, self._now_s())
+        if in_flight.work is not None:
+            self._rates.observe(
+                in_flight.work, self._now_s() - in_flight.sent_s
+            )
         self._prefill_coalescer.finish()
         self._progress.note_run(outcome.Verdict.RAN)
         self._state.health.note_response(candidate.server, False)
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -8,7 +8,7 @@
 import logbook
 
 from hibiscusstile import logs
-from hibiscusstile.gateway import engineorders, fleet
+from hibiscusstile.gateway import engineorders, fleet, loadtime
 from hibiscusstile.gateway import rolloutlease as lease_lib
 from hibiscusstile.gateway import state as state_lib
 
@@ -20,15 +20,13 @@
 # fleets, loading slows down when more than a third of the engines load.
 _MAX_LOADING_SHARE = 1 / 3
 # Longest expected time from an order until an engine is available again.
-# Loading takes 0.6 s; a change that first waits for running requests to finish
-# takes 1.4 s.
 _MAX_CHANGE_S = 1.5
 _POLL_INTERVAL = datetime.timedelta(milliseconds=50)
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=100)
 _REPORT_INTERVAL = datetime.timedelta(milliseconds=150)
-# Loading takes 0.57 s. After this time the next engine gets its order, without
-# a report from this one, as reports are up to 200 ms old.
-_LOAD_TIME = datetime.timedelta(milliseconds=600)
+# Share of the expected time of a load after which reports are polled. If they
+# began later, a load shorter than expected would not be noticed.
+_FIRST_REPORT_SHARE = 0.85
 # An engine that receives an order rejects requests that wait for their first
 # token. The order is therefore delayed until at most this many prompt tokens
 # wait, but by `_MAX_DRAIN_S` at most; new requests go to other engines.
@@ -64,6 +62,7 @@
         self._lease = lease
         self._orders = orders
         self._name = name
+        self._load_time = loadtime.LoadTime()
         self._loading_until_s: dict[str, float] = {}
         self._refusal_counts: dict[str, int] = {}
         self._outdated_ids: frozenset[str] = frozenset()
@@ -184,8 +183,8 @@
     def _count_loading(self, in_progress: set[str]) -> int:
         """Returns how many engines being updated may still be loading.
 
-        Engines count from the start of their update until `_LOAD_TIME` after
-        they have accepted an order.
+        Engines count from the start of their update until the expected end of
+        the load after they have accepted an order.
         """
         now_s = self._clock.monotonic()
         return sum(
@@ -252,7 +251,7 @@
             return
         self._refusal_counts.pop(server.server_id, None)
         self._loading_until_s[server.server_id] = (
-            self._clock.monotonic() + _LOAD_TIME.total_seconds()
+            self._clock.monotonic() + self._load_time.expected_s
         )
         await self._wait_until_changed(model, target.version, server)
 
@@ -292,20 +291,33 @@
     async def _wait_until_changed(
         self, model: str, version: int, server: fleet.BackendServer
     ) -> None:
-        end_s = self._clock.monotonic() + _ORDER_TIMEOUT_S
-        await self._clock.sleep(_LOAD_TIME)
-        while self._clock.monotonic() < end_s:
+        """Polls until an engine has loaded a version, or has not.
+
+        Responses tell the version too. Reports, which are charged, are read
+        only when the load should have ended.
+        """
+        ordered_s = self._clock.monotonic()
+        report_due_s = (
+            ordered_s + _FIRST_REPORT_SHARE * self._load_time.expected_s
+        )
+        while self._clock.monotonic() < ordered_s + _ORDER_TIMEOUT_S:
             seen = self._state.weights.version_at(server.server_id, model)
             if seen is not None and seen >= version:
+                self._load_time.observe(self._clock.monotonic() - ordered_s)
                 return
             if self._state.fleet.get(server.server_id) is None:
                 return
+            if self._clock.monotonic() < report_due_s:
+                await self._clock.sleep(_POLL_INTERVAL)
+                continue
+            report_due_s = (
+                self._clock.monotonic() + _REPORT_INTERVAL.total_seconds()
+            )
             report = await self._orders.report(server)
             if report is not None:
                 self._note_report(server, report)
                 if not report.busy and report.versions.get(model) != version:
                     return
-            await self._clock.sleep(_REPORT_INTERVAL)
 
     def _note_report(
         self, server: fleet.BackendServer, report: engineorders.EngineReport
--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -7,9 +7,10 @@
 from collections.abc import Sequence
 
 from hibiscusstile import registry
-from hibiscusstile.gateway import exchange, fleet, load
+from hibiscusstile.gateway import enginerates, exchange, fleet, load
 
 __all__ = [
+    "LONG_PREFILL_S",
     "Candidate",
     "SelectedServer",
     "Selection",
@@ -19,6 +20,10 @@
     "selections",
 ]
 
+# Prefilling a long prompt delays the first token of the requests queued behind
+# it by this much, which is a tenth of a short request's usual target.
+LONG_PREFILL_S = 0.04
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SelectionContext:
@@ -30,12 +35,19 @@
         target_latency_s: Target latency. The platform rates a later response
             lower.
         zone: Availability zone of this process.
+        rates: Estimate of the service's engines; unused for plain services.
     """
 
     request: exchange.ForwardedRequest
     rank: int
     target_latency_s: float
     zone: str
+    rates: enginerates.EngineRates
+
+    @property
+    def long_prompt_tokens(self) -> float:
+        """Uncached tokens beyond which a prompt counts as long."""
+        return LONG_PREFILL_S * self.rates.prefill_tokens_per_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,6 +95,7 @@
         candidate: The server.
         expected_s: Expected time to the first event; 0 if not estimated.
         cached_tokens: Leading prompt tokens that it has cached or can fetch.
+        work: What it has to do before the first event; None if not estimated.
         unloaded_s: Part of `expected_s` that an idle server would also need.
         cost: Cost that the selection minimizes; 0 if it uses none.
     """
@@ -92,6 +105,7 @@
     cached_tokens: int = 0
     cost: float = 0.0
     unloaded_s: float = 0.0
+    work: enginerates.FirstTokenWork | None = None
 
 
 class Selection(abc.ABC):
--- a/hibiscusstile/gateway/selection/expected_first_token.py
+++ b/hibiscusstile/gateway/selection/expected_first_token.py
@@ -7,28 +7,17 @@
 
 from __future__ import annotations
 
+import dataclasses
 import math
 from collections.abc import Sequence
 
 import xxhash
 
 from hibiscusstile import rendezvous
-from hibiscusstile.gateway import load as load_lib
-from hibiscusstile.gateway import selection
+from hibiscusstile.gateway import enginerates, selection
 
 __all__ = ["ExpectedFirstToken"]
 
-# Engine prefill throughput, and attention time for each pair of tokens (from
-# the engine data sheet of the users).
-_PREFILL_TOKENS_PER_S = 50_700.0
-_ATTENTION_S_PER_TOKEN_PAIR = 0.368e-9
-# Time to fetch a token of KV cache over an engine's link within a zone; twice
-# that between zones (same data sheet).
-_FETCH_S_PER_TOKEN = 9.4e-6
-# Time for set-up, first decoding step and network (same data sheet).
-_FIXED_S = 0.022
-# Time that each running request adds to the time to the first token.
-_S_PER_RUNNING_REQUEST = 0.0015
 # Value of an answer within its target, in the unit of the costs below.
 _ON_TIME_VALUE = 3.0
 # Logistic loss of value: the share of the target latency at which the expected
@@ -103,26 +92,40 @@
         uncached_tokens = max(
             0, context.request.prompt_tokens - cached_tokens - fetched_tokens
         )
-        unloaded_s = self._unloaded_s(
-            context, candidate, uncached_tokens, fetched_tokens
+        work = enginerates.FirstTokenWork(
+            candidate.running,
+            candidate.waiting_tokens,
+            uncached_tokens,
+            context.request.prompt_tokens,
+            fetched_tokens,
+        )
+        latency_ratio = candidate.load.latency_ratio
+        unloaded_s = latency_ratio * context.rates.expected_s(
+            dataclasses.replace(work, running=0, queued_tokens=0)
+        )
+        expected_s = _slot_wait_s(candidate) + (
+            latency_ratio * context.rates.expected_s(work)
         )
-        expected_s = unloaded_s + self._wait_s(candidate)
         cost = _ON_TIME_VALUE * _lateness_cost(
             expected_s / context.target_latency_s
         )
         cost += _placement_cost(context, candidate)
         cost += fetched_tokens * _FETCH_COST_PER_TOKEN
-        if uncached_tokens > load_lib.LONG_PROMPT_TOKENS:
+        if uncached_tokens > context.long_prompt_tokens:
             if not candidate.takes_long_prompts:
                 cost += _LONG_PROMPT_COST
         else:
             if (
                 candidate.takes_long_prompts
-                and context.request.prompt_tokens <= load_lib.LONG_PROMPT_TOKENS
+                and context.request.prompt_tokens <= context.long_prompt_tokens
             ):
                 cost += _SHORT_PROMPT_COST
             waiting = candidate.waiting_tokens
-            cost += _WAITING_PROMPT_COST_PER_S * waiting / _PREFILL_TOKENS_PER_S
+            cost += (
+                _WAITING_PROMPT_COST_PER_S
+                * waiting
+                / context.rates.prefill_tokens_per_s
+            )
         recomputed_tokens = max(
             0,
             candidate.recently_prefilled_tokens
@@ -150,36 +153,15 @@
             cached_tokens + fetched_tokens,
             cost,
             unloaded_s,
+            work,
         )
 
-    @staticmethod
-    def _unloaded_s(
-        context: selection.SelectionContext,
-        candidate: selection.Candidate,
-        uncached_tokens: int,
-        fetched_tokens: int,
-    ) -> float:
-        """Returns the expected time to the first token on an idle engine."""
-        compute_s = uncached_tokens / _PREFILL_TOKENS_PER_S
-        compute_s += (
-            _ATTENTION_S_PER_TOKEN_PAIR
-            * uncached_tokens
-            * (context.request.prompt_tokens - uncached_tokens / 2)
-        )
-        fetch_s = fetched_tokens * _FETCH_S_PER_TOKEN
-        return candidate.load.latency_ratio * (_FIXED_S + compute_s + fetch_s)
-
-    @staticmethod
-    def _wait_s(candidate: selection.Candidate) -> float:
-        """Returns the time that other requests add to the first token's."""
-        load = candidate.load
-        slots = max(1, candidate.server.slots)
-        queued_requests = max(0, candidate.running + 1 - slots)
-        slot_wait_s = load.mean_stream_duration_s * queued_requests / slots
-        return slot_wait_s + load.latency_ratio * (
-            _S_PER_RUNNING_REQUEST * candidate.running
-            + candidate.waiting_tokens / _PREFILL_TOKENS_PER_S
-        )
+
+def _slot_wait_s(candidate: selection.Candidate) -> float:
+    """Returns the expected time until the engine has a free slot."""
+    slots = max(1, candidate.server.slots)
+    queued_requests = max(0, candidate.running + 1 - slots)
+    return candidate.load.mean_stream_duration_s * queued_requests / slots
 
 
 def _lateness_cost(share: float) -> float:
@@ -234,7 +216,7 @@
     parts = context.request.parts
     if len(parts) < 2:
         return ""
-    if context.request.prompt_tokens > load_lib.LONG_PROMPT_TOKENS:
+    if context.request.prompt_tokens > context.long_prompt_tokens:
         long_prompt_servers = [
             each for each in candidates if each.takes_long_prompts
         ]
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import dataclasses
+from collections.abc import Mapping
 
 import logbook
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, retrybudget
 from hibiscusstile.gateway import (
+    enginerates,
     fleet,
     health,
     load,
@@ -75,6 +77,7 @@
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
+        self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
 
@@ -138,6 +141,19 @@
         """Updates to send to other gateways."""
         return self._notices
 
+    @property
+    def all_engine_rates(self) -> Mapping[str, enginerates.EngineRates]:
+        """Estimates of the engines of each service."""
+        return self._engine_rates
+
+    def engine_rates(self, service: str) -> enginerates.EngineRates:
+        """Returns the estimate of a service's engines."""
+        rates = self._engine_rates.get(service)
+        if rates is None:
+            rates = enginerates.EngineRates(service)
+            self._engine_rates[service] = rates
+        return rates
+
     def prefix_store(self) -> routes.PrefixStore | None:
         """Returns the KV cache store to use, or None if none responds."""
         if self._table is None:
--- a/hibiscusstile/peers/messages/__init__.py
+++ b/hibiscusstile/peers/messages/__init__.py
@@ -20,6 +20,7 @@
     LoadUpdate,
     PrefillDoneUpdate,
     PrefixUpdate,
+    RatesUpdate,
     WeightsChangeUpdate,
     WeightsUpdate,
 )
@@ -85,6 +86,7 @@
     "PrefillDoneUpdate",
     "PrefixUpdate",
     "Progress",
+    "RatesUpdate",
     "Resume",
     "Started",
     "SuspectNotice",
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -23,6 +23,7 @@
     "LoadUpdate",
     "PrefillDoneUpdate",
     "PrefixUpdate",
+    "RatesUpdate",
     "WeightsChangeUpdate",
     "WeightsUpdate",
 ]
@@ -119,6 +120,24 @@
     fence: Count
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RatesUpdate:
+    """The sender's estimate of the engines of a service.
+
+    Attributes:
+        service: Name of the service.
+        sizes: Seconds for each part of the time to the first token.
+        observations: Observations behind the estimate.
+    """
+
+    service: ShortText
+    sizes: Annotated[
+        tuple[Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)], ...],
+        pydantic.Field(max_length=16),
+    ]
+    observations: Count
+
+
 _Loads = Annotated[
     tuple[LoadUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
@@ -140,6 +159,10 @@
     tuple[LeaseClaimUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
 
+_Rates = Annotated[
+    tuple[RatesUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
+]
+
 
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -153,6 +176,7 @@
     weights: _Weights = ()
     claims: _Claims = ()
     reads: _Reads = ()
+    rates: _Rates = ()
 
 
 @message_types.register()
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -190,6 +190,15 @@
             "leaving": self._gateway.draining,
             "active_requests": self._gateway.active,
             "peers": list(self._mesh.peers),
+            "engine_rates": {
+                service: {
+                    "observations": each.observations,
+                    "prefill_tokens_per_s": round(each.prefill_tokens_per_s),
+                    "sizes_s": each.sizes,
+                }
+                for service, each in self._state.all_engine_rates.items()
+                if each.observations
+            },
             "backend_servers": [
                 {
                     "server": server.server_id,
--- a/tests/gateway/test_prefillcoalescing.py
+++ b/tests/gateway/test_prefillcoalescing.py
@@ -40,7 +40,9 @@
     forwarded = dataclasses.replace(
         forwarded, received_s=state.clock.monotonic()
     )
-    return prefillcoalescing.PrefillCoalescer(state, forwarded, _TARGET_S)
+    return prefillcoalescing.PrefillCoalescer(
+        state, forwarded, _TARGET_S, state.engine_rates("engines")
+    )
 
 
 def _selected(
@@ -181,6 +183,7 @@
             builders.forwarded_request(), received_s=state.clock.monotonic()
         ),
         target_latency_s=0.005,
+        rates=state.engine_rates("engines"),
     )
     assert await coalescer.wait(_selected()) is True
 
--- a/tests/gateway/test_serverselection.py
+++ b/tests/gateway/test_serverselection.py
@@ -41,6 +41,7 @@
         2,
         1.5,
         "z1",
+        state.engine_rates(builders.ENGINE_SERVICE),
     )
     service = state.table.services[builders.ENGINE_SERVICE]
     return serverselection.select_server(
