Hash all files of each pinned version in the lock files

What users saw: on an aarch64 machine make test, make demo and the build of the deploy file ended with "THESE PACKAGES DO NOT MATCH THE HASHES".

Before: test_locked_binary_packages_install_on_other_processor_types fails (38 packages). No other dependency on the processor type was found in the code, the tests and the Makefile.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,8 @@
 STEPS ?= 50
 FLEET ?= cooperativa
 REQUESTS ?= 4000
+COMPILE := $(BIN)/uv pip compile --quiet --universal --python-version 3.11 \
+	--generate-hashes --no-emit-index-url --no-annotate --no-header
 
 .PHONY: demo test lint bench fuzz lock
 
@@ -33,5 +35,9 @@
 fuzz: $(STAMP)
 	$(BIN)/python -m tests.fuzz --seed $(SEED) --steps $(STEPS)
 
+# Pinned versions stay unless pyproject.toml excludes them; delete a line of
+# requirements.lock to renew that package.
 lock: $(STAMP)
-	$(BIN)/python tools/lock.py
+	$(COMPILE) --extra dev -o requirements.lock pyproject.toml
+	$(COMPILE) --constraint requirements.lock -o deploy/requirements.lock \
+		pyproject.toml
--- a/tests/test_packaging.py
+++ b/tests/test_packaging.py
@@ -1,4 +1,4 @@
-"""Tests of the built wheel; they need no network."""
+"""Tests of the built wheel and the lock files; they need no network."""
 
 from __future__ import annotations
 
@@ -9,6 +9,8 @@
 
 import pytest
 
+from tests.builders import lockfiles
+
 _ROOT = pathlib.Path(__file__).parent.parent
 
 
@@ -33,3 +35,38 @@
             text=True,
         )
         assert result.returncode == 0, result.stderr
+
+
+def test_locked_binary_packages_install_on_other_processor_types() -> None:
+    """Guards against hashes of the files for one processor type only."""
+    pinned = lockfiles.read(_ROOT / "requirements.lock")
+    deployed = lockfiles.read(_ROOT / "deploy" / "requirements.lock")
+    # A source archive and the wheel of one processor type make two.
+    lacking = [
+        package.name
+        for package in (*pinned.values(), *deployed.values())
+        if lockfiles.is_platform_specific(package.name)
+        and len(package.hashes) <= 2
+    ]
+    assert lacking == []
+
+
+def test_both_lock_files_pin_the_same_versions() -> None:
+    """Guards against tests that run on other versions than deployments."""
+    pinned = lockfiles.read(_ROOT / "requirements.lock")
+    deployed = lockfiles.read(_ROOT / "deploy" / "requirements.lock")
+    assert deployed
+    assert {name: each.version for name, each in deployed.items()} == {
+        name: pinned[name].version for name in deployed
+    }
+    assert all(
+        each.hashes == pinned[name].hashes for name, each in deployed.items()
+    )
+
+
+def test_lock_files_hold_no_index_address() -> None:
+    """Guards against lock files that work on the machine of one user only."""
+    for name in ("requirements.lock", "deploy/requirements.lock"):
+        text = (_ROOT / name).read_text()
+        assert "://" not in text
+        assert "index" not in text
