Log how many requests a stopping gateway takes

The log could not tell whether requests that a stop cuts arrived before or after the load balancer's delay, or on connections in use before. The lines removed_from_balancer and stopped now say so.

--- a/hibiscusstile/entry/listener.py
+++ b/hibiscusstile/entry/listener.py
@@ -48,6 +48,11 @@
         """Whether the connection is waiting for its next request."""
         return self._waiter is not None
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection has carried more than one request."""
+        return self._request_count > 1
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the timeout for the first request's head."""
         super().connection_made(transport)
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -28,6 +28,8 @@
         self._client = client
         self._active = 0
         self._draining = False
+        self._taken_while_draining = 0
+        self._reused_while_draining = 0
 
     @property
     def state(self) -> state_lib.GatewayState:
@@ -53,6 +55,16 @@
             and len(self._state.fleet) > 0
         )
 
+    @property
+    def taken_while_draining(self) -> int:
+        """Number of requests that arrived after draining started."""
+        return self._taken_while_draining
+
+    @property
+    def reused_while_draining(self) -> int:
+        """Number of these that arrived on a connection in use before."""
+        return self._reused_while_draining
+
     def start_draining(self) -> None:
         """Reports not ready from now on; new requests are still served."""
         self._draining = True
@@ -61,9 +73,20 @@
         self,
         request: exchange.ForwardedRequest,
         writer: exchange.ResponseWriter,
+        *,
+        reused: bool = False,
     ) -> None:
-        """Serves one request."""
+        """Serves one request.
+
+        Args:
+            request: The request.
+            writer: Writes the response to the caller.
+            reused: Whether its connection has carried a request before.
+        """
         self._active += 1
+        if self._draining:
+            self._taken_while_draining += 1
+            self._reused_while_draining += reused
         try:
             destination = resolving.resolve(self._state.table, request)
         except outcome.Refused as refused:
--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -154,7 +154,9 @@
             request_id = request.headers.get(headers.REQUEST_ID, "")
             await self._gateway.refuse_unparsed(request_id, parsed, writer)
         else:
-            await self._gateway.serve(parsed, writer)
+            await self._gateway.serve(
+                parsed, writer, reused=_is_reused(request.protocol)
+            )
         return writer.response
 
     async def _read(
@@ -177,6 +179,10 @@
         return _parse_request(request, body, received_s)
 
 
+def _is_reused(protocol: object) -> bool:
+    return isinstance(protocol, listener.HttpProtocol) and protocol.reused
+
+
 def _parse_request(
     request: web.BaseRequest, body: bytes, received_s: float
 ) -> exchange.ForwardedRequest | outcome.Refusal:
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -236,6 +236,13 @@
         await self._clock.sleep(
             datetime.timedelta(seconds=_LOAD_BALANCER_DELAY_S)
         )
+        logs.event(
+            _log,
+            "removed_from_balancer",
+            active=self._gateway.active,
+            taken=self._gateway.taken_while_draining,
+            reused=self._gateway.reused_while_draining,
+        )
         while self._clock.monotonic() < deadline_s:
             self._ingress.close_idle()
             if not self._gateway.active:
@@ -245,6 +252,8 @@
             _log,
             "stopped",
             active=self._gateway.active,
+            taken=self._gateway.taken_while_draining,
+            reused=self._gateway.reused_while_draining,
             elapsed_s=round(self._clock.monotonic() - drain_started_s, 3),
         )
 
