Count a connection as busy from the arrival of its request

What callers saw: during a stop a connection was closed although the process had read a whole request on it.

Cause: a connection counted as idle until the task that waits for its next request had run. Between the arrival of a request and that moment, idle connections of a stopping process could be closed.

Evidence: test_a_request_that_meets_the_close_of_its_connection_is_answered closes idle connections right after data has arrived; before the change the caller gets "Server disconnected", after it the response.

The property now looks at whether the wait has ended, which aiohttp sets in the same call that parses the request.

--- a/hibiscusstile/entry/listener.py
+++ b/hibiscusstile/entry/listener.py
@@ -45,8 +45,12 @@
 
     @property
     def idle(self) -> bool:
-        """Whether the connection is waiting for its next request."""
-        return self._waiter is not None
+        """Whether the connection is waiting for its next request.
+
+        False as soon as a request has been received, although its handler
+        starts only in the next iteration of the event loop.
+        """
+        return self._waiter is not None and not self._waiter.done()
 
     @property
     def reused(self) -> bool:
