Begin no request that cannot end before a stopping gateway exits

Cause: during a stop every request was begun with the deadline of its route, and the process ended after 7 s with whatever was under way. The load balancer goes on sending callers to an instance that is not ready if too few others of its zone are.

Requests that were lost had been sent 3.3 to 5.8 s after the signal, nine in ten of the late ones on new connections. Before the change test_a_request_that_cannot_end_before_the_exit_is_not_begun fails with six streams cut, and test_a_request_without_a_response_is_answered_before_the_exit cannot be expressed.

After the load balancer's delay a request is now refused as not run unless twice the longest recent time of its route fits into the time that is left; all deadlines end before the exit; and the wait goes by connections, which counts requests whose bodies are being read.

--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -72,6 +72,8 @@
             self._deadline_s = min(
                 self._deadline_s, request.received_s + request.caller_timeout_s
             )
+        self._is_stopping = False
+        self._timeout: asyncio.Timeout | None = None
         self._refusal: outcome.Refusal | None = None
         self._excluded_until_pause: set[str] = set()
         self._excluded_for_request: set[str] = set()
@@ -96,6 +98,16 @@
         )
         self._last_error_response: relaying.HeldError | None = None
 
+    @property
+    def route_name(self) -> str:
+        """Name of the request's route."""
+        return self._destination.route.name
+
+    @property
+    def elapsed_s(self) -> float:
+        """Seconds since the request arrived."""
+        return self._now_s() - self._request.received_s
+
     async def run(self) -> None:
         """Serves the request.
 
@@ -107,22 +119,21 @@
         # Stays if writing to the caller raises an exception.
         result = "caller_lost"
         try:
-            async with asyncio.timeout(max(0.0, remaining_s)):
-                await self._attempt_until_answered()
+            try:
+                async with asyncio.timeout(max(0.0, remaining_s)) as timeout:
+                    self._timeout = timeout
+                    await self._attempt_until_answered()
+            finally:
+                self._timeout = None
             result = "served"
+            self._note_service_time()
         except TimeoutError:
             result = "timed_out"
             if self._relay.unfinished_server is not None:
                 self._state.health.note_no_response(
                     self._relay.unfinished_server
                 )
-            await self._finish_failed(
-                outcome.Refusal(
-                    outcome.Reason.EXPIRED,
-                    "no complete response before the deadline",
-                    self._progress.verdict,
-                )
-            )
+            await self._finish_failed(self._expiry_refusal())
         except outcome.Refused as refused:
             result = refused.refusal.reason.value
             self._refusal = refused.refusal
@@ -138,6 +149,40 @@
                 self._progress.runs,
             )
 
+    def answer_by(self, deadline_s: float) -> None:
+        """Makes the deadline earlier, since the process stops.
+
+        Args:
+            deadline_s: Time for the final response, on the monotonic clock.
+        """
+        if deadline_s >= self._deadline_s:
+            return
+        self._deadline_s = deadline_s
+        self._is_stopping = True
+        if self._timeout is not None and not self._timeout.expired():
+            remaining_s = max(0.0, deadline_s - self._now_s())
+            self._timeout.reschedule(
+                asyncio.get_running_loop().time() + remaining_s
+            )
+
+    def _expiry_refusal(self) -> outcome.Refusal:
+        if self._is_stopping:
+            return outcome.Refusal(
+                outcome.Reason.LEAVING,
+                "the instance stops before a server has responded",
+                self._progress.verdict,
+            )
+        return outcome.Refusal(
+            outcome.Reason.EXPIRED,
+            "no complete response before the deadline",
+            self._progress.verdict,
+        )
+
+    def _note_service_time(self) -> None:
+        self._state.service_times.note(
+            self.route_name, self.elapsed_s, self._now_s()
+        )
+
     async def _attempt_until_answered(self) -> None:
         while True:
             selected = await self._next_server()
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -5,7 +5,7 @@
 import logbook
 
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import exchange, forwarding, resolving
+from hibiscusstile.gateway import exchange, forwarding, resolving, stopping
 from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["Gateway"]
@@ -27,7 +27,8 @@
         self._state = state
         self._client = client
         self._active = 0
-        self._draining = False
+        self._forwarders: set[forwarding.RequestForwarder] = set()
+        self._schedule: stopping.StopSchedule | None = None
         self._taken_while_draining = 0
         self._reused_while_draining = 0
 
@@ -44,13 +45,13 @@
     @property
     def draining(self) -> bool:
         """Whether the process is draining before it stops."""
-        return self._draining
+        return self._schedule is not None
 
     @property
     def ready(self) -> bool:
         """Whether the process should receive new connections."""
         return (
-            not self._draining
+            not self.draining
             and self._state.table is not None
             and len(self._state.fleet) > 0
         )
@@ -65,9 +66,15 @@
         """Number of these that arrived on a connection in use before."""
         return self._reused_while_draining
 
-    def start_draining(self) -> None:
-        """Reports not ready from now on; new requests are still served."""
-        self._draining = True
+    def start_draining(self, schedule: stopping.StopSchedule) -> None:
+        """Reports not ready, and serves only what ends before the exit.
+
+        Args:
+            schedule: Times of the stop.
+        """
+        self._schedule = schedule
+        for forwarder in self._forwarders:
+            forwarder.answer_by(schedule.answer_until_s)
 
     async def serve(
         self,
@@ -84,11 +91,12 @@
             reused: Whether its connection has carried a request before.
         """
         self._active += 1
-        if self._draining:
+        if self.draining:
             self._taken_while_draining += 1
             self._reused_while_draining += reused
         try:
             destination = resolving.resolve(self._state.table, request)
+            self._refuse_if_stopping(request, destination)
         except outcome.Refused as refused:
             self._log_refusal(
                 request.request_id,
@@ -98,9 +106,7 @@
             )
             await writer.refuse(refused.refusal)
         else:
-            await forwarding.RequestForwarder(
-                self._state, self._client, request, writer, destination
-            ).run()
+            await self._forward(request, writer, destination)
         finally:
             self._active -= 1
 
@@ -120,6 +126,59 @@
         self._log_refusal(request_id, refusal)
         await writer.refuse(refusal)
 
+    def _refuse_if_stopping(
+        self,
+        request: exchange.ForwardedRequest,
+        destination: resolving.Destination,
+    ) -> None:
+        if self._schedule is None:
+            return
+        limit_s = destination.route.timeout_s
+        if request.caller_timeout_s is not None:
+            limit_s = min(limit_s, request.caller_timeout_s)
+        now_s = self._state.clock.monotonic()
+        refusal = stopping.refusal(
+            self._schedule,
+            self._slowest_s(destination.route.name, now_s),
+            limit_s=limit_s,
+            now_s=now_s,
+            others_serve=self._state.peer_count > 0,
+        )
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+
+    def _slowest_s(self, route_name: str, now_s: float) -> float | None:
+        """Returns the longest time of recent requests and of those under way.
+
+        None if too few requests were served to tell.
+        """
+        slowest_s = self._state.service_times.slowest_s(route_name, now_s)
+        if slowest_s is None:
+            return None
+        under_way_s = [
+            each.elapsed_s
+            for each in self._forwarders
+            if each.route_name == route_name
+        ]
+        return max([slowest_s, *under_way_s])
+
+    async def _forward(
+        self,
+        request: exchange.ForwardedRequest,
+        writer: exchange.ResponseWriter,
+        destination: resolving.Destination,
+    ) -> None:
+        forwarder = forwarding.RequestForwarder(
+            self._state, self._client, request, writer, destination
+        )
+        if self._schedule is not None:
+            forwarder.answer_by(self._schedule.answer_until_s)
+        self._forwarders.add(forwarder)
+        try:
+            await forwarder.run()
+        finally:
+            self._forwarders.discard(forwarder)
+
     def _log_refusal(
         self, request_id: str, refusal: outcome.Refusal, **fields: str
     ) -> None:
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -19,6 +19,7 @@
     prefixstores,
     recentprefills,
     routes,
+    servicetimes,
     weights,
 )
 
@@ -78,6 +79,8 @@
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
+        self._service_times = servicetimes.ServiceTimes()
+        self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
 
@@ -136,6 +139,16 @@
         """Prompt parts that engines are prefilling."""
         return self._pending_prefills
 
+    @property
+    def service_times(self) -> servicetimes.ServiceTimes:
+        """How long recent requests of each route have taken."""
+        return self._service_times
+
+    @property
+    def peer_count(self) -> int:
+        """Number of other gateways that are announced; none of them stops."""
+        return self._peer_count
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """Updates to send to other gateways."""
@@ -169,6 +182,7 @@
             return False
         before = self._table.version if self._table else None
         self._table = table
+        self._service_times.keep_only({each.name for each in table.routes})
         metrics.set_revision(table.version)
         logs.event(
             _log,
@@ -199,6 +213,7 @@
 
     def set_process_count(self, count: int) -> None:
         """Sets the process count that divides the retry reserve."""
+        self._peer_count = count - 1
         self._process_count = max(_MIN_PROCESSES, count)
         for budget in self._budgets.values():
             budget.resize(self._retry_policy.reserve / self._process_count)
--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -71,12 +71,26 @@
         self._clock = clock
         self._listening = asyncio.Event()
         self._http_server: web.Server | None = None
+        self._server: asyncio.Server | None = None
 
     @property
     def port(self) -> int:
         """The port that the server listens on."""
         return self._port
 
+    @property
+    def connections(self) -> int:
+        """Number of open connections."""
+        return len(self._protocols())
+
+    @property
+    def busy_connections(self) -> int:
+        """Number of connections with a request in progress.
+
+        A request counts from its head on, before its body is complete.
+        """
+        return sum(not protocol.idle for protocol in self._protocols())
+
     async def wait_listening(self) -> None:
         """Waits until the port is open."""
         await self._listening.wait()
@@ -90,7 +104,7 @@
             handler_cancellation=True,
         )
         self._http_server = manager
-        server = await loop.create_server(
+        self._server = server = await loop.create_server(
             lambda: self._make_protocol(manager, loop),
             self._host,
             self._port,
@@ -100,14 +114,26 @@
         self._listening.set()
         await _serve_until_cancelled(server, manager)
 
+    def close_port(self) -> None:
+        """Stops accepting connections; open connections stay open."""
+        if self._server is not None:
+            self._server.close()
+
     def close_idle(self) -> None:
         """Closes connections that have no request in progress."""
-        if self._http_server is None:
-            return
-        for protocol in self._http_server.connections:
-            if isinstance(protocol, listener.HttpProtocol) and protocol.idle:
+        for protocol in self._protocols():
+            if protocol.idle:
                 protocol.force_close()
 
+    def _protocols(self) -> list[listener.HttpProtocol]:
+        if self._http_server is None:
+            return []
+        return [
+            protocol
+            for protocol in self._http_server.connections
+            if isinstance(protocol, listener.HttpProtocol)
+        ]
+
     def _limits(self) -> routes.HttpLimits:
         table = self._gateway.state.table
         return table.limits if table else routes.HttpLimits()
@@ -299,7 +325,12 @@
             ) from None
 
     async def finish_stream(self) -> None:
-        """Ends a streamed response."""
+        """Ends a streamed response.
+
+        A stream that began before a stop has not announced that its connection
+        closes.
+        """
+        self._close_if_draining(self.response)
         await self.response.write_eof()
 
     async def refuse(self, refusal: outcome.Refusal) -> None:
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 import os
 from collections.abc import Mapping
@@ -18,6 +19,7 @@
     rollout,
     rolloutlease,
     service,
+    stopping,
 )
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import mesh
@@ -44,15 +46,10 @@
 _SERVER_ENTRY_READ_SHARE = 0.6
 _MEMBER_READ_INTERVAL = datetime.timedelta(seconds=1)
 _SETTINGS_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
-# The load balancer checks readiness once a second and removes a process after
-# two failed checks.
-_LOAD_BALANCER_DELAY_S = 2.4
 # Metrics port that deploy/system.toml declares.
 _METRICS_PORT = 9464
 _METRICS_RETRY_DELAY = datetime.timedelta(seconds=10)
 _DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
-# Time before the kill signal that is reserved for closing connections.
-_EXIT_MARGIN_S = 1.0
 # Share of the allowed retries that is used. The rest covers retries that are
 # counted in another window than their requests.
 _RETRY_SAFETY_FACTOR = 0.9
@@ -223,38 +220,63 @@
         await self._ingress.wait_listening()
 
     async def drain(self) -> None:
-        """Reports not ready and waits for active requests.
+        """Reports not ready and ends when no caller is connected any more.
 
-        New requests are still served. The wait ends early enough before the
+        Requests that are expected to end before the process must exit are
+        still served, and others refused. The wait ends early enough before the
         kill signal to close the connections.
         """
-        drain_started_s = self._clock.monotonic()
+        signalled_s = self._clock.monotonic()
         logs.event(_log, "leaving", active=self._gateway.active)
-        self._gateway.start_draining()
-        await self._membership.withdraw()
-        deadline_s = drain_started_s + self._settings.grace_s - _EXIT_MARGIN_S
-        await self._clock.sleep(
-            datetime.timedelta(seconds=_LOAD_BALANCER_DELAY_S)
+        schedule = stopping.StopSchedule.after_signal(
+            signalled_s, self._settings.grace_s
         )
-        logs.event(
-            _log,
-            "removed_from_balancer",
-            active=self._gateway.active,
-            taken=self._gateway.taken_while_draining,
-            reused=self._gateway.reused_while_draining,
-        )
-        while self._clock.monotonic() < deadline_s:
+        self._gateway.start_draining(schedule)
+        await self._withdraw(schedule)
+        await self._sleep_until(schedule.accept_all_until_s)
+        self._log_drain("removed_from_balancer", signalled_s)
+        await self._close_connections(schedule)
+        self._log_drain("stopped", signalled_s)
+
+    async def _withdraw(self, schedule: stopping.StopSchedule) -> None:
+        """Removes the announcement, unless the store is slow to respond."""
+        time_left_s = schedule.accept_all_until_s - self._clock.monotonic()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max(0.0, time_left_s)):
+                await self._membership.withdraw()
+
+    async def _close_connections(self, schedule: stopping.StopSchedule) -> None:
+        """Closes each connection after its response, then the port.
+
+        The port stays open while requests are in progress, since the load
+        balancer may have no other process to connect callers to.
+        """
+        while self._clock.monotonic() < schedule.exit_s:
             self._ingress.close_idle()
-            if not self._gateway.active:
+            if not self._ingress.connections:
                 break
+            if (
+                not self._ingress.busy_connections
+                or self._clock.monotonic() >= schedule.answer_until_s
+            ):
+                self._ingress.close_port()
             await self._clock.sleep(_DRAIN_POLL_INTERVAL)
+
+    async def _sleep_until(self, time_s: float) -> None:
+        await self._clock.sleep(
+            datetime.timedelta(
+                seconds=max(0.0, time_s - self._clock.monotonic())
+            )
+        )
+
+    def _log_drain(self, event: str, signalled_s: float) -> None:
         logs.event(
             _log,
-            "stopped",
+            event,
             active=self._gateway.active,
             taken=self._gateway.taken_while_draining,
             reused=self._gateway.reused_while_draining,
-            elapsed_s=round(self._clock.monotonic() - drain_started_s, 3),
+            elapsed_s=round(self._clock.monotonic() - signalled_s, 3),
         )
 
     async def close(self) -> None:
--- /dev/null
+++ b/tests/builders/gatewayprocess.py
@@ -0,0 +1,149 @@
+"""Runs the gateway as a separate process for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+import os
+import pathlib
+import subprocess
+import sys
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile_standins import ports
+from hibiscusstile_standins import runner as runner_lib
+from hibiscusstile_standins import store as store_lib
+from tests.builders import gateway as builders
+
+__all__ = ["HEADERS", "METRICS_URL", "GatewayProcess", "gateway_process"]
+
+# The metrics port is fixed, so parallel test runs need different addresses.
+_HOST = f"127.{2 + os.getpid() % 250}.1.1"
+METRICS_URL = f"http://{_HOST}:9464"
+HEADERS = {
+    "Host": builders.HOST,
+    "X-Deadline-Ms": "20000",
+    "Authorization": f"Token {builders.KEY}",
+    "X-Model": "m1",
+    "X-Token-Usage": "300,40",
+    "X-Prompt-Prefix": "aa:200,bb:100",
+}
+
+
+class GatewayProcess:
+    """A gateway process with its store and one engine."""
+
+    def __init__(
+        self, directory: pathlib.Path, bounds: dict[str, Any], **options: Any
+    ) -> None:
+        self._bounds = bounds
+        self.clock = clock_lib.SystemClock()
+        self.store = store_lib.PlatformStoreService()
+        self.engine = runner_lib.FakeBackendServer("i-1", **options)
+        self.settings = directory / "node.toml"
+        self.log = directory / "gateway.log"
+        self.ports = [ports.reserve_port(_HOST) for _ in range(3)]
+        self.process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def url(self) -> str:
+        return f"http://{_HOST}:{self.ports[1]}/dossier/1"
+
+    @property
+    def ready_url(self) -> str:
+        return f"http://{_HOST}:{self.ports[2]}/v1/ready"
+
+    async def publish(
+        self, store: store_lib.PlatformStoreService, version: int
+    ) -> None:
+        route = builders.operator_route(
+            "dossier",
+            "/dossier/",
+            kind="streaming",
+            service=builders.ENGINE_SERVICE,
+            resumable=True,
+            timeout_ms=20_000,
+        )
+        record = builders.configuration_record(version, routes=[route])
+        await store.put("keyed.op", "config", json.dumps(record).encode())
+        entry = self.engine.discovery_entry(builders.ENGINE_SERVICE)
+        await store.put("keyed.servers", "i-1", entry)
+
+    def write_settings(self, store_port: int) -> None:
+        self.settings.write_text(
+            f'node = "g"\nzone = "z1"\nip = "{_HOST}"\n'
+            f"internal_ports = [{self.ports[0]}, {self.ports[0]}]\n"
+            f'[listen]\nfront = "{_HOST}:{self.ports[1]}"\n'
+            f'ready = "{_HOST}:{self.ports[2]}"\n'
+            f'[platform]\naddress = "127.0.0.1:{store_port}"\n'
+            "[bounds]\n"
+            + "".join(
+                f"{name} = {value}\n" for name, value in self._bounds.items()
+            )
+        )
+
+    def start(self) -> None:
+        with self.log.open("w") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "hibiscusstile"],
+                env={
+                    **os.environ,
+                    "HIBISCUSSTILE_NODE_FILE": str(self.settings),
+                },
+                stdout=log,
+                stderr=log,
+            )
+
+    async def status(
+        self, session: aiohttp.ClientSession, url: str
+    ) -> int | None:
+        try:
+            async with session.get(url) as response:
+                return response.status
+        except aiohttp.ClientError:
+            return None
+
+    async def wait_status(
+        self,
+        session: aiohttp.ClientSession,
+        status: int | None,
+        timeout_s: float,
+    ) -> None:
+        end_s = self.clock.monotonic() + timeout_s
+        while await self.status(session, self.ready_url) != status:
+            assert self.clock.monotonic() < end_s, self.log.read_text()[-2000:]
+            await asyncio.sleep(0.05)
+
+
+@contextlib.asynccontextmanager
+async def gateway_process(
+    directory: pathlib.Path,
+    bounds: dict[str, Any] | None = None,
+    **options: Any,
+) -> AsyncIterator[GatewayProcess]:
+    """Runs a gateway process with its store and one engine.
+
+    Args:
+        directory: Directory for the settings file and the log.
+        bounds: Values of the settings file's table `bounds`.
+        **options: Options of the engine.
+    """
+    running = GatewayProcess(directory, bounds or {}, **options)
+    await running.store.start()
+    await running.engine.start()
+    await running.publish(running.store, 1)
+    running.write_settings(running.store.port)
+    running.start()
+    try:
+        yield running
+    finally:
+        assert running.process is not None
+        running.process.kill()
+        running.process.wait()
+        await running.engine.close()
+        await running.store.close()
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -2,10 +2,85 @@
 
 from __future__ import annotations
 
+import asyncio
+import itertools
+import pathlib
+import signal
+from collections.abc import Iterator
+
+import aiohttp
 import pytest
 
+from hibiscusstile import outcome
 from hibiscusstile.entry import listener
+from hibiscusstile.gateway import servicetimes, stopping
 from tests.builders import gateway as builders
+from tests.builders import gatewayprocess
+
+_EVENTS = 60
+_CALLERS = 6
+
+
+async def _call_until_stopped(
+    gateway: gatewayprocess.GatewayProcess, numbers: Iterator[int]
+) -> list[tuple[str, int, bool]]:
+    """Sends requests on new connections until these are refused.
+
+    Returns:
+        The id, the status, and whether the response was complete, of each
+        request.
+    """
+    results = []
+    while True:
+        request_id = f"r{next(numbers)}"
+        status, complete = 0, False
+        headers = {**gatewayprocess.HEADERS, "X-Request-Id": request_id}
+        async with aiohttp.ClientSession() as session:
+            try:
+                async with session.post(
+                    gateway.url, data=b"{}", headers=headers
+                ) as response:
+                    status = response.status
+                    body = await response.read()
+                    complete = status != 200 or body.count(b"data: ") == _EVENTS
+            except aiohttp.ClientConnectorError:
+                return results
+            except aiohttp.ClientError:
+                pass
+        results.append((request_id, status, complete))
+        if status == 503:
+            await asyncio.sleep(0.1)
+
+
+async def test_a_request_that_cannot_end_before_the_exit_is_not_begun(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against streams that are begun during a stop and then cut."""
+    async with gatewayprocess.gateway_process(
+        tmp_path, {"grace_s": 5}, events=_EVENTS, pace_s=0.02
+    ) as gateway:
+        async with aiohttp.ClientSession() as session:
+            await gateway.wait_status(session, 200, 10)
+        numbers = itertools.count()
+        callers = [
+            asyncio.ensure_future(_call_until_stopped(gateway, numbers))
+            for _ in range(_CALLERS)
+        ]
+        await asyncio.sleep(1.5)
+        assert gateway.process is not None
+        gateway.process.send_signal(signal.SIGTERM)
+        results = [
+            result
+            for results in await asyncio.gather(*callers)
+            for result in results
+        ]
+        arrived = {each.request_id for each in gateway.engine.arrivals}
+    assert any(status == 200 for _, status, _ in results)
+    assert [
+        (request_id, status)
+        for request_id, status, complete in results
+        if not complete and (status or request_id in arrived)
+    ] == []
 
 
 async def test_a_request_that_meets_the_close_of_its_connection_is_answered(
@@ -23,3 +98,85 @@
         monkeypatch.setattr(listener.HttpProtocol, "data_received", close_after)
         status, _, _ = await harness.call("/lookup/1")
         assert status == 200
+
+
+async def test_a_request_without_a_response_is_answered_before_the_exit() -> (
+    None
+):
+    """Guards against connections that close without a response at the exit."""
+    async with builders.gateway_harness() as harness:
+        runner = await harness.add_runner(builders.PLAIN_SERVICE, "i-1")
+        runner.misbehave("hang")
+        call = asyncio.ensure_future(harness.call("/lookup/1"))
+        await harness.until(lambda: harness.gateway.active == 1)
+        now_s = harness.state.clock.monotonic()
+        harness.gateway.start_draining(
+            stopping.StopSchedule(now_s, now_s + 0.3, now_s + 0.5)
+        )
+        status, _, headers = await asyncio.wait_for(call, 1.0)
+        assert status == 502
+        assert headers["Connection"] == "close"
+
+
+def _refusal(
+    slowest_s: float | None, *, after_s: float, others_serve: bool = True
+) -> outcome.Refusal | None:
+    return stopping.refusal(
+        stopping.StopSchedule.after_signal(100.0, 8.0),
+        slowest_s,
+        limit_s=10.0,
+        now_s=100.0 + after_s,
+        others_serve=others_serve,
+    )
+
+
+def test_all_requests_are_taken_while_the_balancer_counts_on_the_process() -> (
+    None
+):
+    """Guards against refusals before callers can be sent elsewhere."""
+    assert _refusal(9.0, after_s=2.3) is None
+    assert _refusal(9.0, after_s=2.5) is not None
+
+
+def test_short_requests_are_taken_for_longer_than_streams() -> None:
+    """Guards against an outage for all callers when every process stops."""
+    assert _refusal(0.1, after_s=6.0) is None
+    assert _refusal(3.0, after_s=3.0) is not None
+    assert _refusal(None, after_s=3.0) is not None
+
+
+def test_a_caller_waits_for_a_restart_only_if_no_other_process_serves() -> None:
+    """Guards against callers that return to processes that all stop."""
+    elsewhere = _refusal(3.0, after_s=4.0)
+    nowhere = _refusal(3.0, after_s=4.0, others_serve=False)
+    assert elsewhere is not None and elsewhere.retry_after is not None
+    assert nowhere is not None and nowhere.retry_after is not None
+    assert elsewhere.verdict is nowhere.verdict is outcome.Verdict.NOT_RUN
+    assert elsewhere.retry_after.total_seconds() < 0.1
+    assert 2.0 < nowhere.retry_after.total_seconds() < 4.0
+
+
+def test_the_slowest_recent_request_is_forgotten_with_time() -> None:
+    """Guards against one slow request that is expected forever."""
+    times = servicetimes.ServiceTimes()
+    for duration_s, now_s, slowest_s in (
+        (5.0, 101.0, 5.0),
+        (1.0, 112.0, 5.0),
+        (1.0, 121.0, 1.0),
+    ):
+        for _ in range(10):
+            times.note("dossier", duration_s, now_s)
+        assert times.slowest_s("dossier", now_s) == slowest_s
+    assert times.slowest_s("dossier", 145.0) is None
+
+
+def test_few_requests_do_not_tell_how_long_one_takes() -> None:
+    """Guards against an estimate from the first requests of a process."""
+    times = servicetimes.ServiceTimes()
+    for _ in range(9):
+        times.note("dossier", 0.5, 101.0)
+    assert times.slowest_s("dossier", 102.0) is None
+    times.note("dossier", 5.0, 112.0)
+    assert times.slowest_s("dossier", 113.0) == 5.0
+    times.keep_only(set())
+    assert times.slowest_s("dossier", 113.0) is None
