Send a request again to the same server on a new connection

What callers saw: a payment ran twice, or was answered "not run" although a server ran it.

Cause: a request that all servers refuse is sent to the same server again after a pause, mostly on the same connection. A faulty server that wrote its refusal once more there wrote it with the ID of the attempt under way, and the gateway took it for its response.

Fix: RequestProgress knows the addresses of the attempts, and an attempt at one of them gets a connection of its own. Addresses count, not server IDs: after a 421 another server uses the address. Nothing else can tell the copy apart. The cost is one new connection for each repeated attempt at the same address.

--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -98,6 +98,8 @@
         last_event_id: Last event that the caller received, empty if none.
         fetch_from: Store to fetch the KV cache of prompt parts from.
         save_to: Store to save the KV cache of computed parts to.
+        new_connection: Whether the attempt needs a connection that carried no
+            other one.
     """
 
     workspace: str
@@ -108,6 +110,7 @@
     last_event_id: str = ""
     fetch_from: str = ""
     save_to: str = ""
+    new_connection: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -254,7 +254,7 @@
             expected_s=selected.expected_s,
             work=_observable_work(selected),
         )
-        self._progress.note_attempt()
+        self._progress.note_attempt(server.address)
         self._log.server_selected(selected)
         server_load.begin(
             in_flight, selected.candidate.cache_salt, request.parts
@@ -386,6 +386,7 @@
             candidate,
             time_left_s=self._deadline_s - self._now_s(),
             last_event_id=self._progress.last_event_id,
+            new_connection=self._progress.repeats_address,
         )
 
     def _selection_context(self) -> selection.SelectionContext:
--- a/hibiscusstile/gateway/requestprogress.py
+++ b/hibiscusstile/gateway/requestprogress.py
@@ -21,6 +21,8 @@
         self._run_counted = False
         self._runs = 0
         self._last_event_id = last_event_id
+        self._addresses: set[str] = set()
+        self._repeats_address = False
 
     @property
     def verdict(self) -> outcome.Verdict:
@@ -42,11 +44,22 @@
         """Last event that the caller was sent, empty if none."""
         return self._last_event_id
 
-    def note_attempt(self) -> None:
-        """Records that an attempt begins.
+    @property
+    def repeats_address(self) -> bool:
+        """Whether an earlier attempt had the address of the current one.
+
+        On the same connection, a late copy of the response to the earlier
+        attempt could not be told apart: both have the ID of the request.
+        """
+        return self._repeats_address
+
+    def note_attempt(self, address: str) -> None:
+        """Records that an attempt at a server's address begins.
 
         It stays pending after a response, whose verdict is no weaker.
         """
+        self._repeats_address = address in self._addresses
+        self._addresses.add(address)
         self._attempt_pending = True
         self._run_counted = False
 
--- a/hibiscusstile/gateway/sending.py
+++ b/hibiscusstile/gateway/sending.py
@@ -24,6 +24,7 @@
     *,
     time_left_s: float,
     last_event_id: str,
+    new_connection: bool = False,
 ) -> exchange.SendOptions:
     """Returns the options of one attempt.
 
@@ -34,6 +35,7 @@
         candidate: The selected server.
         time_left_s: Time left for the server to respond.
         last_event_id: Last event that the caller received, empty if none.
+        new_connection: Whether the attempt needs a connection of its own.
     """
     return exchange.SendOptions(
         workspace=destination.workspace.name if destination.workspace else "",
@@ -44,6 +46,7 @@
         last_event_id=last_event_id,
         fetch_from=_fetch_address(state, request, candidate),
         save_to=_save_address(state, request, candidate),
+        new_connection=new_connection,
     )
 
 
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -154,7 +154,8 @@
     """Sends each request once, on persistent connections."""
 
     def __init__(self) -> None:
-        self._session: aiohttp.ClientSession | None = None
+        # Sessions by whether each request has a connection of its own.
+        self._sessions: dict[bool, aiohttp.ClientSession] = {}
 
     @contextlib.asynccontextmanager
     async def send(
@@ -167,7 +168,7 @@
         trace = httpsession.RequestTrace()
         response: aiohttp.ClientResponse | None = None
         try:
-            response = await self._get_session().request(
+            response = await self._get_session(options.new_connection).request(
                 request.method,
                 yarl.URL(
                     f"http://{server.address}{request.target}", encoded=True
@@ -189,19 +190,24 @@
             response.close()
 
     async def close(self) -> None:
-        """Closes the HTTP session."""
-        if self._session is not None:
-            await self._session.close()
-
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = httpsession.open_session(
+        """Closes the HTTP sessions."""
+        for session in self._sessions.values():
+            await session.close()
+
+    def _get_session(self, new_connection: bool) -> aiohttp.ClientSession:
+        if new_connection not in self._sessions:
+            keep_alive = (
+                {"force_close": True}
+                if new_connection
+                else {"keepalive_timeout": _KEEP_ALIVE_S}
+            )
+            self._sessions[new_connection] = httpsession.open_session(
                 auto_decompress=False,
                 connector=boundedhttp.BoundedConnector(
                     skips_responses=True,
                     limit=0,
-                    keepalive_timeout=_KEEP_ALIVE_S,
                     socket_factory=sockets.create_socket,
+                    **keep_alive,
                 ),
                 response_class=_CheckedResponse,
                 timeout=aiohttp.ClientTimeout(
@@ -210,7 +216,7 @@
                 max_field_size=_MAX_HEADER_FIELD_BYTES,
                 skip_auto_headers=_AIOHTTP_DEFAULT_HEADERS,
             )
-        return self._session
+        return self._sessions[new_connection]
 
 
 class _HttpServerResponse(exchange.ServerResponse):
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -243,6 +243,16 @@
         await self.until(lambda: self.state.fleet.get(server_id) is not None)
         return runner
 
+    async def add_address(
+        self, service_name: str, server_id: str, address: str
+    ) -> None:
+        """Registers a backend server that the test runs itself."""
+        entry = runner_lib.FakeBackendServer(server_id).discovery_entry(
+            service_name, address=address
+        )
+        await self.store.put(serverentries.SERVER_TOPIC, server_id, entry)
+        await self.until(lambda: self.state.fleet.get(server_id) is not None)
+
     async def until(self, condition: Any, timeout_s: float = 5.0) -> None:
         """Polls until a condition is true."""
         clock = clock_lib.SystemClock()
--- a/tests/builders/rawserver.py
+++ b/tests/builders/rawserver.py
@@ -6,6 +6,8 @@
 import contextlib
 from collections.abc import AsyncIterator, Awaitable, Callable
 
+from hibiscusstile_standins import malformed
+
 __all__ = ["RawConnection", "Script", "raw_server", "response_bytes"]
 
 
@@ -44,6 +46,15 @@
         self._writer.write(data)
         await self._writer.drain()
 
+    def close(self) -> None:
+        """Closes the connection."""
+        self._writer.close()
+
+    async def reset(self) -> None:
+        """Resets the connection once the peer has read the sent bytes."""
+        await asyncio.sleep(0.05)
+        malformed.reset(self._writer.transport)
+
     async def wait_closed(self) -> None:
         """Waits until the peer has closed the connection."""
         while await self._reader.read(65_536):
