Pass on no status that promises "not run" without the server's mark

What callers saw: a status 503, 429 or 408 of a server without X-Not-Executed, unchanged. Callers conclude from these statuses that the request has not run and never will, and send a payment again.

Cause: the gateway itself took such a response for one of a request that ran, but relayed its status.

Fix: the attempt counts as failed and the request as one that may have run. It is sent again where the route allows it, and answered 502 otherwise. 421 is a rejection with and without the mark, as before.

Evidence: test_a_refusal_without_the_mark_may_have_run, 12 cases; before, all fail.

test_a_copy_of_the_refusal_of_another_request_refuses_nothing (48 cases: 503, 429 and 421, with the ID of the earlier request and without one, one copy and three, four routes) passes on the code as it was: copies with another ID are skipped, and a response without an ID on a connection in use again may have run. A refusal without an ID on a new connection is believed: no earlier request has used the connection, and the refusals in the users' examples carry no ID.

--- a/hibiscusstile/platform/headers.py
+++ b/hibiscusstile/platform/headers.py
@@ -15,6 +15,7 @@
     "LAST_EVENT_ID",
     "MODEL",
     "NOT_RUN",
+    "NOT_RUN_STATUSES",
     "PROMPT_PARTS",
     "RANK",
     "REQUEST_ID",
@@ -41,6 +42,8 @@
 MODEL = "X-Model"
 # States that the server did not execute the request; no other header does.
 NOT_RUN = "X-Not-Executed"
+# Statuses by which callers may conclude that the request was not executed.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # Parts of the prompt in order, as ID:TOKENS separated by commas.
 PROMPT_PARTS = "X-Prompt-Prefix"
 RANK = "X-Request-Priority"
--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -25,8 +25,6 @@
 # A caller that does not read its response for this long is disconnected: its
 # request would keep occupying an engine slot.
 _WRITE_TIMEOUT_S = 5.0
-# Statuses by which callers may conclude that the request was not executed.
-_NOT_EXECUTED_STATUSES = frozenset({408, 421, 429, 503})
 
 _STATUS_BY_REASON = {
     outcome.Reason.BAD_REQUEST: 400,
@@ -50,7 +48,7 @@
     status = _STATUS_BY_REASON.get(refusal.reason, _DEFAULT_STATUS)
     if refusal.verdict is outcome.Verdict.NOT_RUN:
         return 503 if status in (502, 504) else status
-    return 502 if status in _NOT_EXECUTED_STATUSES else status
+    return 502 if status in headers.NOT_RUN_STATUSES else status
 
 
 class Ingress:
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -337,6 +337,13 @@
             outcome.Verdict.NOT_RUN,
             f"rejected with HTTP status {response.status}",
         )
+    if response.status in headers.NOT_RUN_STATUSES:
+        # Relayed, the status would promise more than the server does.
+        raise exchange.AttemptFailed(
+            exchange.FailureCause.LOST,
+            outcome.Verdict.MAY_HAVE_RUN,
+            f"HTTP status {response.status} without {headers.NOT_RUN}",
+        )
     if "Content-Encoding" in response.headers:
         # The gateway itself requests no encoding, so the response is not taken
         # to be the server's.
--- a/tests/gateway/test_laterefusals.py
+++ b/tests/gateway/test_laterefusals.py
@@ -107,3 +107,49 @@
         status, body, _ = await harness.call(path)
     assert (status, body) == (200, b"of the run")
     assert server.runs == ["r1"]
+
+
+@pytest.mark.parametrize("path", _ALL)
+@pytest.mark.parametrize("status", ["503 Full", "429 Full", "421 Other"])
+@pytest.mark.parametrize("copy_id", ["r1", None])
+@pytest.mark.parametrize("count", [1, 3])
+async def test_a_copy_of_the_refusal_of_another_request_refuses_nothing(
+    path: str, status: str, copy_id: str | None, count: int
+) -> None:
+    """Guards against a copy that is taken for the next caller's response.
+
+    Without an ID, nothing tells it apart: the request may have run.
+    """
+    servers = [_Server(1, _refusal(copy_id, status) * count) for _ in range(2)]
+    async with _harness(path, *(each.serve for each in servers)) as harness:
+        assert (await harness.call(path))[0] == 200
+        got, body, _ = await harness.call(path, "r2")
+    runs = [each for server in servers for each in server.runs]
+    if path in _ONCE:
+        assert runs.count("r2") == 1
+    if copy_id is None:
+        assert got == 502
+    else:
+        assert (got, body) == (200, b"of the run")
+
+
+@pytest.mark.parametrize("path", _ALL)
+@pytest.mark.parametrize("status", ["503 Full", "429 Full", "408 Slow"])
+async def test_a_refusal_without_the_mark_may_have_run(
+    path: str, status: str
+) -> None:
+    """Guards against a promise that the server did not make."""
+    runs: list[str] = []
+
+    async def script(connection: rawserver.RawConnection) -> None:
+        while True:
+            request_id = await connection.read_request()
+            runs.append(request_id)
+            await connection.send(
+                _refusal(request_id, status, X_Instance_Id="i-1")
+            )
+
+    async with _harness(path, script) as harness:
+        got, _, _ = await harness.call(path)
+    assert runs == ["r1"]
+    assert got not in _PROMISES
