Continue streams at another server on resumable routes only

What callers saw: on an idempotent route whose server sends a stream of events, a broken stream went on with the head and text of the next server's 5xx response, or with a second run of the request.

Cause: RequestProgress let a started stream run again on every repeatable route, although only resumable ones may continue; and a 5xx response on an idempotent route was held before the check for a started stream, and then sent as a whole response in mid-stream.

Fix: a started stream runs again on resumable routes only, and the check for a started stream comes before a 5xx response is held.

--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -117,9 +117,9 @@
         self._log.attempt_answered(
             server.server_id, "failed" if failed else "answered"
         )
+        self._require_unstarted()
         if failed and self._route.kind is routes.RequestKind.IDEMPOTENT:
             return response.head, held.data
-        self._require_unstarted()
         self._log.note_status(response.head.status)
         await self._writer.send_response(response.head, held.data)
         return None
--- a/hibiscusstile/gateway/requestprogress.py
+++ b/hibiscusstile/gateway/requestprogress.py
@@ -93,6 +93,6 @@
         """
         if not route.retryable:
             return False
-        if started and not self._last_event_id:
+        if started and not (route.resumable and self._last_event_id):
             return False
         return self._runs < route.max_runs
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -289,6 +289,29 @@
             received = multidict.CIMultiDict(response.headers)
             return response.status, await response.read(), received
 
+    async def receive(
+        self, path: str, request_id: str = "r1", **headers: str
+    ) -> tuple[int, bytes, bool]:
+        """Sends a request and returns status, body and completeness.
+
+        Of an incomplete response, the body is what was received.
+        """
+        body = b""
+        sent = {
+            "Host": HOST,
+            "X-Request-Id": request_id,
+            "X-Deadline-Ms": "2000",
+            "Authorization": f"Token {KEY}",
+            **{name.replace("_", "-"): text for name, text in headers.items()},
+        }
+        async with self.session.post(self.url + path, headers=sent) as response:
+            try:
+                async for data in response.content.iter_any():
+                    body += data
+            except aiohttp.ClientPayloadError:
+                return response.status, body, False
+            return response.status, body, True
+
 
 @contextlib.asynccontextmanager
 async def gateway_harness(**changes: Any) -> AsyncIterator[GatewayHarness]:
--- a/tests/builders/rawserver.py
+++ b/tests/builders/rawserver.py
@@ -8,7 +8,14 @@
 
 from hibiscusstile_standins import malformed
 
-__all__ = ["RawConnection", "Script", "raw_server", "response_bytes"]
+__all__ = [
+    "Answer",
+    "AnswerSequence",
+    "RawConnection",
+    "Script",
+    "raw_server",
+    "response_bytes",
+]
 
 
 class RawConnection:
@@ -62,6 +69,28 @@
 
 
 Script = Callable[[RawConnection], Awaitable[None]]
+Answer = Callable[[RawConnection, str], Awaitable[None]]
+
+
+class AnswerSequence:
+    """Answers the requests at one or several raw servers in order.
+
+    Args:
+        answers: Write the response to one request each, given its ID; the
+            last one answers all further requests.
+    """
+
+    def __init__(self, *answers: Answer) -> None:
+        self.request_ids: list[str] = []
+        self._answers = answers
+
+    async def serve(self, connection: RawConnection) -> None:
+        """Serves one connection."""
+        while True:
+            request_id = await connection.read_request()
+            number = min(len(self.request_ids), len(self._answers) - 1)
+            self.request_ids.append(request_id)
+            await self._answers[number](connection, request_id)
 
 
 def response_bytes(
