Take a stream that ends inside an event for broken off

What callers saw: part of an event as the last event of a stream that ended as if it were complete.

Cause: a stream without a length and chunks ends with its connection, also when its server breaks off. The bytes after the last event were relayed as a final event.

Fix: such bytes fail the attempt, so that the stream continues at another server or is cut for the caller. This holds for every framing; line ends alone after the last event are relayed as before.

A reset is no proper end either, as before.

What cannot be told: a stream without a length that ends with FIN after a whole event, before its last event. Neither the head nor an event says which event is the last, so it counts as complete.

--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -227,11 +227,8 @@
     def events(self) -> AsyncIterator[StreamEvent]:
         """Yields complete events as they arrive.
 
-        Bytes after the last event form a final event once the body is
-        complete.
-
         Raises:
-            AttemptFailed: The body was truncated.
+            AttemptFailed: The body was truncated, or ended inside an event.
         """
 
 
--- a/hibiscusstile/platform/eventstream.py
+++ b/hibiscusstile/platform/eventstream.py
@@ -68,7 +68,7 @@
             return None
         remaining = bytes(self._buffer)
         self._buffer.clear()
-        return exchange.StreamEvent(remaining)
+        return exchange.StreamEvent(remaining, has_content=False)
 
 
 def _parse(event_bytes: bytes) -> exchange.StreamEvent:
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -272,8 +272,15 @@
                         await asyncio.sleep(0)
             await self._response.check_complete()
         remainder = parser.flush()
-        if remainder is not None:
-            yield remainder
+        if remainder is None:
+            return
+        if remainder.data.strip(b"\r\n"):
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.LOST,
+                outcome.Verdict.MAY_HAVE_RUN,
+                "the stream ended inside an event",
+            )
+        yield remainder
 
 
 @contextlib.contextmanager
--- a/tests/gateway/test_brokenstreams.py
+++ b/tests/gateway/test_brokenstreams.py
@@ -109,6 +109,7 @@
     "200_plain": _response(b"plain", "200 OK"),
     "200_empty": _response(b"", "200 OK"),
     "204": _response(b"", "204 Nothing"),
+    "200_unfinished_event": _response(b"id: 3\nda", "200 OK", **_SSE),
     "garbage": _garbage,
 }
 
@@ -131,6 +132,24 @@
     assert complete or not (further and path == "/dossier/1")
 
 
+@pytest.mark.parametrize("framing", ["chunked", "close"])
+@pytest.mark.parametrize("end", ["close", "reset"])
+@pytest.mark.parametrize("rest", [b"id", b"id: 3\nda", b"id: 3\ndata: x\n"])
+@pytest.mark.parametrize("path", _PATHS)
+async def test_a_stream_that_ends_inside_an_event_is_broken_off(
+    path: str, rest: bytes, end: str, framing: str
+) -> None:
+    """Guards against a part of an event that ends a stream as complete."""
+    status, body, complete, _ = await _receive(
+        path,
+        _stream(*_EVENTS[:2], rest, framing=framing, end=end),
+        _stream(*_EVENTS[2:], framing=framing),
+    )
+    assert status == 200
+    assert complete == (path == "/dossier/1")
+    assert body == (_WHOLE if complete else b"".join(_EVENTS[:2]))
+
+
 @pytest.mark.parametrize("path", _PATHS)
 @pytest.mark.parametrize("end", ["close", "reset"])
 async def test_a_stream_without_framing_ends_with_its_connection(
