Do not take a stream without an event for a complete one

What callers saw: a broken stream that ended as if it were complete, because the next server answered 200 with an empty stream; or an empty stream with a proper end from a server that closed right after the head of its response.

Cause: a body without events ended the caller's stream properly.

Fix: an attempt whose stream ends without an event with content has failed. A caller that resumes a stream itself, and may have all of its events, still gets the empty stream.

A stream that breaks between its last event and its end is now cut for the caller if the next server has no more events: nothing tells this from a lost rest.

--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -169,6 +169,8 @@
             ),
         )
         loop = asyncio.get_running_loop()
+        # Only a caller that resumes may already have all events.
+        event_needed = self._writer.started or not self._progress.last_event_id
         try:
             async with asyncio.timeout(max_gap_s) as event_due:
                 async for event in response.events():
@@ -176,6 +178,7 @@
                         self._note_content(candidate, in_flight)
                     await self._relay_event(candidate, response.head, event)
                     if event.has_content:
+                        event_needed = False
                         event_due.reschedule(loop.time() + max_gap_s)
         except TimeoutError:
             raise exchange.AttemptFailed(
@@ -183,6 +186,12 @@
                 outcome.Verdict.MAY_HAVE_RUN,
                 f"no event for {max_gap_s:g} s",
             ) from None
+        if event_needed:
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.LOST,
+                outcome.Verdict.MAY_HAVE_RUN,
+                "the stream ended without an event",
+            )
         if not self._writer.started:
             await self._writer.start_stream(response.head)
         await self._writer.finish_stream()
--- a/tests/gateway/test_brokenstreams.py
+++ b/tests/gateway/test_brokenstreams.py
@@ -27,6 +27,8 @@
 _PATHS = ["/question/1", "/dossier/1", "/lookup/1"]
 _EVENTS = [f"id: {number}\ndata: x\n\n".encode() for number in range(1, 5)]
 _WHOLE = b"".join(_EVENTS)
+# Comments that keep a connection open are relayed.
+_COMMENT = b": \n\n"
 
 
 def _stream_head(request_id: str, framing: str) -> bytes:
@@ -110,6 +112,9 @@
     "200_empty": _response(b"", "200 OK"),
     "204": _response(b"", "204 Nothing"),
     "200_unfinished_event": _response(b"id: 3\nda", "200 OK", **_SSE),
+    "200_empty_stream": _response(b"", "200 OK", **_SSE),
+    "200_comments": _stream(_COMMENT),
+    "closed_at_once": _stream(framing="close"),
     "garbage": _garbage,
 }
 
@@ -126,6 +131,7 @@
     if further:
         answers.append(_stream(*_EVENTS[2:]))
     status, body, complete, _ = await _receive(path, *answers)
+    body = body.replace(_COMMENT, b"")
     assert status == 200
     assert body in (_EVENTS[0] + _EVENTS[1], _WHOLE)
     assert complete == (body == _WHOLE)
@@ -165,3 +171,28 @@
     assert complete == (end == "close")
     if complete:
         assert len(request_ids) == 1
+
+
+@pytest.mark.parametrize("framing", ["chunked", "close"])
+@pytest.mark.parametrize("end", ["complete", "close", "reset"])
+async def test_a_stream_without_an_event_is_not_complete(
+    end: str, framing: str
+) -> None:
+    """Guards against an empty stream that looks like a whole one."""
+    empty = _stream(framing=framing, end=end)
+    assert (await _receive("/question/1", empty))[0] == 502
+    status, body, complete, _ = await _receive(
+        "/dossier/1", empty, _stream(*_EVENTS)
+    )
+    assert (status, body, complete) == (200, _WHOLE, True)
+
+
+async def test_a_caller_that_has_all_events_gets_the_end_of_its_stream() -> (
+    None
+):
+    """Guards against rejecting an empty stream that a caller resumes."""
+    status, body, complete, request_ids = await _receive(
+        "/dossier/1", _stream(), Last_Event_Id="4"
+    )
+    assert (status, body, complete) == (200, b"", True)
+    assert len(request_ids) == 1
