Tell crashes of backend servers from lost responses

A server that has lost a request and then refuses a connection is now logged as `server_down` and counted in `hibiscusstile_servers_down`; requests that it lost at once share one connection attempt. A server that is known to leave counts as planned.

A crash suspends the server once.

--- a/bench/endless.py
+++ b/bench/endless.py
@@ -23,7 +23,14 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome
-from hibiscusstile.gateway import exchange, fleet, forwarding, resolving, routes
+from hibiscusstile.gateway import (
+    crashdetection,
+    exchange,
+    fleet,
+    forwarding,
+    resolving,
+    routes,
+)
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import headers, servers
 from hibiscusstile_standins import endless
@@ -175,7 +182,12 @@
     sampling = asyncio.ensure_future(sampler.run())
     try:
         await forwarding.RequestForwarder(
-            state, client, request, sink, destination
+            state,
+            client,
+            crashdetection.CrashDetector(state, client),
+            request,
+            sink,
+            destination,
         ).run()
         elapsed_s = clock.monotonic() - started_s
         await clock.sleep(_TICK * 2)
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -251,6 +251,13 @@
             AttemptFailed: No usable response arrived.
         """
 
+    @abc.abstractmethod
+    async def refuses_connections(self, server: fleet.BackendServer) -> bool:
+        """Returns whether nothing listens at a server's address.
+
+        False if the server cannot be reached within a short time.
+        """
+
 
 class ResponseWriter(abc.ABC):
     """Writes the response of one request to the caller."""
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -7,6 +7,7 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    crashdetection,
     enginerates,
     exchange,
     fleet,
@@ -49,6 +50,7 @@
     Args:
         state: State of this gateway process.
         client: Sends requests to servers.
+        crash_detector: Tells crashes of servers from lost responses.
         request: The request.
         writer: Writes the response to the caller.
         destination: Route and service that the request was resolved to.
@@ -58,12 +60,14 @@
         self,
         state: state_lib.GatewayState,
         client: exchange.ServerClient,
+        crash_detector: crashdetection.CrashDetector,
         request: exchange.ForwardedRequest,
         writer: exchange.ResponseWriter,
         destination: resolving.Destination,
     ) -> None:
         self._state = state
         self._client = client
+        self._crash_detector = crash_detector
         self._request = request
         self._writer = writer
         self._destination = destination
@@ -144,7 +148,7 @@
             try:
                 held_error = await self._attempt(selected)
             except exchange.AttemptFailed as failure:
-                self._note_failure(selected.candidate.server, failure)
+                await self._note_failure(selected.candidate.server, failure)
                 self._acquire_retry_or_refuse(failure)
                 continue
             if held_error is None:
@@ -271,7 +275,7 @@
             self._prefill_coalescer.finish()
             server_load.end(in_flight, self._now_s())
 
-    def _note_failure(
+    async def _note_failure(
         self, server: fleet.BackendServer, failure: exchange.AttemptFailed
     ) -> None:
         """Updates exclusions, health and weights after a failed attempt."""
@@ -301,7 +305,12 @@
             self._failed_deliveries += 1
             self._progress.note_run(failure.verdict)
             self._excluded_for_request.add(server_id)
-            self._state.health.note_no_response(server)
+            # A crash is recorded once for all requests that the server lost.
+            if (
+                cause is not exchange.FailureCause.LOST
+                or not await self._crash_detector.has_crashed(server)
+            ):
+                self._state.health.note_no_response(server)
 
     def _note_rejection(
         self, server_id: str, failure: exchange.AttemptFailed
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -5,7 +5,12 @@
 import logbook
 
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import exchange, forwarding, resolving
+from hibiscusstile.gateway import (
+    crashdetection,
+    exchange,
+    forwarding,
+    resolving,
+)
 from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["Gateway"]
@@ -26,6 +31,7 @@
     ) -> None:
         self._state = state
         self._client = client
+        self._crash_detector = crashdetection.CrashDetector(state, client)
         self._active = 0
         self._draining = False
 
@@ -76,7 +82,12 @@
             await writer.refuse(refused.refusal)
         else:
             await forwarding.RequestForwarder(
-                self._state, self._client, request, writer, destination
+                self._state,
+                self._client,
+                self._crash_detector,
+                request,
+                writer,
+                destination,
             ).run()
         finally:
             self._active -= 1
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -18,6 +18,7 @@
     "count_refusal",
     "count_request",
     "count_retry",
+    "count_server_down",
     "count_store_call",
     "observe_first_event",
     "observe_first_token",
@@ -71,6 +72,10 @@
 _retries = collectors.Counter(
     "hibiscusstile_retries", "Retries by budget and whether it granted them"
 )
+_servers_down = collectors.Counter(
+    "hibiscusstile_servers_down",
+    "Servers that refused connections after they had lost a request",
+)
 _store_calls = collectors.Counter(
     "hibiscusstile_store_calls", "Calls to the platform's store by outcome"
 )
@@ -101,6 +106,11 @@
     _retries.inc({"service": service, "granted": str(granted).lower()})
 
 
+def count_server_down(planned: bool) -> None:
+    """Counts a server that is down; `planned` if it was known to leave."""
+    _servers_down.inc({"planned": str(planned).lower()})
+
+
 def count_store_call(call: str, result: str) -> None:
     """Counts a call to the platform's store."""
     _store_calls.inc({"call": call, "outcome": result})
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -188,6 +188,19 @@
             # connection.
             response.close()
 
+    async def refuses_connections(self, server: fleet.BackendServer) -> bool:
+        """Returns whether a connection to the server is refused."""
+        host, _, port = server.address.rpartition(":")
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(host, int(port))
+        except ConnectionRefusedError:
+            return True
+        except (OSError, TimeoutError):
+            return False
+        writer.close()
+        return False
+
     async def close(self) -> None:
         """Closes the HTTP session."""
         if self._session is not None:
