Block prompt parts that crash engines

What callers saw: requests with one common part of their prompt crashed each engine that ran them.

Cause: nothing on the gateways' path remembered what a crashed server had been running. Each request with the part was sent like the first one, and its retry went to a second engine.

A crash is charged to the shared prompt parts of all requests that the server lost. Every completed request clears its parts of the charges so far, so parts of sound requests do not stay suspect. A part is blocked after three crashes that no other blocked part explains, or after two if it has never completed and no other part is suspect. Requests with a blocked part are refused before each attempt, with a true verdict.

--- /dev/null
+++ b/hibiscusstile/gateway/crashcharges.py
@@ -0,0 +1,263 @@
+"""Crashes of backend servers and the requests that are charged with them."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+from collections.abc import Iterable, Mapping
+
+from hibiscusstile import clock as clock_lib
+
+__all__ = ["ChargedCrash", "Clearance", "Crash", "CrashCharges"]
+
+_FACT_TTL_S = 900.0
+# Reports of one server's crash by several gateways are this close together,
+# and a server takes longer to start again.
+_SAME_CRASH_S = 1.5
+_MAX_CRASHES = 128
+_MAX_KEYS_PER_CRASH = 1024
+_MAX_COMPLETED = 16_384
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of a server and what it is charged to.
+
+    Attributes:
+        server_id: The server.
+        keys: Keys of the requests that the server was running.
+        age_s: Seconds since the crash.
+    """
+
+    server_id: str
+    keys: tuple[str, ...]
+    age_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clearance:
+    """Withdraws the charges against a key up to its last completion.
+
+    Attributes:
+        key: Key of the completed request.
+        age_s: Seconds since the completion.
+    """
+
+    key: str
+    age_s: float = 0.0
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class ChargedCrash:
+    """A crash that is stored.
+
+    Attributes:
+        server_id: The server.
+        at_s: Time of the crash on the monotonic clock.
+        keys: All keys that were charged with it, also those cleared since.
+    """
+
+    server_id: str
+    at_s: float
+    keys: set[str] = dataclasses.field(default_factory=set)
+
+
+class CrashCharges:
+    """The crashes that count against each key.
+
+    Crashes and completions form a set of facts that grows and expires. Gateways
+    exchange them and reach the same result, whatever the order.
+
+    Args:
+        clock: Measures the age of facts.
+    """
+
+    def __init__(self, clock: clock_lib.Clock) -> None:
+        self._clock = clock
+        self._crashes: list[ChargedCrash] = []
+        # Crashes since the last completion, by key.
+        self._charges: dict[str, list[ChargedCrash]] = {}
+        # Time of the last known completion, by key, oldest first.
+        self._completed_s: collections.OrderedDict[str, float] = (
+            collections.OrderedDict()
+        )
+        # Facts to announce: keys by crash, and times of completion by key.
+        self._new_charges: dict[ChargedCrash, list[str]] = {}
+        self._new_completions: dict[str, float] = {}
+        self._revision = 0
+
+    @property
+    def by_key(self) -> Mapping[str, list[ChargedCrash]]:
+        """Crashes that count against each key, if any."""
+        return self._charges
+
+    @property
+    def revision(self) -> int:
+        """A number that grows whenever the charges or completions change."""
+        return self._revision
+
+    @property
+    def has_news(self) -> bool:
+        """Whether there are facts to announce."""
+        return bool(self._new_charges or self._new_completions)
+
+    def has_completed(self, key: str) -> bool:
+        """Returns whether a request with a key has completed before."""
+        return key in self._completed_s
+
+    def note_crash(self, server_id: str, keys: Iterable[str]) -> None:
+        """Charges a crash of a server to keys, and announces it."""
+        crash, new_keys = self._charge(server_id, self._clock.monotonic(), keys)
+        if new_keys:
+            self._new_charges.setdefault(crash, []).extend(new_keys)
+
+    def note_completed(self, keys: Iterable[str]) -> None:
+        """Clears the keys of a completed request.
+
+        Clearances of charged keys are announced.
+        """
+        now_s = self._clock.monotonic()
+        for key in keys:
+            if key in self._charges:
+                self._new_completions[key] = now_s
+            self._clear(key, now_s)
+
+    def merge_crash(self, crash: Crash) -> None:
+        """Adds a crash, or further keys of a known one."""
+        if crash.age_s < _FACT_TTL_S:
+            self._charge(
+                crash.server_id,
+                self._clock.monotonic() - crash.age_s,
+                crash.keys,
+            )
+
+    def merge_clearance(self, clearance: Clearance) -> None:
+        """Clears a key of the charges before its completion."""
+        if clearance.age_s < _FACT_TTL_S:
+            self._clear(
+                clearance.key, self._clock.monotonic() - clearance.age_s
+            )
+
+    def drain(self) -> tuple[list[Crash], list[Clearance]]:
+        """Removes and returns the facts to announce to other gateways."""
+        now_s = self._clock.monotonic()
+        crashes = [
+            Crash(each.server_id, tuple(keys), now_s - each.at_s)
+            for each, keys in self._new_charges.items()
+        ]
+        clearances = [
+            Clearance(key, now_s - at_s)
+            for key, at_s in self._new_completions.items()
+        ]
+        self._new_charges.clear()
+        self._new_completions.clear()
+        return crashes, clearances
+
+    def snapshot(self) -> tuple[list[Crash], list[Clearance]]:
+        """Returns the facts for a gateway that has just connected.
+
+        Keys with a single charge are left out: they are many, and it takes
+        several to block one.
+        """
+        self._expire()
+        now_s = self._clock.monotonic()
+        repeated = {
+            key for key, charged in self._charges.items() if len(charged) > 1
+        }
+        crashes = [
+            Crash(
+                each.server_id,
+                tuple(
+                    key
+                    for key in each.keys & repeated
+                    if each in self._charges[key]
+                ),
+                now_s - each.at_s,
+            )
+            for each in self._crashes
+            if each.keys & repeated
+        ]
+        clearances = [
+            Clearance(key, now_s - self._completed_s[key])
+            for key in repeated
+            if key in self._completed_s
+        ]
+        return crashes, clearances
+
+    def _charge(
+        self, server_id: str, at_s: float, keys: Iterable[str]
+    ) -> tuple[ChargedCrash, list[str]]:
+        """Charges a crash to keys; returns it with those not yet charged."""
+        crash = self._find_crash(server_id, at_s) or self._add_crash(
+            server_id, at_s
+        )
+        new_keys = [key for key in keys if key not in crash.keys]
+        del new_keys[max(0, _MAX_KEYS_PER_CRASH - len(crash.keys)) :]
+        for key in new_keys:
+            crash.keys.add(key)
+            self._charge_key(key, crash)
+        return crash, new_keys
+
+    def _charge_key(self, key: str, crash: ChargedCrash) -> None:
+        completed_s = self._completed_s.get(key)
+        if completed_s is not None and completed_s >= crash.at_s:
+            # The process that charged the key did not know of this.
+            self._new_completions[key] = completed_s
+            return
+        charges = self._charges.setdefault(key, [])
+        charges.append(crash)
+        self._revision += 1
+        if completed_s is not None and len(charges) > 1:
+            # Tells the other processes that the key has completed before.
+            self._new_completions[key] = completed_s
+
+    def _clear(self, key: str, at_s: float) -> None:
+        last_s = self._completed_s.get(key)
+        if last_s is None and key in self._charges:
+            self._revision += 1
+        self._completed_s[key] = at_s if last_s is None else max(at_s, last_s)
+        self._completed_s.move_to_end(key)
+        if len(self._completed_s) > _MAX_COMPLETED:
+            self._completed_s.popitem(last=False)
+        charges = self._charges.get(key, [])
+        remaining = [each for each in charges if each.at_s > at_s]
+        if len(remaining) < len(charges):
+            self._set_charges(key, remaining)
+
+    def _set_charges(self, key: str, charges: list[ChargedCrash]) -> None:
+        self._revision += 1
+        if charges:
+            self._charges[key] = charges
+        else:
+            self._charges.pop(key, None)
+
+    def _find_crash(self, server_id: str, at_s: float) -> ChargedCrash | None:
+        for each in reversed(self._crashes):
+            if (
+                each.server_id == server_id
+                and abs(each.at_s - at_s) < _SAME_CRASH_S
+            ):
+                return each
+        return None
+
+    def _add_crash(self, server_id: str, at_s: float) -> ChargedCrash:
+        self._expire()
+        if len(self._crashes) >= _MAX_CRASHES:
+            self._remove(min(self._crashes, key=lambda each: each.at_s))
+        crash = ChargedCrash(server_id, at_s)
+        self._crashes.append(crash)
+        return crash
+
+    def _expire(self) -> None:
+        cutoff_s = self._clock.monotonic() - _FACT_TTL_S
+        for each in [each for each in self._crashes if each.at_s <= cutoff_s]:
+            self._remove(each)
+
+    def _remove(self, crash: ChargedCrash) -> None:
+        self._crashes.remove(crash)
+        for key in crash.keys:
+            charges = self._charges.get(key, [])
+            if crash in charges:
+                self._set_charges(
+                    key, [each for each in charges if each is not crash]
+                )
--- /dev/null
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -0,0 +1,234 @@
+"""Finds prompt parts that crash engines, and blocks requests with them."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import hashlib
+import random
+from collections.abc import Collection, Iterable
+
+import logbook
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import logs, metrics, outcome
+from hibiscusstile.gateway import crashcharges, exchange
+
+__all__ = ["Block", "CrashingParts", "part_keys"]
+
+_log = logbook.Logger("crashingparts")
+
+# Crashes this close together count once: they may have one outside cause, such
+# as a power failure.
+_MIN_CRASH_INTERVAL_S = 0.2
+# Crashes that block a part.
+_MIN_CRASHES = 3
+# Crashes that block a part which has never completed, if no other part is
+# suspect once all processes have reported their requests.
+_MIN_CRASHES_UNCONTESTED = 2
+_REPORT_S = 0.15
+# How long a block lasts. It doubles with each further crash, and each process
+# multiplies it by a factor of its own, so that not all of them try the part
+# again at once.
+_BLOCK_S = 60.0
+_MAX_BLOCK_S = 900.0
+_MAX_JITTER = 2.0
+_MAX_KEY_CHARS = 128
+# A part is cleared as soon as a request with it completes.
+_RETRY_AFTER = datetime.timedelta(seconds=1)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Block:
+    """Why requests with a key must not run.
+
+    Attributes:
+        key: The key.
+        crashes: Crashes that count against it.
+        until_s: End of the block on the monotonic clock.
+    """
+
+    key: str
+    crashes: int
+    until_s: float
+
+
+def part_keys(request: exchange.ForwardedRequest) -> tuple[str, ...]:
+    """Returns the keys of a request's shared prompt parts.
+
+    The last part belongs to the request or its session alone.
+    """
+    keys = (f"{request.model}/{part.part_id}" for part in request.parts[:-1])
+    return tuple(dict.fromkeys(_bounded(key) for key in keys))
+
+
+def _bounded(key: str) -> str:
+    """Returns a key that fits into a message."""
+    if len(key) <= _MAX_KEY_CHARS:
+        return key
+    data = key.encode(errors="surrogateescape")
+    return hashlib.blake2b(data, digest_size=16).hexdigest()
+
+
+class CrashingParts:
+    """Tells prompt parts that crash engines from those that ran beside them.
+
+    A crash is charged to all keys of the requests that the server was running,
+    and a completed request clears its keys. A key is blocked by the crashes
+    that no other blocked key explains; the key with the most of them is
+    considered first.
+
+    Args:
+        clock: Measures the length of blocks.
+        jitter: This process's factor on the length of blocks.
+    """
+
+    def __init__(
+        self, clock: clock_lib.Clock, jitter: float | None = None
+    ) -> None:
+        self._clock = clock
+        self._charges = crashcharges.CrashCharges(clock)
+        self._jitter = (
+            random.uniform(1.0, _MAX_JITTER) if jitter is None else jitter
+        )
+        self._blocks: dict[str, Block] = {}
+        self._revision = 0
+        # When reports of the last crash are complete, on the monotonic clock.
+        self._reported_s = float("inf")
+
+    @property
+    def charges(self) -> crashcharges.CrashCharges:
+        """The crashes that count against each key."""
+        return self._charges
+
+    @property
+    def blocks(self) -> tuple[Block, ...]:
+        """The current blocks."""
+        self._update_blocks()
+        now_s = self._clock.monotonic()
+        return tuple(
+            block for block in self._blocks.values() if now_s < block.until_s
+        )
+
+    def refusal(
+        self, keys: Iterable[str], verdict: outcome.Verdict
+    ) -> outcome.Refusal | None:
+        """Returns the refusal of a request with a blocked key, or None.
+
+        Args:
+            keys: Keys of the request.
+            verdict: Whether a server may have run the request.
+        """
+        self._update_blocks()
+        if not self._blocks:
+            return None
+        now_s = self._clock.monotonic()
+        for key in keys:
+            block = self._blocks.get(key)
+            if block is not None and now_s < block.until_s:
+                return outcome.Refusal(
+                    outcome.Reason.SUSPECT,
+                    f"{block.crashes} engines crashed while they ran requests "
+                    f"with the prompt part {key}",
+                    verdict,
+                    _RETRY_AFTER,
+                )
+        return None
+
+    def _update_blocks(self) -> None:
+        """Recomputes the blocks after new facts."""
+        now_s = self._clock.monotonic()
+        if (
+            self._revision == self._charges.revision
+            and now_s < self._reported_s
+        ):
+            return
+        self._revision = self._charges.revision
+        self._reported_s = float("inf")
+        before, self._blocks = self._blocks, self._compute_blocks()
+        for key in before.keys() - self._blocks.keys():
+            metrics.count_crashing_part("cleared")
+            logs.event(_log, "part_cleared", key=key)
+        for key in self._blocks.keys() - before.keys():
+            metrics.count_crashing_part("blocked")
+            logs.event(
+                _log,
+                "part_blocked",
+                key=key,
+                crashes=self._blocks[key].crashes,
+                for_s=round(self._blocks[key].until_s - now_s, 1),
+            )
+
+    def _compute_blocks(self) -> dict[str, Block]:
+        suspects = {
+            key: charged
+            for key, charged in self._charges.by_key.items()
+            if len(charged) >= _MIN_CRASHES_UNCONTESTED
+        }
+        explained: set[crashcharges.ChargedCrash] = set()
+        blocks: dict[str, Block] = {}
+        while suspects:
+            # Crashes that count against each key, and whether it has never
+            # completed.
+            ranks = {
+                key: (
+                    _count([each for each in charged if each not in explained]),
+                    not self._charges.has_completed(key),
+                )
+                for key, charged in suspects.items()
+            }
+            highest = max(ranks.values())
+            keys = [key for key, rank in ranks.items() if rank == highest]
+            if not self._suffices(*highest, [suspects[key] for key in keys]):
+                break
+            for key in keys:
+                charged = suspects.pop(key)
+                blocks[key] = self._block(key, highest[0], charged)
+                explained.update(charged)
+        return blocks
+
+    def _suffices(
+        self,
+        crashes: int,
+        never_completed: bool,
+        charged: list[list[crashcharges.ChargedCrash]],
+    ) -> bool:
+        """Returns whether to block the keys that share the highest rank."""
+        if crashes >= _MIN_CRASHES:
+            return True
+        if (
+            crashes < _MIN_CRASHES_UNCONTESTED
+            or not never_completed
+            or len(charged) > 1
+        ):
+            return False
+        reported_s = _last_s(charged[0]) + _REPORT_S
+        if self._clock.monotonic() >= reported_s:
+            return True
+        self._reported_s = reported_s
+        return False
+
+    def _block(
+        self,
+        key: str,
+        crashes: int,
+        charged: Collection[crashcharges.ChargedCrash],
+    ) -> Block:
+        doublings = max(0, crashes - _MIN_CRASHES)
+        length_s = min(_MAX_BLOCK_S, _BLOCK_S * 2.0**doublings * self._jitter)
+        return Block(key, crashes, _last_s(charged) + length_s)
+
+
+def _last_s(charged: Collection[crashcharges.ChargedCrash]) -> float:
+    return max(each.at_s for each in charged)
+
+
+def _count(charged: Collection[crashcharges.ChargedCrash]) -> int:
+    """Returns how many crashes count, given that close ones count once."""
+    count = 0
+    counted_s = float("-inf")
+    for at_s in sorted(each.at_s for each in charged):
+        if at_s - counted_s >= _MIN_CRASH_INTERVAL_S:
+            count += 1
+            counted_s = at_s
+    return count
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -8,6 +8,7 @@
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
     crashdetection,
+    crashingparts,
     enginerates,
     exchange,
     fleet,
@@ -38,6 +39,7 @@
 # Longest time after a failure for which a started stream waits for a server.
 # Callers abandon a started stream after 2 s without an event.
 _MAX_RESUME_WAIT_S = 1.5
+_FIRST_REDIRECT_STATUS = 300
 _RETRY_AFTER = datetime.timedelta(milliseconds=400)
 # An engine that rejects a request as full and reports no weights version is
 # assumed to load new weights for this long.
@@ -68,6 +70,7 @@
         self._state = state
         self._client = client
         self._crash_detector = crash_detector
+        self._part_keys = crashingparts.part_keys(request)
         self._request = request
         self._writer = writer
         self._destination = destination
@@ -166,6 +169,7 @@
         same prefix.
         """
         while True:
+            self._refuse_if_suspect()
             selected = serverselection.select_server(
                 self._state,
                 self._destination.service,
@@ -208,6 +212,14 @@
             < _MAX_WAIT_TARGET_SHARE * self._destination.route.target_latency_s
         )
 
+    def _refuse_if_suspect(self) -> None:
+        """Refuses a request with a prompt part that crashes engines."""
+        refusal = self._state.crashing_parts.refusal(
+            self._part_keys, self._progress.verdict
+        )
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+
     def _refuse_if_overloaded(self, selected: selection.SelectedServer) -> None:
         """Refuses a request that the selected server would answer too late."""
         if self._writer.started or self._failed_deliveries:
@@ -268,9 +280,14 @@
             async with self._client.send(
                 server, request, self._options(selected.candidate)
             ) as response:
-                return await self._relay.relay(
+                held_error = await self._relay.relay(
                     selected.candidate, in_flight, response
                 )
+                if response.head.status < _FIRST_REDIRECT_STATUS:
+                    self._state.crashing_parts.charges.note_completed(
+                        self._part_keys
+                    )
+                return held_error
         finally:
             self._prefill_coalescer.finish()
             server_load.end(in_flight, self._now_s())
@@ -305,12 +322,22 @@
             self._failed_deliveries += 1
             self._progress.note_run(failure.verdict)
             self._excluded_for_request.add(server_id)
-            # A crash is recorded once for all requests that the server lost.
-            if (
-                cause is not exchange.FailureCause.LOST
-                or not await self._crash_detector.has_crashed(server)
-            ):
-                self._state.health.note_no_response(server)
+            await self._note_lost(server, cause)
+
+    async def _note_lost(
+        self, server: fleet.BackendServer, cause: exchange.FailureCause
+    ) -> None:
+        """Records a request that was sent and got no usable response."""
+        if (
+            cause is not exchange.FailureCause.LOST
+            or not await self._crash_detector.has_crashed(server)
+        ):
+            self._state.health.note_no_response(server)
+            return
+        self._state.crashing_parts.charges.note_crash(
+            server.server_id, self._part_keys
+        )
+        self._state.notices.send_soon()
 
     def _note_rejection(
         self, server_id: str, failure: exchange.AttemptFailed
--- a/hibiscusstile/gateway/noticebatch.py
+++ b/hibiscusstile/gateway/noticebatch.py
@@ -35,7 +35,7 @@
     ) -> messages.GatewayNotice | None:
         """Removes the collected notices and returns them as one if it is due.
 
-        Changes of weights and claims of the lease are due at once.
+        Changes of weights, claims of the lease and crashes are due at once.
 
         Args:
             gateways: Number of gateways in other zones.
@@ -43,7 +43,10 @@
         """
         if not self._notices:
             return None
-        is_urgent = any(each.changes or each.claims for each in self._notices)
+        is_urgent = any(
+            each.changes or each.claims or each.crashes
+            for each in self._notices
+        )
         if not is_urgent and now_s < self._sent_s + _interval_s(gateways):
             return None
         merged = _merge(self._notices)
@@ -87,4 +90,10 @@
         tuple(weights for each in notices for weights in each.weights)[newest],
         tuple(claim for each in notices for claim in each.claims)[newest],
         tuple(done for each in notices for done in each.reads)[newest],
+        crashes=tuple(crash for each in notices for crash in each.crashes)[
+            newest
+        ],
+        clearances=tuple(
+            clearance for each in notices for clearance in each.clearances
+        )[newest],
     )
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -11,7 +11,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from hibiscusstile.gateway import exchange, load
+from hibiscusstile.gateway import crashcharges, exchange, load
 from hibiscusstile.peers import messages
 
 if TYPE_CHECKING:
@@ -126,9 +126,12 @@
         self._urgent.set()
 
     def drain(
-        self, loads: tuple[messages.LoadUpdate, ...]
+        self,
+        loads: tuple[messages.LoadUpdate, ...],
+        crashes: tuple[messages.CrashUpdate, ...] = (),
+        clearances: tuple[messages.ClearanceUpdate, ...] = (),
     ) -> messages.GatewayNotice | None:
-        """Removes the collected updates and returns them with `loads`.
+        """Removes the collected updates and returns them with those given.
 
         Returns None if there is nothing to send.
         """
@@ -140,6 +143,8 @@
             tuple(self._weights),
             tuple(self._claims),
             tuple(self._prefills_done),
+            crashes=crashes,
+            clearances=clearances,
         )
         for collected in (
             self._prefixes,
@@ -172,7 +177,12 @@
 
     def next_notice(self) -> messages.GatewayNotice | None:
         """Returns the next notice for all peers, or None if it is empty."""
-        return self._state.notices.drain(self._changed_loads())
+        crashes, clearances = self._state.crashing_parts.charges.drain()
+        return self._state.notices.drain(
+            self._changed_loads(),
+            _crash_updates(crashes),
+            _clearance_updates(clearances),
+        )
 
     def snapshot(self) -> messages.GatewayNotice:
         """Returns the state that a peer needs when it connects.
@@ -181,6 +191,7 @@
         combines the snapshots of all processes.
         """
         now_s = self._state.clock.monotonic()
+        crashes, clearances = self._state.crashing_parts.charges.snapshot()
         return messages.GatewayNotice(
             loads=tuple(
                 messages.LoadUpdate(
@@ -205,6 +216,8 @@
                 for service, each in self._state.all_engine_rates.items()
                 if each.observations
             ),
+            crashes=_crash_updates(crashes),
+            clearances=_clearance_updates(clearances),
         )
 
     def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
@@ -237,6 +250,7 @@
             self._state.engine_rates(rates.service).adopt(
                 rates.sizes, rates.observations
             )
+        self._apply_charges(notice)
         for change in notice.changes:
             self._state.weights.note_changing(change.server, change.for_s)
         for weights in notice.weights:
@@ -244,6 +258,19 @@
         for claim in notice.claims:
             self._last_claim = (peer_id, claim.fence, now_s)
 
+    def _apply_charges(self, notice: messages.GatewayNotice) -> None:
+        charges = self._state.crashing_parts.charges
+        for crash in notice.crashes:
+            charges.merge_crash(
+                crashcharges.Crash(crash.server, crash.keys, crash.age_s)
+            )
+        for clearance in notice.clearances:
+            charges.merge_clearance(
+                crashcharges.Clearance(clearance.key, clearance.age_s)
+            )
+        if notice.crashes and charges.has_news:
+            self._state.notices.send_soon()
+
     def _apply_weights(self, weights: messages.WeightsUpdate) -> None:
         table = self._state.weights
         if not weights.server:
@@ -279,3 +306,21 @@
             if server_id in self._sent_loads
         }
         return tuple(changed)
+
+
+def _crash_updates(
+    crashes: list[crashcharges.Crash],
+) -> tuple[messages.CrashUpdate, ...]:
+    return tuple(
+        messages.CrashUpdate(each.server_id, each.keys, each.age_s)
+        for each in crashes
+    )
+
+
+def _clearance_updates(
+    clearances: list[crashcharges.Clearance],
+) -> tuple[messages.ClearanceUpdate, ...]:
+    return tuple(
+        messages.ClearanceUpdate(each.key, each.age_s)
+        for each in clearances[-messages.MAX_NOTICE_ENTRIES :]
+    )
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -10,6 +10,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, retrybudget
 from hibiscusstile.gateway import (
+    crashingparts,
     enginerates,
     fleet,
     health,
@@ -77,6 +78,7 @@
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
+        self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -136,6 +138,11 @@
         """Prompt parts that engines are prefilling."""
         return self._pending_prefills
 
+    @property
+    def crashing_parts(self) -> crashingparts.CrashingParts:
+        """Prompt parts that crash engines."""
+        return self._crashing_parts
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """Updates to send to other gateways."""
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -11,6 +11,7 @@
 __all__ = [
     "count_attempt",
     "count_control_bytes",
+    "count_crashing_part",
     "count_dropped_line",
     "count_peer_rejection",
     "count_prompt_tokens",
@@ -76,6 +77,10 @@
     "hibiscusstile_servers_down",
     "Servers that refused connections after they had lost a request",
 )
+_crashing_parts = collectors.Counter(
+    "hibiscusstile_crashing_parts",
+    "Prompt parts blocked because they crash engines, and parts cleared",
+)
 _store_calls = collectors.Counter(
     "hibiscusstile_store_calls", "Calls to the platform's store by outcome"
 )
@@ -111,6 +116,11 @@
     _servers_down.inc({"planned": str(planned).lower()})
 
 
+def count_crashing_part(change: str) -> None:
+    """Counts a prompt part that was blocked or cleared."""
+    _crashing_parts.inc({"change": change})
+
+
 def count_store_call(call: str, result: str) -> None:
     """Counts a call to the platform's store."""
     _store_calls.inc({"call": call, "outcome": result})
--- a/hibiscusstile/peers/messages/__init__.py
+++ b/hibiscusstile/peers/messages/__init__.py
@@ -14,6 +14,8 @@
 )
 from hibiscusstile.peers.messages.gateway import (
     MAX_NOTICE_ENTRIES,
+    ClearanceUpdate,
+    CrashUpdate,
     GatewayConfiguration,
     GatewayNotice,
     LeaseClaimUpdate,
@@ -63,9 +65,11 @@
     "CallReply",
     "Cancel",
     "Chunk",
+    "ClearanceUpdate",
     "ConfigDigest",
     "ConfigFetch",
     "ConfigState",
+    "CrashUpdate",
     "Dispatch",
     "End",
     "Failed",
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -17,6 +17,8 @@
 
 __all__ = [
     "MAX_NOTICE_ENTRIES",
+    "ClearanceUpdate",
+    "CrashUpdate",
     "GatewayConfiguration",
     "GatewayNotice",
     "LeaseClaimUpdate",
@@ -138,6 +140,36 @@
     observations: Count
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CrashUpdate:
+    """A server that has crashed, and what it was running.
+
+    Attributes:
+        server: Id of the backend server.
+        keys: Prompt parts of the requests that it was running.
+        age_s: Seconds since the crash.
+    """
+
+    server: ShortText
+    keys: Annotated[
+        tuple[ShortText, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
+    ]
+    age_s: Seconds = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClearanceUpdate:
+    """A prompt part that engines have completed since they crashed.
+
+    Attributes:
+        key: The prompt part.
+        age_s: Seconds since the completion.
+    """
+
+    key: ShortText
+    age_s: Seconds = 0.0
+
+
 _Loads = Annotated[
     tuple[LoadUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
@@ -163,6 +195,14 @@
     tuple[RatesUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
 
+_Crashes = Annotated[
+    tuple[CrashUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
+]
+
+_Clearances = Annotated[
+    tuple[ClearanceUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
+]
+
 
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -177,6 +217,8 @@
     claims: _Claims = ()
     reads: _Reads = ()
     rates: _Rates = ()
+    crashes: _Crashes = ()
+    clearances: _Clearances = ()
 
 
 @message_types.register()
--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -80,6 +80,8 @@
         self._disconnected_requests: list[str] = []
         self._queued_modes: list[str] = []
         self._default_mode = ""
+        self._crash_part = ""
+        self._crash_restart_s = 0.0
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -155,6 +157,17 @@
         """Sets the failure mode used when none is queued; empty for none."""
         self._default_mode = mode
 
+    @server.fault
+    def crash_on_part(self, part_id: str, restart_s: float = 0.5) -> None:
+        """Crashes on each request whose prompt contains a part.
+
+        Args:
+            part_id: Id of the prompt part; empty for none.
+            restart_s: Seconds until the server is back.
+        """
+        self._crash_part = part_id
+        self._crash_restart_s = restart_s
+
     def discovery_entry(
         self, service: str, zone: str = "z1", **changes: Any
     ) -> bytes:
@@ -278,6 +291,10 @@
         )
         if refusal is not None:
             return refusal
+        prompt = request.headers.get("X-Prompt-Prefix", "")
+        if self._crash_part and f"{self._crash_part}:" in prompt:
+            self.crash(self._crash_restart_s)
+            await asyncio.Event().wait()
         if mode == "lose_answer":
             server.drop_connection(request)
             return web.Response()
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -51,6 +51,8 @@
 PLAIN_SERVICE = "accounts"
 HOST = "callers.example"
 KEY = "key-of-growers"
+# Crashes further apart are not taken for a common outside cause.
+CRASH_INTERVAL = datetime.timedelta(milliseconds=300)
 _POLL = datetime.timedelta(milliseconds=10)
 
 
