--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -7,6 +7,8 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    crashdetection,
+    crashingparts,
     enginerates,
     exchange,
     fleet,
@@ -37,6 +39,7 @@
 # Longest time after a failure for which a started stream waits for a server.
 # Callers abandon a started stream after 2 s without an event.
 _MAX_RESUME_WAIT_S = 1.5
+_FIRST_REDIRECT_STATUS = 300
 _RETRY_AFTER = datetime.timedelta(milliseconds=400)
 # An engine that rejects a request as full and reports no weights version is
 # assumed to load new weights for this long.
@@ -49,6 +52,7 @@
     Args:
         state: State of this gateway process.
         client: Sends requests to servers.
+        crash_detector: Tells crashes of servers from lost responses.
         request: The request.
         writer: Writes the response to the caller.
         destination: Route and service that the request was resolved to.
@@ -58,12 +62,15 @@
         self,
         state: state_lib.GatewayState,
         client: exchange.ServerClient,
+        crash_detector: crashdetection.CrashDetector,
         request: exchange.ForwardedRequest,
         writer: exchange.ResponseWriter,
         destination: resolving.Destination,
     ) -> None:
         self._state = state
         self._client = client
+        self._crash_detector = crash_detector
+        self._part_keys = crashingparts.part_keys(request)
         self._request = request
         self._writer = writer
         self._destination = destination
@@ -189,7 +196,7 @@
             try:
                 held_error = await self._attempt(selected)
             except exchange.AttemptFailed as failure:
-                self._note_failure(selected.candidate.server, failure)
+                await self._note_failure(selected.candidate.server, failure)
                 self._acquire_retry_or_refuse(failure)
                 continue
             if held_error is None:
@@ -207,6 +214,7 @@
         same prefix.
         """
         while True:
+            self._refuse_if_suspect()
             selected = serverselection.select_server(
                 self._state,
                 self._destination.service,
@@ -249,6 +257,14 @@
             < _MAX_WAIT_TARGET_SHARE * self._destination.route.target_latency_s
         )
 
+    def _refuse_if_suspect(self) -> None:
+        """Refuses a request with a prompt part that crashes engines."""
+        refusal = self._state.crashing_parts.refusal(
+            self._part_keys, self._progress.verdict
+        )
+        if refusal is not None:
+            raise outcome.Refused(refusal)
+
     def _refuse_if_overloaded(self, selected: selection.SelectedServer) -> None:
         """Refuses a request that the selected server would answer too late."""
         if self._writer.started or self._failed_deliveries:
@@ -309,14 +325,19 @@
             async with self._client.send(
                 server, request, self._options(selected.candidate)
             ) as response:
-                return await self._relay.relay(
+                held_error = await self._relay.relay(
                     selected.candidate, in_flight, response
                 )
+                if response.head.status < _FIRST_REDIRECT_STATUS:
+                    self._state.crashing_parts.charges.note_completed(
+                        self._part_keys
+                    )
+                return held_error
         finally:
             self._prefill_coalescer.finish()
             server_load.end(in_flight, self._now_s())
 
-    def _note_failure(
+    async def _note_failure(
         self, server: fleet.BackendServer, failure: exchange.AttemptFailed
     ) -> None:
         """Updates exclusions, health and weights after a failed attempt."""
@@ -346,7 +367,22 @@
             self._failed_deliveries += 1
             self._progress.note_run(failure.verdict)
             self._excluded_for_request.add(server_id)
+            await self._note_lost(server, cause)
+
+    async def _note_lost(
+        self, server: fleet.BackendServer, cause: exchange.FailureCause
+    ) -> None:
+        """Records a request that was sent and got no usable response."""
+        if (
+            cause is not exchange.FailureCause.LOST
+            or not await self._crash_detector.has_crashed(server)
+        ):
             self._state.health.note_no_response(server)
+            return
+        self._state.crashing_parts.charges.note_crash(
+            server.server_id, self._part_keys
+        )
+        self._state.notices.send_soon()
 
     def _note_rejection(
         self, server_id: str, failure: exchange.AttemptFailed
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -5,7 +5,13 @@
 import logbook
 
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import exchange, forwarding, resolving, stopping
+from hibiscusstile.gateway import (
+    crashdetection,
+    exchange,
+    forwarding,
+    resolving,
+    stopping,
+)
 from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["Gateway"]
@@ -26,6 +32,7 @@
     ) -> None:
         self._state = state
         self._client = client
+        self._crash_detector = crashdetection.CrashDetector(state, client)
         self._active = 0
         self._forwarders: set[forwarding.RequestForwarder] = set()
         self._schedule: stopping.StopSchedule | None = None
@@ -169,7 +176,12 @@
         destination: resolving.Destination,
     ) -> None:
         forwarder = forwarding.RequestForwarder(
-            self._state, self._client, request, writer, destination
+            self._state,
+            self._client,
+            self._crash_detector,
+            request,
+            writer,
+            destination,
         )
         if self._schedule is not None:
             forwarder.answer_by(self._schedule.answer_until_s)
