Keep callers of the store uncancelled when it moves

A stop whose settings change moves the store could end at once and cut all requests; no play has shown it.

Cause: when the store moves, its HTTP session is closed, and aiohttp cancels calls that wait for one of the session's connections. The CancelledError reached their tasks, which nobody had cancelled. The drain removes the announcement with such a call, and an exception there ends the drain; a follower that waits counts as a failed child.

Evidence: test_a_move_of_the_store_cancels_no_caller, which fails before the change (of 12 calls, those that wait for a connection get CancelledError).

Such a call now ends as one without a response from the store. A task that is cancelled itself is still cancelled.

--- a/hibiscusstile/platform/platformstore.py
+++ b/hibiscusstile/platform/platformstore.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import base64
 import datetime
 import struct
@@ -177,6 +178,14 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             metrics.count_store_call(endpoint, "no_answer")
             return 0, repr(error).encode()
+        except asyncio.CancelledError:
+            # Closing the session also cancels calls that wait for one of its
+            # connections, although their tasks go on.
+            task = asyncio.current_task()
+            if task is None or task.cancelling():
+                raise
+            metrics.count_store_call(endpoint, "no_answer")
+            return 0, b"the session was closed"
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -5,9 +5,11 @@
 import asyncio
 import datetime
 import json
+import socket
 
 import pytest
 
+from hibiscusstile import platform
 from hibiscusstile.gateway import routes
 from hibiscusstile.platform import (
     operatorrecords,
@@ -65,6 +67,21 @@
         await world.until(lambda: len(world.state.fleet) == 3, 12.0)
 
 
+async def test_a_move_of_the_store_cancels_no_caller() -> None:
+    """Guards against a stop that a move of the store cuts short."""
+    with socket.create_server(("127.0.0.1", 0)) as silent:
+        port = silent.getsockname()[1]
+        log = platformstore.PlatformStore(f"127.0.0.1:{port}")
+        calls = [
+            asyncio.ensure_future(log.append("t", b"x")) for _ in range(12)
+        ]
+        await asyncio.sleep(0.1)
+        await log.move("127.0.0.1:1")
+        results = await asyncio.gather(*calls, return_exceptions=True)
+        await log.close()
+    assert {type(each) for each in results} == {platform.AppendUnknown}
+
+
 @pytest.mark.parametrize(
     "changes",
     [
