Close the callers' port before a stopping gateway ends its drain

A request that arrives when the drain has just ended could be read and cut at once.

Cause: the drain ended as soon as no connection was open, with the port still open. A connection accepted before the supervisor stops the server is not among those that it closes, and is served until the process ends.

Evidence: test_the_port_is_closed_when_the_drain_ends, which fails before the change: a connection after the drain is accepted.

--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -249,17 +249,21 @@
         """Closes each connection after its response, then the port.
 
         The port stays open while requests are in progress, since the load
-        balancer may have no other process to connect callers to.
+        balancer may have no other process to connect callers to. It is closed
+        for one interval before the end, so that a connection accepted last is
+        seen.
         """
+        port_closed = False
         while self._clock.monotonic() < schedule.exit_s:
             self._ingress.close_idle()
-            if not self._ingress.connections:
+            if port_closed and not self._ingress.connections:
                 break
             if (
                 not self._ingress.busy_connections
                 or self._clock.monotonic() >= schedule.answer_until_s
             ):
                 self._ingress.close_port()
+                port_closed = True
             await self._clock.sleep(_DRAIN_POLL_INTERVAL)
 
     async def _sleep_until(self, time_s: float) -> None:
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 import pathlib
 import signal
@@ -11,9 +12,12 @@
 import aiohttp
 import pytest
 
-from hibiscusstile import outcome
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import outcome, supervisor
 from hibiscusstile.entry import listener
 from hibiscusstile.gateway import servicetimes, stopping
+from hibiscusstile.platform import boot
+from hibiscusstile.roles import gateway as gateway_role
 from tests.builders import gateway as builders
 from tests.builders import gatewayprocess
 
@@ -83,6 +87,32 @@
     ] == []
 
 
+async def test_the_port_is_closed_when_the_drain_ends(
+    monkeypatch: pytest.MonkeyPatch, tmp_path: pathlib.Path
+) -> None:
+    """Guards against requests that arrive between the drain and the exit."""
+    settings = tmp_path / "node.toml"
+    settings.write_text(
+        'node = "g"\nzone = "z1"\nip = "127.0.0.1"\n'
+        '[listen]\nfront = "127.0.0.1:0"\nready = "127.0.0.1:0"\n'
+        '[platform]\naddress = "127.0.0.1:1"\n[bounds]\ngrace_s = 2\n'
+    )
+    monkeypatch.setenv("HIBISCUSSTILE_NODE_FILE", str(settings))
+    clock = clock_lib.SystemClock()
+    role = gateway_role.GatewayRole(boot.load_boot_settings(settings), clock)
+    root = supervisor.Supervisor("gateway", clock)
+    role.build(root)
+    serving = asyncio.ensure_future(root.run())
+    await role.wait_ready()
+    await role.drain()
+    with pytest.raises(ConnectionRefusedError):
+        await asyncio.open_connection("127.0.0.1", role.ports["callers"])
+    serving.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await serving
+    await role.close()
+
+
 async def test_a_request_that_meets_the_close_of_its_connection_is_answered(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
