Break a stream off at a line that is no part of an event

What callers saw: the head and text of a refusal as an event of their stream.

Cause: a late copy of a refusal that is written into a stream without a length or chunks, or into a chunk, cannot be told by the framing. The parser took any bytes before a blank line for an event. The next server's error text, sent as a stream, was relayed the same way.

Fix: an event consists of comments, of the fields data, event, id and retry, and of fields whose names begin with x-, as the one that tells the weights version. Any other line fails the attempt: the stream continues at another server or is cut for the caller, and the request counts as one that may have run.

--- a/hibiscusstile/platform/eventstream.py
+++ b/hibiscusstile/platform/eventstream.py
@@ -7,7 +7,7 @@
 
 from hibiscusstile.gateway import exchange
 
-__all__ = ["EventSizeError", "EventStreamParser"]
+__all__ = ["EventFormatError", "EventSizeError", "EventStreamParser"]
 
 # An event carries a few tokens.
 _MAX_EVENT_BYTES = 256 * 1024
@@ -24,6 +24,15 @@
 _WEIGHTS_VERSION_LINE = re.compile(
     rb"^x-weight-versions: ?(\d+)", re.IGNORECASE
 )
+# Start of a line that is neither a comment nor a field of an event, such as the
+# head of another response.
+_FOREIGN_LINE = re.compile(
+    rb"^(?!:|\r?$|(?:data|event|id|retry|x-[a-z0-9-]+)(?::|\r?$))", re.MULTILINE
+)
+
+
+class EventFormatError(ValueError):
+    """An event contains a line that is no part of an event."""
 
 
 class EventSizeError(ValueError):
@@ -47,6 +56,7 @@
         A call has no effect until its result is iterated.
 
         Raises:
+            EventFormatError: An event contains a foreign line.
             EventSizeError: The incomplete event exceeds the size limit.
         """
         self._buffer += data
@@ -72,6 +82,8 @@
 
 
 def _parse(event_bytes: bytes) -> exchange.StreamEvent:
+    if _FOREIGN_LINE.search(event_bytes):
+        raise EventFormatError("an event contains a foreign line")
     id_match = _ID_LINE.search(event_bytes)
     version_match = _WEIGHTS_VERSION_LINE.search(event_bytes)
     return exchange.StreamEvent(
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -292,6 +292,7 @@
         aiohttp.ClientError,
         TimeoutError,
         OSError,
+        eventstream.EventFormatError,
         eventstream.EventSizeError,
     ) as error:
         raise exchange.AttemptFailed(
--- a/tests/gateway/test_brokenstreams.py
+++ b/tests/gateway/test_brokenstreams.py
@@ -115,6 +115,7 @@
     "200_empty_stream": _response(b"", "200 OK", **_SSE),
     "200_comments": _stream(_COMMENT),
     "closed_at_once": _stream(framing="close"),
+    "200_error_as_stream": _response(b'{"error": "x"}\n\n', "200 OK", **_SSE),
     "garbage": _garbage,
 }
 
@@ -196,3 +197,69 @@
     )
     assert (status, body, complete) == (200, b"", True)
     assert len(request_ids) == 1
+
+
+@pytest.mark.parametrize("copy_id", ["r0", "r1", None])
+@pytest.mark.parametrize("cut", ["", "id: 2", "id: 2\nda"])
+@pytest.mark.parametrize("rest", [_EVENTS[1:], []])
+@pytest.mark.parametrize("framing", ["chunked", "close", "raw"])
+@pytest.mark.parametrize("path", ["/question/1", "/dossier/1"])
+async def test_a_response_inside_a_stream_is_no_part_of_it(
+    path: str, framing: str, rest: list[bytes], cut: str, copy_id: str | None
+) -> None:
+    """Guards against a late refusal whose head becomes an event of a stream.
+
+    `raw` bytes are written between the chunks of a stream.
+    """
+    refusal = rawserver.response_bytes(
+        copy_id, b"full", status="503 Full", X_Not_Executed="1"
+    )
+
+    async def answer(
+        connection: rawserver.RawConnection, request_id: str
+    ) -> None:
+        chunked = "chunked" if framing != "close" else framing
+        await connection.send(_stream_head(request_id, chunked))
+        await connection.send(_framed(_EVENTS[0] + cut.encode(), chunked))
+        await asyncio.sleep(0.02)
+        await connection.send(
+            refusal if framing == "raw" else _framed(refusal, framing)
+        )
+        for event in rest:
+            await connection.send(_framed(event, chunked))
+        await connection.send(b"0\r\n\r\n" if chunked == "chunked" else b"")
+        connection.close()
+
+    status, body, complete, request_ids = await _receive(
+        path, answer, _stream(*_EVENTS[1:])
+    )
+    assert status == 200
+    assert complete == (path == "/dossier/1")
+    assert body == (_WHOLE if complete else _EVENTS[0])
+    assert len(request_ids) == (2 if complete else 1)
+
+
+@pytest.mark.parametrize("copy_id", ["r0", "r1", None])
+@pytest.mark.parametrize("end", ["", "HTTP/1.1 103 Early Hints\r\n\r\n"])
+@pytest.mark.parametrize("delay_s", [0, 0.02])
+async def test_a_response_after_a_stream_changes_nothing(
+    delay_s: float, end: str, copy_id: str | None
+) -> None:
+    """Guards against a late refusal that spoils the stream before it."""
+    refusal = rawserver.response_bytes(
+        copy_id, b"full", status="503 Full", X_Not_Executed="1"
+    )
+
+    async def answer(
+        connection: rawserver.RawConnection, request_id: str
+    ) -> None:
+        stream = _stream_head(request_id, "chunked")
+        stream += _framed(_WHOLE, "chunked") + b"0\r\n\r\n"
+        if not delay_s:
+            await connection.send(stream + end.encode() + refusal)
+            return
+        await connection.send(stream)
+        await asyncio.sleep(delay_s)
+        await connection.send(end.encode() + refusal)
+
+    assert await _receive("/question/1", answer) == (200, _WHOLE, True, ["r1"])
