Continue a stream only with an event that follows the last one

What callers saw: the text of an error that the next server sent as an event, or events that they already had, in the middle of their stream.

Cause: after a break the next server's stream was relayed whatever it began with. A server that does not know Last-Event-Id starts anew.

Fix: the first event with content of a continuation needs an ID after the last one sent; otherwise the attempt has failed.

Evidence: tests/gateway/test_brokenstreams.py, error_event and from_the_start. Not told: a continuation that leaves out events, since the IDs of a stream need not be consecutive.

--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -156,6 +156,14 @@
                 "a complete response cannot continue a started stream",
             )
 
+    def _require_next(self, event: exchange.StreamEvent) -> None:
+        if not self._progress.follows(event.event_id):
+            raise exchange.AttemptFailed(
+                exchange.FailureCause.LOST,
+                outcome.Verdict.MAY_HAVE_RUN,
+                f"event {event.event_id!r} does not continue the stream",
+            )
+
     async def _relay_stream(
         self,
         candidate: selection.Candidate,
@@ -169,12 +177,16 @@
             ),
         )
         loop = asyncio.get_running_loop()
+        continues = self._writer.started
         # Only a caller that resumes may already have all events.
-        event_needed = self._writer.started or not self._progress.last_event_id
+        event_needed = continues or not self._progress.last_event_id
         try:
             async with asyncio.timeout(max_gap_s) as event_due:
                 async for event in response.events():
                     if event.has_content:
+                        if continues:
+                            self._require_next(event)
+                            continues = False
                         self._note_content(candidate, in_flight)
                     await self._relay_event(candidate, response.head, event)
                     if event.has_content:
--- a/hibiscusstile/gateway/requestprogress.py
+++ b/hibiscusstile/gateway/requestprogress.py
@@ -84,6 +84,16 @@
         if event_id:
             self._last_event_id = event_id
 
+    def follows(self, event_id: str) -> bool:
+        """Returns whether an event may come next after the last event.
+
+        The IDs of a stream increase. IDs that are not numbers only differ.
+        """
+        last_id = self._last_event_id
+        if event_id.isdecimal() and last_id.isdecimal():
+            return int(event_id) > int(last_id)
+        return bool(event_id) and event_id != last_id
+
     def may_run_again(self, route: routes.Route, *, started: bool) -> bool:
         """Returns whether a request that may have run may be sent again.
 
--- a/tests/gateway/test_brokenstreams.py
+++ b/tests/gateway/test_brokenstreams.py
@@ -116,6 +116,8 @@
     "200_comments": _stream(_COMMENT),
     "closed_at_once": _stream(framing="close"),
     "200_error_as_stream": _response(b'{"error": "x"}\n\n', "200 OK", **_SSE),
+    "200_error_event": _response(b"data: failed\n\n", "200 OK", **_SSE),
+    "200_from_the_start": _stream(*_EVENTS),
     "garbage": _garbage,
 }
 
