Relay unknown fields of event streams again

Streams with a field that the gateway does not know were broken off since, and a deployment may use such fields; clients of event streams ignore them. A line now breaks a stream off only if it belongs to the head of an HTTP response. Every copy of a response has such a line, also one that begins inside a line of the stream.

Before its first event, a stream that continues another one relays nothing without an ID or data: it may be the text of an error.

--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -188,6 +188,9 @@
                             self._require_next(event)
                             continues = False
                         self._note_content(candidate, in_flight)
+                    elif continues:
+                        # May be the text of an error instead of a comment.
+                        continue
                     await self._relay_event(candidate, response.head, event)
                     if event.has_content:
                         event_needed = False
--- a/hibiscusstile/platform/eventstream.py
+++ b/hibiscusstile/platform/eventstream.py
@@ -24,10 +24,11 @@
 _WEIGHTS_VERSION_LINE = re.compile(
     rb"^x-weight-versions: ?(\d+)", re.IGNORECASE
 )
-# Start of a line that is neither a comment nor a field of an event, such as the
-# head of another response.
+# Line of another response's head, which may begin inside a line of the stream.
+# Other unknown fields are relayed: clients of event streams ignore them.
 _FOREIGN_LINE = re.compile(
-    rb"^(?!:|\r?$|(?:data|event|id|retry|x-[a-z0-9-]+)(?::|\r?$))", re.MULTILINE
+    rb"^(?:HTTP/1\.\d |Content-Length:|Content-Type:|Transfer-Encoding:)",
+    re.IGNORECASE | re.MULTILINE,
 )
 
 
