Check soaks for lost requests, and add a soak of planned work

The soak didn't see that stops cut requests: its checks passed over every request without a complete answer, its streams last 0.1 s, and its callers choose a gateway anew for each request.

The check `lost` finds requests that a gateway had read and whose connection ended without a complete answer: those that reached a server or got part of an answer, and those that ended without one more than 200 ms after their last byte. Requests at their deadline, those beside a fault in the last 3 s, and those sent up to 3 s after SIGTERM and cut in the last sixth of the grace time don't count.

Its callers keep a connection while the gateway lets them, half of them choose by readiness, and send streams of 2 and 4 s, short calls, large and half-sent bodies.

Changes to existing checks: the number of events that a stream must have is now that of its route (4 on all routes that existed), and the time of a request is the event loop's instead of relative to its caller's start.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -1,4 +1,7 @@
-"""Runs a soak: `python -m soak --seed N --seconds S [--keep FOLDER]`."""
+"""Runs a soak.
+
+`python -m soak --seed N --seconds S [--plan NAME] [--keep FOLDER]`
+"""
 
 from __future__ import annotations
 
@@ -11,61 +14,63 @@
 import sys
 import tempfile
 
-from soak import callers, checks, faults
+from soak import actions, callers, checks, losses, plans, worklog
 from soak import fleet as fleet_lib
 
-_CALLER_COUNT = 12
-# Time for recovery between the last fault and the last requests.
-_RECOVERY_TIME_S = 16.0
+_DEFAULT_PLAN = "mixed"
 
 
-async def run(seed: int, seconds: float, folder: pathlib.Path) -> list[str]:
+async def run(
+    seed: int,
+    seconds: float,
+    folder: pathlib.Path,
+    plan_name: str = _DEFAULT_PLAN,
+) -> list[str]:
     """Runs one soak and returns the violations of guarantees.
 
     Args:
-        seed: Seed of the random faults and requests.
-        seconds: Duration of the fault injection.
+        seed: Seed of the random actions and requests.
+        seconds: Time in which actions start.
         folder: Directory for settings and logs.
+        plan_name: Name of the plan.
     """
+    plan = plans.plans.get_by_name(plan_name)()
     rng = random.Random(seed)
     fleet = fleet_lib.Fleet(
-        folder, 1 + (seed + 31 * os.getpid()) % fleet_lib.NETWORK_COUNT
+        folder,
+        1 + (seed + 31 * os.getpid()) % fleet_lib.NETWORK_COUNT,
+        plan.layout,
     )
+    log = worklog.WorkLog(asyncio.get_running_loop().time)
     results: list[callers.RequestResult] = []
-    injected: list[str] = []
-    stop_faults, stop_callers = asyncio.Event(), asyncio.Event()
+    stop_work, stop_callers = asyncio.Event(), asyncio.Event()
     try:
         await fleet.start()
-        tasks = [
-            asyncio.ensure_future(
-                callers.run_caller(
-                    fleet,
-                    f"c{number}",
-                    random.Random(rng.random()),
-                    stop_callers,
-                    results.append,
-                )
-            )
-            for number in range(_CALLER_COUNT)
-        ]
+        calling = asyncio.ensure_future(
+            plan.run_callers(fleet, rng, stop_callers, results.append)
+        )
         injection = asyncio.ensure_future(
-            faults.inject(fleet, rng, stop_faults, injected)
+            actions.inject(plan.work, plan.gap_s, fleet, rng, stop_work, log)
         )
         await asyncio.sleep(seconds)
-        stop_faults.set()
+        stop_work.set()
         await injection
-        await asyncio.sleep(_RECOVERY_TIME_S)
+        await asyncio.sleep(plan.recovery_s)
         stop_callers.set()
-        await asyncio.gather(*tasks)
+        await calling
         arrivals = await fleet.arrivals()
     finally:
         await fleet.close()
     served = sum(each.status == 200 for each in results)
     print(
         f"seed {seed}: {len(results)} requests, {served} served, "
-        f"{len(injected)} faults: {' '.join(injected)}"
+        f"{len(log.names)} actions: {' '.join(log.names)}"
     )
-    return checks.find_violations(results, arrivals)
+    server_ids = {each["request_id"] for each in arrivals}
+    return [
+        *checks.find_violations(results, arrivals),
+        *losses.find_losses(results, server_ids, log),
+    ]
 
 
 def main() -> None:
@@ -73,10 +78,15 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument(
+        "--plan", choices=plans.plans.names, default=_DEFAULT_PLAN
+    )
     parser.add_argument("--keep", type=pathlib.Path)
     options = parser.parse_args()
     folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
-    violations = asyncio.run(run(options.seed, options.seconds, folder))
+    violations = asyncio.run(
+        run(options.seed, options.seconds, folder, options.plan)
+    )
     for line in violations:
         print(line)
     if violations and options.keep is not None:
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -11,14 +11,13 @@
 from collections.abc import Sequence
 from typing import Any
 
-from soak import callers
+from soak import builders, callers
 
 __all__ = ["find_violations"]
 
 # Statuses by which a gateway asserts that no backend server ran the request.
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
 _EVENT_ID = re.compile(rb"id: (\d+)\n")
-_EVENTS_PER_STREAM = 4
 # Requests sent this long before the end are after the recovery.
 _RECOVERY_WINDOW_S = 4.0
 _MIN_SERVED_SHARE = 0.9
@@ -49,7 +48,7 @@
     ]
     for result in results:
         violations += _response_violations(result)
-        at_most_once = result.route in ("payment", "question")
+        at_most_once = result.route in ("payment", "question", "report")
         if at_most_once and run_counts[result.request_id] > 1:
             violations.append(f"twice: {result.request_id} ran")
         if (
@@ -66,14 +65,14 @@
         return []
     if result.echoed_id != result.request_id:
         return [f"mixed: {result.request_id} got {result.echoed_id}"]
-    if result.route in ("lookup", "payment"):
+    if result.route not in builders.STREAM_EVENTS:
         if not result.body.startswith(
             f"answer to {result.request_id} ".encode()
         ):
             return [f"mixed: {result.request_id} got {result.body!r}"]
         return []
     ids = [int(number) for number in _EVENT_ID.findall(result.body)]
-    if ids != list(range(1, _EVENTS_PER_STREAM + 1)):
+    if ids != list(range(1, builders.STREAM_EVENTS[result.route] + 1)):
         return [f"order: {result.request_id} got events {ids}"]
     return []
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,19 +15,14 @@
 import aiohttp
 
 from hibiscusstile_standins import ports
-from soak import proxy
+from soak import builders, proxy
 
-__all__ = ["API_KEY", "HOST", "NETWORK_COUNT", "Fleet"]
+__all__ = ["NETWORK_COUNT", "Fleet", "ManagedProcess"]
 
-HOST = "soak.example"
-API_KEY = "soak-key"
 # Number of loopback networks that concurrent soaks can use.
 NETWORK_COUNT = 250
 _ROOT = pathlib.Path(__file__).parent.parent
-_GATEWAY_COUNT = 3
-_RUNNER_COUNT = 4
 _START_TIMEOUT_S = 15.0
-_SERVICES = ("engines", "accounts")
 
 
 @dataclasses.dataclass(slots=True)
@@ -85,38 +80,62 @@
         folder: Directory for settings and logs.
         network: Second octet of the gateways' loopback addresses, so that
             concurrent soaks can use different ones.
+        layout: The gateways and backend servers.
 
     Attributes:
         gateways: The gateway processes.
-        gateway_addresses: Their HTTP addresses, as `ip:port`.
         store_proxy: Proxy in front of the store.
+        other_store_proxy: Another address of the same store.
         server_proxies: Proxies in front of the backend servers.
         session: Client session for the stand-ins' interfaces.
     """
 
-    def __init__(self, folder: pathlib.Path, network: int) -> None:
+    def __init__(
+        self,
+        folder: pathlib.Path,
+        network: int,
+        layout: builders.Layout = builders.MIXED_LAYOUT,
+    ) -> None:
         self._folder = folder
         self._network = network
+        self._layout = layout
+        self._addresses: list[builders.GatewayAddresses] = []
         self._stand_ins: list[ManagedProcess] = []
         self._stand_in_urls: list[str] = []
         self._configuration_version = 1
         self._weights_version = 1
         self.gateways: list[ManagedProcess] = []
-        self.gateway_addresses: list[str] = []
         self.store_proxy = proxy.Proxy("127.0.0.1:1")
+        self.other_store_proxy = proxy.Proxy("127.0.0.1:1")
         self.server_proxies: list[proxy.Proxy] = []
         self.session: aiohttp.ClientSession | None = None
 
+    @property
+    def gateway_addresses(self) -> list[str]:
+        """Addresses of the gateways for callers, as `ip:port`."""
+        return [each.callers for each in self._addresses]
+
+    @property
+    def ready_addresses(self) -> list[str]:
+        """Addresses of the gateways' readiness checks, as `ip:port`."""
+        return [each.ready for each in self._addresses]
+
+    def address_of(self, gateway: ManagedProcess) -> str:
+        """Returns a gateway's address for callers, as `ip:port`."""
+        return self.gateway_addresses[self.gateways.index(gateway)]
+
     async def start(self) -> None:
         """Starts all processes and waits until all gateways serve requests."""
         self.session = aiohttp.ClientSession()
         store = self._start_stand_in("store")
         self.store_proxy = proxy.Proxy(store)
         await self.store_proxy.start()
-        await self._append_entry("keyed.op", "config", self._configuration())
-        for number in range(_RUNNER_COUNT):
-            await self._start_runner(number)
-        for number in range(_GATEWAY_COUNT):
+        self.other_store_proxy = proxy.Proxy(store)
+        await self.other_store_proxy.start()
+        await self._append_configuration()
+        for number, runner in enumerate(self._layout.runners):
+            await self._start_runner(number, runner)
+        for number in range(self._layout.gateway_count):
             self._start_gateway(number)
         async with asyncio.timeout(_START_TIMEOUT_S):
             for address in self.gateway_addresses:
@@ -127,7 +146,11 @@
         """Kills all processes and closes the proxies."""
         for process in [*self.gateways, *self._stand_ins]:
             process.kill()
-        for each in [self.store_proxy, *self.server_proxies]:
+        for each in [
+            self.store_proxy,
+            self.other_store_proxy,
+            *self.server_proxies,
+        ]:
             await each.close()
         if self.session is not None:
             await self.session.close()
@@ -135,7 +158,7 @@
     async def publish_configuration(self) -> None:
         """Publishes a new configuration version with the same content."""
         self._configuration_version += 3
-        await self._append_entry("keyed.op", "config", self._configuration())
+        await self._append_configuration()
 
     async def publish_weights_version(self) -> None:
         """Publishes a new weights version of the model."""
@@ -147,8 +170,10 @@
         """Returns whether all engines have the last published weights."""
         assert self.session is not None
         versions = set()
-        for number, url in enumerate(self._stand_in_urls[1:]):
-            if _SERVICES[number % len(_SERVICES)] != "engines":
+        for runner, url in zip(
+            self._layout.runners, self._stand_in_urls[1:], strict=True
+        ):
+            if not runner.is_engine:
                 continue
             async with self.session.get(f"{url}/v1/report") as response:
                 report = await response.json()
@@ -174,6 +199,26 @@
                 found += (await response.json())["arrivals"]
         return found
 
+    def write_settings(
+        self, number: int, *, other_store: bool = False, **bounds: float
+    ) -> None:
+        """Writes the settings file of a gateway.
+
+        Args:
+            number: Number of the gateway.
+            other_store: Whether to name the store's other address.
+            **bounds: Further bounds.
+        """
+        store = self.other_store_proxy if other_store else self.store_proxy
+        content = builders.gateway_settings(
+            number, self._addresses[number], store.address, **bounds
+        )
+        path = self._settings_path(number)
+        # A gateway must never read half of the file.
+        new_path = path.with_suffix(".new")
+        new_path.write_text(content)
+        new_path.replace(path)
+
     def _start_stand_in(self, kind: str, *options: str) -> str:
         process = ManagedProcess(
             f"{kind}-{len(self._stand_ins)}",
@@ -192,50 +237,45 @@
         self._stand_in_urls.append(f"http://127.0.0.1:{port}")
         return f"127.0.0.1:{port}"
 
-    async def _start_runner(self, number: int) -> None:
-        service = _SERVICES[number % len(_SERVICES)]
+    async def _start_runner(
+        self, number: int, runner: builders.RunnerSpec
+    ) -> None:
         server_id = f"i-{number}"
         address = self._start_stand_in(
-            "runner", "--server-id", server_id, "--pace-s", "0.02"
+            "runner",
+            *("--server-id", server_id),
+            *("--pace-s", str(runner.pace_s)),
+            *("--events", str(runner.events)),
         )
         server_proxy = proxy.Proxy(address)
         await server_proxy.start()
         self.server_proxies.append(server_proxy)
-        models = [{"name": "m1", "version": 1, "adapters": []}]
-        entry = {
-            "service": service,
-            "address": server_proxy.address,
-            "zone": "z1",
-            "version": "v1",
-            "slots": 8,
-            "state": "ready",
-            "cold_remaining_ms": 0,
-            "models": models if service == "engines" else [],
-            "sequence": 1,
-            "born": 1,
-        }
+        entry = builders.server_entry(runner, server_proxy.address)
         await self._append_entry("keyed.servers", server_id, entry)
 
     def _start_gateway(self, number: int) -> None:
         host = f"127.{self._network}.0.{number + 2}"
         port_numbers = [ports.reserve_port(host) for _ in range(3)]
-        settings = self._folder / f"gateway-{number}.toml"
-        settings.write_text(
-            f'node = "gateway-{number}"\nzone = "z1"\nip = "{host}"\n'
-            f"internal_ports = [{port_numbers[0]}, {port_numbers[0]}]\n"
-            f'[listen]\nfront = "{host}:{port_numbers[1]}"\n'
-            f'ready = "{host}:{port_numbers[2]}"\n'
-            f'[platform]\naddress = "{self.store_proxy.address}"\n'
+        self._addresses.append(
+            builders.GatewayAddresses(
+                host,
+                port_numbers[0],
+                f"{host}:{port_numbers[1]}",
+                f"{host}:{port_numbers[2]}",
+            )
         )
+        self.write_settings(number)
         process = ManagedProcess(
             f"gateway-{number}",
             [sys.executable, "-m", "hibiscusstile"],
-            {"HIBISCUSSTILE_NODE_FILE": str(settings)},
+            {"HIBISCUSSTILE_NODE_FILE": str(self._settings_path(number))},
             self._folder / f"gateway-{number}.log",
         )
         process.start()
         self.gateways.append(process)
-        self.gateway_addresses.append(f"{host}:{port_numbers[1]}")
+
+    def _settings_path(self, number: int) -> pathlib.Path:
+        return self._folder / f"gateway-{number}.toml"
 
     async def _is_ready(self, address: str) -> bool:
         assert self.session is not None
@@ -243,15 +283,21 @@
             async with self.session.get(
                 f"http://{address}/lookup/ready",
                 headers={
-                    "Host": HOST,
+                    "Host": builders.HOST,
                     "X-Request-Id": f"ready-{address}",
-                    "Authorization": f"Token {API_KEY}",
+                    "Authorization": f"Token {builders.API_KEY}",
                 },
             ) as response:
                 return response.status == 200
         except aiohttp.ClientError:
             return False
 
+    async def _append_configuration(self) -> None:
+        value = builders.configuration(
+            self._configuration_version, self._layout
+        )
+        await self._append_entry("keyed.op", "config", value)
+
     async def _append_entry(self, topic: str, key: str, value: Any) -> None:
         raw_key = key.encode()
         record = bytes([len(raw_key)]) + raw_key + json.dumps(value).encode()
@@ -267,41 +313,3 @@
         assert self.session is not None
         async with self.session.post(url, json=body) as response:
             response.raise_for_status()
-
-    def _configuration(self) -> dict[str, Any]:
-        def route(name: str, kind: str, service: str) -> dict[str, Any]:
-            return {
-                "name": name,
-                "host": HOST,
-                "path_prefix": f"/{name}/",
-                "kind": kind,
-                "timeout_ms": 4000,
-                "target_latency_ms": 500,
-                "priority": 1,
-                "service": service,
-                "attempts": 2 if name in ("lookup", "dossier") else 1,
-                "resumable": name == "dossier",
-            }
-
-        return {
-            "version": self._configuration_version,
-            "routes": [
-                route("lookup", "idempotent", "accounts"),
-                route("payment", "non_idempotent", "accounts"),
-                route("question", "streaming", "engines"),
-                route("dossier", "streaming", "engines"),
-            ],
-            "services": [
-                {
-                    "name": "engines",
-                    "max_connections": 100,
-                    "engine": {
-                        "slots": 8,
-                        "kv_tokens": 100_000,
-                        "models": [{"name": "m1"}],
-                    },
-                },
-                {"name": "accounts", "max_connections": 100},
-            ],
-            "tenants": [{"name": "soak", "api_keys": [API_KEY]}],
-        }
--- /dev/null
+++ b/soak/losses.py
@@ -0,0 +1,93 @@
+"""Check for requests that planned work ended without a complete answer."""
+
+from __future__ import annotations
+
+from collections.abc import Collection, Sequence
+
+from soak import builders, callers, worklog
+
+__all__ = ["find_losses"]
+
+# A request that no server got, and whose connection ends this soon after its
+# last byte, may have crossed the close of the connection.
+_CROSSING_S = 0.2
+# A stop excuses requests that were sent by this time after the stop signal
+# and that a server was still working on in the last part of the grace period.
+_EARLY_S = 3.0
+_LAST_PART_S = builders.GRACE_S * 5 / 6
+# A response that ends this little before its deadline has reached it.
+_DEADLINE_MARGIN_S = 0.1
+
+
+def find_losses(
+    results: Sequence[callers.RequestResult],
+    server_ids: Collection[str],
+    log: worklog.WorkLog,
+) -> list[str]:
+    """Returns a line for each request that planned work lost.
+
+    A request is lost if a gateway has read it, and its connection ends without
+    a complete response around a stop, a reload or a change. Requests beside
+    faults don't count.
+
+    Args:
+        results: The results of all callers.
+        server_ids: Ids of the requests that reached backend servers.
+        log: What was done to the processes.
+    """
+    lines = []
+    for result in results:
+        if not _is_lost(result, result.request_id in server_ids, log):
+            continue
+        stop = log.find_stop(result.gateway, result.ended_s)
+        if stop is not None:
+            if _is_excused(result, result.request_id in server_ids, stop):
+                continue
+            cause = (
+                f"sent {_sent_s(result) - stop.signalled_s:.2f} s and cut "
+                f"{result.ended_s - stop.signalled_s:.2f} s after SIGTERM"
+            )
+        elif log.was_changed(result.gateway, result.sent_s, result.ended_s):
+            cause = "cut around a reload or a change"
+        else:
+            cause = "cut without any work on its gateway"
+        reached = (
+            "run by a server" if result.request_id in server_ids else "held"
+        )
+        lines.append(
+            f"lost: {result.request_id} to {result.route} at {result.gateway}, "
+            f"{reached}, status {result.status or 'none'}, {cause}"
+        )
+    return lines
+
+
+def _sent_s(result: callers.RequestResult) -> float:
+    return result.sent_s if result.whole_s is None else result.whole_s
+
+
+def _is_lost(
+    result: callers.RequestResult, reached_server: bool, log: worklog.WorkLog
+) -> bool:
+    if result.status != 0 and result.body is not None:
+        return False
+    if log.faulty(result.sent_s, result.ended_s):
+        return False
+    deadline_s = builders.ROUTE_TIMEOUTS_S[result.route] - _DEADLINE_MARGIN_S
+    if result.ended_s - result.sent_s >= deadline_s:
+        return False
+    if reached_server or result.status != 0:
+        return True
+    return (
+        result.whole_s is not None
+        and result.ended_s - result.whole_s > _CROSSING_S
+    )
+
+
+def _is_excused(
+    result: callers.RequestResult, reached_server: bool, stop: worklog.Stop
+) -> bool:
+    return (
+        reached_server
+        and _sent_s(result) - stop.signalled_s <= _EARLY_S
+        and result.ended_s - stop.signalled_s >= _LAST_PART_S
+    )
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,48 +8,63 @@
 import pytest
 
 from soak import __main__ as soak
-from soak import callers, checks
+from soak import callers, checks, losses, worklog
+from tests.builders import soak as builders
 
 # Regressions: with seed 200 (as with 235) a wrong weights version spread to all
 # gateways; with seed 225 SIGHUP terminated a gateway during its start.
 _SEEDS = (1, 200, 225)
 _FAULT_SECONDS = 3.0
+_PLANNED_SEEDS = (3, 4)
+_PLANNED_SECONDS = 4.0
 
 
 async def test_guarantees_hold_under_faults(tmp_path: pathlib.Path) -> None:
     """Guarantees to callers and backend servers hold under faults."""
-    folders = {seed: tmp_path / str(seed) for seed in _SEEDS}
-    for folder in folders.values():
-        folder.mkdir()
-    violations = await asyncio.gather(
-        *(soak.run(seed, _FAULT_SECONDS, folders[seed]) for seed in _SEEDS)
-    )
-    assert not any(violations), dict(zip(_SEEDS, violations, strict=True))
+    await _run_seeds(_SEEDS, _FAULT_SECONDS, tmp_path, "mixed")
 
 
-def _result(**changes: object) -> callers.RequestResult:
-    fields: dict[str, object] = {
-        "request_id": "c1-1",
-        "route": "payment",
-        "status": 200,
-        "body": b"answer to c1-1 of i-1",
-        "echoed_id": "c1-1",
-        "sent_s": 0.0,
-        **changes,
-    }
-    return callers.RequestResult(**fields)  # type: ignore[arg-type]
+async def test_no_request_is_lost_around_planned_work(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against requests that are accepted and cut by a stop."""
+    await _run_seeds(_PLANNED_SEEDS, _PLANNED_SECONDS, tmp_path, "planned")
+
+
+async def _run_seeds(
+    seeds: tuple[int, ...], seconds: float, folder: pathlib.Path, plan: str
+) -> None:
+    folders = {seed: folder / str(seed) for seed in seeds}
+    for each in folders.values():
+        each.mkdir()
+    violations = await asyncio.gather(
+        *(soak.run(seed, seconds, folders[seed], plan) for seed in seeds)
+    )
+    assert not any(violations), dict(zip(seeds, violations, strict=True))
 
 
 @pytest.mark.parametrize(
     ("result", "runs", "violation"),
     [
-        (_result(), ["c1-1", "c1-1"], "twice"),
-        (_result(status=503, body=b""), ["c1-1"], "untrue refusal"),
-        (_result(echoed_id="c2-1"), ["c1-1"], "mixed"),
-        (_result(body=b"answer to c2-1 of i-1"), ["c1-1"], "mixed"),
-        (_result(), ["c1-1", "c9-9"], "unasked"),
-        (_result(route="dossier", body=b"id: 1\n\nid: 3\n\n"), [], "order"),
-        (_result(status=0, body=None), [], "recovery"),
+        (builders.result(), ["c1-1", "c1-1"], "twice"),
+        (
+            builders.result(status=503, body=b""),
+            ["c1-1"],
+            "untrue refusal",
+        ),
+        (builders.result(echoed_id="c2-1"), ["c1-1"], "mixed"),
+        (
+            builders.result(body=b"answer to c2-1 of i-1"),
+            ["c1-1"],
+            "mixed",
+        ),
+        (builders.result(), ["c1-1", "c9-9"], "unasked"),
+        (
+            builders.result(route="dossier", body=b"id: 1\n\nid: 3\n\n"),
+            [],
+            "order",
+        ),
+        (builders.result(status=0, body=None), [], "recovery"),
     ],
 )
 def test_the_checks_detect_violations(
@@ -59,3 +74,46 @@
     arrivals = [{"request_id": each, "ran": True} for each in runs]
     violations = checks.find_violations([result], arrivals)
     assert any(line.startswith(violation) for line in violations)
+
+
+@pytest.mark.parametrize(
+    ("result", "reached_server", "found"),
+    [
+        (builders.cut(3.1, 6.9), True, True),
+        (builders.cut(2.9, 6.8), True, False),
+        (builders.cut(2.9, 6.0), True, True),
+        (builders.cut(0.5, 4.45), True, False),
+        (builders.cut(5.0, 7.0, status=0), True, True),
+        (builders.cut(5.0, 7.0, status=0), False, True),
+        (builders.cut(6.9, 7.0, status=0), False, False),
+        (
+            builders.cut(5.0, 7.0, status=0, whole_s=None),
+            False,
+            False,
+        ),
+        (builders.cut(5.0, 7.0, body=b"whole"), True, False),
+    ],
+)
+def test_losses_are_requests_that_were_read_and_got_no_whole_response(
+    result: callers.RequestResult, reached_server: bool, found: bool
+) -> None:
+    """Guards against losses that are missed, and excused ones that count."""
+    log = worklog.WorkLog(lambda: 0.0)
+    log.note_stop(result.gateway)
+    server_ids = [result.request_id] if reached_server else []
+    assert bool(losses.find_losses([result], server_ids, log)) == found
+
+
+@pytest.mark.parametrize(("fault_end_s", "found"), [(2.5, False), (1.5, True)])
+def test_losses_beside_faults_do_not_count(
+    fault_end_s: float, found: bool
+) -> None:
+    """Guards against losses that are blamed on planned work beside faults."""
+    now_s = 0.0
+    log = worklog.WorkLog(lambda: now_s)
+    result = builders.cut(5.0, 7.0)
+    log.note_stop(result.gateway)
+    with log.unplanned():
+        now_s = fault_end_s
+    lines = losses.find_losses([result], [result.request_id], log)
+    assert bool(lines) == found
