Take no request in an entry instance that its stop may cut

Callers on kept connections saw streams end in the middle: a request that came after the load balancer's delay was taken and served until the deadline of the stop, however little time was left.

Cause: a stop closed the port, but connections that were open stayed open and their requests were taken until the process ended.

After the delay, connections without a request are closed as soon as they have none, and a request on one that is still open is refused as leaving and not run. Only requests that came before can still be active then.

Evidence: test_an_entry_takes_no_request_that_its_stop_would_cut, over sockets: before, a chat sent 1 s after the port had closed got status 200 and was cut 4.0 s later; now its connection is closed before. A body that arrives during the stop is answered, before and now (test_a_body_that_arrives_during_a_stop_is_answered).

close_idle depends on HttpProtocol.idle, which still calls a connection idle that has just received a request.

--- a/hibiscusstile/entry/httpapi.py
+++ b/hibiscusstile/entry/httpapi.py
@@ -74,12 +74,17 @@
         self._is_configuration_current = is_configuration_current
         self._clock = clock
         self._active_requests = 0
+        self._refuses_new_requests = False
 
     @property
     def active_requests(self) -> int:
         """Number of requests in progress."""
         return self._active_requests
 
+    def refuse_new_requests(self) -> None:
+        """Refuses requests that begin from now on, since the process stops."""
+        self._refuses_new_requests = True
+
     def build_application(self) -> web.Application:
         """Returns the aiohttp application with all routes."""
         app = web.Application(
@@ -163,6 +168,7 @@
         )
 
     async def _post_chat(self, request: web.Request) -> web.StreamResponse:
+        self._check_accepting()
         await self._check_configuration()
         caller = self._authenticate(request)
         body = await self._read_body(request)
@@ -176,6 +182,7 @@
             return await chatresponse.build_complete(pending, events)
 
     async def _call_service(self, request: web.Request) -> web.Response:
+        self._check_accepting()
         await self._check_configuration()
         caller = self._authenticate(request)
         name = request.match_info["application"]
@@ -221,6 +228,17 @@
             },
         )
 
+    def _check_accepting(self) -> None:
+        """Refuses requests that the end of the process might cut.
+
+        Raises:
+            Refused: `leaving`, if the process accepts no new requests.
+        """
+        if self._refuses_new_requests:
+            raise _refused(
+                outcome.Reason.LEAVING, "this instance is shutting down"
+            )
+
     async def _check_configuration(self) -> None:
         """Refuses requests while the configuration may be outdated.
 
--- a/hibiscusstile/entry/listener.py
+++ b/hibiscusstile/entry/listener.py
@@ -136,6 +136,7 @@
         self._port = address.port
         self._listening = asyncio.Event()
         self._server: asyncio.Server | None = None
+        self._http_server: web.Server | None = None
 
     @property
     def port(self) -> int:
@@ -151,6 +152,14 @@
         if self._server is not None:
             self._server.close()
 
+    def close_idle(self) -> None:
+        """Closes connections that have no request in progress."""
+        if self._http_server is None:
+            return
+        for protocol in self._http_server.connections:
+            if isinstance(protocol, HttpProtocol) and protocol.idle:
+                protocol.force_close()
+
     async def run(self) -> None:
         """Serves until cancelled."""
         runner = web.AppRunner(
@@ -160,6 +169,7 @@
         )
         await runner.setup()
         manager: Any = runner.server
+        self._http_server = manager
         options: dict[str, Any] = {
             "access_log": None,
             "max_field_size": _MAX_HEADER_FIELD_BYTES,
--- a/hibiscusstile/roles/entry.py
+++ b/hibiscusstile/roles/entry.py
@@ -192,20 +192,22 @@
     async def drain(self) -> None:
         """Reports not ready, closes the port, and waits for active requests.
 
-        The port closes only once the load balancer has had time to notice;
-        new requests are served until then. The wait for active requests ends
-        at the deadline.
+        The port closes only once the load balancer has had time to notice.
+        New requests are served until then, and refused on connections that
+        are still open afterwards. The wait for active requests ends at the
+        deadline.
         """
         _log.info("leaving peer_id={}", self._settings.peer_id)
         self._leaving = True
         stop = self._settings.stop
         await self._clock.sleep(stop.balancer_delay)
         await self._listener.close_port()
+        self._http_api.refuse_new_requests()
         deadline_s = self._clock.monotonic() + stop.deadline.total_seconds()
-        while (
-            self._http_api.active_requests
-            and self._clock.monotonic() < deadline_s
-        ):
+        while self._clock.monotonic() < deadline_s:
+            self._listener.close_idle()
+            if not self._http_api.active_requests:
+                break
             await self._clock.sleep(_DRAIN_POLL_INTERVAL)
 
     async def close(self) -> None:
