Refuse work that crosses a sidecar's notice of leaving

Callers saw 502 peer_lost, which says that the request may have run, for calls that no backend server had seen, when a sidecar without running work was stopped.

Cause: a stopping sidecar told its peers and ended at once if no work was running. What an entry instance had sent before it read the notice found a closed connection, and the entry instance can't tell such work from work that ran.

The sidecar now stays for 500 ms after its notice and refuses such work as leaving and not run, which entry instances pass on to another sidecar.

Evidence: test_a_sidecar_refuses_calls_that_cross_its_notice_of_leaving, a call sent 50 ms after the notice: before, the connection closed without a reply; now the reply is Failed with the verdict not_run.

--- a/hibiscusstile/roles/sidecar.py
+++ b/hibiscusstile/roles/sidecar.py
@@ -50,6 +50,9 @@
 _log = logbook.Logger("sidecar")
 
 _DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=100)
+# Work that peers sent before they read the notice of leaving arrives within
+# this time and is refused; if the process had ended, it might have run.
+_NOTICE_DELAY = datetime.timedelta(milliseconds=500)
 _ROLE = "sidecar"
 
 
@@ -251,6 +254,7 @@
             self._clock.monotonic()
             + self._settings.stop.deadline.total_seconds()
         )
+        await self._clock.sleep(_NOTICE_DELAY)
         while self._active_work and self._clock.monotonic() < deadline_s:
             await self._clock.sleep(_DRAIN_POLL_INTERVAL)
 
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -3,10 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 import pathlib
 from typing import Any
 
+from websockets.asyncio import client as ws_client
+
+from hibiscusstile import outcome
+from hibiscusstile.peers import connection, handshake, messages
 from soak import channel
 from tests import builders, httpclient, processes
 
@@ -17,6 +22,7 @@
 # The slow engine makes 50 tokens in a second.
 _TOKENS_WITHIN_STOP = 150
 _TOKENS_BEYOND_STOP = 250
+_CROSSING_S = 0.05
 
 
 async def _send_chat(
@@ -101,3 +107,51 @@
         caller.close()
     assert answer.status == 200
     assert answer.body is not None and b"[DONE]" in answer.body
+
+
+async def test_a_sidecar_refuses_calls_that_cross_its_notice_of_leaving(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against calls that did not run but end without saying so."""
+    async with processes.process_fleet(
+        tmp_path, entries=1, engines=0, services=1
+    ) as fleet:
+        port = fleet.peer_ports["sidecar-service-1"]
+        async with ws_client.connect(
+            f"ws://127.0.0.1:{port}", compression=None, proxy=None
+        ) as websocket:
+            peer = connection.PeerConnection(websocket, lambda: 0)
+            await handshake.connect(
+                peer,
+                handshake.Identity("entry-1", "entry"),
+                processes.PEER_SECRET.encode(),
+            )
+            await _receive(peer, messages.Hello)
+            fleet.sidecars[0].terminate()
+            await _receive(peer, messages.Leaving)
+            await asyncio.sleep(_CROSSING_S)
+            failed = None
+            with contextlib.suppress(connection.ConnectionLost):
+                await peer.send(_call())
+                failed = await _receive(peer, messages.Failed)
+    assert failed is not None
+    assert failed.verdict is outcome.Verdict.NOT_RUN
+
+
+async def _receive(peer: connection.PeerConnection, kind: type[Any]) -> Any:
+    async with asyncio.timeout(_TIMEOUT_S):
+        while True:
+            envelope = await peer.receive()
+            if isinstance(envelope.message, kind):
+                return envelope.message
+
+
+def _call() -> messages.Call:
+    return messages.Call(
+        "attempt-1",
+        "buyers",
+        "caller-1",
+        "routine",
+        builders.service_call(None),
+        5.0,
+    )
