--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -62,8 +62,10 @@
     finally:
         await fleet.close()
     served = sum(each.status == 200 for each in results)
+    unanswered = sum(each.status == 0 or each.body is None for each in results)
     print(
         f"seed {seed}: {len(results)} requests, {served} served, "
+        f"{unanswered} without a complete answer, "
         f"{len(log.names)} actions: {' '.join(log.names)}"
     )
     server_ids = {each["request_id"] for each in arrivals}
