--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -10,6 +10,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, retrybudget
 from hibiscusstile.gateway import (
+    crashingparts,
     enginerates,
     fleet,
     health,
@@ -78,6 +79,7 @@
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
+        self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._service_times = servicetimes.ServiceTimes()
         self._peer_count = 0
@@ -149,6 +151,11 @@
         """Number of other gateways that are announced; none of them stops."""
         return self._peer_count
 
+    @property
+    def crashing_parts(self) -> crashingparts.CrashingParts:
+        """Prompt parts that crash engines."""
+        return self._crashing_parts
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """Updates to send to other gateways."""
