Reserve a share of a short stop instead of a fixed time

With a grace_s under 7.2 the deadline of streams begun before the load balancer's delay ended was more than a sixth of the time before the kill signal; with one of 1 or less the process exited at the signal.

Cause: the margins before the kill signal were fixed at 1.0 and 0.2 s.

Evidence: test_little_of_a_short_stop_is_reserved, which fails before the change for 0.5, 2 and 5 s.

Both margins are now at most an eighth and a fortieth of the time between the signals; with 8 s or more they are as before.

--- a/hibiscusstile/gateway/stopping.py
+++ b/hibiscusstile/gateway/stopping.py
@@ -14,8 +14,11 @@
 _LOAD_BALANCER_DELAY_S = 2.4
 # Time before the kill signal that is reserved for closing connections.
 _EXIT_MARGIN_S = 1.0
-# Time for the last responses to reach their callers before the exit.
+_MAX_EXIT_MARGIN_SHARE = 0.125
+# Time for the last responses to reach their callers before the exit. Both
+# margins together stay below a sixth of a short stop.
 _ANSWER_MARGIN_S = 0.2
+_MAX_ANSWER_MARGIN_SHARE = 0.025
 # A request may take this many times as long as the slowest recent one: while
 # several processes stop, the servers of the others are busier than before.
 _SERVICE_TIME_FACTOR = 2.0
@@ -46,8 +49,12 @@
             signalled_s: Time of the stop signal.
             grace_s: Seconds between the stop signal and the kill signal.
         """
-        exit_s = signalled_s + max(0.0, grace_s - _EXIT_MARGIN_S)
-        answer_until_s = max(signalled_s, exit_s - _ANSWER_MARGIN_S)
+        exit_margin_s = min(_EXIT_MARGIN_S, _MAX_EXIT_MARGIN_SHARE * grace_s)
+        answer_margin_s = min(
+            _ANSWER_MARGIN_S, _MAX_ANSWER_MARGIN_SHARE * grace_s
+        )
+        exit_s = signalled_s + max(0.0, grace_s - exit_margin_s)
+        answer_until_s = max(signalled_s, exit_s - answer_margin_s)
         return cls(
             min(signalled_s + _LOAD_BALANCER_DELAY_S, answer_until_s),
             answer_until_s,
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -168,6 +168,14 @@
     assert _refusal(9.0, after_s=2.5) is not None
 
 
+@pytest.mark.parametrize("grace_s", [0.5, 2.0, 5.0, 8.0, 60.0])
+def test_little_of_a_short_stop_is_reserved(grace_s: float) -> None:
+    """Guards against streams cut long before the kill signal."""
+    schedule = stopping.StopSchedule.after_signal(100.0, grace_s)
+    assert schedule.answer_until_s >= 100.0 + grace_s * 5 / 6
+    assert schedule.answer_until_s < schedule.exit_s < 100.0 + grace_s
+
+
 def test_short_requests_are_taken_for_longer_than_streams() -> None:
     """Guards against an outage for all callers when every process stops."""
     assert _refusal(0.1, after_s=6.0) is None
