Leave a new connection open until its first request can have arrived

What callers see: during a stop, while the load balancer still connects callers to the instance, new connections are closed without a response.

Cause: the stop closes connections that have no request every 50 ms, also those that were opened a moment ago and whose first request is on the way.

Evidence: test_a_new_connection_stays_open_for_its_first_request, which fails before the change.

A connection now counts as idle only after its first request, or 0.5 s after it was opened.

--- a/hibiscusstile/entry/listener.py
+++ b/hibiscusstile/entry/listener.py
@@ -19,6 +19,9 @@
 _MAX_HEADER_FIELD_BYTES = 8190
 _SHUTDOWN_TIMEOUT_S = 1.0
 _BACKLOG = 1024
+# Callers send a request when they open a connection, so that it arrives about
+# one round trip later.
+_FIRST_REQUEST_WAIT_S = 0.5
 
 
 class HttpProtocol(web.RequestHandler):
@@ -29,7 +32,7 @@
     refusal and is closed; aiohttp itself has no timeout for this.
     """
 
-    __slots__ = ("_head_timeout_s", "_head_timer")
+    __slots__ = ("_head_timeout_s", "_head_timer", "_opened_s")
 
     def __init__(
         self,
@@ -42,15 +45,21 @@
         super().__init__(manager, loop=loop, **options)
         self._head_timeout_s = head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
+        self._opened_s = 0.0
 
     @property
     def idle(self) -> bool:
         """Whether the connection is waiting for its next request.
 
         False as soon as a request has been received, although its handler
-        starts only in the next iteration of the event loop.
+        starts only in the next iteration of the event loop. A new connection
+        becomes idle only after a while, since its first request may be on the
+        way.
         """
-        return self._waiter is not None and not self._waiter.done()
+        if self._waiter is None or self._waiter.done():
+            return False
+        age_s = asyncio.get_running_loop().time() - self._opened_s
+        return self._request_count > 0 or age_s >= _FIRST_REQUEST_WAIT_S
 
     @property
     def reused(self) -> bool:
@@ -60,7 +69,9 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the timeout for the first request's head."""
         super().connection_made(transport)
-        self._head_timer = asyncio.get_running_loop().call_later(
+        loop = asyncio.get_running_loop()
+        self._opened_s = loop.time()
+        self._head_timer = loop.call_later(
             self._head_timeout_s, self._refuse_slow_head
         )
 
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -130,6 +130,30 @@
         assert status == 200
 
 
+async def test_a_new_connection_stays_open_for_its_first_request() -> None:
+    """Guards against closes between a connect and the request that follows."""
+    async with builders.gateway_harness() as harness:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.front.port
+        )
+        await harness.until(lambda: harness.front.connections == 1)
+        await asyncio.sleep(0.05)
+        harness.front.close_idle()
+        writer.write(b"GET / HTTP/1.1\r\nHost: callers.example\r\n\r\n")
+        assert await reader.read(12) == b"HTTP/1.1 400"
+        await asyncio.sleep(0.05)
+        harness.front.close_idle()
+        await reader.read()
+        writer.close()
+        silent, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.front.port
+        )
+        await asyncio.sleep(0.6)
+        harness.front.close_idle()
+        assert await silent.read() == b""
+        writer.close()
+
+
 async def test_a_request_without_a_response_is_answered_before_the_exit() -> (
     None
 ):
