Read settings that change while a process starts

Operators see a process that stays at the store's old address until the next change.

Cause: the settings are read before the event loop starts, and SIGHUP is ignored until then; the watch took the file as it found it for the one that had been read.

Evidence: test_settings_that_change_during_the_start_are_used, which fails before the change.

The watch now reads the file once after the start.

--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -306,7 +306,8 @@
     async def _watch_settings(self) -> None:
         """Reloads the settings file when it changes or on request."""
         path = boot.settings_path()
-        last_modified_ns = _modification_time_ns(path)
+        # The file may have changed since the process read it at its start.
+        last_modified_ns = 0
         while True:
             try:
                 async with asyncio.timeout(
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -11,6 +11,9 @@
 import aiohttp
 import pytest
 
+from hibiscusstile import supervisor
+from hibiscusstile.platform import boot
+from hibiscusstile.roles import gateway as gateway_role
 from hibiscusstile_standins import store as store_lib
 from tests.builders import gatewayprocess as process_lib
 
@@ -86,6 +89,30 @@
         await new_store.close()
 
 
+async def test_settings_that_change_during_the_start_are_used(
+    monkeypatch: pytest.MonkeyPatch, gateway: process_lib.GatewayProcess
+) -> None:
+    """Guards against a process that never reads settings changed early."""
+    monkeypatch.setenv("HIBISCUSSTILE_NODE_FILE", str(gateway.settings))
+    gateway.write_settings(1)
+    role = gateway_role.GatewayRole(
+        boot.load_boot_settings(gateway.settings), gateway.clock
+    )
+    gateway.write_settings(gateway.store.port)
+    root = supervisor.Supervisor("gateway", gateway.clock)
+    assert gateway.process is not None
+    gateway.process.kill()
+    gateway.process.wait()
+    role.build(root)
+    serving = asyncio.ensure_future(root.run())
+    async with aiohttp.ClientSession() as session:
+        await gateway.wait_status(session, 200, 5)
+    serving.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await serving
+    await role.close()
+
+
 async def test_metrics_are_served_on_the_port_of_the_deploy_file(
     gateway: process_lib.GatewayProcess,
 ) -> None:
