--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -130,6 +130,30 @@
         assert status == 200
 
 
+async def test_a_new_connection_stays_open_for_its_first_request() -> None:
+    """Guards against closes between a connect and the request that follows."""
+    async with builders.gateway_harness() as harness:
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.front.port
+        )
+        await harness.until(lambda: harness.front.connections == 1)
+        await asyncio.sleep(0.05)
+        harness.front.close_idle()
+        writer.write(b"GET / HTTP/1.1\r\nHost: callers.example\r\n\r\n")
+        assert await reader.read(12) == b"HTTP/1.1 400"
+        await asyncio.sleep(0.05)
+        harness.front.close_idle()
+        await reader.read()
+        writer.close()
+        silent, writer = await asyncio.open_connection(
+            "127.0.0.1", harness.front.port
+        )
+        await asyncio.sleep(0.6)
+        harness.front.close_idle()
+        assert await silent.read() == b""
+        writer.close()
+
+
 async def test_a_request_without_a_response_is_answered_before_the_exit() -> (
     None
 ):
@@ -168,6 +192,14 @@
     assert _refusal(9.0, after_s=2.5) is not None
 
 
+@pytest.mark.parametrize("grace_s", [0.5, 2.0, 5.0, 8.0, 60.0])
+def test_little_of_a_short_stop_is_reserved(grace_s: float) -> None:
+    """Guards against streams cut long before the kill signal."""
+    schedule = stopping.StopSchedule.after_signal(100.0, grace_s)
+    assert schedule.answer_until_s >= 100.0 + grace_s * 5 / 6
+    assert schedule.answer_until_s < schedule.exit_s < 100.0 + grace_s
+
+
 def test_short_requests_are_taken_for_longer_than_streams() -> None:
     """Guards against an outage for all callers when every process stops."""
     assert _refusal(0.1, after_s=6.0) is None
