Relay final statuses of servers only

What callers saw: a faulty server's 101 or 600 as the response to their request; after a 101 their client takes the connection for another protocol.

Cause: every status below 300 with a stamp counted as a success. aiohttp treats 101 as a final status.

Fix: a status below 200 or above 599 fails the attempt; the request may have run.

Evidence: test_a_status_that_ends_no_request_is_not_relayed, 12 cases; before, all fail, after, none.

--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -34,7 +34,9 @@
     "Accept-Encoding",
     "Content-Type",
 )
+_FIRST_FINAL_STATUS = 200
 _FIRST_REDIRECT_STATUS = 300
+_LAST_STATUS = 599
 _MAX_HEADER_FIELD_BYTES = 65_536
 _EVENT_STREAM = "text/event-stream"
 # Body of a response to another request that is read in order to skip it.
@@ -352,6 +354,12 @@
             outcome.Verdict.MAY_HAVE_RUN,
             f"HTTP status {response.status} without {headers.NOT_RUN}",
         )
+    if not _FIRST_FINAL_STATUS <= response.status <= _LAST_STATUS:
+        raise exchange.AttemptFailed(
+            exchange.FailureCause.LOST,
+            outcome.Verdict.MAY_HAVE_RUN,
+            f"HTTP status {response.status} is not the end of a request",
+        )
     if "Content-Encoding" in response.headers:
         # The gateway itself requests no encoding, so the response is not taken
         # to be the server's.
--- a/tests/gateway/test_cutresponses.py
+++ b/tests/gateway/test_cutresponses.py
@@ -123,6 +123,17 @@
     assert _LONG.startswith(received)
 
 
+@pytest.mark.parametrize("path", _PATHS)
+@pytest.mark.parametrize("status", ["101 Switching", "099 Odd", "600 Odd"])
+async def test_a_status_that_ends_no_request_is_not_relayed(
+    status: str, path: str
+) -> None:
+    """Guards against a caller whose connection switches to no protocol."""
+    response = rawserver.response_bytes("r1", b"", status=status)
+    received, _, complete, _ = await _receive(path, response, "close")
+    assert (received, complete) == (502, True)
+
+
 @pytest.mark.parametrize("end", ["close", "reset"])
 @pytest.mark.parametrize("path", _PLAIN_PATHS)
 @pytest.mark.parametrize(
