Block requests that crash servers when they are sent again

Cause: as for prompt parts, no memory of crashes. Parts do not cover requests without a prompt, or with parts that other requests complete.

Evidence: without the request's own key, the new test's request crashes all six plain services (assert 6 == 3).

Each request has a further key, a digest of workspace, method, host, target and body, and three crashes block it. A crash is now named by the server's id and start time, so a late report of a peer does not count a second time.

--- a/hibiscusstile/gateway/crashcharges.py
+++ b/hibiscusstile/gateway/crashcharges.py
@@ -8,12 +8,20 @@
 
 from hibiscusstile import clock as clock_lib
 
-__all__ = ["ChargedCrash", "Clearance", "Crash", "CrashCharges"]
+__all__ = [
+    "ChargedCrash",
+    "Clearance",
+    "Crash",
+    "CrashCharges",
+    "is_request_key",
+    "request_key",
+]
 
 _FACT_TTL_S = 900.0
-# Reports of one server's crash by several gateways are this close together,
-# and a server takes longer to start again.
-_SAME_CRASH_S = 1.5
+# Reports of one crash by several gateways are at most this far apart; a server
+# may crash again before its new start time is known.
+_SAME_CRASH_S = 10.0
+_REQUEST_KEY_PREFIX = "request:"
 _MAX_CRASHES = 128
 _MAX_KEYS_PER_CRASH = 1024
 _MAX_COMPLETED = 16_384
@@ -24,12 +32,12 @@
     """A crash of a server and what it is charged to.
 
     Attributes:
-        server_id: The server.
+        crash_id: The server and its start time.
         keys: Keys of the requests that the server was running.
         age_s: Seconds since the crash.
     """
 
-    server_id: str
+    crash_id: str
     keys: tuple[str, ...]
     age_s: float = 0.0
 
@@ -52,16 +60,26 @@
     """A crash that is stored.
 
     Attributes:
-        server_id: The server.
+        crash_id: The server and its start time.
         at_s: Time of the crash on the monotonic clock.
         keys: All keys that were charged with it, also those cleared since.
     """
 
-    server_id: str
+    crash_id: str
     at_s: float
     keys: set[str] = dataclasses.field(default_factory=set)
 
 
+def request_key(fingerprint: str) -> str:
+    """Returns the key of a whole request; other keys are prompt parts."""
+    return _REQUEST_KEY_PREFIX + fingerprint
+
+
+def is_request_key(key: str) -> bool:
+    """Returns whether a key stands for a whole request."""
+    return key.startswith(_REQUEST_KEY_PREFIX)
+
+
 class CrashCharges:
     """The crashes that count against each key.
 
@@ -105,9 +123,9 @@
         """Returns whether a request with a key has completed before."""
         return key in self._completed_s
 
-    def note_crash(self, server_id: str, keys: Iterable[str]) -> None:
+    def note_crash(self, crash_id: str, keys: Iterable[str]) -> None:
         """Charges a crash of a server to keys, and announces it."""
-        crash, new_keys = self._charge(server_id, self._clock.monotonic(), keys)
+        crash, new_keys = self._charge(crash_id, self._clock.monotonic(), keys)
         if new_keys:
             self._new_charges.setdefault(crash, []).extend(new_keys)
 
@@ -126,7 +144,7 @@
         """Adds a crash, or further keys of a known one."""
         if crash.age_s < _FACT_TTL_S:
             self._charge(
-                crash.server_id,
+                crash.crash_id,
                 self._clock.monotonic() - crash.age_s,
                 crash.keys,
             )
@@ -142,7 +160,7 @@
         """Removes and returns the facts to announce to other gateways."""
         now_s = self._clock.monotonic()
         crashes = [
-            Crash(each.server_id, tuple(keys), now_s - each.at_s)
+            Crash(each.crash_id, tuple(keys), now_s - each.at_s)
             for each, keys in self._new_charges.items()
         ]
         clearances = [
@@ -166,7 +184,7 @@
         }
         crashes = [
             Crash(
-                each.server_id,
+                each.crash_id,
                 tuple(
                     key
                     for key in each.keys & repeated
@@ -185,11 +203,11 @@
         return crashes, clearances
 
     def _charge(
-        self, server_id: str, at_s: float, keys: Iterable[str]
+        self, crash_id: str, at_s: float, keys: Iterable[str]
     ) -> tuple[ChargedCrash, list[str]]:
         """Charges a crash to keys; returns it with those not yet charged."""
-        crash = self._find_crash(server_id, at_s) or self._add_crash(
-            server_id, at_s
+        crash = self._find_crash(crash_id, at_s) or self._add_crash(
+            crash_id, at_s
         )
         new_keys = [key for key in keys if key not in crash.keys]
         del new_keys[max(0, _MAX_KEYS_PER_CRASH - len(crash.keys)) :]
@@ -231,20 +249,20 @@
         else:
             self._charges.pop(key, None)
 
-    def _find_crash(self, server_id: str, at_s: float) -> ChargedCrash | None:
+    def _find_crash(self, crash_id: str, at_s: float) -> ChargedCrash | None:
         for each in reversed(self._crashes):
             if (
-                each.server_id == server_id
+                each.crash_id == crash_id
                 and abs(each.at_s - at_s) < _SAME_CRASH_S
             ):
                 return each
         return None
 
-    def _add_crash(self, server_id: str, at_s: float) -> ChargedCrash:
+    def _add_crash(self, crash_id: str, at_s: float) -> ChargedCrash:
         self._expire()
         if len(self._crashes) >= _MAX_CRASHES:
             self._remove(min(self._crashes, key=lambda each: each.at_s))
-        crash = ChargedCrash(server_id, at_s)
+        crash = ChargedCrash(crash_id, at_s)
         self._crashes.append(crash)
         return crash
 
--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -1,10 +1,10 @@
-"""Finds prompt parts that crash engines, and blocks requests with them."""
+"""Finds prompt parts and requests that crash servers, and blocks them."""
 
 from __future__ import annotations
 
 import dataclasses
 import datetime
-import hashlib
+import enum
 import random
 from collections.abc import Collection, Iterable
 
@@ -12,9 +12,9 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import crashcharges, exchange
+from hibiscusstile.gateway import crashcharges
 
-__all__ = ["Block", "CrashingParts", "part_keys"]
+__all__ = ["Block", "CrashingParts"]
 
 _log = logbook.Logger("crashingparts")
 
@@ -33,11 +33,34 @@
 _BLOCK_S = 60.0
 _MAX_BLOCK_S = 900.0
 _MAX_JITTER = 2.0
-_MAX_KEY_CHARS = 128
 # A part is cleared as soon as a request with it completes.
 _RETRY_AFTER = datetime.timedelta(seconds=1)
 
 
+class _Suspicion(enum.IntEnum):
+    """Order in which keys with equally many crashes are considered."""
+
+    COMPLETED_PART = 0
+    """Requests with the part have completed before."""
+    REQUEST = 1
+    """A whole request that is sent again."""
+    NEW_PART = 2
+    """No request with the part has completed."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class _Rank:
+    """Order in which suspect keys are considered, the highest first.
+
+    Attributes:
+        crashes: Crashes that count against the key, close ones once.
+        suspicion: Decides between keys with equally many crashes.
+    """
+
+    crashes: int
+    suspicion: _Suspicion
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Block:
     """Why requests with a key must not run.
@@ -53,25 +76,8 @@
     until_s: float
 
 
-def part_keys(request: exchange.ForwardedRequest) -> tuple[str, ...]:
-    """Returns the keys of a request's shared prompt parts.
-
-    The last part belongs to the request or its session alone.
-    """
-    keys = (f"{request.model}/{part.part_id}" for part in request.parts[:-1])
-    return tuple(dict.fromkeys(_bounded(key) for key in keys))
-
-
-def _bounded(key: str) -> str:
-    """Returns a key that fits into a message."""
-    if len(key) <= _MAX_KEY_CHARS:
-        return key
-    data = key.encode(errors="surrogateescape")
-    return hashlib.blake2b(data, digest_size=16).hexdigest()
-
-
 class CrashingParts:
-    """Tells prompt parts that crash engines from those that ran beside them.
+    """Tells keys that crash servers from those that ran beside them.
 
     A crash is charged to all keys of the requests that the server was running,
     and a completed request clears its keys. A key is blocked by the crashes
@@ -110,6 +116,12 @@
             block for block in self._blocks.values() if now_s < block.until_s
         )
 
+    @property
+    def has_blocks(self) -> bool:
+        """Whether any key is or was blocked."""
+        self._update_blocks()
+        return bool(self._blocks)
+
     def refusal(
         self, keys: Iterable[str], verdict: outcome.Verdict
     ) -> outcome.Refusal | None:
@@ -128,8 +140,8 @@
             if block is not None and now_s < block.until_s:
                 return outcome.Refusal(
                     outcome.Reason.SUSPECT,
-                    f"{block.crashes} engines crashed while they ran requests "
-                    f"with the prompt part {key}",
+                    f"{block.crashes} servers crashed while they ran requests "
+                    f"with {_describe(key)}",
                     verdict,
                     _RETRY_AFTER,
                 )
@@ -168,37 +180,46 @@
         explained: set[crashcharges.ChargedCrash] = set()
         blocks: dict[str, Block] = {}
         while suspects:
-            # Crashes that count against each key, and whether it has never
-            # completed.
             ranks = {
-                key: (
-                    _count([each for each in charged if each not in explained]),
-                    not self._charges.has_completed(key),
-                )
+                key: self._rank(key, charged, explained)
                 for key, charged in suspects.items()
             }
             highest = max(ranks.values())
             keys = [key for key, rank in ranks.items() if rank == highest]
-            if not self._suffices(*highest, [suspects[key] for key in keys]):
+            if not self._suffices(highest, [suspects[key] for key in keys]):
                 break
             for key in keys:
                 charged = suspects.pop(key)
-                blocks[key] = self._block(key, highest[0], charged)
+                blocks[key] = self._block(key, highest.crashes, charged)
                 explained.update(charged)
         return blocks
 
+    def _rank(
+        self,
+        key: str,
+        charged: Collection[crashcharges.ChargedCrash],
+        explained: Collection[crashcharges.ChargedCrash],
+    ) -> _Rank:
+        unexplained = [each for each in charged if each not in explained]
+        if crashcharges.is_request_key(key):
+            suspicion = _Suspicion.REQUEST
+        elif self._charges.has_completed(key):
+            suspicion = _Suspicion.COMPLETED_PART
+        else:
+            suspicion = _Suspicion.NEW_PART
+        return _Rank(_count(unexplained), suspicion)
+
     def _suffices(
         self,
-        crashes: int,
-        never_completed: bool,
+        rank: _Rank,
         charged: list[list[crashcharges.ChargedCrash]],
     ) -> bool:
         """Returns whether to block the keys that share the highest rank."""
-        if crashes >= _MIN_CRASHES:
+        if rank.crashes >= _MIN_CRASHES:
             return True
         if (
-            crashes < _MIN_CRASHES_UNCONTESTED
-            or not never_completed
+            rank.crashes < _MIN_CRASHES_UNCONTESTED
+            or rank.suspicion is not _Suspicion.NEW_PART
             or len(charged) > 1
         ):
             return False
@@ -219,6 +240,12 @@
         return Block(key, crashes, _last_s(charged) + length_s)
 
 
+def _describe(key: str) -> str:
+    if crashcharges.is_request_key(key):
+        return "the same content"
+    return f"the prompt part {key}"
+
+
 def _last_s(charged: Collection[crashcharges.ChargedCrash]) -> float:
     return max(each.at_s for each in charged)
 
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -8,7 +8,7 @@
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
     crashdetection,
-    crashingparts,
+    crashevidence,
     enginerates,
     exchange,
     fleet,
@@ -70,7 +70,6 @@
         self._state = state
         self._client = client
         self._crash_detector = crash_detector
-        self._part_keys = crashingparts.part_keys(request)
         self._request = request
         self._writer = writer
         self._destination = destination
@@ -87,6 +86,9 @@
         self._last_failure_s = 0.0
         self._progress = requestprogress.RequestProgress(request.last_event_id)
         self._log = requestlog.RequestLog(state, request, destination)
+        self._evidence = crashevidence.RequestEvidence(
+            state, request, destination
+        )
         self._rates = state.engine_rates(destination.service.name)
         self._prefill_coalescer = prefillcoalescing.PrefillCoalescer(
             state, request, destination.route.target_latency_s, self._rates
@@ -213,10 +215,8 @@
         )
 
     def _refuse_if_suspect(self) -> None:
-        """Refuses a request with a prompt part that crashes engines."""
-        refusal = self._state.crashing_parts.refusal(
-            self._part_keys, self._progress.verdict
-        )
+        """Refuses a request that crashes servers."""
+        refusal = self._evidence.refusal(self._progress.verdict)
         if refusal is not None:
             raise outcome.Refused(refusal)
 
@@ -284,9 +284,7 @@
                     selected.candidate, in_flight, response
                 )
                 if response.head.status < _FIRST_REDIRECT_STATUS:
-                    self._state.crashing_parts.charges.note_completed(
-                        self._part_keys
-                    )
+                    self._evidence.note_completed()
                 return held_error
         finally:
             self._prefill_coalescer.finish()
@@ -334,10 +332,7 @@
         ):
             self._state.health.note_no_response(server)
             return
-        self._state.crashing_parts.charges.note_crash(
-            server.server_id, self._part_keys
-        )
-        self._state.notices.send_soon()
+        self._evidence.note_crash(server)
 
     def _note_rejection(
         self, server_id: str, failure: exchange.AttemptFailed
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -262,7 +262,7 @@
         charges = self._state.crashing_parts.charges
         for crash in notice.crashes:
             charges.merge_crash(
-                crashcharges.Crash(crash.server, crash.keys, crash.age_s)
+                crashcharges.Crash(crash.crash, crash.keys, crash.age_s)
             )
         for clearance in notice.clearances:
             charges.merge_clearance(
@@ -312,7 +312,7 @@
     crashes: list[crashcharges.Crash],
 ) -> tuple[messages.CrashUpdate, ...]:
     return tuple(
-        messages.CrashUpdate(each.server_id, each.keys, each.age_s)
+        messages.CrashUpdate(each.crash_id, each.keys, each.age_s)
         for each in crashes
     )
 
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -142,15 +142,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashUpdate:
-    """A server that has crashed, and what it was running.
+    """A crash of a backend server, and what the server was running.
 
     Attributes:
-        server: Id of the backend server.
-        keys: Prompt parts of the requests that it was running.
+        crash: Id of the server and its start time.
+        keys: Keys of the requests that it was running, and of their parts.
         age_s: Seconds since the crash.
     """
 
-    server: ShortText
+    crash: ShortText
     keys: Annotated[
         tuple[ShortText, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
     ]
@@ -159,10 +159,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClearanceUpdate:
-    """A prompt part that engines have completed since they crashed.
+    """A request or prompt part that a server has completed.
 
     Attributes:
-        key: The prompt part.
+        key: Key of the request or the part.
         age_s: Seconds since the completion.
     """
 
--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -80,7 +80,7 @@
         self._disconnected_requests: list[str] = []
         self._queued_modes: list[str] = []
         self._default_mode = ""
-        self._crash_part = ""
+        self._crash_text = ""
         self._crash_restart_s = 0.0
 
     @classmethod
@@ -158,14 +158,14 @@
         self._default_mode = mode
 
     @server.fault
-    def crash_on_part(self, part_id: str, restart_s: float = 0.5) -> None:
-        """Crashes on each request whose prompt contains a part.
+    def crash_on(self, text: str, restart_s: float = 0.5) -> None:
+        """Crashes on each request with a text in its prompt parts or body.
 
         Args:
-            part_id: Id of the prompt part; empty for none.
+            text: The id of a prompt part, or a piece of the body.
             restart_s: Seconds until the server is back.
         """
-        self._crash_part = part_id
+        self._crash_text = text
         self._crash_restart_s = restart_s
 
     def discovery_entry(
@@ -291,8 +291,10 @@
         )
         if refusal is not None:
             return refusal
-        prompt = request.headers.get("X-Prompt-Prefix", "")
-        if self._crash_part and f"{self._crash_part}:" in prompt:
+        content = request.headers.get("X-Prompt-Prefix", "") + body.decode(
+            "latin1"
+        )
+        if self._crash_text and self._crash_text in content:
             self.crash(self._crash_restart_s)
             await asyncio.Event().wait()
         if mode == "lose_answer":
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -44,6 +44,7 @@
     "gateway_harness",
     "gateway_state",
     "operator_route",
+    "prompt_headers",
     "routing_table",
 ]
 
@@ -180,6 +181,15 @@
     )
 
 
+def prompt_headers(*part_ids: str) -> dict[str, str]:
+    """Returns the headers of a request with a prompt, for `call`."""
+    return {
+        "X_Model": "m1",
+        "X_Token_Usage": f"{500 * len(part_ids)},100",
+        "X_Prompt_Prefix": ",".join(f"{each}:500" for each in part_ids),
+    }
+
+
 def gateway_state(
     clock: clock_lib.Clock, *, zone: str = "z1", reserve: float = 60.0
 ) -> state_lib.GatewayState:
@@ -245,6 +255,14 @@
         await self.until(lambda: self.state.fleet.get(server_id) is not None)
         return runner
 
+    async def add_crashing_runners(
+        self, service_name: str, count: int, text: str, restart_s: float
+    ) -> None:
+        """Adds backend servers that crash on requests with a text."""
+        for number in range(count):
+            runner = await self.add_runner(service_name, f"i-{number}")
+            runner.crash_on(text, restart_s)
+
     async def until(self, condition: Any, timeout_s: float = 5.0) -> None:
         """Polls until a condition is true."""
         clock = clock_lib.SystemClock()
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -1,31 +1,40 @@
-"""Tests of blocking requests whose prompt parts crash engines."""
+"""Tests of blocking prompt parts and requests that crash servers."""
 
 from __future__ import annotations
 
+from hibiscusstile import outcome
+from hibiscusstile.gateway import (
+    crashcharges,
+    crashingparts,
+    notices,
+)
+from hibiscusstile.gateway import state as state_lib
+from hibiscusstile.peers import codec, messages
+from tests import builders as base
 from tests.builders import gateway as builders
 
-_ENGINES = 6
-# The engines stay down for longer than the requests of a test take.
+_SERVERS = 6
+# The servers stay down for longer than the requests of a test take.
 _RESTART_S = 30.0
+_NOT_RUN = outcome.Verdict.NOT_RUN
 
 
-def _prompt(*part_ids: str) -> dict[str, str]:
-    prompt = ",".join(f"{part_id}:500" for part_id in part_ids)
-    return {
-        "X_Model": "m1",
-        "X_Token_Usage": f"{500 * len(part_ids)},100",
-        "X_Prompt_Prefix": prompt,
-    }
+def _table(clock: base.ManualClock) -> crashingparts.CrashingParts:
+    return crashingparts.CrashingParts(clock, jitter=1.0)
 
 
-async def _add_engines(
-    harness: builders.GatewayHarness, crash_part: str
+def _crash(
+    clock: base.ManualClock,
+    table: crashingparts.CrashingParts,
+    *keys: str,
+    after_s: float = 1.0,
 ) -> None:
-    for number in range(_ENGINES):
-        runner = await harness.add_runner(
-            builders.ENGINE_SERVICE, f"i-{number}"
-        )
-        runner.crash_on_part(crash_part, _RESTART_S)
+    clock.advance(after_s)
+    table.charges.note_crash(f"i-{clock.monotonic()}", keys)
+
+
+def _blocked(table: crashingparts.CrashingParts) -> set[str]:
+    return {block.key for block in table.blocks}
 
 
 async def test_requests_with_one_crashing_part_do_not_crash_every_engine() -> (
@@ -33,30 +42,147 @@
 ):
     """Guards against sending on each request that has a crashing part."""
     async with builders.gateway_harness() as harness:
-        await _add_engines(harness, "bad")
-        for number in range(_ENGINES):
-            await harness.call("/question/1", **_prompt("a", f"own{number}"))
-            await harness.until(
-                lambda: not harness.gateway.active, timeout_s=1.0
+        await harness.add_crashing_runners(
+            builders.ENGINE_SERVICE, _SERVERS, "bad", _RESTART_S
+        )
+        for number in range(_SERVERS):
+            await harness.call(
+                "/question/1", **builders.prompt_headers("a", f"own{number}")
             )
             await harness.call(
-                "/question/1", **_prompt("a", "bad", f"last{number}")
+                "/question/1",
+                **builders.prompt_headers("a", "bad", f"last{number}"),
             )
             await harness.state.clock.sleep(builders.CRASH_INTERVAL)
-        crashed = [
-            each.server_id
-            for each in harness.runners
-            if any(
-                "bad:" in arrival.headers["X-Prompt-Prefix"]
-                for arrival in each.arrivals
-            )
-        ]
+        crashes = sum(
+            "bad" in arrival.headers["X-Prompt-Prefix"]
+            for runner in harness.runners
+            for arrival in runner.arrivals
+        )
         status, _, headers = await harness.call(
-            "/question/1", **_prompt("a", "bad", "other")
+            "/question/1", **builders.prompt_headers("a", "bad", "other")
         )
         sound, _, _ = await harness.call(
-            "/question/1", **_prompt("a", "good", "other")
+            "/question/1", **builders.prompt_headers("a", "good", "other")
         )
-    assert len(crashed) <= 3
+    assert crashes <= 3
     assert (status, "Retry-After" in headers) == (503, True)
     assert sound == 200
+
+
+async def test_a_repeated_request_does_not_crash_every_server() -> None:
+    """Guards against sending on a request that crashes its servers."""
+    async with builders.gateway_harness() as harness:
+        await harness.add_crashing_runners(
+            builders.PLAIN_SERVICE, _SERVERS, "bad", _RESTART_S
+        )
+        for _ in range(_SERVERS):
+            await harness.call("/payment/1", body=b"bad")
+            await harness.state.clock.sleep(builders.CRASH_INTERVAL)
+        crashes = sum(len(runner.arrivals) for runner in harness.runners)
+        sound, _, _ = await harness.call("/payment/1", body=b"good")
+    assert crashes == 3
+    assert sound == 200
+
+
+def test_parts_that_completed_since_a_crash_are_not_blocked() -> None:
+    """Guards against refusing sound requests beside a crashing one."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for number in range(4):
+        _crash(clock, table, "m/shared", "m/bad", f"m/own{number}")
+        clock.advance(0.1)
+        table.charges.note_completed(["m/shared"])
+    assert _blocked(table) == {"m/bad"}
+
+
+def test_two_crashes_block_a_new_part_if_no_other_is_suspect() -> None:
+    """Guards against a third crash, and against deciding too early."""
+    for keys, blocked in (
+        (["m/bad", "m/shared"], {"m/bad"}),
+        (["m/bad", "m/other"], set()),
+    ):
+        clock = base.ManualClock()
+        table = _table(clock)
+        table.charges.note_completed(["m/shared"])
+        _crash(clock, table, *keys)
+        _crash(clock, table, *keys)
+        assert _blocked(table) == set()
+        clock.advance(0.2)
+        assert _blocked(table) == blocked
+
+
+def test_crashes_at_the_same_time_block_nothing() -> None:
+    """Guards against blaming requests for the loss of a rack."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for _ in range(5):
+        _crash(clock, table, "m/a", after_s=0.01)
+    clock.advance(1.0)
+    assert _blocked(table) == set()
+
+
+def test_a_block_ends_and_one_more_crash_renews_it() -> None:
+    """Guards against blocks without end and against many trials after one."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for _ in range(3):
+        _crash(clock, table, "m/bad")
+    refusal = table.refusal(["m/bad"], _NOT_RUN)
+    assert refusal is not None
+    assert refusal.reason is outcome.Reason.SUSPECT
+    clock.advance(61.0)
+    assert table.refusal(["m/bad"], _NOT_RUN) is None
+    _crash(clock, table, "m/bad")
+    clock.advance(100.0)
+    assert table.refusal(["m/bad"], _NOT_RUN) is not None
+    clock.advance(1000.0)
+    _crash(clock, table, "m/other")
+    assert _blocked(table) == set()
+
+
+def _deliver(
+    notice: messages.GatewayNotice | None, receiver: notices.NoticeHandler
+) -> None:
+    assert notice is not None
+    envelope = codec.decode(codec.encode(notice, 1))
+    assert isinstance(envelope.message, messages.GatewayNotice)
+    receiver.apply("peer", envelope.message)
+
+
+def test_gateways_tell_each_other_of_crashes_and_completions() -> None:
+    """Guards against each gateway learning from its own crashes only."""
+    clock = base.ManualClock()
+    states = [builders.gateway_state(clock) for _ in range(3)]
+    handlers = [notices.NoticeHandler(state) for state in states]
+    for number in range(4):
+        _crash(clock, states[number % 2].crashing_parts, "m/bad", "m/good")
+        _deliver(handlers[number % 2].next_notice(), handlers[1 - number % 2])
+    states[0].crashing_parts.charges.note_completed(["m/good"])
+    _deliver(handlers[0].next_notice(), handlers[1])
+    # The third gateway has started meanwhile.
+    _deliver(handlers[1].snapshot(), handlers[2])
+    for state in states:
+        assert _blocked(state.crashing_parts) == {"m/bad"}
+
+
+def test_reports_of_one_crash_count_once() -> None:
+    """Guards against a crash that counts once for each gateway."""
+    clock = base.ManualClock()
+    states: list[state_lib.GatewayState] = [
+        builders.gateway_state(clock) for _ in range(2)
+    ]
+    charges = states[0].crashing_parts.charges
+    for age_s in (0.0, 0.5, 1.0, 1.5):
+        charges.merge_crash(crashcharges.Crash("i-1@7", ("m/a",), age_s))
+    assert len(charges.by_key["m/a"]) == 1
+
+
+def test_charges_are_bounded() -> None:
+    """Guards against memory that grows with what peers report."""
+    clock = base.ManualClock()
+    charges = crashcharges.CrashCharges(clock)
+    for number in range(300):
+        keys = tuple(f"m/{number}-{each}" for each in range(1100))
+        charges.merge_crash(crashcharges.Crash(f"i-{number}", keys))
+    assert len(charges.by_key) == 128 * 1024
--- a/tests/gateway/test_noticebatch.py
+++ b/tests/gateway/test_noticebatch.py
@@ -58,13 +58,14 @@
     assert batch.drain(56, 20.0) is None
 
 
-def test_weights_changes_and_claims_are_not_delayed() -> None:
+def test_weights_changes_claims_and_crashes_are_not_delayed() -> None:
     """Guards against requests to engines that load weights meanwhile."""
     for urgent in (
         messages.GatewayNotice(
             changes=(messages.WeightsChangeUpdate("i-1", 0.6),)
         ),
         messages.GatewayNotice(claims=(messages.LeaseClaimUpdate(3),)),
+        messages.GatewayNotice(crashes=(messages.CrashUpdate("i-1", ("a",)),)),
     ):
         batch = noticebatch.NoticeBatch()
         batch.add(_load("i-1", 0))
@@ -72,7 +73,9 @@
         batch.add(_load("i-1", 1))
         assert batch.drain(56, 10.1) is None
         batch.add(urgent)
-        assert batch.drain(56, 10.1) is not None
+        merged = batch.drain(56, 10.1)
+        assert merged is not None
+        assert merged.crashes == urgent.crashes
 
 
 def test_a_batch_fits_into_a_message() -> None:
