Consider prompt parts with more crashes first

Cause: crashes within 0.2 s count once, so five crashes of one part and three of the other, all beside it, both counted as three, and both parts were blocked.

Of keys with equally many counted crashes, the one with more crashes in all is now considered first; the others are blocked only by crashes that it does not explain. The new test has these crashes; before, both parts were blocked.

--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -54,10 +54,12 @@
 
     Attributes:
         crashes: Crashes that count against the key, close ones once.
+        all_crashes: All crashes that count against the key.
         suspicion: Decides between keys with equally many crashes.
     """
 
     crashes: int
+    all_crashes: int
     suspicion: _Suspicion
 
 
@@ -207,7 +209,7 @@
             suspicion = _Suspicion.COMPLETED_PART
         else:
             suspicion = _Suspicion.NEW_PART
-        return _Rank(_count(unexplained), suspicion)
+        return _Rank(_count(unexplained), len(unexplained), suspicion)
 
     def _suffices(
         self,
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -96,6 +96,17 @@
     assert _blocked(table) == {"m/bad"}
 
 
+def test_a_part_of_retried_requests_is_not_blocked_beside_the_cause() -> None:
+    """Guards against blaming requests that met several crashes of another."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    _crash(clock, table, "m/bad", "m/retried")
+    for _ in range(2):
+        _crash(clock, table, "m/bad", after_s=1.0)
+        _crash(clock, table, "m/bad", "m/retried", after_s=0.15)
+    assert _blocked(table) == {"m/bad"}
+
+
 def test_two_crashes_block_a_new_part_if_no_other_is_suspect() -> None:
     """Guards against a third crash, and against deciding too early."""
     for keys, blocked in (
