Keep blocks while the reports of a crash arrive

A blocked part that is still charged now stays blocked until all gateways have had time to report their requests on the last crash. The new test fails without this: m/bad is not blocked.

--- a/hibiscusstile/gateway/crashcharges.py
+++ b/hibiscusstile/gateway/crashcharges.py
@@ -109,6 +109,11 @@
         """Crashes that count against each key, if any."""
         return self._charges
 
+    @property
+    def last_crash_s(self) -> float:
+        """Time of the last crash on the monotonic clock; -inf if none."""
+        return max((each.at_s for each in self._crashes), default=float("-inf"))
+
     @property
     def revision(self) -> int:
         """A number that grows whenever the charges or completions change."""
--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -101,7 +101,8 @@
         )
         self._blocks: dict[str, Block] = {}
         self._revision = 0
-        # When reports of the last crash are complete, on the monotonic clock.
+        # When the reports of the last crash will be complete, on the monotonic
+        # clock; infinite if they are.
         self._reported_s = float("inf")
 
     @property
@@ -158,8 +159,14 @@
         ):
             return
         self._revision = self._charges.revision
-        self._reported_s = float("inf")
-        before, self._blocks = self._blocks, self._compute_blocks()
+        reported_s = self._charges.last_crash_s + _REPORT_S
+        reported = now_s >= reported_s
+        self._reported_s = float("inf") if reported else reported_s
+        before, self._blocks = self._blocks, self._compute_blocks(reported)
+        if not reported:
+            # The missing reports may concern keys that are blocked.
+            for key in before.keys() & self._charges.by_key.keys():
+                self._blocks.setdefault(key, before[key])
         for key in before.keys() - self._blocks.keys():
             metrics.count_crashing_part("cleared")
             logs.event(_log, "part_cleared", key=key)
@@ -173,7 +180,7 @@
                 for_s=round(self._blocks[key].until_s - now_s, 1),
             )
 
-    def _compute_blocks(self) -> dict[str, Block]:
+    def _compute_blocks(self, reported: bool) -> dict[str, Block]:
         suspects = {
             key: charged
             for key, charged in self._charges.by_key.items()
@@ -188,7 +195,7 @@
             }
             highest = max(ranks.values())
             keys = [key for key, rank in ranks.items() if rank == highest]
-            if not self._suffices(highest, [suspects[key] for key in keys]):
+            if not _suffices(highest, len(keys), reported):
                 break
             for key in keys:
                 charged = suspects.pop(key)
@@ -211,26 +218,6 @@
             suspicion = _Suspicion.NEW_PART
         return _Rank(_count(unexplained), len(unexplained), suspicion)
 
-    def _suffices(
-        self,
-        rank: _Rank,
-        charged: list[list[crashcharges.ChargedCrash]],
-    ) -> bool:
-        """Returns whether to block the keys that share the highest rank."""
-        if rank.crashes >= _MIN_CRASHES:
-            return True
-        if (
-            rank.crashes < _MIN_CRASHES_UNCONTESTED
-            or rank.suspicion is not _Suspicion.NEW_PART
-            or len(charged) > 1
-        ):
-            return False
-        reported_s = _last_s(charged[0]) + _REPORT_S
-        if self._clock.monotonic() >= reported_s:
-            return True
-        self._reported_s = reported_s
-        return False
-
     def _block(
         self,
         key: str,
@@ -242,6 +229,24 @@
         return Block(key, crashes, _last_s(charged) + length_s)
 
 
+def _suffices(rank: _Rank, key_count: int, reported: bool) -> bool:
+    """Returns whether to block the keys that share the highest rank.
+
+    Args:
+        rank: Their rank.
+        key_count: Their number.
+        reported: Whether all processes have reported their requests.
+    """
+    if rank.crashes >= _MIN_CRASHES:
+        return True
+    return (
+        rank.crashes >= _MIN_CRASHES_UNCONTESTED
+        and rank.suspicion is _Suspicion.NEW_PART
+        and key_count == 1
+        and reported
+    )
+
+
 def _describe(key: str) -> str:
     if crashcharges.is_request_key(key):
         return "the same content"
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -123,6 +123,21 @@
         assert _blocked(table) == blocked
 
 
+def test_a_block_stays_until_a_crash_is_fully_reported() -> None:
+    """Guards against requests that pass while reports of a crash arrive."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    table.charges.note_completed(["m/other"])
+    for _ in range(3):
+        _crash(clock, table, "m/bad", "m/other")
+    assert _blocked(table) == {"m/bad"}
+    _crash(clock, table, "m/other")
+    assert "m/bad" in _blocked(table)
+    table.charges.note_crash(f"i-{clock.monotonic()}", ["m/bad"])
+    clock.advance(1.0)
+    assert _blocked(table) == {"m/bad"}
+
+
 def test_crashes_at_the_same_time_block_nothing() -> None:
     """Guards against blaming requests for the loss of a rack."""
     clock = base.ManualClock()
