--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -7,11 +7,11 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    attemptfailures,
     crashdetection,
     crashevidence,
     enginerates,
     exchange,
-    fleet,
     load,
     overload,
     prefillcoalescing,
@@ -41,9 +41,6 @@
 _MAX_RESUME_WAIT_S = 1.5
 _FIRST_REDIRECT_STATUS = 300
 _RETRY_AFTER = datetime.timedelta(milliseconds=400)
-# An engine that rejects a request as full and reports no weights version is
-# assumed to load new weights for this long.
-_ASSUMED_WEIGHT_CHANGE_S = 0.25
 
 
 class RequestForwarder:
@@ -69,7 +66,6 @@
     ) -> None:
         self._state = state
         self._client = client
-        self._crash_detector = crash_detector
         self._request = request
         self._writer = writer
         self._destination = destination
@@ -89,6 +85,9 @@
         self._evidence = crashevidence.RequestEvidence(
             state, request, destination
         )
+        self._failure_recorder = attemptfailures.FailureRecorder(
+            state, crash_detector, request, destination, self._evidence
+        )
         self._rates = state.engine_rates(destination.service.name)
         self._prefill_coalescer = prefillcoalescing.PrefillCoalescer(
             state, request, destination.route.target_latency_s, self._rates
@@ -153,7 +152,9 @@
             try:
                 held_error = await self._attempt(selected)
             except exchange.AttemptFailed as failure:
-                await self._note_failure(selected.candidate.server, failure)
+                server = selected.candidate.server
+                self._note_failure(server.server_id, failure)
+                await self._failure_recorder.record(server, failure)
                 self._acquire_retry_or_refuse(failure)
                 continue
             if held_error is None:
@@ -290,11 +291,10 @@
             self._prefill_coalescer.finish()
             server_load.end(in_flight, self._now_s())
 
-    async def _note_failure(
-        self, server: fleet.BackendServer, failure: exchange.AttemptFailed
+    def _note_failure(
+        self, server_id: str, failure: exchange.AttemptFailed
     ) -> None:
-        """Updates exclusions, health and weights after a failed attempt."""
-        server_id = server.server_id
+        """Updates progress and exclusions after a failed attempt."""
         self._last_failure_s = self._now_s()
         self._log.attempt_failed(server_id, failure)
         self._progress.note_failure(failure.verdict)
@@ -302,52 +302,18 @@
         cause = failure.cause
         if cause is exchange.FailureCause.NOT_REACHED:
             self._connect_failures += 1
-            self._state.health.note_unreachable(server)
             self._excluded_until_pause.add(server_id)
-        elif cause is exchange.FailureCause.REPLACED:
-            self._failed_deliveries += 1
-            self._excluded_for_request.add(server_id)
-            self._state.health.note_replaced(server)
-        elif cause in (
+            return
+        self._failed_deliveries += 1
+        if cause in (
             exchange.FailureCause.FULL,
             exchange.FailureCause.OTHER_WEIGHTS,
         ):
-            self._failed_deliveries += 1
             self._excluded_until_pause.add(server_id)
-            if self._destination.service.engine is not None:
-                self._note_rejection(server_id, failure)
-        else:
-            self._failed_deliveries += 1
-            self._progress.note_run(failure.verdict)
-            self._excluded_for_request.add(server_id)
-            await self._note_lost(server, cause)
-
-    async def _note_lost(
-        self, server: fleet.BackendServer, cause: exchange.FailureCause
-    ) -> None:
-        """Records a request that was sent and got no usable response."""
-        if (
-            cause is not exchange.FailureCause.LOST
-            or not await self._crash_detector.has_crashed(server)
-        ):
-            self._state.health.note_no_response(server)
             return
-        self._evidence.note_crash(server)
-
-    def _note_rejection(
-        self, server_id: str, failure: exchange.AttemptFailed
-    ) -> None:
-        """Updates an engine's weights state after it rejected a request."""
-        model = self._request.model
-        if failure.weights_version is not None:
-            self._state.note_weights(server_id, model, failure.weights_version)
-        elif failure.cause is exchange.FailureCause.OTHER_WEIGHTS:
-            # The engine's next response or report tells its version.
-            self._state.weights.forget_version(server_id, model)
-        else:
-            self._state.weights.note_changing(
-                server_id, _ASSUMED_WEIGHT_CHANGE_S
-            )
+        self._excluded_for_request.add(server_id)
+        if cause is not exchange.FailureCause.REPLACED:
+            self._progress.note_run(failure.verdict)
 
     def _acquire_retry_or_refuse(self, failure: exchange.AttemptFailed) -> None:
         """Refuses the request unless it may be sent again.
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -199,6 +199,10 @@
                 for service, each in self._state.all_engine_rates.items()
                 if each.observations
             },
+            "blocked": [
+                {"key": each.key, "crashes": each.crashes}
+                for each in self._state.crashing_parts.blocks
+            ],
             "backend_servers": [
                 {
                     "server": server.server_id,
