--- a/hibiscusstile/gateway/crashcharges.py
+++ b/hibiscusstile/gateway/crashcharges.py
@@ -95,6 +95,8 @@
         self._crashes: list[ChargedCrash] = []
         # Crashes since the last completion, by key.
         self._charges: dict[str, list[ChargedCrash]] = {}
+        # The keys of these with more than one crash.
+        self._repeated: dict[str, list[ChargedCrash]] = {}
         # Time of the last known completion, by key, oldest first.
         self._completed_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -109,6 +111,11 @@
         """Crashes that count against each key, if any."""
         return self._charges
 
+    @property
+    def repeated(self) -> Mapping[str, list[ChargedCrash]]:
+        """Crashes that count against each key with more than one."""
+        return self._repeated
+
     @property
     def last_crash_s(self) -> float:
         """Time of the last crash on the monotonic clock; -inf if none."""
@@ -116,7 +123,10 @@
 
     @property
     def revision(self) -> int:
-        """A number that grows whenever the charges or completions change."""
+        """A number that grows whenever `repeated` changes.
+
+        It also grows when one of its keys completes for the first time.
+        """
         return self._revision
 
     @property
@@ -184,9 +194,7 @@
         """
         self._expire()
         now_s = self._clock.monotonic()
-        repeated = {
-            key for key, charged in self._charges.items() if len(charged) > 1
-        }
+        repeated = self._repeated.keys()
         crashes = [
             Crash(
                 each.crash_id,
@@ -227,16 +235,15 @@
             # The process that charged the key did not know of this.
             self._new_completions[key] = completed_s
             return
-        charges = self._charges.setdefault(key, [])
-        charges.append(crash)
-        self._revision += 1
+        charges = [*self._charges.get(key, ()), crash]
+        self._set_charges(key, charges)
         if completed_s is not None and len(charges) > 1:
             # Tells the other processes that the key has completed before.
             self._new_completions[key] = completed_s
 
     def _clear(self, key: str, at_s: float) -> None:
         last_s = self._completed_s.get(key)
-        if last_s is None and key in self._charges:
+        if last_s is None and key in self._repeated:
             self._revision += 1
         self._completed_s[key] = at_s if last_s is None else max(at_s, last_s)
         self._completed_s.move_to_end(key)
@@ -248,11 +255,15 @@
             self._set_charges(key, remaining)
 
     def _set_charges(self, key: str, charges: list[ChargedCrash]) -> None:
-        self._revision += 1
         if charges:
             self._charges[key] = charges
         else:
             self._charges.pop(key, None)
+        if len(charges) > 1:
+            self._repeated[key] = charges
+        elif self._repeated.pop(key, None) is None:
+            return
+        self._revision += 1
 
     def _find_crash(self, crash_id: str, at_s: float) -> ChargedCrash | None:
         for each in reversed(self._crashes):
--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -181,11 +181,7 @@
             )
 
     def _compute_blocks(self, reported: bool) -> dict[str, Block]:
-        suspects = {
-            key: charged
-            for key, charged in self._charges.by_key.items()
-            if len(charged) >= _MIN_CRASHES_UNCONTESTED
-        }
+        suspects = dict(self._charges.repeated)
         explained: set[crashcharges.ChargedCrash] = set()
         blocks: dict[str, Block] = {}
         while suspects:
