--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -96,6 +96,18 @@
     assert _blocked(table) == {"m/bad"}
 
 
+def test_crashes_without_a_common_cause_block_no_popular_part() -> None:
+    """Guards against refusing sound requests when instances fail."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for number in range(4):
+        _crash(clock, table, "m/shared", f"m/own{number}")
+        clock.advance(0.1)
+        table.charges.note_completed(["m/shared"])
+    clock.advance(1.0)
+    assert _blocked(table) == set()
+
+
 def test_a_part_of_retried_requests_is_not_blocked_beside_the_cause() -> None:
     """Guards against blaming requests that met several crashes of another."""
     clock = base.ManualClock()
