Heed servers that say they leave or want no requests

What callers saw: a backend server that answered with Server-Leaving: 1 got requests until its entry in the store was read, and all of them while the store was down; a server that answered 503 with Retry-After got the next request 60 ms later. Neither header was read.

The headers are read in platform/headers.py, from every response of a server including rejections, 421 and those to reports and orders, and passed on as a field of ResponseHead and AttemptFailed. gateway/serverstatements.py keeps them by server id and start time, and Fleet.usable_servers leaves out such servers, so that new requests, retries, resumed streams, requests that waited for a prefill, and rollouts all heed them.

* A leaving server gets no new request from the head of that response on, for good; a new process at its address has another id or start time.
* A pause lasts until the latest end heard, and is never shortened: the server's own statement counts until its end.
Peers are not told of it.
If all servers of a service pause, callers are refused at once, with the time until the first is back and up to 0.3 s of spread.

--- a/hibiscusstile/gateway/crashdetection.py
+++ b/hibiscusstile/gateway/crashdetection.py
@@ -53,7 +53,11 @@
         finally:
             self._checks.pop(server_id).set()
         listed = self._state.fleet.get(server_id)
-        planned = listed is None or listed.leaving
+        planned = (
+            listed is None
+            or listed.leaving
+            or self._state.server_statements.leaving_server(server) is not None
+        )
         if refused:
             self._note_down(server, planned=planned)
         return refused and not planned
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator
 
 from hibiscusstile import outcome
-from hibiscusstile.gateway import fleet
+from hibiscusstile.gateway import fleet, serverstatements
 
 __all__ = [
     "AttemptFailed",
@@ -122,12 +122,14 @@
         headers: Headers to forward to the caller.
         event_stream: Whether the body is a stream of events.
         weights_version: Version of the weights used, if reported.
+        statement: What the server says of itself.
     """
 
     status: int
     headers: Headers
     event_stream: bool = False
     weights_version: int | None = None
+    statement: serverstatements.ServerStatement = serverstatements.SILENT
 
 
 class FailureCause(enum.Enum):
@@ -154,6 +156,7 @@
         cause: Kind of failure.
         verdict: Whether the server may have run the request.
         weights_version: Version of the server's weights, if reported.
+        statement: What the server says of itself.
     """
 
     def __init__(
@@ -167,6 +170,7 @@
         self.cause = cause
         self.verdict = verdict
         self.weights_version = weights_version
+        self.statement = serverstatements.SILENT
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -9,6 +9,7 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs
+from hibiscusstile.gateway import serverstatements
 
 __all__ = ["BackendServer", "Fleet"]
 
@@ -53,10 +54,18 @@
 
     Args:
         clock: Clock for the grace period after a store outage.
+        statements: What servers say of themselves; none by default.
     """
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self,
+        clock: clock_lib.Clock,
+        statements: serverstatements.ServerStatements | None = None,
+    ) -> None:
         self._clock = clock
+        self._statements = statements or serverstatements.ServerStatements(
+            clock
+        )
         self._servers: dict[str, BackendServer] = {}
         self._servers_by_service: dict[str, dict[str, BackendServer]] = {}
         # Expiry time of entries that expired around an outage of the store.
@@ -86,8 +95,23 @@
         return [
             server
             for server in self._servers_by_service.get(service, {}).values()
+            if not server.leaving and self._statements.accepts_requests(server)
+        ]
+
+    def first_pause_left_s(self, service: str) -> float | None:
+        """Returns when the first paused server accepts requests again.
+
+        Returns None if other servers are usable or none is paused.
+        """
+        if self.usable_servers(service):
+            return None
+        pauses_s = [
+            self._statements.pause_left_s(server)
+            for server in self._servers_by_service.get(service, {}).values()
             if not server.leaving
+            and self._statements.leaving_server(server) is None
         ]
+        return min(pauses_s, default=None)
 
     def put(self, server: BackendServer) -> None:
         """Adds or updates a server."""
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -40,7 +40,6 @@
 # Callers abandon a started stream after 2 s without an event.
 _MAX_RESUME_WAIT_S = 1.5
 _FIRST_REDIRECT_STATUS = 300
-_RETRY_AFTER = datetime.timedelta(milliseconds=400)
 # An engine that rejects a request as full and reports no weights version is
 # assumed to load new weights for this long.
 _ASSUMED_WEIGHT_CHANGE_S = 0.25
@@ -286,10 +285,12 @@
                 "the request failed at a server and cannot be sent again",
                 verdict=self._progress.verdict,
             )
-        raise outcome.refused(
-            outcome.Reason.OVERLOADED,
-            "the request did not run and cannot be sent to a server now",
-            _RETRY_AFTER,
+        raise outcome.Refused(
+            overload.no_server_refusal(
+                self._state.fleet.first_pause_left_s(
+                    self._destination.service.name
+                )
+            )
         )
 
     async def _attempt(
@@ -325,6 +326,9 @@
             async with self._client.send(
                 server, request, self._options(selected.candidate)
             ) as response:
+                self._state.server_statements.note(
+                    server, response.head.statement
+                )
                 held_error = await self._relay.relay(
                     selected.candidate, in_flight, response
                 )
@@ -343,6 +347,7 @@
         """Updates exclusions, health and weights after a failed attempt."""
         server_id = server.server_id
         self._last_failure_s = self._now_s()
+        self._state.server_statements.note(server, failure.statement)
         self._log.attempt_failed(server_id, failure)
         self._progress.note_failure(failure.verdict)
         self._relay.note_failure()
--- a/hibiscusstile/gateway/noticebatch.py
+++ b/hibiscusstile/gateway/noticebatch.py
@@ -35,7 +35,8 @@
     ) -> messages.GatewayNotice | None:
         """Removes the collected notices and returns them as one if it is due.
 
-        Changes of weights, claims of the lease and crashes are due at once.
+        Changes of weights, claims of the lease, crashes and leaving servers are
+        due at once.
 
         Args:
             gateways: Number of gateways in other zones.
@@ -44,7 +45,7 @@
         if not self._notices:
             return None
         is_urgent = any(
-            each.changes or each.claims or each.crashes
+            each.changes or each.claims or each.crashes or each.leaving
             for each in self._notices
         )
         if not is_urgent and now_s < self._sent_s + _interval_s(gateways):
@@ -96,4 +97,7 @@
         clearances=tuple(
             clearance for each in notices for clearance in each.clearances
         )[newest],
+        leaving=tuple(leaving for each in notices for leaving in each.leaving)[
+            newest
+        ],
     )
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -11,7 +11,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from hibiscusstile.gateway import crashcharges, exchange, load
+from hibiscusstile.gateway import crashcharges, exchange, load, serverstatements
 from hibiscusstile.peers import messages
 
 if TYPE_CHECKING:
@@ -130,6 +130,7 @@
         loads: tuple[messages.LoadUpdate, ...],
         crashes: tuple[messages.CrashUpdate, ...] = (),
         clearances: tuple[messages.ClearanceUpdate, ...] = (),
+        leaving: tuple[messages.LeavingUpdate, ...] = (),
     ) -> messages.GatewayNotice | None:
         """Removes the collected updates and returns them with those given.
 
@@ -145,6 +146,7 @@
             tuple(self._prefills_done),
             crashes=crashes,
             clearances=clearances,
+            leaving=leaving,
         )
         for collected in (
             self._prefixes,
@@ -182,6 +184,7 @@
             self._changed_loads(),
             _crash_updates(crashes),
             _clearance_updates(clearances),
+            _leaving_updates(self._state.server_statements.drain()),
         )
 
     def snapshot(self) -> messages.GatewayNotice:
@@ -218,6 +221,7 @@
             ),
             crashes=_crash_updates(crashes),
             clearances=_clearance_updates(clearances),
+            leaving=_leaving_updates(self._state.server_statements.snapshot()),
         )
 
     def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
@@ -251,6 +255,12 @@
                 rates.sizes, rates.observations
             )
         self._apply_charges(notice)
+        for leaving in notice.leaving:
+            self._state.server_statements.note_leaving(
+                serverstatements.LeavingServer(
+                    leaving.server, leaving.started_ms, leaving.age_s, peer_id
+                )
+            )
         for change in notice.changes:
             self._state.weights.note_changing(change.server, change.for_s)
         for weights in notice.weights:
@@ -324,3 +334,12 @@
         messages.ClearanceUpdate(each.key, each.age_s)
         for each in clearances[-messages.MAX_NOTICE_ENTRIES :]
     )
+
+
+def _leaving_updates(
+    leaving: list[serverstatements.LeavingServer],
+) -> tuple[messages.LeavingUpdate, ...]:
+    return tuple(
+        messages.LeavingUpdate(each.server_id, each.started_ms, each.age_s)
+        for each in leaving[-messages.MAX_NOTICE_ENTRIES :]
+    )
--- a/hibiscusstile/gateway/overload.py
+++ b/hibiscusstile/gateway/overload.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import datetime
+import math
+import random
 
 from hibiscusstile import outcome
 
-__all__ = ["refusal"]
+__all__ = ["no_server_refusal", "refusal"]
 
 # While more requests arrive than engines can serve, the queue grows up to the
 # limit and each request waits for as long as the limit allows. A limit above
@@ -19,6 +21,9 @@
 # Callers wait before a retry for up to a third of their timeout, at most 3.3 s.
 _MIN_RETRY_AFTER_S = 0.5
 _MAX_RETRY_AFTER_S = 3.0
+_NO_SERVER_RETRY_AFTER_S = 0.4
+# Callers that were refused for the same pause return over this time.
+_PAUSE_SPREAD_S = 0.3
 
 
 def refusal(
@@ -43,3 +48,26 @@
         "the selected server is not expected to respond in time",
         retry_after=datetime.timedelta(seconds=round(retry_after_s, 2)),
     )
+
+
+def no_server_refusal(pause_left_s: float | None) -> outcome.Refusal:
+    """Returns the refusal of a request that did not run.
+
+    Args:
+        pause_left_s: Time until the first server accepts requests again, if
+            all have asked this process to pause.
+    """
+    if pause_left_s is None:
+        return outcome.Refusal(
+            outcome.Reason.OVERLOADED,
+            "the request did not run and cannot be sent to a server now",
+            retry_after=datetime.timedelta(seconds=_NO_SERVER_RETRY_AFTER_S),
+        )
+    spread_s = random.uniform(0.0, _PAUSE_SPREAD_S)
+    # Rounded up, so that no caller returns before the pause ends.
+    retry_after_s = math.ceil(100 * (pause_left_s + spread_s)) / 100
+    return outcome.Refusal(
+        outcome.Reason.OVERLOADED,
+        "all servers of the service accept no requests at the moment",
+        retry_after=datetime.timedelta(seconds=retry_after_s),
+    )
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -213,7 +213,7 @@
         self._loading_until_s.pop(server.server_id, None)
         await self._drain(server)
         claim = self._lease.held_claim
-        if claim is None:
+        if claim is None or not self._accepts_requests(server):
             self._announce_change(server, 0.0)
             return
         response = await self._orders.change_weights(
@@ -305,7 +305,9 @@
             if seen is not None and seen >= version:
                 self._load_time.observe(self._clock.monotonic() - ordered_s)
                 return
-            if self._state.fleet.get(server.server_id) is None:
+            if self._state.fleet.get(
+                server.server_id
+            ) is None or not self._accepts_requests(server):
                 return
             if self._clock.monotonic() < report_due_s:
                 await self._clock.sleep(_POLL_INTERVAL)
@@ -319,6 +321,9 @@
                 if not report.busy and report.versions.get(model) != version:
                     return
 
+    def _accepts_requests(self, server: fleet.BackendServer) -> bool:
+        return self._state.server_statements.accepts_requests(server)
+
     def _note_report(
         self, server: fleet.BackendServer, report: engineorders.EngineReport
     ) -> None:
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -20,6 +20,7 @@
     prefixstores,
     recentprefills,
     routes,
+    serverstatements,
     servicetimes,
     weights,
 )
@@ -71,11 +72,15 @@
         self._zone = zone
         self._retry_policy = retries
         self._table: routes.RoutingTable | None = None
-        self._fleet = fleet.Fleet(clock)
+        self._notices = notices.NoticeOutbox()
+        # Peers are told of leaving servers at once.
+        self._server_statements = serverstatements.ServerStatements(
+            clock, self._notices.send_soon
+        )
+        self._fleet = fleet.Fleet(clock, self._server_statements)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
         self._weights = weights.WeightsTable(clock)
-        self._notices = notices.NoticeOutbox()
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
@@ -111,6 +116,11 @@
         """Backend servers that the store lists."""
         return self._fleet
 
+    @property
+    def server_statements(self) -> serverstatements.ServerStatements:
+        """What servers say of themselves in their responses."""
+        return self._server_statements
+
     @property
     def health(self) -> health.HealthTable:
         """Health of the backend servers."""
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -22,6 +22,7 @@
     "GatewayConfiguration",
     "GatewayNotice",
     "LeaseClaimUpdate",
+    "LeavingUpdate",
     "LoadUpdate",
     "PrefillDoneUpdate",
     "PrefixUpdate",
@@ -170,6 +171,21 @@
     age_s: Seconds = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeavingUpdate:
+    """A server that has said in a response that it is shutting down.
+
+    Attributes:
+        server: Id of the backend server.
+        started_ms: Its start time as Unix time in ms; 0 if unknown.
+        age_s: Seconds since it said so.
+    """
+
+    server: ShortText
+    started_ms: Count = 0
+    age_s: Seconds = 0.0
+
+
 _Loads = Annotated[
     tuple[LoadUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
@@ -203,6 +219,10 @@
     tuple[ClearanceUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
 
+_Leaving = Annotated[
+    tuple[LeavingUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
+]
+
 
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -219,6 +239,7 @@
     rates: _Rates = ()
     crashes: _Crashes = ()
     clearances: _Clearances = ()
+    leaving: _Leaving = ()
 
 
 @message_types.register()
--- a/hibiscusstile/platform/headers.py
+++ b/hibiscusstile/platform/headers.py
@@ -2,9 +2,14 @@
 
 from __future__ import annotations
 
+import datetime
+import email.utils
+import re
 from collections.abc import Iterable
 
-from hibiscusstile.gateway import exchange
+import multidict
+
+from hibiscusstile.gateway import exchange, serverstatements
 
 __all__ = [
     "AUTHORIZATION",
@@ -13,6 +18,7 @@
     "EXPECTED_VERSION",
     "FETCH_FROM",
     "LAST_EVENT_ID",
+    "LEAVING",
     "MODEL",
     "NOT_RUN",
     "NOT_RUN_STATUSES",
@@ -20,6 +26,7 @@
     "RANK",
     "REQUEST_ID",
     "RESPONSE_DIGEST",
+    "RETRY_AFTER",
     "SAVE_TO",
     "SERVER_ID",
     "TIME_LEFT",
@@ -30,6 +37,7 @@
     "forwarded_request_headers",
     "forwarded_response_headers",
     "parse_prompt_parts",
+    "parse_statement",
     "parse_token_counts",
 ]
 
@@ -39,6 +47,8 @@
 EXPECTED_VERSION = "X-Expect-Version"
 FETCH_FROM = "X-Kv-Fetch"
 LAST_EVENT_ID = "Last-Event-Id"
+# Set to 1 by servers that are shutting down.
+LEAVING = "Server-Leaving"
 MODEL = "X-Model"
 # States that the server did not execute the request; no other header does.
 NOT_RUN = "X-Not-Executed"
@@ -48,6 +58,7 @@
 PROMPT_PARTS = "X-Prompt-Prefix"
 RANK = "X-Request-Priority"
 REQUEST_ID = "X-Request-Id"
+RETRY_AFTER = "Retry-After"
 SAVE_TO = "X-Kv-Save"
 # Digest by which callers check that a response is complete.
 RESPONSE_DIGEST = "X-Response-Stamp"
@@ -96,6 +107,9 @@
 )
 _BODY_TRANSFER = frozenset({"content-length", "expect"})
 _MAX_RANK = 9
+_UNAVAILABLE_STATUS = 503
+_DECIMAL = re.compile(r"[0-9]{1,9}(\.[0-9]*)?|\.[0-9]+")
+_HUGE = re.compile(r"[0-9]{10,}(\.[0-9]*)?")
 
 
 def forwarded_request_headers(
@@ -160,3 +174,55 @@
 def format_rank(rank: int) -> str:
     """Returns a rank as a header value, limited to 0 to 9."""
     return str(max(0, min(_MAX_RANK, rank)))
+
+
+def parse_statement(
+    status: int, received: multidict.CIMultiDictProxy[str], addressed_id: str
+) -> serverstatements.ServerStatement:
+    """Returns what a response says of the server that sent it.
+
+    Args:
+        status: HTTP status.
+        received: Headers as received.
+        addressed_id: Id of the server that the request was sent to.
+    """
+    server_id = received.get(SERVER_ID, "").strip()
+    is_other = server_id not in ("", addressed_id)
+    delays = [
+        delay
+        for value in received.getall(RETRY_AFTER, ())
+        if (delay := _parse_delay(value, received.get("Date", "")))
+    ]
+    return serverstatements.ServerStatement(
+        leaving=any(
+            value.strip() == "1" for value in received.getall(LEAVING, ())
+        ),
+        retry_after=(
+            max(delays, default=None)
+            if status == _UNAVAILABLE_STATUS and not is_other
+            else None
+        ),
+        server_id=server_id if is_other else "",
+    )
+
+
+def _parse_delay(value: str, date: str) -> datetime.timedelta | None:
+    """Returns a delay above 0 s, None if there is none or it is malformed.
+
+    Args:
+        value: Seconds, or an HTTP date.
+        date: Value of the Date header. An HTTP date is compared with it, since
+            the clocks of servers and gateways may differ.
+    """
+    value = value.strip()
+    if _HUGE.fullmatch(value):
+        return datetime.timedelta.max
+    if _DECIMAL.fullmatch(value):
+        return datetime.timedelta(seconds=float(value)) or None
+    try:
+        delay = email.utils.parsedate_to_datetime(
+            value
+        ) - email.utils.parsedate_to_datetime(date)
+    except (TypeError, ValueError):
+        return None
+    return delay if delay > datetime.timedelta(0) else None
--- a/hibiscusstile/platform/orders.py
+++ b/hibiscusstile/platform/orders.py
@@ -6,7 +6,7 @@
 import pydantic
 
 from hibiscusstile import boundedhttp, sockets
-from hibiscusstile.gateway import engineorders, fleet
+from hibiscusstile.gateway import engineorders, fleet, serverstatements
 from hibiscusstile.platform import headers
 
 __all__ = ["HttpOrders"]
@@ -43,9 +43,14 @@
 
 
 class HttpOrders(engineorders.EngineOrders):
-    """Calls the engines' order interface over HTTP."""
+    """Calls the engines' order interface over HTTP.
 
-    def __init__(self) -> None:
+    Args:
+        statements: Records what engines say of themselves.
+    """
+
+    def __init__(self, statements: serverstatements.ServerStatements) -> None:
+        self._statements = statements
         self._session: aiohttp.ClientSession | None = None
 
     async def report(
@@ -57,6 +62,7 @@
                 f"http://{server.address}/v1/report",
                 headers={headers.EXPECTED_SERVER: server.server_id},
             ) as response:
+                self._note_statement(server, response)
                 if response.status != 200:
                     return None
                 parsed = _Report.model_validate_json(
@@ -96,6 +102,7 @@
                 json=body,
                 headers={headers.EXPECTED_SERVER: server.server_id},
             ) as response:
+                self._note_statement(server, response)
                 text = await boundedhttp.read_body(
                     response, _MAX_RESPONSE_BYTES
                 )
@@ -118,6 +125,16 @@
         if self._session is not None:
             await self._session.close()
 
+    def _note_statement(
+        self, server: fleet.BackendServer, response: aiohttp.ClientResponse
+    ) -> None:
+        self._statements.note(
+            server,
+            headers.parse_statement(
+                response.status, response.headers, server.server_id
+            ),
+        )
+
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             self._session = sockets.open_session(_REQUEST_TIMEOUT)
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -13,8 +13,8 @@
 
 from hibiscusstile import boundedhttp, outcome, sockets
 from hibiscusstile.backends import httpsession
-from hibiscusstile.gateway import exchange, fleet
-from hibiscusstile.platform import eventstream, headers
+from hibiscusstile.gateway import exchange, fleet, serverstatements
+from hibiscusstile.platform import eventstream, headers, responsecheck
 
 __all__ = ["HttpServerClient"]
 
@@ -24,7 +24,6 @@
 # Shorter than the servers' own keep-alive time, so that a request is rarely
 # sent on a connection that the server is about to close.
 _KEEP_ALIVE_S = 3.0
-_MISDIRECTED_STATUS = 421
 _MAX_MISMATCHED_RESPONSES = 4
 # Headers that aiohttp would add; requests carry them only if the caller sent
 # them.
@@ -34,7 +33,6 @@
     "Accept-Encoding",
     "Content-Type",
 )
-_FIRST_REDIRECT_STATUS = 300
 _MAX_HEADER_FIELD_BYTES = 65_536
 _EVENT_STREAM = "text/event-stream"
 # Body of a response to another request that is read in order to skip it.
@@ -181,9 +179,12 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise _request_failure(trace, error) from None
         try:
-            _check_response(server, response)
+            statement = headers.parse_statement(
+                response.status, response.headers, server.server_id
+            )
+            responsecheck.check_response(server, response, statement)
             assert isinstance(response, _CheckedResponse)
-            yield _HttpServerResponse(response)
+            yield _HttpServerResponse(response, statement)
         finally:
             # A response that was read to its end has already released its
             # connection.
@@ -235,7 +236,11 @@
 class _HttpServerResponse(exchange.ServerResponse):
     """Response that is read from its HTTP connection."""
 
-    def __init__(self, response: _CheckedResponse) -> None:
+    def __init__(
+        self,
+        response: _CheckedResponse,
+        statement: serverstatements.ServerStatement,
+    ) -> None:
         self._response = response
         received = response.headers
         content_type = received.get("Content-Type", "")
@@ -246,7 +251,8 @@
             ),
             event_stream=response.status == 200
             and content_type.startswith(_EVENT_STREAM),
-            weights_version=_parse_weights_version(response),
+            weights_version=responsecheck.parse_weights_version(response),
+            statement=statement,
         )
 
     @property
@@ -338,54 +344,6 @@
     return outgoing
 
 
-def _check_response(
-    server: fleet.BackendServer, response: aiohttp.ClientResponse
-) -> None:
-    """Raises `AttemptFailed` for a response that is not a valid result."""
-    if response.status == _MISDIRECTED_STATUS:
-        raise exchange.AttemptFailed(
-            exchange.FailureCause.REPLACED
-            if response.headers.get(headers.SERVER_ID, "") != server.server_id
-            else exchange.FailureCause.OTHER_WEIGHTS,
-            outcome.Verdict.NOT_RUN,
-            f"server has ID {response.headers.get(headers.SERVER_ID)}",
-            _parse_weights_version(response),
-        )
-    if headers.NOT_RUN in response.headers:
-        raise exchange.AttemptFailed(
-            exchange.FailureCause.FULL,
-            outcome.Verdict.NOT_RUN,
-            f"rejected with HTTP status {response.status}",
-        )
-    if response.status in headers.NOT_RUN_STATUSES:
-        # Relayed, the status would promise more than the server does.
-        raise exchange.AttemptFailed(
-            exchange.FailureCause.LOST,
-            outcome.Verdict.MAY_HAVE_RUN,
-            f"HTTP status {response.status} without {headers.NOT_RUN}",
-        )
-    if "Content-Encoding" in response.headers:
-        # The gateway itself requests no encoding, so the response is not taken
-        # to be the server's.
-        raise exchange.AttemptFailed(
-            exchange.FailureCause.LOST,
-            outcome.Verdict.MAY_HAVE_RUN,
-            "the response has an unrequested content encoding",
-        )
-    succeeded = response.status < _FIRST_REDIRECT_STATUS
-    if succeeded and headers.RESPONSE_DIGEST not in response.headers:
-        raise exchange.AttemptFailed(
-            exchange.FailureCause.LOST,
-            outcome.Verdict.MAY_HAVE_RUN,
-            "the response has no X-Response-Stamp header",
-        )
-
-
-def _parse_weights_version(response: aiohttp.ClientResponse) -> int | None:
-    text = response.headers.get(headers.WEIGHTS_VERSION, "")
-    return int(text) if text.isdecimal() else None
-
-
 def _request_failure(
     trace: httpsession.RequestTrace, error: Any
 ) -> exchange.AttemptFailed:
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -82,7 +82,7 @@
         self._ingress = ingress.Ingress(
             boot_settings.caller_address, self._gateway, clock
         )
-        self._engine_orders = orders.HttpOrders()
+        self._engine_orders = orders.HttpOrders(self._state.server_statements)
         self._cache_event_feed = cacheevents.CacheEventFeed(self._state)
         self._operators_server = operators.OperatorsServer(
             boot_settings.address, _METRICS_PORT, self._status
--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -18,7 +18,7 @@
 from aiohttp import web
 
 import hibiscusstile_standins
-from hibiscusstile_standins import malformed, server
+from hibiscusstile_standins import malformed, server, statements
 
 __all__ = ["Arrival", "FakeBackendServer"]
 
@@ -48,7 +48,7 @@
 
 
 @hibiscusstile_standins.stand_ins.register()
-class FakeBackendServer(server.StandIn):
+class FakeBackendServer(statements.StatingServer):
     """Serves requests, reports its state and applies loading orders.
 
     Args:
@@ -201,7 +201,7 @@
 
     def application(self) -> web.Application:
         """Returns the web application of the server."""
-        app = server.new_application()
+        app = self.new_stating_application()
         app.router.add_get("/v1/report", self._get_report)
         app.router.add_post("/v1/order", self._post_order)
         app.router.add_get("/healthz", self._get_health)
