--- a/hibiscusstile/gateway/attemptfailures.py
+++ b/hibiscusstile/gateway/attemptfailures.py
@@ -46,7 +46,8 @@
     async def record(
         self, server: fleet.BackendServer, failure: exchange.AttemptFailed
     ) -> None:
-        """Updates the server's health and weights, and charges its crash."""
+        """Updates what is known of the server, and charges its crash."""
+        self._state.server_statements.note(server, failure.statement)
         match failure.cause:
             case exchange.FailureCause.NOT_REACHED:
                 self._state.health.note_unreachable(server)
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -40,7 +40,6 @@
 # Callers abandon a started stream after 2 s without an event.
 _MAX_RESUME_WAIT_S = 1.5
 _FIRST_REDIRECT_STATUS = 300
-_RETRY_AFTER = datetime.timedelta(milliseconds=400)
 
 
 class RequestForwarder:
@@ -287,10 +286,12 @@
                 "the request failed at a server and cannot be sent again",
                 verdict=self._progress.verdict,
             )
-        raise outcome.refused(
-            outcome.Reason.OVERLOADED,
-            "the request did not run and cannot be sent to a server now",
-            _RETRY_AFTER,
+        raise outcome.Refused(
+            overload.no_server_refusal(
+                self._state.fleet.first_pause_left_s(
+                    self._destination.service.name
+                )
+            )
         )
 
     async def _attempt(
@@ -326,6 +327,9 @@
             async with self._client.send(
                 server, request, self._options(selected.candidate)
             ) as response:
+                self._state.server_statements.note(
+                    server, response.head.statement
+                )
                 held_error = await self._relay.relay(
                     selected.candidate, in_flight, response
                 )
