Show what servers say of themselves in the status page

Operators could not see why a listed server gets no requests. The status page of a gateway, which hibiscusctl status prints, has three more fields for each backend server: said_leaving_to, said_leaving_s_ago and paused_for_s.

Further tests: rollouts send no order to such a server (with the check before an order off, an engine that paused while its order waited was ordered), and streams do not resume at one (fails with the filter in Fleet off).

--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -14,6 +14,7 @@
 from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
     configurationrelay,
+    fleet,
     follower,
     notices,
     rollout,
@@ -197,20 +198,32 @@
                 if each.observations
             },
             "backend_servers": [
-                {
-                    "server": server.server_id,
-                    "service": server.service,
-                    "zone": server.zone,
-                    "leaving": server.leaving,
-                    "up": self._state.health.is_up(server.server_id),
-                    "running": self._state.loads.for_server(
-                        server.server_id
-                    ).running,
-                }
+                self._server_status(server)
                 for server in self._state.fleet.servers
             ],
         }
 
+    def _server_status(self, server: fleet.BackendServer) -> dict[str, object]:
+        statements = self._state.server_statements
+        said_leaving = statements.leaving_server(server)
+        return {
+            "server": server.server_id,
+            "service": server.service,
+            "zone": server.zone,
+            "leaving": server.leaving,
+            "said_leaving_to": (
+                said_leaving.source or self._settings.name
+                if said_leaving
+                else ""
+            ),
+            "said_leaving_s_ago": (
+                round(said_leaving.age_s, 1) if said_leaving else ""
+            ),
+            "paused_for_s": round(statements.pause_left_s(server), 1),
+            "up": self._state.health.is_up(server.server_id),
+            "running": self._state.loads.for_server(server.server_id).running,
+        }
+
     def reload(self) -> None:
         """Requests a reload of the settings file."""
         self._reload_requested.set()
--- a/hibiscusstile_standins/statements.py
+++ b/hibiscusstile_standins/statements.py
@@ -34,13 +34,14 @@
         self._says_leaving = leaving
 
     @server.fault
-    def turn_away(self, *retry_after: str) -> None:
+    def turn_away(self, retry_after: str = "", *further: str) -> None:
         """Rejects all requests with status 503.
 
         Args:
-            *retry_after: Values of `Retry-After` headers; none ends this.
+            retry_after: Value of the `Retry-After` header; empty ends this.
+            *further: Values of further such headers.
         """
-        self._retry_after = retry_after
+        self._retry_after = (retry_after, *further) if retry_after else ()
 
     def new_stating_application(self) -> web.Application:
         """Returns an application that sends the statements."""
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -126,3 +126,23 @@
                 assert "Retry-After" in response.headers
         gateway.store.set_down(False)
         await gateway.wait_status(session, 200, 5)
+
+
+async def test_the_status_page_shows_what_servers_say_of_themselves(
+    gateway: process_lib.GatewayProcess,
+) -> None:
+    """Guards against operators who cannot see why a server gets nothing."""
+    async with aiohttp.ClientSession() as session:
+        await gateway.wait_status(session, 200, 10)
+        gateway.engine.say_leaving()
+        gateway.engine.turn_away("30")
+        headers = {**process_lib.HEADERS, "X-Request-Id": "r1"}
+        async with session.post(gateway.url, headers=headers) as response:
+            assert response.status == 503
+        async with session.get(f"{process_lib.METRICS_URL}/status") as response:
+            (row,) = (await response.json())["backend_servers"]
+    assert row["said_leaving_to"] == "g"
+    assert 0.0 <= row["said_leaving_s_ago"] < 5.0
+    assert 20.0 < row["paused_for_s"] <= 30.0
+    log = gateway.log.read_text()
+    assert "server_said_leaving" in log and "server_paused" in log
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -13,6 +13,7 @@
     notices,
     rollout,
     rolloutlease,
+    serverstatements,
 )
 from hibiscusstile.gateway import state as state_lib
 from tests import builders as base
@@ -94,6 +95,36 @@
         assert sum(start_s <= t < start_s + 0.5 for t in times) <= 3
 
 
+async def test_no_order_is_sent_to_a_server_that_wants_none() -> None:
+    """Guards against orders to an engine that leaves or asked for a pause."""
+    setup = _Setup(4)
+    statements = setup.state.server_statements
+    leaving, paused, draining, other = setup.state.fleet.servers
+    statements.note(leaving, serverstatements.ServerStatement(leaving=True))
+    pause = serverstatements.ServerStatement(
+        retry_after=datetime.timedelta(seconds=2)
+    )
+    statements.note(paused, pause)
+    # This one says so while the order waits for its prefills to end.
+    setup.state.loads.for_server(draining.server_id).note_peer_load(
+        "b",
+        load.PeerLoad(1, 90_000, setup.clock.monotonic() + 60),
+        setup.clock.monotonic(),
+    )
+    running = asyncio.ensure_future(setup.run(1.8))
+    changing = setup.state.weights.is_changing
+    async with asyncio.timeout(5):
+        while not changing(draining.server_id):  # noqa: ASYNC110 - `_run` does
+            await asyncio.sleep(0)
+    statements.note(draining, pause)
+    await running
+    ordered = {server_id for _, server_id, _ in setup.engines.orders}
+    assert ordered == {other.server_id}
+    await setup.run(6.0)
+    ordered = {server_id for _, server_id, _ in setup.engines.orders}
+    assert ordered == {each.server_id for each in (paused, draining, other)}
+
+
 async def test_two_processes_never_order_within_one_lease() -> None:
     """Guards against orders of two holders whose leases overlap."""
     clock = _SteppingClock()
--- a/tests/gateway/test_serverstatements.py
+++ b/tests/gateway/test_serverstatements.py
@@ -85,6 +85,21 @@
         assert _count(harness.runners[0]) == 1
 
 
+async def test_a_stream_does_not_resume_at_a_server_that_leaves() -> None:
+    """Guards against resumed streams at a server that has said it leaves."""
+    async with builders.gateway_harness(routes=_ENGINE_ROUTES) as harness:
+        for server_id in ("i-1", "i-2", "i-3"):
+            await harness.add_runner(builders.ENGINE_SERVICE, server_id)
+        leaver, *others = harness.runners
+        leaver.say_leaving()
+        for runner in harness.runners:
+            runner.misbehave("cut", "cut")
+        for number in range(4):
+            await harness.receive("/dossier/1", f"r{number}", X_Model="m1")
+        assert _count(leaver) <= 1
+        assert sum(map(_count, others)) >= 4
+
+
 async def test_a_leaving_server_that_has_been_replaced_binds_its_own_id() -> (
     None
 ):
