--- a/tests/gateway/test_noticebatch.py
+++ b/tests/gateway/test_noticebatch.py
@@ -84,3 +84,13 @@
     assert merged is not None
     assert len(merged.loads) == messages.MAX_NOTICE_ENTRIES
     assert merged.loads[-1].server == f"i-{messages.MAX_NOTICE_ENTRIES + 9}"
+
+
+def test_a_leaving_server_is_told_without_delay() -> None:
+    """Guards against gateways of other zones that send to a leaving server."""
+    batch = noticebatch.NoticeBatch()
+    batch.add(messages.GatewayNotice(claims=(messages.LeaseClaimUpdate(1),)))
+    assert batch.drain(100, 1.0) is not None
+    leaving = (messages.LeavingUpdate("i-1", 7, 0.5),)
+    batch.add(messages.GatewayNotice(leaving=leaving))
+    assert batch.drain(100, 1.001) == messages.GatewayNotice(leaving=leaving)
