Let later crashes not lift the block of a crashing part

Parts of requests that had been beside it got more charges than it by other crashes, were considered first, and explained its crashes.

A part that was blocked on complete reports is now considered before all others until a request with it completes. The new test fails without this.

--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -100,6 +100,8 @@
             random.uniform(1.0, _MAX_JITTER) if jitter is None else jitter
         )
         self._blocks: dict[str, Block] = {}
+        # Keys blocked on complete reports. Later crashes explain them no more.
+        self._confirmed: set[str] = set()
         self._revision = 0
         # When the reports of the last crash will be complete, on the monotonic
         # clock; infinite if they are.
@@ -163,7 +165,9 @@
         reported = now_s >= reported_s
         self._reported_s = float("inf") if reported else reported_s
         before, self._blocks = self._blocks, self._compute_blocks(reported)
-        if not reported:
+        if reported:
+            self._confirmed = set(self._blocks)
+        else:
             # The missing reports may concern keys that are blocked.
             for key in before.keys() & self._charges.by_key.keys():
                 self._blocks.setdefault(key, before[key])
@@ -184,6 +188,10 @@
         suspects = dict(self._charges.repeated)
         explained: set[crashcharges.ChargedCrash] = set()
         blocks: dict[str, Block] = {}
+        for key in self._confirmed & suspects.keys():
+            charged = suspects.pop(key)
+            blocks[key] = self._block(key, _count(charged), charged)
+            explained.update(charged)
         while suspects:
             ranks = {
                 key: self._rank(key, charged, explained)
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -150,6 +150,21 @@
     assert _blocked(table) == {"m/bad"}
 
 
+def test_later_crashes_do_not_lift_a_block() -> None:
+    """Guards against sending on a crashing part beside crashes of another."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for _ in range(2):
+        _crash(clock, table, "m/bad", "m/beside")
+    _crash(clock, table, "m/bad")
+    clock.advance(0.2)
+    assert _blocked(table) == {"m/bad"}
+    for _ in range(2):
+        _crash(clock, table, "m/beside")
+        clock.advance(0.2)
+        assert "m/bad" in _blocked(table)
+
+
 def test_crashes_at_the_same_time_block_nothing() -> None:
     """Guards against blaming requests for the loss of a rack."""
     clock = base.ManualClock()
