Split deadlines, limits on attempts and request parsing from long modules

The deadline of a request, its exclusions and counters of failed attempts, and the parsing of callers' requests are modules of their own now.

--- /dev/null
+++ b/hibiscusstile/gateway/attemptlimits.py
@@ -0,0 +1,70 @@
+"""Which servers a request avoids, and how often it is sent again."""
+
+from __future__ import annotations
+
+from hibiscusstile.gateway import exchange
+
+__all__ = ["AttemptLimits"]
+
+# Attempts that failed at a server, or were rejected by it, after which the
+# request is still sent again; 5xx responses are not counted.
+_MAX_FAILED_DELIVERIES = 5
+# Failed connection attempts after which the request is still sent again.
+_MAX_CONNECT_FAILURES = 6
+# Failures after which another attempt at the server may succeed.
+_PASSING_CAUSES = (
+    exchange.FailureCause.NOT_REACHED,
+    exchange.FailureCause.FULL,
+    exchange.FailureCause.OTHER_WEIGHTS,
+)
+
+
+class AttemptLimits:
+    """Counts the failed attempts of one request."""
+
+    def __init__(self) -> None:
+        self._excluded_until_pause: set[str] = set()
+        self._excluded_for_request: set[str] = set()
+        self._failed_deliveries = 0
+        self._connect_failures = 0
+
+    @property
+    def excluded(self) -> set[str]:
+        """Ids of the servers that the next attempt avoids."""
+        return self._excluded_until_pause | self._excluded_for_request
+
+    @property
+    def delivery_failed(self) -> bool:
+        """Whether a server has received the request and failed."""
+        return self._failed_deliveries > 0
+
+    def excludes_for_request(self, server_id: str) -> bool:
+        """Returns whether a server gets the request no more."""
+        return server_id in self._excluded_for_request
+
+    def exclude(self, server_id: str) -> None:
+        """Excludes a server from all further attempts."""
+        self._excluded_for_request.add(server_id)
+
+    def end_pause(self) -> None:
+        """Allows the servers again that were excluded until a pause."""
+        self._excluded_until_pause.clear()
+
+    def note_failure(
+        self, server_id: str, cause: exchange.FailureCause
+    ) -> None:
+        """Counts a failed attempt and excludes its server."""
+        if cause is exchange.FailureCause.NOT_REACHED:
+            self._connect_failures += 1
+        else:
+            self._failed_deliveries += 1
+        if cause in _PASSING_CAUSES:
+            self._excluded_until_pause.add(server_id)
+        else:
+            self._excluded_for_request.add(server_id)
+
+    def allow_retry_after(self, cause: exchange.FailureCause) -> bool:
+        """Returns whether the request may be sent again after a failure."""
+        if cause is exchange.FailureCause.NOT_REACHED:
+            return self._connect_failures <= _MAX_CONNECT_FAILURES
+        return self._failed_deliveries <= _MAX_FAILED_DELIVERIES
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -8,9 +8,10 @@
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
     attemptfailures,
+    attemptlimits,
     crashdetection,
     crashevidence,
-    enginerates,
+    deadline,
     exchange,
     load,
     overload,
@@ -27,11 +28,6 @@
 
 __all__ = ["RequestForwarder"]
 
-# Attempts that failed at a server, or were rejected by it, after which the
-# request is still sent again; 5xx responses are not counted.
-_MAX_FAILED_DELIVERIES = 5
-# Failed connection attempts after which the request is still sent again.
-_MAX_CONNECT_FAILURES = 6
 # Pause before servers are selected again when none was available.
 _NO_SERVER_PAUSE = datetime.timedelta(milliseconds=60)
 # Share of the target latency for which a request waits for a server.
@@ -68,18 +64,11 @@
         self._request = request
         self._writer = writer
         self._destination = destination
-        self._deadline_s = request.received_s + destination.route.timeout_s
-        if request.caller_timeout_s is not None:
-            self._deadline_s = min(
-                self._deadline_s, request.received_s + request.caller_timeout_s
-            )
-        self._is_stopping = False
-        self._timeout: asyncio.Timeout | None = None
+        self._deadline = deadline.RequestDeadline(
+            request, destination.route, state.clock
+        )
         self._refusal: outcome.Refusal | None = None
-        self._excluded_until_pause: set[str] = set()
-        self._excluded_for_request: set[str] = set()
-        self._failed_deliveries = 0
-        self._connect_failures = 0
+        self._limits = attemptlimits.AttemptLimits()
         self._last_failure_s = 0.0
         self._progress = requestprogress.RequestProgress(request.last_event_id)
         self._log = requestlog.RequestLog(state, request, destination)
@@ -105,6 +94,11 @@
         )
         self._last_error_response: relaying.HeldError | None = None
 
+    @property
+    def deadline(self) -> deadline.RequestDeadline:
+        """When the request must have its final response."""
+        return self._deadline
+
     @property
     def route_name(self) -> str:
         """Name of the request's route."""
@@ -122,25 +116,24 @@
         one has started.
         """
         self._state.budget(self._destination.service.name).note_first_attempt()
-        remaining_s = self._deadline_s - self._now_s()
         # Stays if writing to the caller raises an exception.
         result = "caller_lost"
         try:
-            try:
-                async with asyncio.timeout(max(0.0, remaining_s)) as timeout:
-                    self._timeout = timeout
-                    await self._attempt_until_answered()
-            finally:
-                self._timeout = None
+            async with self._deadline.enforced():
+                await self._attempt_until_answered()
             result = "served"
-            self._note_service_time()
+            self._state.service_times.note(
+                self.route_name, self.elapsed_s, self._now_s()
+            )
         except TimeoutError:
             result = "timed_out"
             if self._relay.unfinished_server is not None:
                 self._state.health.note_no_response(
                     self._relay.unfinished_server
                 )
-            await self._finish_failed(self._expiry_refusal())
+            await self._finish_failed(
+                self._deadline.refusal(self._progress.verdict)
+            )
         except outcome.Refused as refused:
             result = refused.refusal.reason.value
             self._refusal = refused.refusal
@@ -156,40 +149,6 @@
                 self._progress.runs,
             )
 
-    def answer_by(self, deadline_s: float) -> None:
-        """Makes the deadline earlier, since the process stops.
-
-        Args:
-            deadline_s: Time for the final response, on the monotonic clock.
-        """
-        if deadline_s >= self._deadline_s:
-            return
-        self._deadline_s = deadline_s
-        self._is_stopping = True
-        if self._timeout is not None and not self._timeout.expired():
-            remaining_s = max(0.0, deadline_s - self._now_s())
-            self._timeout.reschedule(
-                asyncio.get_running_loop().time() + remaining_s
-            )
-
-    def _expiry_refusal(self) -> outcome.Refusal:
-        if self._is_stopping:
-            return outcome.Refusal(
-                outcome.Reason.LEAVING,
-                "the instance stops before a server has responded",
-                self._progress.verdict,
-            )
-        return outcome.Refusal(
-            outcome.Reason.EXPIRED,
-            "no complete response before the deadline",
-            self._progress.verdict,
-        )
-
-    def _note_service_time(self) -> None:
-        self._state.service_times.note(
-            self.route_name, self.elapsed_s, self._now_s()
-        )
-
     async def _attempt_until_answered(self) -> None:
         while True:
             selected = await self._next_server()
@@ -207,7 +166,7 @@
             if not (self._may_run_again() and self._acquire_retry()):
                 await self._send_last_error()
                 return
-            self._excluded_for_request.add(selected.candidate.server.server_id)
+            self._limits.exclude(selected.candidate.server.server_id)
 
     async def _next_server(self) -> selection.SelectedServer:
         """Returns the server for the next attempt.
@@ -222,7 +181,7 @@
                 self._destination.service,
                 self._selection_context(),
                 self._destination.cache_scope,
-                self._excluded_until_pause | self._excluded_for_request,
+                self._limits.excluded,
             )
             if selected is not None:
                 self._refuse_if_overloaded(selected)
@@ -234,7 +193,7 @@
                 continue
             if not self._may_wait_for_server():
                 self._refuse_further_attempts()
-            self._excluded_until_pause.clear()
+            self._limits.end_pause()
             await self._state.clock.sleep(_NO_SERVER_PAUSE)
 
     def _may_wait_for_server(self) -> bool:
@@ -247,7 +206,7 @@
             self._destination.service.name
         )
         if all(
-            server.server_id in self._excluded_for_request
+            self._limits.excludes_for_request(server.server_id)
             for server in usable_servers
         ):
             return False
@@ -267,7 +226,7 @@
 
     def _refuse_if_overloaded(self, selected: selection.SelectedServer) -> None:
         """Refuses a request that the selected server would answer too late."""
-        if self._writer.started or self._failed_deliveries:
+        if self._writer.started or self._limits.delivery_failed:
             return
         refusal = overload.refusal(
             selected.expected_s,
@@ -315,7 +274,7 @@
             memory_tokens=request.prompt_tokens + request.max_output_tokens,
             sent_s=self._now_s(),
             expected_s=selected.expected_s,
-            work=_observable_work(selected),
+            work=selected.observable_work,
         )
         self._progress.note_attempt(server.address)
         self._log.server_selected(selected)
@@ -348,20 +307,11 @@
         self._log.attempt_failed(server_id, failure)
         self._progress.note_failure(failure.verdict)
         self._relay.note_failure()
-        cause = failure.cause
-        if cause is exchange.FailureCause.NOT_REACHED:
-            self._connect_failures += 1
-            self._excluded_until_pause.add(server_id)
-            return
-        self._failed_deliveries += 1
-        if cause in (
-            exchange.FailureCause.FULL,
-            exchange.FailureCause.OTHER_WEIGHTS,
+        self._limits.note_failure(server_id, failure.cause)
+        if failure.cause in (
+            exchange.FailureCause.LOST,
+            exchange.FailureCause.STALLED,
         ):
-            self._excluded_until_pause.add(server_id)
-            return
-        self._excluded_for_request.add(server_id)
-        if cause is not exchange.FailureCause.REPLACED:
             self._progress.note_run(failure.verdict)
 
     def _acquire_retry_or_refuse(self, failure: exchange.AttemptFailed) -> None:
@@ -377,14 +327,11 @@
                 " run again",
                 verdict=self._progress.verdict,
             )
-        if failure.cause is exchange.FailureCause.NOT_REACHED:
-            # No server received the request, so a retry needs no token from the
-            # budget.
-            if self._connect_failures <= _MAX_CONNECT_FAILURES:
-                return
-        elif (
-            self._failed_deliveries <= _MAX_FAILED_DELIVERIES
-            and self._acquire_retry()
+        # If no server received the request, a retry needs no token from the
+        # budget.
+        if self._limits.allow_retry_after(failure.cause) and (
+            failure.cause is exchange.FailureCause.NOT_REACHED
+            or self._acquire_retry()
         ):
             return
         self._refuse_further_attempts()
@@ -430,7 +377,7 @@
             self._request,
             self._destination,
             candidate,
-            time_left_s=self._deadline_s - self._now_s(),
+            time_left_s=self._deadline.time_left_s,
             last_event_id=self._progress.last_event_id,
             new_connection=self._progress.repeats_address,
         )
@@ -446,16 +393,3 @@
 
     def _now_s(self) -> float:
         return self._state.clock.monotonic()
-
-
-def _observable_work(
-    selected: selection.SelectedServer,
-) -> enginerates.FirstTokenWork | None:
-    """Returns the work whose time tells how fast the engine is.
-
-    A request that waits for a slot tells how long others run.
-    """
-    candidate = selected.candidate
-    if candidate.running >= candidate.server.slots:
-        return None
-    return selected.work
--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -107,6 +107,16 @@
     unloaded_s: float = 0.0
     work: enginerates.FirstTokenWork | None = None
 
+    @property
+    def observable_work(self) -> enginerates.FirstTokenWork | None:
+        """The work, if its time will tell how fast the engine is.
+
+        None for a request that waits for a slot: it tells how long others run.
+        """
+        if self.candidate.running >= self.candidate.server.slots:
+            return None
+        return self.work
+
 
 class Selection(abc.ABC):
     """Strategy that selects one of several servers."""
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -81,7 +81,7 @@
         """
         self._schedule = schedule
         for forwarder in self._forwarders:
-            forwarder.answer_by(schedule.answer_until_s)
+            forwarder.deadline.end_by(schedule.answer_until_s)
 
     async def serve(
         self,
@@ -184,7 +184,7 @@
             destination,
         )
         if self._schedule is not None:
-            forwarder.answer_by(self._schedule.answer_until_s)
+            forwarder.deadline.end_by(self._schedule.answer_until_s)
         self._forwarders.add(forwarder)
         try:
             await forwarder.run()
--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -12,12 +12,11 @@
 from hibiscusstile import outcome
 from hibiscusstile.entry import listener
 from hibiscusstile.gateway import exchange, routes, service
-from hibiscusstile.platform import headers
+from hibiscusstile.platform import callerrequests, headers
 
 __all__ = ["Ingress", "ReadinessServer", "http_status"]
 
 _READY_PATH = "/v1/ready"
-_AUTHORIZATION_SCHEME = "token "
 _LISTEN_BACKLOG = 1024
 _MAX_HEADERS = 128
 # A request whose body takes longer is refused: its caller is likely gone.
@@ -200,55 +199,13 @@
                 outcome.Reason.SLOW_CLIENT,
                 "the request body did not arrive in time",
             )
-        return _parse_request(request, body, received_s)
+        return callerrequests.parse_request(request, body, received_s)
 
 
 def _is_reused(protocol: object) -> bool:
     return isinstance(protocol, listener.HttpProtocol) and protocol.reused
 
 
-def _parse_request(
-    request: web.BaseRequest, body: bytes, received_s: float
-) -> exchange.ForwardedRequest | outcome.Refusal:
-    received = request.headers
-    request_id = received.get(headers.REQUEST_ID, "")
-    target = request.raw_path
-    if not request_id or not target.startswith("/"):
-        return outcome.Refusal(
-            outcome.Reason.BAD_REQUEST,
-            "the X-Request-Id header is missing, or the target is not a path",
-        )
-    time_left_ms = received.get(headers.TIME_LEFT, "").strip()
-    authorization = received.get(headers.AUTHORIZATION, "")
-    key = ""
-    if authorization.lower().startswith(_AUTHORIZATION_SCHEME):
-        key = authorization[len(_AUTHORIZATION_SCHEME) :].strip()
-    parts = headers.parse_prompt_parts(received.get(headers.PROMPT_PARTS, ""))
-    prompt_tokens, output_tokens = headers.parse_token_counts(
-        received.get(headers.TOKEN_COUNTS, "")
-    )
-    return exchange.ForwardedRequest(
-        request_id=request_id,
-        method=request.method,
-        target=target,
-        host=received.get("Host", ""),
-        key=key,
-        headers=headers.forwarded_request_headers(
-            received.items(), received.get("Connection", "")
-        ),
-        body=body,
-        received_s=received_s,
-        caller_timeout_s=int(time_left_ms) / 1000
-        if time_left_ms.isdecimal()
-        else None,
-        model=received.get(headers.MODEL, ""),
-        parts=parts,
-        prompt_tokens=prompt_tokens or sum(part.tokens for part in parts),
-        max_output_tokens=output_tokens,
-        last_event_id=received.get(headers.LAST_EVENT_ID, ""),
-    )
-
-
 class _HttpResponseWriter(exchange.ResponseWriter):
     """Writes the response to one HTTP request."""
 
