--- a/hibiscusstile/ctl/log_summary.py
+++ b/hibiscusstile/ctl/log_summary.py
@@ -16,6 +16,7 @@
         "store_lost",
         "store_back",
         "server_suspected",
+        "server_kept",
         "server_gone",
         "prefix_store_lost",
         "prefix_store_back",
--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 import logbook
@@ -147,7 +148,7 @@
         if server_id not in self._servers:
             return
         if self._clock.monotonic() < self._keep_expired_until_s:
-            self._expired_at_s.setdefault(server_id, self._clock.monotonic())
+            self._keep(self._servers[server_id])
             return
         self._drop(server_id)
 
@@ -164,14 +165,37 @@
 
     def note_store_lost(self) -> None:
         """Records that the store of server entries does not respond."""
-        self._keep_expired_until_s = float("inf")
+        self._keep_expired_until_s = math.inf
 
     def note_store_back(self) -> None:
         """Records that the store responds again."""
-        if self._keep_expired_until_s == float("inf"):
+        if self._keep_expired_until_s == math.inf:
             self._keep_expired_until_s = (
                 self._clock.monotonic() + _OUTAGE_GRACE_S
             )
+            if self._expired_at_s:
+                logs.event(
+                    _log,
+                    "servers_kept",
+                    servers=len(self._expired_at_s),
+                    for_s=_OUTAGE_GRACE_S,
+                )
+
+    def _keep(self, server: BackendServer) -> None:
+        now_s = self._clock.monotonic()
+        if server.server_id in self._expired_at_s:
+            return
+        self._expired_at_s[server.server_id] = now_s
+        for_s = self._keep_expired_until_s - now_s
+        logs.event(
+            _log,
+            "server_kept",
+            server=server.server_id,
+            service=server.service,
+            leaving=server.leaving,
+            # Without an end while the store does not respond.
+            for_s=round(for_s, 3) if math.isfinite(for_s) else None,
+        )
 
     def _drop_expired(self) -> None:
         if not self._expired_at_s:
@@ -182,9 +206,14 @@
             self._drop(server_id)
 
     def _drop(self, server_id: str) -> None:
-        self._expired_at_s.pop(server_id, None)
+        now_s = self._clock.monotonic()
+        kept_s = now_s - self._expired_at_s.pop(server_id, now_s)
         server = self._servers.pop(server_id)
         self._servers_by_service[server.service].pop(server_id, None)
         logs.event(
-            _log, "server_gone", server=server_id, service=server.service
+            _log,
+            "server_gone",
+            server=server_id,
+            service=server.service,
+            kept_s=round(kept_s, 3),
         )
--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -75,6 +75,9 @@
         self._pause = pause
         self._offset: int | None = None
         self._failures = 0
+        self._read_started_s = 0.0
+        self._lost_s = 0.0
+        self._last_failed_read_s = 0.0
         self._wait = _INITIAL_WAIT
 
     def restart(self) -> None:
@@ -87,6 +90,7 @@
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         while True:
+            self._read_started_s = self._clock.monotonic()
             if self._offset is None:
                 succeeded = await self._read_all()
             else:
@@ -114,6 +118,13 @@
             self._note_failure(records.message)
             return False
         if isinstance(records, topics.Trimmed):
+            logs.event(
+                _log,
+                "history_trimmed",
+                topic=self._topic,
+                offset=offset,
+                first=records.first,
+            )
             self._offset = None
             return True
         self._note_success()
@@ -140,18 +151,32 @@
         return True
 
     def _note_failure(self, message: str) -> None:
+        now_s = self._clock.monotonic()
         if not self._failures:
-            logs.warn(_log, "store_lost", topic=self._topic, error=message)
+            logs.warn(
+                _log,
+                "store_lost",
+                topic=self._topic,
+                error=message,
+                read_s=round(now_s - self._read_started_s, 3),
+            )
+            self._lost_s = now_s
             self._consumer.note_lost()
+        self._last_failed_read_s = self._read_started_s
         self._failures += 1
 
     def _note_success(self) -> None:
         if self._failures:
+            now_s = self._clock.monotonic()
             logs.warn(
                 _log,
                 "store_back",
                 topic=self._topic,
                 failures=self._failures,
+                lost_s=round(now_s - self._lost_s, 3),
+                last_failed_read_s_ago=round(
+                    now_s - self._last_failed_read_s, 3
+                ),
             )
             self._consumer.note_back()
             self._wait = _INITIAL_WAIT
