Read the newest entries at once when the history was dropped

Callers' requests reached a server whose removal had been dropped from the topic's history for one pause (0.6 x drain_ms, 1.2 s) longer: a read that is answered 410 counted as a read, so the newest records were read only after the pause.

--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -126,7 +126,7 @@
                 first=records.first,
             )
             self._offset = None
-            return True
+            return await self._read_all()
         self._note_success()
         self._wait = (
             _INITIAL_WAIT
--- a/tests/builders/rollout.py
+++ b/tests/builders/rollout.py
@@ -19,11 +19,14 @@
         self.payloads: dict[str, list[bytes]] = {}
         self.down = False
         self.lose_next = False
+        self.trimmed_before = 0
+        self.newest_reads = 0
 
     async def read_newest(
         self, topic: str
     ) -> topics.NewestRecords | platform.LogUnavailable:
         """Returns no records, as rollouts read no keyed topics."""
+        self.newest_reads += 1
         return topics.NewestRecords((), len(self.payloads.get(topic, [])))
 
     async def read(
@@ -32,6 +35,8 @@
         """Returns the records from an offset on."""
         if self.down:
             return platform.LogUnavailable("down")
+        if offset < self.trimmed_before:
+            return topics.Trimmed(self.trimmed_before)
         kept = self.payloads.get(topic, [])
         return topics.RecordBatch(tuple(kept[offset:]), offset, len(kept))
 
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -76,3 +76,30 @@
         assert log.waits_s[-1] == 8.0
     finally:
         task.cancel()
+
+
+async def test_a_trimmed_topic_is_read_anew_without_a_pause() -> None:
+    """Guards against a leaving server that is used for one pause more."""
+    clock = base.YieldingClock()
+    state = builders.gateway_state(clock)
+    log = rollouts.MemoryLog()
+    await log.append("t", topics.encode_keyed_record("i-1", b"x"))
+    log.trimmed_before = 1
+    reader = follower.KeyedFollower(
+        log,
+        "t",
+        consumers.ServerEntryConsumer(state),
+        clock,
+        datetime.timedelta(seconds=1.2),
+    )
+    task = asyncio.ensure_future(reader.run())
+    try:
+        while log.newest_reads < 1:
+            await asyncio.sleep(0)
+        log.trimmed_before = 2
+        started_s = clock.monotonic()
+        while log.newest_reads < 2:
+            await asyncio.sleep(0)
+        assert clock.monotonic() - started_s < 1.3
+    finally:
+        task.cancel()
