End the grace period of unlisted servers by the stable window

A gateway that had been cut off from the store sent requests to a server that had left meanwhile, up to 2.2 s after its first successful read. That read comes up to 2.5 s after the path has healed (a read that hangs, the retry delay), while the bound on leaving servers holds again stable_window_ms (3 s) after the heal. The grace period counted from the moment at which this process noticed the store's return.

It now ends 0.9 x stable_window_ms after the start of the last failed read, the earliest moment at which the store may have been back, and at the latest 2.2 s after the first successful one, by which entries that expired are back. An outage keeps no servers that were already missing after the one before. stable_window_ms is read from the settings.

test_the_time_to_notice_that_the_store_is_back_prolongs_no_grace and test_a_second_outage_keeps_no_server_that_the_first_one_kept fail with the previous logic and pass now.

--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
 import math
 from collections.abc import Iterable, Mapping
 
@@ -19,6 +20,9 @@
 # Servers whose entries expired during an outage of the store register again
 # within about 2 s of its recovery; reading the entries takes up to 0.2 s more.
 _OUTAGE_GRACE_S = 2.2
+_DEFAULT_STABLE_WINDOW = datetime.timedelta(seconds=3)
+# The rest is for requests that are under way to a server.
+_KEPT_SHARE = 0.9
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,14 +60,18 @@
     Args:
         clock: Clock for the grace period after a store outage.
         statements: What servers say of themselves; none by default.
+        stable_window: Time after an outage of the store from which unlisted
+            servers must get no requests.
     """
 
     def __init__(
         self,
         clock: clock_lib.Clock,
         statements: serverstatements.ServerStatements | None = None,
+        stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
     ) -> None:
         self._clock = clock
+        self._max_kept_s = _KEPT_SHARE * stable_window.total_seconds()
         self._statements = statements or serverstatements.ServerStatements(
             clock
         )
@@ -165,21 +173,32 @@
 
     def note_store_lost(self) -> None:
         """Records that the store of server entries does not respond."""
+        # This outage is no reason to keep servers for longer that were missing
+        # after an earlier one.
+        self._drop_expired()
         self._keep_expired_until_s = math.inf
 
-    def note_store_back(self) -> None:
-        """Records that the store responds again."""
-        if self._keep_expired_until_s == math.inf:
-            self._keep_expired_until_s = (
-                self._clock.monotonic() + _OUTAGE_GRACE_S
+    def note_store_back(self, last_failed_s: float) -> None:
+        """Records that the store responds again.
+
+        Args:
+            last_failed_s: Monotonic time at which the last failed read began.
+                The store may have been back at any time since, so the grace
+                period counts from then.
+        """
+        if self._keep_expired_until_s != math.inf:
+            return
+        now_s = self._clock.monotonic()
+        self._keep_expired_until_s = min(
+            last_failed_s + self._max_kept_s, now_s + _OUTAGE_GRACE_S
+        )
+        if self._expired_at_s:
+            logs.event(
+                _log,
+                "servers_kept",
+                servers=len(self._expired_at_s),
+                for_s=round(self._keep_expired_until_s - now_s, 3),
             )
-            if self._expired_at_s:
-                logs.event(
-                    _log,
-                    "servers_kept",
-                    servers=len(self._expired_at_s),
-                    for_s=_OUTAGE_GRACE_S,
-                )
 
     def _keep(self, server: BackendServer) -> None:
         now_s = self._clock.monotonic()
--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -45,8 +45,13 @@
     def note_lost(self) -> None:
         """Called when reading the topic starts to fail."""
 
-    def note_back(self) -> None:
-        """Called when the topic can be read again."""
+    def note_back(self, last_failed_s: float) -> None:
+        """Called when the topic can be read again.
+
+        Args:
+            last_failed_s: Monotonic time at which the last failed read began.
+                The store may have been back at any time since.
+        """
 
 
 class KeyedFollower:
@@ -178,7 +183,7 @@
                     now_s - self._last_failed_read_s, 3
                 ),
             )
-            self._consumer.note_back()
+            self._consumer.note_back(self._last_failed_read_s)
             self._wait = _INITIAL_WAIT
         self._failures = 0
 
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
 from collections.abc import Mapping
 
 import logbook
@@ -33,6 +34,7 @@
 # that has just started has not discovered its peers yet.
 _MIN_PROCESSES = 6
 _DEFAULT_MAX_HELD_BODY_BYTES = 1024 * 1024
+_DEFAULT_STABLE_WINDOW = datetime.timedelta(seconds=3)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +60,8 @@
         retries: Limits on retries.
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
+        stable_window: Time after an outage of the store from which unlisted
+            servers must get no requests.
     """
 
     def __init__(
@@ -66,6 +70,7 @@
         zone: str,
         retries: RetryPolicy,
         max_held_body_bytes: int = _DEFAULT_MAX_HELD_BODY_BYTES,
+        stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
     ) -> None:
         self._clock = clock
         self._max_held_body_bytes = max_held_body_bytes
@@ -77,7 +82,7 @@
         self._server_statements = serverstatements.ServerStatements(
             clock, self._notices.send_soon
         )
-        self._fleet = fleet.Fleet(clock, self._server_statements)
+        self._fleet = fleet.Fleet(clock, self._server_statements, stable_window)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
         self._weights = weights.WeightsTable(clock)
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -29,6 +29,7 @@
 
 class _Bounds(_FileModel):
     drain_ms: Annotated[float, pydantic.Field(gt=0)] = 2000
+    stable_window_ms: Annotated[float, pydantic.Field(gt=0)] = 3000
     grace_s: float = 8
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50
@@ -69,6 +70,8 @@
         store_address: Address of the platform's store.
         drain_s: Time after its announcement at which a leaving server must
             get no new requests.
+        stable_window_s: Time after a disturbance of the store from which
+            bounds on times hold again.
         grace_s: Time between the stop signal and the kill signal.
         retry_share: Retries earned by each request, over all processes.
         retry_reserve: Further retries allowed, over all processes.
@@ -87,6 +90,7 @@
     ready_address: str
     store_address: str
     drain_s: float
+    stable_window_s: float
     grace_s: float
     retry_share: float
     retry_reserve: float
@@ -138,6 +142,7 @@
         ready_address=parsed.listen.ready,
         store_address=parsed.platform.address,
         drain_s=parsed.bounds.drain_ms / 1000,
+        stable_window_s=parsed.bounds.stable_window_ms / 1000,
         grace_s=parsed.bounds.grace_s,
         retry_share=parsed.bounds.retry_budget_ratio,
         retry_reserve=parsed.bounds.budget_slack,
--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -94,9 +94,9 @@
         """Records that entries may expire while their servers still run."""
         self._state.fleet.note_store_lost()
 
-    def note_back(self) -> None:
+    def note_back(self, last_failed_s: float) -> None:
         """Records that servers can renew their entries again."""
-        self._state.fleet.note_store_back()
+        self._state.fleet.note_store_back(last_failed_s)
 
     def _decode(self, record: topics.KeyedRecord) -> fleet.BackendServer | None:
         if not record.value:
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -77,6 +77,7 @@
             boot_settings.zone,
             _retry_policy(boot_settings),
             boot_settings.max_held_body_bytes,
+            datetime.timedelta(seconds=boot_settings.stable_window_s),
         )
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -24,7 +24,7 @@
     servers.put(builders.backend_server("i-1"))
     servers.put(builders.backend_server("i-2"))
     servers.note_store_lost()
-    servers.note_store_back()
+    servers.note_store_back(clock.monotonic())
     servers.replace([builders.backend_server("i-2")])
     assert len(servers.usable_servers(builders.ENGINE_SERVICE)) == 2
     clock.advance(2.3)
@@ -38,7 +38,7 @@
     servers = fleet.Fleet(clock)
     servers.put(builders.backend_server("i-1"))
     servers.note_store_lost()
-    servers.note_store_back()
+    servers.note_store_back(clock.monotonic())
     servers.replace([])
     clock.advance(1.0)
     servers.put(builders.backend_server("i-1"))
@@ -46,6 +46,33 @@
     assert len(servers.usable_servers(builders.ENGINE_SERVICE)) == 1
 
 
+def test_the_time_to_notice_that_the_store_is_back_prolongs_no_grace() -> None:
+    """Guards against a leaving server that is used after the stable window."""
+    clock = base.ManualClock()
+    servers = fleet.Fleet(clock)
+    servers.put(builders.backend_server("i-1"))
+    servers.note_store_lost()
+    last_failed_s = clock.monotonic()
+    clock.advance(2.5)
+    servers.replace([])
+    servers.note_store_back(last_failed_s)
+    clock.advance(0.3)
+    assert not servers.usable_servers(builders.ENGINE_SERVICE)
+
+
+def test_a_second_outage_keeps_no_server_that_the_first_one_kept() -> None:
+    """Guards against a gone server that each short outage keeps in use."""
+    clock = base.ManualClock()
+    servers = fleet.Fleet(clock)
+    servers.put(builders.backend_server("i-1"))
+    servers.note_store_lost()
+    servers.replace([])
+    servers.note_store_back(clock.monotonic())
+    clock.advance(3.0)
+    servers.note_store_lost()
+    assert not servers.usable_servers(builders.ENGINE_SERVICE)
+
+
 def test_a_removed_entry_is_dropped_at_once_without_an_outage() -> None:
     """Guards against requests to a server that has left."""
     servers = fleet.Fleet(base.ManualClock())
