Bound the time in which a lost read hides a leaving server

A gateway sent requests to a server that had left for up to 6 s after the stable window: a read of the entries whose response is lost hung for its wait and 1.5 s, 9.5 s in all. The retry delay of up to 1 s and the pause of 1.2 s came on top.

Reads of the entries now wait at most 0.8 x drain_ms (1.6 s) and are lost 0.2 x stable_window_ms after it; failing ones repeat at least every 0.2 x stable_window_ms, counted from start to start, and the pause counts from the start of a read. While unlisted servers are kept, reads follow each other at once, since their entries are expected back. The other topics keep waits of 8 s and read again at once after a read that hung.

--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -91,6 +91,11 @@
         """All servers, including leaving and expired ones."""
         return tuple(self._servers.values())
 
+    @property
+    def keeps_unlisted(self) -> bool:
+        """Whether servers are kept whose entries may come back."""
+        return bool(self._expired_at_s)
+
     def get(self, server_id: str) -> BackendServer | None:
         """Returns the server with this id, or None."""
         return self._servers.get(server_id)
--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import abc
+import asyncio
+import dataclasses
 import datetime
 import random
 from collections.abc import Sequence
@@ -13,22 +15,78 @@
 from hibiscusstile import logs, platform
 from hibiscusstile.platform import topics
 
-__all__ = ["Consumer", "KeyedFollower"]
+__all__ = ["Consumer", "KeyedFollower", "ReadPace"]
 
 _log = logbook.Logger("follower")
 
-# Longest long-poll. Calls to the store are charged, so a wait lasts as long as
-# a lost connection may go undetected.
-_MAX_WAIT = datetime.timedelta(seconds=8)
 # A long-poll that starts within milliseconds of an append may miss it, and
 # changes come in series. Configuration must be in force within 2 s, so the
 # first wait after new records is short.
 _INITIAL_WAIT = datetime.timedelta(seconds=1)
 _WAIT_GROWTH = 3
-# Retry delays after a failed read: configuration and leaving servers must be
-# known within 2 s of the store's recovery.
+# Times between the starts of failing reads.
 _INITIAL_RETRY_S = 0.25
-_MAX_RETRY_S = 1.0
+# Reads that take longer than that are followed by the next one after this.
+_MIN_RETRY_DELAY_S = 0.1
+# Pause while the consumer awaits records.
+_SHORT_PAUSE = datetime.timedelta(milliseconds=200)
+# Shares of the time in which a server that leaves must be known: when it has
+# said so, and after a disturbance of the store. The rest is for reading the
+# entries anew and for requests under way.
+# Each read is charged, and every server that starts, fills up or leaves changes
+# its entry.
+_PAUSE_SHARE = 0.6
+_WAIT_SHARE = 0.8
+_LOST_READ_SHARE = 0.85
+_ANSWER_SHARE = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadPace:
+    """How often a topic is read, and after which time a read counts as lost.
+
+    Calls to the store are charged, so a read waits as long as a lost response
+    may go undetected: a store that hangs still acknowledges keep-alive probes.
+
+    Attributes:
+        pause: Minimum time between the starts of two reads.
+        max_wait: Longest wait of a read for new records.
+        answer_limit: Time after the wait at which a read counts as lost.
+        max_retry: Longest time between the starts of two failing reads, if
+            they fail sooner.
+    """
+
+    pause: datetime.timedelta = datetime.timedelta(0)
+    max_wait: datetime.timedelta = datetime.timedelta(seconds=8)
+    answer_limit: datetime.timedelta = datetime.timedelta(seconds=1.5)
+    max_retry: datetime.timedelta = datetime.timedelta(seconds=1)
+
+    @classmethod
+    def for_server_entries(
+        cls, drain: datetime.timedelta, stable_window: datetime.timedelta
+    ) -> ReadPace:
+        """Returns the pace at which leaving servers are known in time.
+
+        A wait that misses an append ends within `drain`. Without bounds on
+        lost and failing reads, a removed entry would be read later than
+        `stable_window` after a disturbance.
+
+        Args:
+            drain: Time after its announcement at which a leaving server must
+                get no new requests.
+            stable_window: Time after a disturbance of the store from which
+                this holds again.
+        """
+        answer_limit = _ANSWER_SHARE * stable_window
+        return cls(
+            _PAUSE_SHARE * drain,
+            min(
+                _WAIT_SHARE * drain,
+                _LOST_READ_SHARE * stable_window - answer_limit,
+            ),
+            answer_limit,
+            answer_limit,
+        )
 
 
 class Consumer(abc.ABC):
@@ -53,6 +111,11 @@
                 The store may have been back at any time since.
         """
 
+    @property
+    def awaits_records(self) -> bool:
+        """Whether records are expected that make a pause harmful."""
+        return False
+
 
 class KeyedFollower:
     """Reads the newest record of every key, then long-polls for newer ones.
@@ -62,7 +125,7 @@
         topic: Name of the topic.
         consumer: Receives the records.
         clock: Clock for pauses and retries.
-        pause: Minimum time between two reads.
+        pace: How often the topic is read.
     """
 
     def __init__(
@@ -71,13 +134,13 @@
         topic: str,
         consumer: Consumer,
         clock: clock_lib.Clock,
-        pause: datetime.timedelta = datetime.timedelta(0),
+        pace: ReadPace | None = None,
     ) -> None:
         self._log = log
         self._topic = topic
         self._consumer = consumer
         self._clock = clock
-        self._pause = pause
+        self._pace = pace or ReadPace()
         self._offset: int | None = None
         self._failures = 0
         self._read_started_s = 0.0
@@ -101,7 +164,7 @@
             else:
                 succeeded = await self._read_newer(self._offset)
             if succeeded:
-                await self._clock.sleep(self._pause)
+                await self._clock.sleep(self._pause_left())
             else:
                 await self._clock.sleep(self._retry_delay())
 
@@ -118,7 +181,7 @@
 
     async def _read_newer(self, offset: int) -> bool:
         wait = self._wait if not self._failures else datetime.timedelta(0)
-        records = await self._log.read(self._topic, offset, wait)
+        records = await self._read(offset, wait)
         if isinstance(records, platform.LogUnavailable):
             self._note_failure(records.message)
             return False
@@ -136,7 +199,7 @@
         self._wait = (
             _INITIAL_WAIT
             if records.payloads
-            else min(_MAX_WAIT, self._wait * _WAIT_GROWTH)
+            else min(self._pace.max_wait, self._wait * _WAIT_GROWTH)
         )
         for index, payload in enumerate(records.payloads):
             try:
@@ -155,6 +218,18 @@
             self._offset = records.next_offset
         return True
 
+    async def _read(
+        self, offset: int, wait: datetime.timedelta
+    ) -> topics.RecordBatch | topics.Trimmed | platform.LogUnavailable:
+        limit = wait + self._pace.answer_limit
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                return await self._log.read(self._topic, offset, wait)
+        except TimeoutError:
+            return platform.LogUnavailable(
+                f"no response within {limit.total_seconds():g} s"
+            )
+
     def _note_failure(self, message: str) -> None:
         now_s = self._clock.monotonic()
         if not self._failures:
@@ -187,7 +262,16 @@
             self._wait = _INITIAL_WAIT
         self._failures = 0
 
+    def _pause_left(self) -> datetime.timedelta:
+        if self._consumer.awaits_records:
+            return min(_SHORT_PAUSE, self._pace.pause)
+        taken_s = self._clock.monotonic() - self._read_started_s
+        left = self._pace.pause - datetime.timedelta(seconds=taken_s)
+        return max(datetime.timedelta(0), left)
+
     def _retry_delay(self) -> datetime.timedelta:
         doubled_s = _INITIAL_RETRY_S * 2 ** min(self._failures - 1, 8)
-        delay_s = min(_MAX_RETRY_S, doubled_s)
+        interval_s = min(self._pace.max_retry.total_seconds(), doubled_s)
+        taken_s = self._clock.monotonic() - self._read_started_s
+        delay_s = max(_MIN_RETRY_DELAY_S, interval_s - taken_s)
         return datetime.timedelta(seconds=delay_s * random.uniform(0.7, 1.0))
--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -98,6 +98,11 @@
         """Records that servers can renew their entries again."""
         self._state.fleet.note_store_back(last_failed_s)
 
+    @property
+    def awaits_records(self) -> bool:
+        """Whether entries that expired in an outage may come back."""
+        return self._state.fleet.keeps_unlisted
+
     def _decode(self, record: topics.KeyedRecord) -> fleet.BackendServer | None:
         if not record.value:
             return None
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -41,10 +41,6 @@
 
 _log = logbook.Logger("gateway")
 
-# Each read is charged, and every server that starts, fills up or leaves changes
-# its entry. The rest of the time in which a leaving server must be known is for
-# reading its entry and for requests under way.
-_SERVER_ENTRY_READ_SHARE = 0.6
 _MEMBER_READ_INTERVAL = datetime.timedelta(seconds=1)
 _SETTINGS_POLL_INTERVAL = datetime.timedelta(milliseconds=500)
 # Metrics port that deploy/system.toml declares.
@@ -118,15 +114,16 @@
             members.MEMBER_TOPIC,
             self._membership,
             clock,
-            _MEMBER_READ_INTERVAL,
+            follower.ReadPace(_MEMBER_READ_INTERVAL),
         )
         self._server_entry_follower = follower.KeyedFollower(
             self._platform_store,
             serverentries.SERVER_TOPIC,
             consumers.ServerEntryConsumer(self._state),
             clock,
-            datetime.timedelta(
-                seconds=_SERVER_ENTRY_READ_SHARE * boot_settings.drain_s
+            follower.ReadPace.for_server_entries(
+                datetime.timedelta(seconds=boot_settings.drain_s),
+                datetime.timedelta(seconds=boot_settings.stable_window_s),
             ),
         )
         self._followers = (
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -29,6 +29,7 @@
         self._writers: set[asyncio.StreamWriter] = set()
         self.delay_s = 0.0
         self.refuse_connections = False
+        self._cut = False
         self._unblocked = {"up": asyncio.Event(), "down": asyncio.Event()}
         self.restore()
 
@@ -61,8 +62,16 @@
         """
         self._unblocked[direction].clear()
 
+    def cut(self) -> None:
+        """Discards all data until `restore`.
+
+        Connections stay open, but one that lost data carries none any more.
+        """
+        self._cut = True
+
     def restore(self) -> None:
         """Ends all faults."""
+        self._cut = False
         self.delay_s = 0.0
         self.refuse_connections = False
         for event in self._unblocked.values():
@@ -101,7 +110,11 @@
         writer: asyncio.StreamWriter,
         direction: str,
     ) -> None:
+        lost = False
         while data := await reader.read(_CHUNK_BYTES):
+            lost = lost or self._cut
+            if lost:
+                continue
             await self._unblocked[direction].wait()
             await asyncio.sleep(self.delay_s)
             writer.write(data)
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -54,6 +54,9 @@
 KEY = "key-of-growers"
 # Crashes further apart are not taken for a common outside cause.
 CRASH_INTERVAL = datetime.timedelta(milliseconds=300)
+SERVER_ENTRY_PACE = follower.ReadPace.for_server_entries(
+    datetime.timedelta(seconds=2), datetime.timedelta(seconds=3)
+)
 _POLL = datetime.timedelta(milliseconds=10)
 
 
--- a/tests/builders/gatewayprocess.py
+++ b/tests/builders/gatewayprocess.py
@@ -18,6 +18,7 @@
 from hibiscusstile_standins import ports
 from hibiscusstile_standins import runner as runner_lib
 from hibiscusstile_standins import store as store_lib
+from soak import proxy
 from tests.builders import gateway as builders
 
 __all__ = ["HEADERS", "METRICS_URL", "GatewayProcess", "gateway_process"]
@@ -44,6 +45,7 @@
         self._bounds = bounds
         self.clock = clock_lib.SystemClock()
         self.store = store_lib.PlatformStoreService()
+        self.store_path = proxy.Proxy("127.0.0.1:1")
         self.engine = runner_lib.FakeBackendServer("i-1", **options)
         self.settings = directory / "node.toml"
         self.log = directory / "gateway.log"
@@ -135,9 +137,11 @@
     """
     running = GatewayProcess(directory, bounds or {}, **options)
     await running.store.start()
+    running.store_path = proxy.Proxy(f"127.0.0.1:{running.store.port}")
+    await running.store_path.start()
     await running.engine.start()
     await running.publish(running.store, 1)
-    running.write_settings(running.store.port)
+    running.write_settings(int(running.store_path.address.rpartition(":")[2]))
     running.start()
     try:
         yield running
@@ -146,4 +150,5 @@
         running.process.kill()
         running.process.wait()
         await running.engine.close()
+        await running.store_path.close()
         await running.store.close()
--- a/tests/gateway/test_follower.py
+++ b/tests/gateway/test_follower.py
@@ -90,15 +90,15 @@
         "t",
         consumers.ServerEntryConsumer(state),
         clock,
-        datetime.timedelta(seconds=1.2),
+        follower.ReadPace(datetime.timedelta(seconds=1.2)),
     )
     task = asyncio.ensure_future(reader.run())
     try:
-        while log.newest_reads < 1:
+        while log.newest_reads < 1:  # noqa: ASYNC110
             await asyncio.sleep(0)
         log.trimmed_before = 2
         started_s = clock.monotonic()
-        while log.newest_reads < 2:
+        while log.newest_reads < 2:  # noqa: ASYNC110
             await asyncio.sleep(0)
         assert clock.monotonic() - started_s < 1.3
     finally:
