Bind a leaving server by id and start time when an older entry comes last

What servers say in responses binds for good, what they say in the list did not.

An entry that says that its server leaves now binds by id and start time, also across removals and complete listings; another start time or id is usable. A start time that is unknown, before or after, counts as unchanged until the entry is removed, since a restart cannot be shown.

--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -23,6 +23,8 @@
 _DEFAULT_STABLE_WINDOW = datetime.timedelta(seconds=3)
 # The rest is for requests that are under way to a server.
 _KEPT_SHARE = 0.9
+# The oldest ones are dropped; their servers have ended long before.
+_MAX_LEAVING_SERVERS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -57,6 +59,11 @@
     period after it, are kept until `usable_servers` is first called after that
     period.
 
+    An entry that says that its server leaves binds for good, by id and start
+    time: pages of newest entries are no snapshot, and an older copy may come
+    last. Start times that are unknown count as unchanged while the server is
+    listed.
+
     Args:
         clock: Clock for the grace period after a store outage.
         statements: What servers say of themselves; none by default.
@@ -77,6 +84,8 @@
         )
         self._servers: dict[str, BackendServer] = {}
         self._servers_by_service: dict[str, dict[str, BackendServer]] = {}
+        # Ids and start times, oldest first.
+        self._leaving: dict[tuple[str, int], None] = {}
         # Expiry time of entries that expired around an outage of the store.
         self._expired_at_s: dict[str, float] = {}
         # End of the grace period; infinite during an outage.
@@ -130,6 +139,16 @@
     def put(self, server: BackendServer) -> None:
         """Adds or updates a server."""
         current = self._servers.get(server.server_id)
+        if server.leaving:
+            self._note_leaving(server)
+        elif self._has_left(server, current):
+            logs.event(
+                _log,
+                "entry_of_leaving_server",
+                server=server.server_id,
+                started_ms=server.started_ms,
+            )
+            server = dataclasses.replace(server, leaving=True)
         self._expired_at_s.pop(server.server_id, None)
         if current == server:
             return
@@ -205,6 +224,28 @@
                 for_s=round(self._keep_expired_until_s - now_s, 3),
             )
 
+    def _note_leaving(self, server: BackendServer) -> None:
+        if not server.started_ms:
+            return
+        self._leaving[server.server_id, server.started_ms] = None
+        if len(self._leaving) > _MAX_LEAVING_SERVERS:
+            del self._leaving[next(iter(self._leaving))]
+
+    def _has_left(
+        self, server: BackendServer, current: BackendServer | None
+    ) -> bool:
+        """Returns whether an entry that does not say so is of a leaving server.
+
+        Args:
+            server: The entry.
+            current: The entry before it, None if the server is not listed.
+        """
+        if (server.server_id, server.started_ms) in self._leaving:
+            return True
+        if current is None or not current.leaving:
+            return False
+        return not server.started_ms or not current.started_ms
+
     def _keep(self, server: BackendServer) -> None:
         now_s = self._clock.monotonic()
         if server.server_id in self._expired_at_s:
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -143,6 +143,7 @@
     *,
     zone: str = "z1",
     leaving: bool = False,
+    started_ms: int = 0,
     weights: dict[str, int] | None = None,
 ) -> fleet.BackendServer:
     """Returns a listed backend server."""
@@ -153,6 +154,7 @@
         zone,
         slots=8,
         leaving=leaving,
+        started_ms=started_ms,
         weights=weights or {},
     )
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from hibiscusstile.gateway import fleet
 from tests import builders as base
 from tests.builders import gateway as builders
@@ -88,3 +90,32 @@
     servers.put(builders.backend_server("i-1", builders.PLAIN_SERVICE))
     assert not servers.usable_servers(builders.ENGINE_SERVICE)
     assert len(servers.usable_servers(builders.PLAIN_SERVICE)) == 1
+
+
+@pytest.mark.parametrize(
+    ("left_ms", "then_ms", "removed", "usable"),
+    [
+        (7, 7, False, False),
+        (7, 7, True, False),
+        (7, 8, False, True),
+        (7, 0, False, False),
+        (0, 0, False, False),
+        (0, 8, False, False),
+        (7, 0, True, True),
+        (0, 0, True, True),
+    ],
+)
+def test_an_older_entry_does_not_undo_that_a_server_leaves(
+    left_ms: int, then_ms: int, removed: bool, usable: bool
+) -> None:
+    """Guards against requests to a leaving server whose older entry came."""
+    servers = fleet.Fleet(base.ManualClock())
+    servers.put(builders.backend_server(started_ms=left_ms))
+    servers.replace([builders.backend_server(leaving=True, started_ms=left_ms)])
+    if removed:
+        servers.remove("i-1")
+    servers.replace([builders.backend_server(started_ms=then_ms)])
+    assert bool(servers.usable_servers(builders.ENGINE_SERVICE)) == usable
+    servers.put(builders.backend_server("i-2", started_ms=left_ms))
+    usable_servers = servers.usable_servers(builders.ENGINE_SERVICE)
+    assert "i-2" in [server.server_id for server in usable_servers]
