Read on from the end that the first page of newest records shows

A server that left in that time stayed in use. Reading on from the first page's end applies such changes again, in order.

test_a_change_between_pages_of_newest_records_is_read failed before.

--- a/hibiscusstile/platform/platformstore.py
+++ b/hibiscusstile/platform/platformstore.py
@@ -74,6 +74,9 @@
         records: list[topics.KeyedRecord] = []
         parameters = {"topic": topic, "part": "0"}
         received_bytes = 0
+        # Pages are not a snapshot: what changes while they are read comes after
+        # the end that the first one shows.
+        end: int | None = None
         while received_bytes <= _MAX_NEWEST_BYTES:
             status, body = await self._call(
                 "GET", "log-newest", parameters, _CALL_TIMEOUT
@@ -93,8 +96,9 @@
                 return platform.LogUnavailable(
                     "the store's response is malformed"
                 )
+            end = page.end if end is None else end
             if not page.has_more or not page.items:
-                return topics.NewestRecords(tuple(records), page.end)
+                return topics.NewestRecords(tuple(records), end)
             parameters["after"] = page.items[-1].key
         return platform.LogUnavailable(
             f"the newest records of {topic} exceed {_MAX_NEWEST_BYTES} bytes"
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -8,6 +8,7 @@
 import socket
 
 import pytest
+from aiohttp import test_utils, web
 
 from hibiscusstile import platform
 from hibiscusstile.gateway import routes
@@ -206,3 +207,26 @@
     finally:
         await platform_store.close()
         server.close()
+
+
+async def test_a_change_between_pages_of_newest_records_is_read() -> None:
+    """Guards against a removed server that stays listed for good (DRAIN)."""
+    first = {"key": "i-1", "value": "", "offset": 4}
+    pages = [
+        {"items": [first], "has_more": True, "end": 5},
+        # i-1 was removed before this page was written.
+        {"items": [{**first, "key": "i-2"}], "has_more": False, "end": 6},
+    ]
+
+    async def serve(request: web.Request) -> web.Response:
+        return web.json_response(pages["after" in request.query])
+
+    app = web.Application()
+    app.router.add_get("/v1/log-newest", serve)
+    async with test_utils.TestServer(app) as server:
+        log = platformstore.PlatformStore(f"{server.host}:{server.port}")
+        newest = await log.read_newest("t")
+        await log.close()
+    assert isinstance(newest, topics.NewestRecords)
+    assert [each.key for each in newest.records] == ["i-1", "i-2"]
+    assert newest.end == 5
