--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
+import math
 from collections.abc import Iterable, Mapping
 
 import logbook
@@ -18,6 +20,11 @@
 # Servers whose entries expired during an outage of the store register again
 # within about 2 s of its recovery; reading the entries takes up to 0.2 s more.
 _OUTAGE_GRACE_S = 2.2
+_DEFAULT_STABLE_WINDOW = datetime.timedelta(seconds=3)
+# The rest is for requests that are under way to a server.
+_KEPT_SHARE = 0.9
+# The oldest ones are dropped; their servers have ended long before.
+_MAX_LEAVING_SERVERS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,22 +59,33 @@
     period after it, are kept until `usable_servers` is first called after that
     period.
 
+    An entry that says that its server leaves binds for good, by id and start
+    time: pages of newest entries are no snapshot, and an older copy may come
+    last. Start times that are unknown count as unchanged while the server is
+    listed.
+
     Args:
         clock: Clock for the grace period after a store outage.
         statements: What servers say of themselves; none by default.
+        stable_window: Time after an outage of the store from which unlisted
+            servers must get no requests.
     """
 
     def __init__(
         self,
         clock: clock_lib.Clock,
         statements: serverstatements.ServerStatements | None = None,
+        stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
     ) -> None:
         self._clock = clock
+        self._max_kept_s = _KEPT_SHARE * stable_window.total_seconds()
         self._statements = statements or serverstatements.ServerStatements(
             clock
         )
         self._servers: dict[str, BackendServer] = {}
         self._servers_by_service: dict[str, dict[str, BackendServer]] = {}
+        # Ids and start times, oldest first.
+        self._leaving: dict[tuple[str, int], None] = {}
         # Expiry time of entries that expired around an outage of the store.
         self._expired_at_s: dict[str, float] = {}
         # End of the grace period; infinite during an outage.
@@ -82,6 +100,11 @@
         """All servers, including leaving and expired ones."""
         return tuple(self._servers.values())
 
+    @property
+    def keeps_unlisted(self) -> bool:
+        """Whether servers are kept whose entries may come back."""
+        return bool(self._expired_at_s)
+
     def get(self, server_id: str) -> BackendServer | None:
         """Returns the server with this id, or None."""
         return self._servers.get(server_id)
@@ -116,6 +139,16 @@
     def put(self, server: BackendServer) -> None:
         """Adds or updates a server."""
         current = self._servers.get(server.server_id)
+        if server.leaving:
+            self._note_leaving(server)
+        elif self._has_left(server, current):
+            logs.event(
+                _log,
+                "entry_of_leaving_server",
+                server=server.server_id,
+                started_ms=server.started_ms,
+            )
+            server = dataclasses.replace(server, leaving=True)
         self._expired_at_s.pop(server.server_id, None)
         if current == server:
             return
@@ -147,7 +180,7 @@
         if server_id not in self._servers:
             return
         if self._clock.monotonic() < self._keep_expired_until_s:
-            self._expired_at_s.setdefault(server_id, self._clock.monotonic())
+            self._keep(self._servers[server_id])
             return
         self._drop(server_id)
 
@@ -164,15 +197,71 @@
 
     def note_store_lost(self) -> None:
         """Records that the store of server entries does not respond."""
-        self._keep_expired_until_s = float("inf")
+        # This outage is no reason to keep servers for longer that were missing
+        # after an earlier one.
+        self._drop_expired()
+        self._keep_expired_until_s = math.inf
 
-    def note_store_back(self) -> None:
-        """Records that the store responds again."""
-        if self._keep_expired_until_s == float("inf"):
-            self._keep_expired_until_s = (
-                self._clock.monotonic() + _OUTAGE_GRACE_S
+    def note_store_back(self, last_failed_s: float) -> None:
+        """Records that the store responds again.
+
+        Args:
+            last_failed_s: Monotonic time at which the last failed read began.
+                The store may have been back at any time since, so the grace
+                period counts from then.
+        """
+        if self._keep_expired_until_s != math.inf:
+            return
+        now_s = self._clock.monotonic()
+        self._keep_expired_until_s = min(
+            last_failed_s + self._max_kept_s, now_s + _OUTAGE_GRACE_S
+        )
+        if self._expired_at_s:
+            logs.event(
+                _log,
+                "servers_kept",
+                servers=len(self._expired_at_s),
+                for_s=round(self._keep_expired_until_s - now_s, 3),
             )
 
+    def _note_leaving(self, server: BackendServer) -> None:
+        if not server.started_ms:
+            return
+        self._leaving[server.server_id, server.started_ms] = None
+        if len(self._leaving) > _MAX_LEAVING_SERVERS:
+            del self._leaving[next(iter(self._leaving))]
+
+    def _has_left(
+        self, server: BackendServer, current: BackendServer | None
+    ) -> bool:
+        """Returns whether an entry that does not say so is of a leaving server.
+
+        Args:
+            server: The entry.
+            current: The entry before it, None if the server is not listed.
+        """
+        if (server.server_id, server.started_ms) in self._leaving:
+            return True
+        if current is None or not current.leaving:
+            return False
+        return not server.started_ms or not current.started_ms
+
+    def _keep(self, server: BackendServer) -> None:
+        now_s = self._clock.monotonic()
+        if server.server_id in self._expired_at_s:
+            return
+        self._expired_at_s[server.server_id] = now_s
+        for_s = self._keep_expired_until_s - now_s
+        logs.event(
+            _log,
+            "server_kept",
+            server=server.server_id,
+            service=server.service,
+            leaving=server.leaving,
+            # Without an end while the store does not respond.
+            for_s=round(for_s, 3) if math.isfinite(for_s) else None,
+        )
+
     def _drop_expired(self) -> None:
         if not self._expired_at_s:
             return
@@ -182,9 +271,14 @@
             self._drop(server_id)
 
     def _drop(self, server_id: str) -> None:
-        self._expired_at_s.pop(server_id, None)
+        now_s = self._clock.monotonic()
+        kept_s = now_s - self._expired_at_s.pop(server_id, now_s)
         server = self._servers.pop(server_id)
         self._servers_by_service[server.service].pop(server_id, None)
         logs.event(
-            _log, "server_gone", server=server_id, service=server.service
+            _log,
+            "server_gone",
+            server=server_id,
+            service=server.service,
+            kept_s=round(kept_s, 3),
         )
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -54,6 +54,9 @@
 KEY = "key-of-growers"
 # Crashes further apart are not taken for a common outside cause.
 CRASH_INTERVAL = datetime.timedelta(milliseconds=300)
+SERVER_ENTRY_PACE = follower.ReadPace.for_server_entries(
+    datetime.timedelta(seconds=2), datetime.timedelta(seconds=3)
+)
 _POLL = datetime.timedelta(milliseconds=10)
 
 
@@ -140,6 +143,7 @@
     *,
     zone: str = "z1",
     leaving: bool = False,
+    started_ms: int = 0,
     weights: dict[str, int] | None = None,
 ) -> fleet.BackendServer:
     """Returns a listed backend server."""
@@ -150,6 +154,7 @@
         zone,
         slots=8,
         leaving=leaving,
+        started_ms=started_ms,
         weights=weights or {},
     )
 
