Log where a gateway learned of a weights version

A read of the whole operators' topic reaches the consumer as such, and the relay passes on when reading the topic starts to fail and when it works again.

--- a/hibiscusstile/gateway/configurationrelay.py
+++ b/hibiscusstile/gateway/configurationrelay.py
@@ -13,7 +13,7 @@
 import xxhash
 
 from hibiscusstile import logs
-from hibiscusstile.gateway import follower
+from hibiscusstile.gateway import follower, routes
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import messages
 from hibiscusstile.platform import topics
@@ -60,13 +60,28 @@
 
     def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
         """Applies the newest record of every key."""
+        before = self._state.table
+        self._consumer.apply_all(records)
         for record in records:
-            self.apply(record)
+            self._keep_if_changed(record, before)
 
     def apply(self, record: topics.KeyedRecord) -> None:
         """Applies a record and keeps it if it changes the configuration."""
         before = self._state.table
         self._consumer.apply(record)
+        self._keep_if_changed(record, before)
+
+    def note_lost(self) -> None:
+        """Tells the consumer that reading the topic starts to fail."""
+        self._consumer.note_lost()
+
+    def note_back(self) -> None:
+        """Tells the consumer that the topic can be read again."""
+        self._consumer.note_back()
+
+    def _keep_if_changed(
+        self, record: topics.KeyedRecord, before: routes.RoutingTable | None
+    ) -> None:
         if record.key == self._key and self._state.table is not before:
             self._record = record
             self._applied_s = self._clock.monotonic()
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -264,7 +264,7 @@
         for change in notice.changes:
             self._state.weights.note_changing(change.server, change.for_s)
         for weights in notice.weights:
-            self._apply_weights(weights)
+            self._apply_weights(peer_id, weights)
         for claim in notice.claims:
             self._last_claim = (peer_id, claim.fence, now_s)
 
@@ -281,10 +281,12 @@
         if notice.crashes and charges.has_news:
             self._state.notices.send_soon()
 
-    def _apply_weights(self, weights: messages.WeightsUpdate) -> None:
+    def _apply_weights(
+        self, peer_id: str, weights: messages.WeightsUpdate
+    ) -> None:
         table = self._state.weights
         if not weights.server:
-            table.set_target(weights.model, weights.version)
+            table.set_target(weights.model, weights.version, peer_id)
             return
         current = table.version_at(weights.server, weights.model)
         if current is not None and weights.version > current:
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -22,8 +22,8 @@
     routes,
     serverstatements,
     servicetimes,
-    weights,
 )
+from hibiscusstile.gateway import weights as weights_lib
 
 __all__ = ["GatewayState", "RetryPolicy"]
 
@@ -80,7 +80,7 @@
         self._fleet = fleet.Fleet(clock, self._server_statements)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
-        self._weights = weights.WeightsTable(clock)
+        self._weights = weights_lib.WeightsTable(clock)
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
@@ -132,7 +132,7 @@
         return self._loads
 
     @property
-    def weights(self) -> weights.WeightsTable:
+    def weights(self) -> weights_lib.WeightsTable:
         """Target and loaded versions of model weights."""
         return self._weights
 
@@ -260,9 +260,17 @@
         if before is not None and not from_peer:
             self._notices.add_weights(model, version, server_id)
 
-    def set_target_version(self, model: str, version: int) -> None:
-        """Sets a model's target version and announces a newer one."""
-        if self._weights.set_target(model, version):
+    def set_target_version(
+        self, model: str, version: int, source: str = weights_lib.STORE_FOLLOWED
+    ) -> None:
+        """Sets a model's target version and announces a newer one.
+
+        Args:
+            model: The model.
+            version: The version.
+            source: Where this process learned of it.
+        """
+        if self._weights.set_target(model, version, source):
             self._notices.add_weights(model, version, "")
 
     def forget_unlisted(self) -> None:
--- a/hibiscusstile/gateway/weights.py
+++ b/hibiscusstile/gateway/weights.py
@@ -9,10 +9,14 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs
 
-__all__ = ["TargetVersion", "WeightsTable"]
+__all__ = ["STORE_FOLLOWED", "STORE_READ", "TargetVersion", "WeightsTable"]
 
 _log = logbook.Logger("weights")
 
+# Sources of target versions, besides the names of peers: a record that came
+# while this process followed the store, and one that was there before.
+STORE_FOLLOWED = "store_followed"
+STORE_READ = "store_read"
 # Target versions kept for each model; servers have one of the last few.
 _MAX_TARGETS = 64
 
@@ -72,15 +76,28 @@
             None,
         )
 
-    def set_target(self, model: str, version: int) -> bool:
-        """Adds a target version; returns whether it is newer than the last."""
+    def set_target(self, model: str, version: int, source: str) -> bool:
+        """Adds a target version; returns whether it is newer than the last.
+
+        Args:
+            model: The model.
+            version: The version.
+            source: Where this process learned of it, for the log.
+        """
         current = self.target(model)
         if current is not None and current.version >= version:
             return False
         versions = self._targets.setdefault(model, [])
         versions.append(TargetVersion(version, self._clock.monotonic()))
         del versions[:-_MAX_TARGETS]
-        logs.event(_log, "weights_named", model=model, version=version)
+        logs.event(
+            _log,
+            "weights_named",
+            model=model,
+            version=version,
+            source=source,
+            age_s=0.0,
+        )
         return True
 
     def version_at(self, server_id: str, model: str) -> int | None:
--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -7,7 +7,7 @@
 import logbook
 
 from hibiscusstile import logs
-from hibiscusstile.gateway import fleet, follower
+from hibiscusstile.gateway import fleet, follower, weights
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import operatorrecords, serverentries, topics
 
@@ -29,10 +29,13 @@
     def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
         """Applies the newest record of every key."""
         for record in records:
-            self.apply(record)
+            self._apply(record, weights.STORE_READ)
 
     def apply(self, record: topics.KeyedRecord) -> None:
         """Applies a newer record; unknown keys are ignored."""
+        self._apply(record, weights.STORE_FOLLOWED)
+
+    def _apply(self, record: topics.KeyedRecord, source: str) -> None:
         if not record.value:
             return
         try:
@@ -43,7 +46,7 @@
             elif operatorrecords.is_version_key(record.key):
                 version_record = operatorrecords.decode_version(record.value)
                 self._state.set_target_version(
-                    version_record.model, version_record.version
+                    version_record.model, version_record.version, source
                 )
         except operatorrecords.RecordError as error:
             logs.warn(
