Count the age of weights versions over all gateways

Callers' requests began on outdated weights more than 8 s after the newer version was acknowledged (VERSION). They were sent by gateways that had just been restarted.

Cause: the age of outdated weights counted from the moment at which the process learned of the newer version, so each start allowed 5 s more. The age is a fact of the fleet. Now a process knows the age of a version only if it followed its publication; one that was in the store at its first read, or that comes right after an outage of the store, has an unknown age.

Until a peer knows the age, outdated engines are used for 0.4 of the stable window (1.2 s) more. A process that started less than the window (3 s) ago is not bound by the rule, but its start counts from before it reads the store. This means that callers may be refused if all gateways restart together while all engines are outdated, until the rollout has updated some of them. This is rare and short, while the alternative breaks the rule at every such restart.

A KV cache store's parts were also compared with the time at which the process learned of a version: parts seen before that, but stored after the publication, could be computed by two versions. They are now compared with the publication. The bounds come from version_ms and stable_window_ms of the settings.

--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -113,12 +113,21 @@
         )
         self._urgent.set()
 
-    def add_weights(self, model: str, version: int, server_id: str) -> None:
+    def add_weights(
+        self,
+        model: str,
+        version: int,
+        server_id: str,
+        age_s: float | None = None,
+    ) -> None:
         """Announces a weights version that a server has loaded.
 
-        An empty server id announces a target version.
+        An empty server id announces a target version of an age in seconds;
+        None if it is unknown.
         """
-        self._weights.append(messages.WeightsUpdate(model, version, server_id))
+        self._weights.append(
+            messages.WeightsUpdate(model, version, server_id, age_s)
+        )
 
     def add_claim(self, fence: int) -> None:
         """Announces, without delay, that this process claimed the lease."""
@@ -214,6 +223,10 @@
                     now_s - _SNAPSHOT_WINDOW_S
                 )
             ),
+            weights=tuple(
+                messages.WeightsUpdate(model, version, age_s=age_s)
+                for model, version, age_s in self._state.weights.known_ages()
+            )[-messages.MAX_NOTICE_ENTRIES :],
             rates=tuple(
                 messages.RatesUpdate(service, each.sizes, each.observations)
                 for service, each in self._state.all_engine_rates.items()
@@ -286,7 +299,9 @@
     ) -> None:
         table = self._state.weights
         if not weights.server:
-            table.set_target(weights.model, weights.version, peer_id)
+            table.set_target(
+                weights.model, weights.version, peer_id, weights.age_s
+            )
             return
         current = table.version_at(weights.server, weights.model)
         if current is not None and weights.version > current:
--- a/hibiscusstile/gateway/sending.py
+++ b/hibiscusstile/gateway/sending.py
@@ -7,10 +7,6 @@
 
 __all__ = ["send_options"]
 
-# An engine of unknown version may have any version until the newest target is
-# this old. Requests must not start on weights replaced 8 s ago or longer; the
-# rest of that bound allows for waiting in the engine's queue.
-_UNKNOWN_VERSION_GRACE_S = 3.5
 # Shorter shared prefixes are computed faster than a store can be queried.
 _MIN_FETCH_TOKENS = 1_000
 _MIN_TIME_LEFT_S = 0.001
@@ -57,14 +53,14 @@
 ) -> int | None:
     """Returns the weights version that the server must have, None for any.
 
-    A server of unknown version may have any version until the newest one has
-    been the target for `_UNKNOWN_VERSION_GRACE_S`.
+    A server of unknown version may have any version for some time after the
+    newest one became the target.
     """
     target = state.weights.target(request.model)
     if candidate.version is not None or target is None:
         return candidate.version
-    target_age_s = state.clock.monotonic() - target.learned_s
-    return target.version if target_age_s > _UNKNOWN_VERSION_GRACE_S else None
+    grace_s = state.weights.bounds.unknown_server_grace_s
+    return target.version if state.weights.age_s(target) > grace_s else None
 
 
 def _fetch_address(
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -11,9 +11,6 @@
 
 _ENGINE_STRATEGY = "expected_first_token"
 _PLAIN_SERVICE_STRATEGY = "least_running"
-# Requests must not start on weights replaced 8 s ago or longer; the rest of
-# that bound allows for waiting in the engine's queue.
-_MAX_WEIGHTS_LAG_S = 5.0
 # A busy server sends data several times a second, except for the 0.6 s in
 # which an engine loads weights.
 _MAX_SILENCE_S = 0.65
@@ -88,7 +85,7 @@
     """Returns a server as a candidate, or None if it must not be used."""
     server_id = server.server_id
     weights_lag_s = _weights_lag_s(state, context.request.model, server_id)
-    if weights_lag_s > _MAX_WEIGHTS_LAG_S:
+    if weights_lag_s > state.weights.bounds.max_lag_s:
         return None
     now_s = state.clock.monotonic()
     load = state.loads.for_server(server_id)
@@ -141,8 +138,8 @@
 
     Once newer weights are the target, an engine may load them while it saves
     parts under the older version's salt. Parts of an older version therefore
-    count only if all shared parts were stored before this process learned of
-    the newer target.
+    count only if all shared parts were stored before the newer target was
+    published, and none do if that time is unknown.
     """
     store = state.prefix_store()
     parts = context.request.parts
@@ -153,8 +150,10 @@
         newer = state.weights.target_after(context.request.model, version)
     if newer is None:
         return state.prefix_stores.held_tokens(store.address, salt, parts)
+    if newer.published_s is None:
+        return 0
     stored = state.prefix_stores.held_tokens(
-        store.address, salt, parts[:-1], newer.learned_s
+        store.address, salt, parts[:-1], newer.published_s
     )
     return stored if stored == sum(part.tokens for part in parts[:-1]) else 0
 
@@ -169,8 +168,7 @@
     version = state.weights.version_at(server_id, model)
     if version is None:
         return 0.0
-    newer = state.weights.target_after(model, version)
-    if newer is None:
+    if state.weights.target_after(model, version) is None:
         return 0.0
     # Above 0, which stands for servers that are not outdated.
-    return max(1e-3, state.clock.monotonic() - newer.learned_s)
+    return max(1e-3, state.weights.lag_s(model, version))
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -58,6 +58,7 @@
         retries: Limits on retries.
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
+        weights_bounds: Bounds on the use of outdated weights.
     """
 
     def __init__(
@@ -66,6 +67,7 @@
         zone: str,
         retries: RetryPolicy,
         max_held_body_bytes: int = _DEFAULT_MAX_HELD_BODY_BYTES,
+        weights_bounds: weights_lib.WeightsBounds | None = None,
     ) -> None:
         self._clock = clock
         self._max_held_body_bytes = max_held_body_bytes
@@ -80,7 +82,7 @@
         self._fleet = fleet.Fleet(clock, self._server_statements)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
-        self._weights = weights_lib.WeightsTable(clock)
+        self._weights = weights_lib.WeightsTable(clock, weights_bounds)
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
@@ -261,7 +263,11 @@
             self._notices.add_weights(model, version, server_id)
 
     def set_target_version(
-        self, model: str, version: int, source: str = weights_lib.STORE_FOLLOWED
+        self,
+        model: str,
+        version: int,
+        source: str = weights_lib.STORE_FOLLOWED,
+        age_s: float | None = 0.0,
     ) -> None:
         """Sets a model's target version and announces a newer one.
 
@@ -269,9 +275,10 @@
             model: The model.
             version: The version.
             source: Where this process learned of it.
+            age_s: Its age; None if unknown.
         """
-        if self._weights.set_target(model, version, source):
-            self._notices.add_weights(model, version, "")
+        if self._weights.set_target(model, version, source, age_s):
+            self._notices.add_weights(model, version, "", age_s)
 
     def forget_unlisted(self) -> None:
         """Drops state of servers that the fleet no longer holds."""
--- a/hibiscusstile/gateway/weights.py
+++ b/hibiscusstile/gateway/weights.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import bisect
 import dataclasses
 
 import logbook
@@ -9,7 +10,13 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs
 
-__all__ = ["STORE_FOLLOWED", "STORE_READ", "TargetVersion", "WeightsTable"]
+__all__ = [
+    "STORE_FOLLOWED",
+    "STORE_READ",
+    "TargetVersion",
+    "WeightsBounds",
+    "WeightsTable",
+]
 
 _log = logbook.Logger("weights")
 
@@ -19,6 +26,51 @@
 STORE_READ = "store_read"
 # Target versions kept for each model; servers have one of the last few.
 _MAX_TARGETS = 64
+# Shares of the bound on outdated weights. The rest of it leaves time to
+# wait in an engine's queue.
+_MAX_LAG_SHARE = 0.625
+_UNKNOWN_SERVER_SHARE = 0.4375
+# Share of the time without bounds after a process's start for which versions
+# of unknown age may be missing. It starts before the process reads the store.
+_UNKNOWN_AGE_GRACE_SHARE = 0.4
+# Peers' ages that differ by less are not logged.
+_MIN_LOGGED_CORRECTION_S = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WeightsBounds:
+    """Times that bound the use of outdated weights.
+
+    Attributes:
+        version_s: Age of a target version from which no request may start on
+            older weights.
+        stable_window_s: Time after the start of a process, or after a
+            disturbance, in which this does not bind it.
+    """
+
+    version_s: float = 8.0
+    stable_window_s: float = 3.0
+
+    @property
+    def max_lag_s(self) -> float:
+        """Lag up to which requests are sent to an outdated server."""
+        return _MAX_LAG_SHARE * self.version_s
+
+    @property
+    def unknown_server_grace_s(self) -> float:
+        """Target's age up to which a server of unknown version is used."""
+        return _UNKNOWN_SERVER_SHARE * self.version_s
+
+    @property
+    def assumed_age_s(self) -> float:
+        """Age assumed for a version of unknown age when it is learned.
+
+        Servers that lack it are used for a short time only. This process may
+        have started long after the version was published, but is not bound by
+        `version_s` yet.
+        """
+        grace_s = _UNKNOWN_AGE_GRACE_SHARE * self.stable_window_s
+        return max(0.0, self.max_lag_s - grace_s)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,10 +80,13 @@
     Attributes:
         version: The version.
         learned_s: When this process learned of it, on the monotonic clock.
+        published_s: Earliest time at which some gateway followed its
+            publication, on this process's monotonic clock; None if unknown.
     """
 
     version: int
     learned_s: float
+    published_s: float | None
 
 
 class WeightsTable:
@@ -42,15 +97,28 @@
 
     Args:
         clock: Clock for the times at which versions are learned.
+        bounds: Bounds on the use of outdated weights.
     """
 
-    def __init__(self, clock: clock_lib.Clock) -> None:
+    def __init__(
+        self, clock: clock_lib.Clock, bounds: WeightsBounds | None = None
+    ) -> None:
         self._clock = clock
+        self._bounds = bounds or WeightsBounds()
         # Target versions by model, oldest first.
         self._targets: dict[str, list[TargetVersion]] = {}
         self._versions: dict[tuple[str, str], int] = {}
         self._changing_until_s: dict[str, float] = {}
 
+    @property
+    def bounds(self) -> WeightsBounds:
+        """Bounds on the use of outdated weights."""
+        return self._bounds
+
+    @bounds.setter
+    def bounds(self, bounds: WeightsBounds) -> None:
+        self._bounds = bounds
+
     @property
     def models(self) -> tuple[str, ...]:
         """Models with a target version."""
@@ -76,29 +144,102 @@
             None,
         )
 
-    def set_target(self, model: str, version: int, source: str) -> bool:
-        """Adds a target version; returns whether it is newer than the last.
+    def age_s(self, target: TargetVersion) -> float:
+        """Returns the age of a target version, assumed if unknown."""
+        now_s = self._clock.monotonic()
+        if target.published_s is None:
+            return now_s - target.learned_s + self._bounds.assumed_age_s
+        return now_s - target.published_s
+
+    def lag_s(self, model: str, version: int) -> float:
+        """Returns for how long a version has been outdated; 0 if it is not."""
+        return max(
+            (
+                self.age_s(target)
+                for target in self._targets.get(model, ())
+                if target.version > version
+            ),
+            default=0.0,
+        )
+
+    def known_ages(self) -> list[tuple[str, int, float | None]]:
+        """Returns models, target versions and their ages, None if unknown."""
+        now_s = self._clock.monotonic()
+        return [
+            (
+                model,
+                each.version,
+                None if each.published_s is None else now_s - each.published_s,
+            )
+            for model, targets in self._targets.items()
+            for each in targets
+        ]
+
+    def set_target(
+        self, model: str, version: int, source: str, age_s: float | None
+    ) -> bool:
+        """Adds a target version, or corrects its age if it is known.
+
+        Of several ages, the oldest counts.
 
         Args:
             model: The model.
             version: The version.
             source: Where this process learned of it, for the log.
+            age_s: Its age; None if the source does not know.
+
+        Returns:
+            Whether it is newer than all others.
         """
-        current = self.target(model)
-        if current is not None and current.version >= version:
+        now_s = self._clock.monotonic()
+        published_s = None if age_s is None else now_s - age_s
+        targets = self._targets.setdefault(model, [])
+        index = bisect.bisect_left(targets, version, key=_version)
+        if index < len(targets) and targets[index].version == version:
+            self._correct_age(model, targets, index, source, published_s)
             return False
-        versions = self._targets.setdefault(model, [])
-        versions.append(TargetVersion(version, self._clock.monotonic()))
-        del versions[:-_MAX_TARGETS]
+        learned_s = now_s
+        if index < len(targets):
+            # It was published before the next one.
+            learned_s = targets[index].learned_s
+        targets.insert(index, TargetVersion(version, learned_s, published_s))
+        del targets[:-_MAX_TARGETS]
         logs.event(
             _log,
             "weights_named",
             model=model,
             version=version,
             source=source,
-            age_s=0.0,
+            age_s=None if age_s is None else round(age_s, 3),
         )
-        return True
+        return targets[-1].version == version
+
+    def _correct_age(
+        self,
+        model: str,
+        targets: list[TargetVersion],
+        index: int,
+        source: str,
+        published_s: float | None,
+    ) -> None:
+        known = targets[index]
+        if published_s is None or (
+            known.published_s is not None and published_s >= known.published_s
+        ):
+            return
+        targets[index] = dataclasses.replace(known, published_s=published_s)
+        if (
+            known.published_s is None
+            or known.published_s - published_s > _MIN_LOGGED_CORRECTION_S
+        ):
+            logs.event(
+                _log,
+                "weights_age_learned",
+                model=model,
+                version=known.version,
+                source=source,
+                age_s=round(self._clock.monotonic() - published_s, 3),
+            )
 
     def version_at(self, server_id: str, model: str) -> int | None:
         """Returns the version that a server last reported, if known."""
@@ -147,3 +288,7 @@
             del self._versions[key]
         for server_id in set(self._changing_until_s) - server_ids:
             del self._changing_until_s[server_id]
+
+
+def _version(target: TargetVersion) -> int:
+    return target.version
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -105,11 +105,14 @@
         version: Version of its weights.
         server: Id of the engine that has loaded the version; empty for the
             target version set by operators.
+        age_s: Seconds since a target version was published; None if the sender
+            does not know.
     """
 
     model: ShortText
     version: Count
     server: ShortText = ""
+    age_s: Seconds | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -33,6 +33,8 @@
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50
     lease_ms: float = 3000
+    version_ms: Annotated[float, pydantic.Field(gt=0)] = 8000
+    stable_window_ms: Annotated[float, pydantic.Field(ge=0)] = 3000
 
 
 class _Store(_FileModel):
@@ -74,6 +76,10 @@
         retry_reserve: Further retries allowed, over all processes.
         lease_s: Minimum time between the orders of two holders of the
             rollout lease.
+        version_s: Time after the publication of weights from which no request
+            may start on older ones.
+        stable_window_s: Time after its start in which this does not bind a
+            process.
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         role: Name of the process's role.
@@ -91,6 +97,8 @@
     retry_share: float
     retry_reserve: float
     lease_s: float
+    version_s: float
+    stable_window_s: float
     max_held_body_bytes: int
     role: str = "gateway"
 
@@ -142,5 +150,7 @@
         retry_share=parsed.bounds.retry_budget_ratio,
         retry_reserve=parsed.bounds.budget_slack,
         lease_s=parsed.bounds.lease_ms / 1000,
+        version_s=parsed.bounds.version_ms / 1000,
+        stable_window_s=parsed.bounds.stable_window_ms / 1000,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
     )
--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -15,6 +15,9 @@
 
 _log = logbook.Logger("feeds")
 
+# Reads after an outage of the store return older records for this long.
+_CATCH_UP_S = 0.5
+
 
 class OperatorRecordConsumer(follower.Consumer):
     """Applies the operators' configuration and the weights versions they name.
@@ -25,6 +28,7 @@
 
     def __init__(self, state: state_lib.GatewayState) -> None:
         self._state = state
+        self._back_s = float("-inf")
 
     def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
         """Applies the newest record of every key."""
@@ -33,7 +37,14 @@
 
     def apply(self, record: topics.KeyedRecord) -> None:
         """Applies a newer record; unknown keys are ignored."""
-        self._apply(record, weights.STORE_FOLLOWED)
+        followed = self._state.clock.monotonic() > self._back_s + _CATCH_UP_S
+        self._apply(
+            record, weights.STORE_FOLLOWED if followed else weights.STORE_READ
+        )
+
+    def note_back(self) -> None:
+        """Records that the next records may have been there for some time."""
+        self._back_s = self._state.clock.monotonic()
 
     def _apply(self, record: topics.KeyedRecord, source: str) -> None:
         if not record.value:
@@ -46,7 +57,10 @@
             elif operatorrecords.is_version_key(record.key):
                 version_record = operatorrecords.decode_version(record.value)
                 self._state.set_target_version(
-                    version_record.model, version_record.version, source
+                    version_record.model,
+                    version_record.version,
+                    source,
+                    0.0 if source == weights.STORE_FOLLOWED else None,
                 )
         except operatorrecords.RecordError as error:
             logs.warn(
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -21,6 +21,7 @@
     rolloutlease,
     service,
     stopping,
+    weights,
 )
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import mesh
@@ -77,6 +78,7 @@
             boot_settings.zone,
             _retry_policy(boot_settings),
             boot_settings.max_held_body_bytes,
+            _weights_bounds(boot_settings),
         )
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
@@ -356,6 +358,7 @@
         ]
         self._settings = boot_settings
         self._state.set_retries(_retry_policy(boot_settings))
+        self._state.weights.bounds = _weights_bounds(boot_settings)
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
@@ -370,6 +373,12 @@
     )
 
 
+def _weights_bounds(boot_settings: boot.BootSettings) -> weights.WeightsBounds:
+    return weights.WeightsBounds(
+        boot_settings.version_s, boot_settings.stable_window_s
+    )
+
+
 def _modification_time_ns(path: os.PathLike[str]) -> int:
     try:
         return os.stat(path).st_mtime_ns
--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -82,6 +82,7 @@
         self._default_mode = ""
         self._crash_text = ""
         self._crash_restart_s = 0.0
+        self._answers_orders = True
 
     @classmethod
     def add_arguments(cls, parser: argparse.ArgumentParser) -> None:
@@ -168,6 +169,11 @@
         self._crash_text = text
         self._crash_restart_s = restart_s
 
+    @server.fault
+    def ignore_orders(self) -> None:
+        """Neither executes nor answers weight-loading orders."""
+        self._answers_orders = False
+
     def discovery_entry(
         self, service: str, zone: str = "z1", **changes: Any
     ) -> bytes:
@@ -253,6 +259,8 @@
 
     async def _post_order(self, request: web.Request) -> web.Response:
         order = await request.json()
+        if not self._answers_orders:
+            await asyncio.Event().wait()
         if order.get("expect", self._orders_accepted) != self._orders_accepted:
             return web.Response(status=409)
         if order["version"] == self._version:
--- a/tests/builders/gatewayprocess.py
+++ b/tests/builders/gatewayprocess.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import copy
 import json
 import os
 import pathlib
@@ -23,8 +24,8 @@
 __all__ = ["HEADERS", "METRICS_URL", "GatewayProcess", "gateway_process"]
 
 # The metrics port is fixed, so parallel test runs need different addresses.
-_HOST = f"127.{2 + os.getpid() % 250}.1.1"
-METRICS_URL = f"http://{_HOST}:9464"
+_NETWORK = f"127.{2 + os.getpid() % 250}.1"
+METRICS_URL = f"http://{_NETWORK}.1:9464"
 HEADERS = {
     "Host": builders.HOST,
     "X-Deadline-Ms": "20000",
@@ -45,18 +46,31 @@
         self.clock = clock_lib.SystemClock()
         self.store = store_lib.PlatformStoreService()
         self.engine = runner_lib.FakeBackendServer("i-1", **options)
-        self.settings = directory / "node.toml"
-        self.log = directory / "gateway.log"
-        self.ports = [ports.reserve_port(_HOST) for _ in range(3)]
         self.process: subprocess.Popen[bytes] | None = None
+        self._set_instance(directory, 1)
+
+    def _set_instance(self, directory: pathlib.Path, number: int) -> None:
+        self._name = "g" if number == 1 else f"g{number}"
+        self._host = f"{_NETWORK}.{number}"
+        self.settings = directory / f"{self._name}.toml"
+        self.log = directory / f"{self._name}.log"
+        self.ports = [ports.reserve_port(self._host) for _ in range(3)]
+
+    def another(self, number: int) -> GatewayProcess:
+        """Returns a further gateway, not started, with the same store."""
+        other = copy.copy(self)
+        other.process = None
+        other._set_instance(self.settings.parent, number)
+        other.write_settings(self.store.port)
+        return other
 
     @property
     def url(self) -> str:
-        return f"http://{_HOST}:{self.ports[1]}/dossier/1"
+        return f"http://{self._host}:{self.ports[1]}/dossier/1"
 
     @property
     def ready_url(self) -> str:
-        return f"http://{_HOST}:{self.ports[2]}/v1/ready"
+        return f"http://{self._host}:{self.ports[2]}/v1/ready"
 
     async def publish(
         self, store: store_lib.PlatformStoreService, version: int
@@ -76,10 +90,10 @@
 
     def write_settings(self, store_port: int) -> None:
         self.settings.write_text(
-            f'node = "g"\nzone = "z1"\nip = "{_HOST}"\n'
+            f'node = "{self._name}"\nzone = "z1"\nip = "{self._host}"\n'
             f"internal_ports = [{self.ports[0]}, {self.ports[0]}]\n"
-            f'[listen]\nfront = "{_HOST}:{self.ports[1]}"\n'
-            f'ready = "{_HOST}:{self.ports[2]}"\n'
+            f'[listen]\nfront = "{self._host}:{self.ports[1]}"\n'
+            f'ready = "{self._host}:{self.ports[2]}"\n'
             f'[platform]\naddress = "127.0.0.1:{store_port}"\n'
             "[bounds]\n"
             + "".join(
@@ -87,6 +101,11 @@
             )
         )
 
+    def kill(self) -> None:
+        if self.process is not None:
+            self.process.kill()
+            self.process.wait()
+
     def start(self) -> None:
         with self.log.open("w") as log:
             self.process = subprocess.Popen(
@@ -142,8 +161,6 @@
     try:
         yield running
     finally:
-        assert running.process is not None
-        running.process.kill()
-        running.process.wait()
+        running.kill()
         await running.engine.close()
         await running.store.close()
