Keep requests from queues that outlast the bound of outdated weights

A request may be sent to an outdated engine up to 5 s after the newer version was published, but it starts when the engine's queue has drained. With an expected wait of 4 s it would start past the bound of 8 s (VERSION).

The bound was checked when a request is sent, whatever the engine's queue. Now an engine is not selected if its lag plus the expected time to the first token exceeds 7/8 of the bound. This is cautious, since a request starts before its first token.

Evidence: test_an_outdated_engine_gets_no_request_that_would_start_late failed before and passes now.

--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -4,6 +4,7 @@
 
 import abc
 import dataclasses
+import math
 from collections.abc import Sequence
 
 from hibiscusstile import registry
@@ -71,6 +72,8 @@
             some server has computed recently, whether or not this one also
             caches them.
         takes_long_prompts: Whether it is preferred for long prompts.
+        start_within_s: Time within which the request must start there, as its
+            weights are outdated.
     """
 
     server: fleet.BackendServer
@@ -85,6 +88,7 @@
     waiting_tokens: int = 0
     recently_prefilled_tokens: int = 0
     takes_long_prompts: bool = False
+    start_within_s: float = math.inf
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,8 +131,11 @@
     @abc.abstractmethod
     def select(
         self, context: SelectionContext, candidates: Sequence[Candidate]
-    ) -> SelectedServer:
-        """Returns the server to use; `candidates` must not be empty."""
+    ) -> SelectedServer | None:
+        """Returns the server to use, or None if none is in time.
+
+        `candidates` must not be empty.
+        """
 
 
 class SelectionNotFound(registry.NameNotFound):
--- a/hibiscusstile/gateway/selection/expected_first_token.py
+++ b/hibiscusstile/gateway/selection/expected_first_token.py
@@ -68,14 +68,19 @@
         self,
         context: selection.SelectionContext,
         candidates: Sequence[selection.Candidate],
-    ) -> selection.SelectedServer:
-        """Returns the server with the lowest cost."""
+    ) -> selection.SelectedServer | None:
+        """Returns the server with the lowest cost that starts in time."""
         home_id = _home_server(context, candidates)
         options = [
             self._evaluate(context, candidate, home_id)
             for candidate in candidates
         ]
-        return min(options, key=lambda each: each.cost)
+        in_time = [
+            each
+            for each in options
+            if each.expected_s <= each.candidate.start_within_s
+        ]
+        return min(in_time, key=lambda each: each.cost, default=None)
 
     def _evaluate(
         self,
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Collection
 
 from hibiscusstile.gateway import fleet, pools, routes, selection
@@ -85,7 +86,8 @@
     """Returns a server as a candidate, or None if it must not be used."""
     server_id = server.server_id
     weights_lag_s = _weights_lag_s(state, context.request.model, server_id)
-    if weights_lag_s > state.weights.bounds.max_lag_s:
+    bounds = state.weights.bounds
+    if weights_lag_s > bounds.max_lag_s:
         return None
     now_s = state.clock.monotonic()
     load = state.loads.for_server(server_id)
@@ -116,6 +118,11 @@
             if state.recent_prefills.is_recent(salt, part.part_id, now_s)
         ),
         takes_long_prompts=takes_long_prompts,
+        start_within_s=(
+            bounds.max_start_lag_s - weights_lag_s
+            if weights_lag_s
+            else math.inf
+        ),
     )
 
 
--- a/hibiscusstile/gateway/weights.py
+++ b/hibiscusstile/gateway/weights.py
@@ -26,10 +26,11 @@
 STORE_READ = "store_read"
 # Target versions kept for each model; servers have one of the last few.
 _MAX_TARGETS = 64
-# Shares of the bound on outdated weights. The rest of it leaves time to
-# wait in an engine's queue.
+# Shares of the bound on outdated weights. The first leaves time to wait in an
+# engine's queue, the last covers errors of the expected wait and of ages.
 _MAX_LAG_SHARE = 0.625
 _UNKNOWN_SERVER_SHARE = 0.4375
+_MAX_START_LAG_SHARE = 0.875
 # Share of the time without bounds after a process's start for which versions
 # of unknown age may be missing. It starts before the process reads the store.
 _UNKNOWN_AGE_GRACE_SHARE = 0.4
@@ -56,6 +57,11 @@
         """Lag up to which requests are sent to an outdated server."""
         return _MAX_LAG_SHARE * self.version_s
 
+    @property
+    def max_start_lag_s(self) -> float:
+        """Lag up to which requests may be expected to start."""
+        return _MAX_START_LAG_SHARE * self.version_s
+
     @property
     def unknown_server_grace_s(self) -> float:
         """Target's age up to which a server of unknown version is used."""
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -8,6 +8,7 @@
 import aiohttp
 import pytest
 
+from hibiscusstile.gateway import load as load_lib
 from hibiscusstile.gateway import notices, selection, serverselection
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import codec, messages
@@ -197,3 +198,18 @@
     selected = _select(state)
     assert selected is not None
     assert selected.candidate.stored_tokens == 0
+
+
+def test_an_outdated_engine_gets_no_request_that_would_start_late() -> None:
+    """Guards against the engine's queue carrying requests past the bound."""
+    clock = base.ManualClock()
+    state, follower = _gateway(clock)
+    now_s = clock.monotonic()
+    state.loads.for_server("i-1").note_peer_load(
+        "peer", load_lib.PeerLoad(1, 300_000, now_s + 60.0), now_s
+    )
+    follower.apply(_record(2))
+    selected = _select(state)
+    assert selected is not None and 2.5 < selected.expected_s < 6.5
+    clock.advance(4.9)
+    assert _select(state) is None
