Bound the age of weights versions that arrive during a pause

A process that is frozen reads the store's records and its peers' notices of that time when it goes on, and took the versions in them for new. It would send requests to outdated engines for 5 s from then on, which may be more than 8 s after the publication (VERSION), though it is in touch 3 s after the pause.

A detector now tells for how long data that is read may have waited. A version read right after a pause is as old as the pause at most; that bound is used until a peer tells the age, and is not passed on to others.

Evidence: test_a_version_read_after_a_pause_is_not_taken_for_new failed before for records and for notices, and passes now.

--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -300,7 +300,11 @@
         table = self._state.weights
         if not weights.server:
             table.set_target(
-                weights.model, weights.version, peer_id, weights.age_s
+                weights.model,
+                weights.version,
+                peer_id,
+                weights.age_s,
+                self._state.pauses.delay_s,
             )
             return
         current = table.version_at(weights.server, weights.model)
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -157,7 +157,7 @@
         newer = state.weights.target_after(context.request.model, version)
     if newer is None:
         return state.prefix_stores.held_tokens(store.address, salt, parts)
-    if newer.published_s is None:
+    if not newer.is_known:
         return 0
     stored = state.prefix_stores.held_tokens(
         store.address, salt, parts[:-1], newer.published_s
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -16,6 +16,7 @@
     health,
     load,
     notices,
+    pausedetection,
     pendingprefills,
     prefixstores,
     recentprefills,
@@ -89,6 +90,7 @@
         self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._service_times = servicetimes.ServiceTimes()
+        self._pauses = pausedetection.PauseDetector(clock)
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -138,6 +140,11 @@
         """Target and loaded versions of model weights."""
         return self._weights
 
+    @property
+    def pauses(self) -> pausedetection.PauseDetector:
+        """Times for which this process did not run."""
+        return self._pauses
+
     @property
     def prefix_stores(self) -> prefixstores.PrefixStoreTable:
         """Availability and contents of the KV cache stores."""
@@ -277,8 +284,11 @@
             source: Where this process learned of it.
             age_s: Its age; None if unknown.
         """
-        if self._weights.set_target(model, version, source, age_s):
-            self._notices.add_weights(model, version, "", age_s)
+        delay_s = self._pauses.delay_s
+        if self._weights.set_target(model, version, source, age_s, delay_s):
+            self._notices.add_weights(
+                model, version, "", age_s if not delay_s else None
+            )
 
     def forget_unlisted(self) -> None:
         """Drops state of servers that the fleet no longer holds."""
--- a/hibiscusstile/gateway/weights.py
+++ b/hibiscusstile/gateway/weights.py
@@ -85,14 +85,14 @@
 
     Attributes:
         version: The version.
-        learned_s: When this process learned of it, on the monotonic clock.
         published_s: Earliest time at which some gateway followed its
-            publication, on this process's monotonic clock; None if unknown.
+            publication, on this process's monotonic clock; assumed if unknown.
+        is_known: Whether that time is known.
     """
 
     version: int
-    learned_s: float
-    published_s: float | None
+    published_s: float
+    is_known: bool
 
 
 class WeightsTable:
@@ -152,10 +152,7 @@
 
     def age_s(self, target: TargetVersion) -> float:
         """Returns the age of a target version, assumed if unknown."""
-        now_s = self._clock.monotonic()
-        if target.published_s is None:
-            return now_s - target.learned_s + self._bounds.assumed_age_s
-        return now_s - target.published_s
+        return self._clock.monotonic() - target.published_s
 
     def lag_s(self, model: str, version: int) -> float:
         """Returns for how long a version has been outdated; 0 if it is not."""
@@ -175,40 +172,50 @@
             (
                 model,
                 each.version,
-                None if each.published_s is None else now_s - each.published_s,
+                now_s - each.published_s if each.is_known else None,
             )
             for model, targets in self._targets.items()
             for each in targets
         ]
 
     def set_target(
-        self, model: str, version: int, source: str, age_s: float | None
+        self,
+        model: str,
+        version: int,
+        source: str,
+        age_s: float | None,
+        delay_s: float = 0.0,
     ) -> bool:
         """Adds a target version, or corrects its age if it is known.
 
-        Of several ages, the oldest counts.
+        Of several known ages, the oldest counts.
 
         Args:
             model: The model.
             version: The version.
             source: Where this process learned of it, for the log.
             age_s: Its age; None if the source does not know.
+            delay_s: Longest time for which this information may have waited to
+                be read; the age is not known exactly if it is above 0.
 
         Returns:
             Whether it is newer than all others.
         """
         now_s = self._clock.monotonic()
-        published_s = None if age_s is None else now_s - age_s
+        is_known = age_s is not None and not delay_s
+        taken_age_s = self._bounds.assumed_age_s
+        if age_s is not None:
+            upper_bound_s = age_s + delay_s
+            taken_age_s = (
+                upper_bound_s if is_known else min(taken_age_s, upper_bound_s)
+            )
+        target = TargetVersion(version, now_s - taken_age_s, is_known)
         targets = self._targets.setdefault(model, [])
         index = bisect.bisect_left(targets, version, key=_version)
         if index < len(targets) and targets[index].version == version:
-            self._correct_age(model, targets, index, source, published_s)
+            self._correct_age(model, targets, index, source, target)
             return False
-        learned_s = now_s
-        if index < len(targets):
-            # It was published before the next one.
-            learned_s = targets[index].learned_s
-        targets.insert(index, TargetVersion(version, learned_s, published_s))
+        targets.insert(index, target)
         del targets[:-_MAX_TARGETS]
         logs.event(
             _log,
@@ -216,7 +223,8 @@
             model=model,
             version=version,
             source=source,
-            age_s=None if age_s is None else round(age_s, 3),
+            age_s=round(taken_age_s, 3),
+            age_known=is_known,
         )
         return targets[-1].version == version
 
@@ -226,25 +234,21 @@
         targets: list[TargetVersion],
         index: int,
         source: str,
-        published_s: float | None,
+        target: TargetVersion,
     ) -> None:
-        known = targets[index]
-        if published_s is None or (
-            known.published_s is not None and published_s >= known.published_s
-        ):
+        current = targets[index]
+        correction_s = current.published_s - target.published_s
+        if not target.is_known or (current.is_known and correction_s <= 0.0):
             return
-        targets[index] = dataclasses.replace(known, published_s=published_s)
-        if (
-            known.published_s is None
-            or known.published_s - published_s > _MIN_LOGGED_CORRECTION_S
-        ):
+        targets[index] = target
+        if not current.is_known or correction_s > _MIN_LOGGED_CORRECTION_S:
             logs.event(
                 _log,
                 "weights_age_learned",
                 model=model,
-                version=known.version,
+                version=target.version,
                 source=source,
-                age_s=round(self._clock.monotonic() - published_s, 3),
+                age_s=round(self.age_s(target), 3),
             )
 
     def version_at(self, server_id: str, model: str) -> int | None:
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -169,6 +169,7 @@
             ("links", self._mesh.run_connections),
             ("announcement", self._membership.announce),
             ("members", self._member_follower.run),
+            ("pauses", self._state.pauses.run),
             ("rollout", self._rollout.run),
             ("cache_events", self._cache_event_feed.run),
             ("settings", self._watch_settings),
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -179,6 +179,38 @@
     assert _select(other) is None
 
 
+@pytest.mark.parametrize("known_by", ["store", "peer"])
+def test_a_version_read_after_a_pause_is_not_taken_for_new(
+    known_by: str,
+) -> None:
+    """Guards against ages that omit the time for which a process was frozen."""
+    clock = base.ManualClock()
+    state, follower = _gateway(clock)
+    state.pauses.tick()
+    clock.advance(3.0)
+    state.pauses.tick()
+    clock.advance(0.2)
+    if known_by == "store":
+        follower.apply(_record(2))
+    else:
+        update = messages.WeightsUpdate("m1", 2, age_s=0.0)
+        notices.NoticeHandler(state).apply(
+            "peer", messages.GatewayNotice(weights=(update,))
+        )
+    for _ in range(2):
+        clock.advance(0.85)
+        state.pauses.tick()
+    assert _select(state) is not None
+    clock.advance(0.2)
+    assert _select(state) is None
+    # The bound is not passed on, and a known age replaces it.
+    assert state.weights.known_ages() == [("m1", 2, None)]
+    other, follower = _gateway(clock)
+    follower.apply(_record(2))
+    _connect(other, state)
+    assert _select(state) is not None
+
+
 def test_parts_stored_before_a_version_was_learned_may_be_newer() -> None:
     """Guards against KV cache computed by two versions of the weights."""
     clock = base.ManualClock()
