Start each process with an empty retry budget

A process that starts had its full part of the reserve of retries, though the process before it may just have spent the same part.

A process now earns its retries by first attempts; the reserve is the most that it can save up. Right after a start fewer failures are mended by a retry, mostly of started streams; retries of requests that no server received stay free.

Evidence: test_restarts_do_not_add_retries failed before and passes now. Tests of retries use a gateway that has forwarded requests before, as their builder now says; their checks are unchanged.

--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -42,8 +42,8 @@
 
     Attributes:
         share: Retries that each request to a service adds to its budget.
-        reserve: Initial and maximum tokens of a service's budget, divided among
-            the gateway processes.
+        reserve: Maximum tokens of a service's budget, divided among the gateway
+            processes.
     """
 
     share: float
@@ -226,7 +226,8 @@
         if budget is None:
             budget = self._budgets[service] = retrybudget.RetryBudget(
                 share=self._retry_policy.share,
-                initial_tokens=self._retry_policy.reserve / self._process_count,
+                # The process before this one may just have spent its share.
+                initial_tokens=0.0,
                 max_tokens=self._retry_policy.reserve / self._process_count,
             )
         return budget
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -193,10 +193,17 @@
 def gateway_state(
     clock: clock_lib.Clock, *, zone: str = "z1", reserve: float = 60.0
 ) -> state_lib.GatewayState:
-    """Returns the state of a gateway without configuration or servers."""
-    return state_lib.GatewayState(
+    """Returns the state of a gateway without configuration or servers.
+
+    It has forwarded enough requests to have full retry budgets.
+    """
+    state = state_lib.GatewayState(
         clock, zone, state_lib.RetryPolicy(0.2, reserve)
     )
+    for name in (ENGINE_SERVICE, PLAIN_SERVICE):
+        for _ in range(round(reserve / 0.2)):
+            state.budget(name).note_first_attempt()
+    return state
 
 
 def configuration_relay(
--- a/tests/test_retrybudget.py
+++ b/tests/test_retrybudget.py
@@ -7,6 +7,8 @@
 from hypothesis import strategies as st
 
 from hibiscusstile import outcome, retrybudget
+from hibiscusstile.gateway import state as state_lib
+from tests import builders as base
 
 _LOST = outcome.Refusal(
     outcome.Reason.PEER_LOST, "lost", outcome.Verdict.MAY_HAVE_RUN
@@ -45,3 +47,19 @@
     budget = retrybudget.RetryBudget()
     assert all(budget.try_acquire(_LEAVING) for _ in range(1000))
     assert budget.tokens == 10.0
+
+
+def test_restarts_do_not_add_retries() -> None:
+    """Guards against a full reserve for each process that starts (BUDGET)."""
+    policy = state_lib.RetryPolicy(share=0.18, reserve=56.0)
+    firsts = retries = 0
+    for _start in range(4 * 3):
+        budget = state_lib.GatewayState(
+            base.ManualClock(), "z1", policy
+        ).budget("engines")
+        for _ in range(5):
+            budget.note_first_attempt()
+            firsts += 1
+        while budget.try_acquire(_LOST, started=True):
+            retries += 1
+    assert retries <= 0.2 * firsts + 56.0
