Tell a connecting gateway which engines load weights

A gateway that has just started sent requests to engines that were loading weights, which rejected them: it had missed the notices. Callers only waited for another attempt; no rule was broken.

Evidence: test_a_gateway_that_connects_learns_which_engines_load_weights failed before and passes now.

--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -223,6 +223,10 @@
                     now_s - _SNAPSHOT_WINDOW_S
                 )
             ),
+            changes=tuple(
+                messages.WeightsChangeUpdate(server_id, duration_s)
+                for server_id, duration_s in self._state.weights.changing()
+            )[-messages.MAX_NOTICE_ENTRIES :],
             weights=tuple(
                 messages.WeightsUpdate(model, version, age_s=age_s)
                 for model, version, age_s in self._state.weights.known_ages()
--- a/hibiscusstile/gateway/weights.py
+++ b/hibiscusstile/gateway/weights.py
@@ -290,6 +290,15 @@
         until_s = self._changing_until_s.get(server_id, 0.0)
         return self._clock.monotonic() < until_s
 
+    def changing(self) -> list[tuple[str, float]]:
+        """Returns the servers that change weights, and for how long in s."""
+        now_s = self._clock.monotonic()
+        return [
+            (server_id, until_s - now_s)
+            for server_id, until_s in self._changing_until_s.items()
+            if until_s > now_s
+        ]
+
     def keep_only(self, server_ids: set[str]) -> None:
         """Drops servers that are no longer listed."""
         for key in [
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -211,6 +211,20 @@
     assert _select(state) is not None
 
 
+def test_a_gateway_that_connects_learns_which_engines_load_weights() -> None:
+    """Guards against requests that an engine rejects while it loads weights."""
+    clock = base.ManualClock()
+    peer, _ = _gateway(clock)
+    peer.weights.note_changing("i-1", 1.5)
+    clock.advance(0.5)
+    state, _ = _gateway(clock)
+    _connect(peer, state)
+    clock.advance(0.9)
+    assert state.weights.is_changing("i-1")
+    clock.advance(0.2)
+    assert not state.weights.is_changing("i-1")
+
+
 def test_parts_stored_before_a_version_was_learned_may_be_newer() -> None:
     """Guards against KV cache computed by two versions of the weights."""
     clock = base.ManualClock()
