--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -17,9 +17,6 @@
 from tests.builders import gateway as builders
 from tests.builders import gatewayprocess as process_lib
 
-_VERSION_BOUND_S = 8.0
-_START_DELAY_S = 4.5
-
 
 async def _put_version(gateway: process_lib.GatewayProcess) -> float:
     await gateway.store.put(
@@ -54,12 +51,13 @@
     return last_s
 
 
-@pytest.mark.parametrize("peer_runs", [True, False])
+@pytest.mark.parametrize("peer_runs, bound_s", [(True, 8.0), (False, 4.0)])
 async def test_a_gateway_that_starts_late_keeps_the_bound(
-    tmp_path: pathlib.Path, peer_runs: bool
+    tmp_path: pathlib.Path, peer_runs: bool, bound_s: float
 ) -> None:
     """Guards against ages of versions that count from a process's start."""
-    async with process_lib.gateway_process(tmp_path) as first:
+    bounds = {"version_ms": 1000 * bound_s}
+    async with process_lib.gateway_process(tmp_path, bounds) as first:
         first.engine.ignore_orders()
         async with aiohttp.ClientSession() as session:
             await first.wait_status(session, 200, 10)
@@ -67,18 +65,16 @@
             await asyncio.sleep(0.5)
             await _send(session, first)
         assert first.engine.arrivals
-        await asyncio.sleep(_START_DELAY_S)
+        await asyncio.sleep(bound_s - 3.5)
         if not peer_runs:
             first.kill()
         second = first.another(2)
         second.start()
         try:
-            last_s = await _last_arrival_s(
-                second, named_s + _VERSION_BOUND_S + 2.0
-            )
+            last_s = await _last_arrival_s(second, named_s + bound_s + 2.0)
         finally:
             second.kill()
-    assert last_s < named_s + _VERSION_BOUND_S
+    assert last_s < named_s + bound_s
 
 
 def _gateway(
