--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -17,14 +17,15 @@
     health,
     load,
     notices,
+    pausedetection,
     pendingprefills,
     prefixstores,
     recentprefills,
     routes,
     serverstatements,
     servicetimes,
-    weights,
 )
+from hibiscusstile.gateway import weights as weights_lib
 
 __all__ = ["GatewayState", "RetryPolicy"]
 
@@ -43,8 +44,8 @@
 
     Attributes:
         share: Retries that each request to a service adds to its budget.
-        reserve: Initial and maximum tokens of a service's budget, divided among
-            the gateway processes.
+        reserve: Maximum tokens of a service's budget, divided among the gateway
+            processes.
     """
 
     share: float
@@ -62,6 +63,7 @@
             until it is complete.
         stable_window: Time after an outage of the store from which unlisted
             servers must get no requests.
+        weights_bounds: Bounds on the use of outdated weights.
     """
 
     def __init__(
@@ -71,6 +73,7 @@
         retries: RetryPolicy,
         max_held_body_bytes: int = _DEFAULT_MAX_HELD_BODY_BYTES,
         stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
+        weights_bounds: weights_lib.WeightsBounds | None = None,
     ) -> None:
         self._clock = clock
         self._max_held_body_bytes = max_held_body_bytes
@@ -85,13 +88,14 @@
         self._fleet = fleet.Fleet(clock, self._server_statements, stable_window)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
-        self._weights = weights.WeightsTable(clock)
+        self._weights = weights_lib.WeightsTable(clock, weights_bounds)
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
         self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._service_times = servicetimes.ServiceTimes()
+        self._pauses = pausedetection.PauseDetector(clock)
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -137,10 +141,15 @@
         return self._loads
 
     @property
-    def weights(self) -> weights.WeightsTable:
+    def weights(self) -> weights_lib.WeightsTable:
         """Target and loaded versions of model weights."""
         return self._weights
 
+    @property
+    def pauses(self) -> pausedetection.PauseDetector:
+        """Times for which this process did not run."""
+        return self._pauses
+
     @property
     def prefix_stores(self) -> prefixstores.PrefixStoreTable:
         """Availability and contents of the KV cache stores."""
@@ -222,7 +231,8 @@
         if budget is None:
             budget = self._budgets[service] = retrybudget.RetryBudget(
                 share=self._retry_policy.share,
-                initial_tokens=self._retry_policy.reserve / self._process_count,
+                # The process before this one may just have spent its share.
+                initial_tokens=0.0,
                 max_tokens=self._retry_policy.reserve / self._process_count,
             )
         return budget
@@ -265,10 +275,26 @@
         if before is not None and not from_peer:
             self._notices.add_weights(model, version, server_id)
 
-    def set_target_version(self, model: str, version: int) -> None:
-        """Sets a model's target version and announces a newer one."""
-        if self._weights.set_target(model, version):
-            self._notices.add_weights(model, version, "")
+    def set_target_version(
+        self,
+        model: str,
+        version: int,
+        source: str = weights_lib.STORE_FOLLOWED,
+        age_s: float | None = 0.0,
+    ) -> None:
+        """Sets a model's target version and announces a newer one.
+
+        Args:
+            model: The model.
+            version: The version.
+            source: Where this process learned of it.
+            age_s: Its age; None if unknown.
+        """
+        delay_s = self._pauses.delay_s
+        if self._weights.set_target(model, version, source, age_s, delay_s):
+            self._notices.add_weights(
+                model, version, "", age_s if not delay_s else None
+            )
 
     def forget_unlisted(self) -> None:
         """Drops state of servers that the fleet no longer holds."""
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -34,6 +34,7 @@
     retry_budget_ratio: float = 0.2
     budget_slack: float = 50
     lease_ms: float = 3000
+    version_ms: Annotated[float, pydantic.Field(gt=0)] = 8000
 
 
 class _Store(_FileModel):
@@ -70,13 +71,15 @@
         store_address: Address of the platform's store.
         drain_s: Time after its announcement at which a leaving server must
             get no new requests.
-        stable_window_s: Time after a disturbance of the store from which
-            bounds on times hold again.
+        stable_window_s: Time after the start of a process, or after a
+            disturbance of the store, from which bounds on times hold.
         grace_s: Time between the stop signal and the kill signal.
         retry_share: Retries earned by each request, over all processes.
         retry_reserve: Further retries allowed, over all processes.
         lease_s: Minimum time between the orders of two holders of the
             rollout lease.
+        version_s: Time after the publication of weights from which no request
+            may start on older ones.
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         role: Name of the process's role.
@@ -95,6 +98,7 @@
     retry_share: float
     retry_reserve: float
     lease_s: float
+    version_s: float
     max_held_body_bytes: int
     role: str = "gateway"
 
@@ -147,5 +151,6 @@
         retry_share=parsed.bounds.retry_budget_ratio,
         retry_reserve=parsed.bounds.budget_slack,
         lease_s=parsed.bounds.lease_ms / 1000,
+        version_s=parsed.bounds.version_ms / 1000,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
     )
