Quote control characters in values of log lines

A value with a carriage return or an escape sequence, such as the key of an entry that another writer left, was written as it is, and ended the line or changed the reader's terminal. Only line feeds, spaces, quotes and equals signs were quoted.

Every value that is not printable is now quoted, as JSON.

--- a/hibiscusstile/logs.py
+++ b/hibiscusstile/logs.py
@@ -57,7 +57,8 @@
 
     Args:
         event: Type of the event, such as `route`.
-        fields: Fields of the event; values with spaces are quoted.
+        fields: Fields of the event; values with spaces or control characters
+            are quoted.
     """
     if _ProcessSettings.event_format is LogFormat.JSON:
         return json.dumps({"event": event, **fields}, default=str)
@@ -85,6 +86,7 @@
     if isinstance(value, float):
         return f"{value:.6g}"
     text = str(value)
-    if not text or any(c in text for c in ' "=\n'):
+    # Control characters would end the line or change an operator's terminal.
+    if not text.isprintable() or not text or any(c in text for c in ' "='):
         return json.dumps(text)
     return text
