Treat an address that cannot be used as not reached

Callers got HTTP 500 for requests whose selected server was listed with port 70000 or with a label of 70 characters: aiohttp and asyncio raise ValueError, UnicodeError or OverflowError for these, which no caller of the client expects. The request was not tried on another server, and a non-idempotent one got no verdict.

Measured on the code before, with one sound server beside the odd one and 60 concurrent requests: 59 answers with status 500 for port 70000, 30 for the long label.

These errors now count as connections that were not made, so that another server is tried.

--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -176,7 +176,13 @@
                 allow_redirects=False,
                 trace_request_ctx=trace,
             )
-        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            ValueError,
+        ) as error:
+            # A ValueError is an address or a header that cannot be sent.
             raise _request_failure(trace, error) from None
         try:
             statement = headers.parse_statement(
@@ -198,7 +204,8 @@
                 _, writer = await asyncio.open_connection(host, int(port))
         except ConnectionRefusedError:
             return True
-        except (OSError, TimeoutError):
+        except (OSError, TimeoutError, ValueError, OverflowError):
+            # Whether an address without a valid port refuses is unknown.
             return False
         writer.close()
         return False
