Ignore server entries with values out of range, and log why

Another writer left an entry with port 70000, with numbers beyond 10**30 or with a long text. The gateway listed it as a server and selected it: callers got HTTP 500 (59 of 60 concurrent requests for port 70000). An entry that was ignored left a log line without a reason, with each heartbeat.

The model of an entry now takes only an IPv4 address with a port from 1 to 65535 in ASCII digits, bounded numbers, lengths and counts, and a key that can be sent as a header. Entries that it rejects are logged with field and reason, once for each key and error.

--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -15,6 +15,9 @@
 
 _log = logbook.Logger("feeds")
 
+# Malformed entries whose errors are kept so as not to log them again.
+_MAX_LOGGED_ERRORS = 1024
+
 
 class OperatorRecordConsumer(follower.Consumer):
     """Applies the operators' configuration and the weights versions they name.
@@ -64,6 +67,9 @@
 
     def __init__(self, state: state_lib.GatewayState) -> None:
         self._state = state
+        # Errors of the malformed entries, by key, which servers repeat with
+        # each heartbeat.
+        self._errors: dict[str, str] = {}
 
     def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
         """Replaces the fleet by the newest entries of all servers."""
@@ -100,12 +106,31 @@
 
     def _decode(self, record: topics.KeyedRecord) -> fleet.BackendServer | None:
         if not record.value:
+            self._errors.pop(record.key, None)
             return None
-        server = serverentries.decode_entry(record.key, record.value)
-        if server is None:
-            logs.event(_log, "entry_ignored", server=record.key)
+        try:
+            server = serverentries.decode_entry(record.key, record.value)
+        except serverentries.EntryError as error:
+            self._log_ignored(record, str(error))
+            return None
+        self._errors.pop(record.key, None)
         return server
 
+    def _log_ignored(self, record: topics.KeyedRecord, error: str) -> None:
+        """Logs a malformed entry, once for the same key and error."""
+        if self._errors.get(record.key) == error:
+            return
+        if len(self._errors) >= _MAX_LOGGED_ERRORS:
+            self._errors.clear()
+        self._errors[record.key] = error
+        logs.warn(
+            _log,
+            "entry_ignored",
+            server=record.key,
+            offset=record.offset,
+            error=error,
+        )
+
     def _note_weights(self, server: fleet.BackendServer) -> None:
         """Records listed weights that are newer than the known ones."""
         for model, version in server.weights.items():
--- a/hibiscusstile/platform/operatorrecords.py
+++ b/hibiscusstile/platform/operatorrecords.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from hibiscusstile.gateway import routes
+from hibiscusstile.platform import recorderrors
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -125,7 +126,7 @@
     try:
         parsed = _Version.model_validate_json(value)
     except pydantic.ValidationError as error:
-        raise RecordError(_describe_first_error(error)) from None
+        raise RecordError(recorderrors.describe_first(error)) from None
     return VersionRecord(parsed.model, parsed.version)
 
 
@@ -139,7 +140,7 @@
         parsed = _Configuration.model_validate_json(value)
         return _to_routing_table(parsed)
     except pydantic.ValidationError as error:
-        raise RecordError(_describe_first_error(error)) from None
+        raise RecordError(recorderrors.describe_first(error)) from None
     except ValueError as error:
         raise RecordError(str(error)) from None
 
@@ -209,9 +210,3 @@
         engine,
         prefix_store,
     )
-
-
-def _describe_first_error(error: pydantic.ValidationError) -> str:
-    first = error.errors(include_input=False, include_url=False)[0]
-    location = ".".join(str(part) for part in first["loc"])
-    return f"{location}: {first['msg']}"
--- a/hibiscusstile/platform/serverentries.py
+++ b/hibiscusstile/platform/serverentries.py
@@ -2,21 +2,39 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from typing import Annotated, Literal
 
 import pydantic
 
 from hibiscusstile.gateway import fleet
+from hibiscusstile.platform import addresses, recorderrors
 
-__all__ = ["SERVER_TOPIC", "decode_entry"]
+__all__ = ["SERVER_TOPIC", "EntryError", "decode_entry"]
 
 SERVER_TOPIC = "keyed.servers"
 _DRAINING = "draining"
+# Far above what servers announce. Larger numbers overflow where they are used
+# as floating-point numbers or times.
+_MAX_SLOTS = 1_000_000
+_MAX_UNIX_MS = 253_402_300_799_999
+_MAX_VERSION = 2**63 - 1
+_MAX_MODELS = 256
+_MAX_NAME_LENGTH = 256
+
+_Name = Annotated[str, pydantic.StringConstraints(max_length=_MAX_NAME_LENGTH)]
+# Sent as a header of each request to the server.
+_ServerId = Annotated[str, pydantic.StringConstraints(pattern=r"\A[!-~]+\z")]
+
+
+class EntryError(ValueError):
+    """An entry is malformed, or has a value out of range."""
 
 
 class _Weights(pydantic.BaseModel):
-    name: str
-    version: pydantic.StrictInt
+    model_config = pydantic.ConfigDict(strict=True)
+
+    name: _Name
+    version: Annotated[int, pydantic.Field(ge=0, le=_MAX_VERSION)]
 
 
 class _Entry(pydantic.BaseModel):
@@ -24,35 +42,39 @@
     # rejects an entry with another type instead of converting it.
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
-    service: str
-    address: str
-    zone: str
+    service: _Name
+    address: addresses.IpAddress
+    zone: _Name
     state: Literal["ready", "draining"]
-    slots: int = 0
+    slots: Annotated[int, pydantic.Field(ge=0, le=_MAX_SLOTS)] = 0
     # Start time of the server, as Unix time in ms.
-    born: int = 0
-    models: list[_Weights] = []
+    born: Annotated[int, pydantic.Field(ge=0, le=_MAX_UNIX_MS)] = 0
+    models: Annotated[
+        list[_Weights], pydantic.Field(max_length=_MAX_MODELS)
+    ] = []
+
 
-    @pydantic.field_validator("address")
-    @classmethod
-    def _check_address(cls, value: str) -> str:
-        host, _, port = value.rpartition(":")
-        if not host or not port.isdecimal():
-            raise ValueError("address is not of the form ip:port")
-        return value
+_SERVER_ID = pydantic.TypeAdapter(_ServerId)
 
 
-def decode_entry(server_id: str, value: bytes) -> fleet.BackendServer | None:
-    """Returns the server that an entry describes, None if it is malformed.
+def decode_entry(server_id: str, value: bytes) -> fleet.BackendServer:
+    """Returns the server that an entry describes.
 
     Args:
         server_id: Key of the entry.
         value: Value of the entry.
+
+    Raises:
+        EntryError: The entry is malformed, or has a value out of range.
     """
     try:
-        parsed = _Entry.model_validate_json(value)
+        _SERVER_ID.validate_python(server_id)
     except pydantic.ValidationError:
-        return None
+        raise EntryError("the key is not printable ASCII") from None
+    try:
+        parsed = _Entry.model_validate_json(value)
+    except pydantic.ValidationError as error:
+        raise EntryError(recorderrors.describe_first(error)) from None
     return fleet.BackendServer(
         server_id=server_id,
         service=parsed.service,
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -100,8 +100,9 @@
     async with builders.gateway_harness() as world:
         runner = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
         entry = runner.discovery_entry(builders.PLAIN_SERVICE, **changes)
-        assert serverentries.decode_entry("i-9", entry) is None
-        assert serverentries.decode_entry("i-9", b"\xff") is None
+        for value in (entry, b"\xff"):
+            with pytest.raises(serverentries.EntryError):
+                serverentries.decode_entry("i-9", value)
         await world.store.put(serverentries.SERVER_TOPIC, "i-1", entry)
         assert (await world.call("/lookup/1"))[0] == 200
 
