Ignore announcements of gateways with an address that cannot be used

A record with a port out of range, a label of 70 characters or a NUL in the topic of announcements ended the gateway process, and again after each start: the task that connects to the peer failed with ValueError, OverflowError or UnicodeError, six times within a second, and its supervisor gave up.

The model of an announcement now takes only an IPv4 address with a port and texts of at most 256 characters; other records are logged and ignored.

test_no_odd_announcement_ends_the_connections_to_gateways failed before in six of eight cases: four with IntensityExceeded of the supervisor `links` after 0.25 s, two with a peer that cannot exist.

--- a/hibiscusstile/platform/members.py
+++ b/hibiscusstile/platform/members.py
@@ -5,6 +5,7 @@
 import datetime
 import json
 from collections.abc import Sequence
+from typing import Annotated
 
 import logbook
 import pydantic
@@ -13,7 +14,7 @@
 from hibiscusstile.gateway import follower
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import mesh
-from hibiscusstile.platform import topics
+from hibiscusstile.platform import addresses, recorderrors, topics
 
 __all__ = ["MEMBER_TOPIC", "GatewayMembership"]
 
@@ -25,11 +26,15 @@
 _REMOVE_AFTER = datetime.timedelta(seconds=60)
 
 
+_MAX_TEXT_LENGTH = 256
+_Text = Annotated[str, pydantic.StringConstraints(max_length=_MAX_TEXT_LENGTH)]
+
+
 class _Member(pydantic.BaseModel):
-    address: str
-    secret: str
+    address: addresses.IpAddress
+    secret: _Text
     # Absent in the records of earlier versions.
-    zone: str = ""
+    zone: _Text = ""
 
 
 class GatewayMembership(follower.Consumer):
@@ -116,7 +121,7 @@
                 _log,
                 "record_unreadable",
                 key=record.key,
-                error=error.errors(include_input=False)[0]["msg"],
+                error=recorderrors.describe_first(error),
             )
             return
         self._peers[record.key] = mesh.Peer(
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -6,6 +6,9 @@
 import contextlib
 import json
 
+import pytest
+
+from hibiscusstile import clock as clock_lib
 from hibiscusstile.gateway import notices
 from hibiscusstile.peers import mesh
 from hibiscusstile.platform import members, topics
@@ -17,7 +20,7 @@
 
 
 def _new_membership(
-    clock: base.ManualClock, log: rollouts.MemoryLog
+    clock: clock_lib.Clock, log: rollouts.MemoryLog
 ) -> tuple[members.GatewayMembership, mesh.Mesh]:
     state = builders.gateway_state(clock)
     peer_mesh = mesh.Mesh(
@@ -87,3 +90,42 @@
     membership.apply(topics.KeyedRecord("a", b"", 1))
     await _run_tasks(membership, peer_mesh, 20)
     assert _appended_records(log) == [("a", True), ("a", False)]
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"address": "127.0.0.1:70000"},
+        {"address": "127.0.0.1:port"},
+        {"address": "a" * 70 + ".example:80"},
+        {"address": "127.0.0.1\0:80"},
+        {"address": ""},
+        {"secret": 5},
+        {"secret": "s" * 100_000},
+        {"zone": 10**400},
+    ],
+)
+async def test_no_odd_announcement_ends_the_connections_to_gateways(
+    fields: dict[str, object],
+) -> None:
+    """Guards against a process that ends at one odd record again and again."""
+    membership, peer_mesh = _new_membership(
+        clock_lib.SystemClock(), rollouts.MemoryLog()
+    )
+    value = json.dumps({**_LOST_MEMBER, **fields}).encode()
+    membership.apply(topics.KeyedRecord("b", value, 0))
+    tasks = [
+        asyncio.ensure_future(run())
+        for run in (
+            peer_mesh.run_connections,
+            peer_mesh.run_server,
+            membership.announce,
+        )
+    ]
+    ended, _ = await asyncio.wait(tasks, timeout=0.5)
+    peers = peer_mesh.peers
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    assert not ended
+    assert peers == ()
