Reject operators' records with numbers that cannot be used

A configuration with a timeout of NaN, a negative weight, a limit below 0 or a name with a line break was put in force: callers got 504, 503, closed connections or 502 for every request of its routes, until the next sound one. A weights version of 10**40 hid every later version of that model.

The fields of operators' records, entries and announcements now have the types of platform/bounded: finite durations and weights, counts and versions within 64 bits, names without control characters, and addresses with a valid port. A record outside them is rejected with a log line that names the field, and the configuration in force stays.

--- a/hibiscusstile/platform/addresses.py
+++ b/hibiscusstile/platform/addresses.py
@@ -8,7 +8,7 @@
 
 import pydantic
 
-__all__ = ["IpAddress"]
+__all__ = ["IpAddress", "OptionalIpAddress"]
 
 # Ports in ASCII digits without leading zeros.
 _PORT = re.compile(r"[1-9][0-9]{0,4}")
@@ -26,5 +26,11 @@
     return value
 
 
+def _check_optional(value: str) -> str:
+    return _check(value) if value else value
+
+
 IpAddress = Annotated[str, pydantic.AfterValidator(_check)]
 """An IPv4 address and a port, as `ip:port`."""
+OptionalIpAddress = Annotated[str, pydantic.AfterValidator(_check_optional)]
+"""An `IpAddress`, or an empty text for none."""
--- a/hibiscusstile/platform/members.py
+++ b/hibiscusstile/platform/members.py
@@ -5,7 +5,6 @@
 import datetime
 import json
 from collections.abc import Sequence
-from typing import Annotated
 
 import logbook
 import pydantic
@@ -14,7 +13,7 @@
 from hibiscusstile.gateway import follower
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import mesh
-from hibiscusstile.platform import addresses, recorderrors, topics
+from hibiscusstile.platform import addresses, bounded, recorderrors, topics
 
 __all__ = ["MEMBER_TOPIC", "GatewayMembership"]
 
@@ -26,15 +25,11 @@
 _REMOVE_AFTER = datetime.timedelta(seconds=60)
 
 
-_MAX_TEXT_LENGTH = 256
-_Text = Annotated[str, pydantic.StringConstraints(max_length=_MAX_TEXT_LENGTH)]
-
-
 class _Member(pydantic.BaseModel):
     address: addresses.IpAddress
-    secret: _Text
+    secret: bounded.Text
     # Absent in the records of earlier versions.
-    zone: _Text = ""
+    zone: bounded.Text = ""
 
 
 class GatewayMembership(follower.Consumer):
--- a/hibiscusstile/platform/operatorrecords.py
+++ b/hibiscusstile/platform/operatorrecords.py
@@ -7,7 +7,7 @@
 import pydantic
 
 from hibiscusstile.gateway import routes
-from hibiscusstile.platform import recorderrors
+from hibiscusstile.platform import addresses, bounded, recorderrors
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -33,61 +33,61 @@
 
 
 class _Share(_RecordModel):
-    service: str
-    weight: float = 1.0
+    service: bounded.Text
+    weight: bounded.Weight = 1.0
 
 
 class _Route(_RecordModel):
-    name: str = ""
+    name: bounded.Text = ""
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 5
-    service: str | None = None
+    timeout_ms: bounded.Milliseconds
+    target_latency_ms: bounded.Milliseconds
+    priority: bounded.Rank = 5
+    service: bounded.Text | None = None
     traffic_split: list[_Share] | None = None
-    attempts: int = 1
+    attempts: bounded.Count = 1
     allow_anonymous: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0
+    gap_aim_ms: bounded.Milliseconds = 0
 
 
 class _ModelName(_RecordModel):
-    name: str
+    name: bounded.Text
 
 
 class _Engine(_RecordModel):
-    slots: int
-    kv_tokens: int
+    slots: bounded.Count
+    kv_tokens: bounded.Count
     models: list[_ModelName] = []
 
 
 class _Service(_RecordModel):
-    name: str
+    name: bounded.Text
     # Absent for a KV cache store, since no requests are routed to it.
-    max_connections: int = 0
+    max_connections: bounded.Count = 0
     engine: _Engine | None = None
-    kv_store_addr: str = ""
-    zone: str = ""
+    kv_store_addr: addresses.OptionalIpAddress = ""
+    zone: bounded.Text = ""
 
 
 class _Limits(_RecordModel):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: bounded.Count
+    max_body_bytes: bounded.Count
+    header_timeout_ms: bounded.Milliseconds
+    idle_timeout_ms: bounded.Milliseconds
 
 
 class _Tenant(_RecordModel):
-    name: str
+    name: bounded.Text
     api_keys: list[str]
-    priority: int | None = None
+    priority: bounded.Rank | None = None
     isolated: bool = False
 
 
 class _Configuration(_RecordModel):
-    version: int
+    version: bounded.Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
@@ -95,8 +95,8 @@
 
 
 class _Version(_RecordModel):
-    model: str
-    version: int
+    model: bounded.Text
+    version: bounded.Version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/platform/serverentries.py
+++ b/hibiscusstile/platform/serverentries.py
@@ -7,21 +7,14 @@
 import pydantic
 
 from hibiscusstile.gateway import fleet
-from hibiscusstile.platform import addresses, recorderrors
+from hibiscusstile.platform import addresses, bounded, recorderrors
 
 __all__ = ["SERVER_TOPIC", "EntryError", "decode_entry"]
 
 SERVER_TOPIC = "keyed.servers"
 _DRAINING = "draining"
-# Far above what servers announce. Larger numbers overflow where they are used
-# as floating-point numbers or times.
-_MAX_SLOTS = 1_000_000
-_MAX_UNIX_MS = 253_402_300_799_999
-_MAX_VERSION = 2**63 - 1
 _MAX_MODELS = 256
-_MAX_NAME_LENGTH = 256
 
-_Name = Annotated[str, pydantic.StringConstraints(max_length=_MAX_NAME_LENGTH)]
 # Sent as a header of each request to the server.
 _ServerId = Annotated[str, pydantic.StringConstraints(pattern=r"\A[!-~]+\z")]
 
@@ -33,8 +26,8 @@
 class _Weights(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(strict=True)
 
-    name: _Name
-    version: Annotated[int, pydantic.Field(ge=0, le=_MAX_VERSION)]
+    name: bounded.Text
+    version: bounded.Version
 
 
 class _Entry(pydantic.BaseModel):
@@ -42,13 +35,13 @@
     # rejects an entry with another type instead of converting it.
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
-    service: _Name
+    service: bounded.Text
     address: addresses.IpAddress
-    zone: _Name
+    zone: bounded.Text
     state: Literal["ready", "draining"]
-    slots: Annotated[int, pydantic.Field(ge=0, le=_MAX_SLOTS)] = 0
+    slots: bounded.Count = 0
     # Start time of the server, as Unix time in ms.
-    born: Annotated[int, pydantic.Field(ge=0, le=_MAX_UNIX_MS)] = 0
+    born: bounded.Count = 0
     models: Annotated[
         list[_Weights], pydantic.Field(max_length=_MAX_MODELS)
     ] = []
