Serve requests and responses with numbers of thousands of digits

Callers got HTTP 500 for a request whose X-Token-Usage, X-Prompt-Prefix or X-Deadline-Ms had 310 digits or more, and for a complete response whose X-Weight-Versions or event version had 4,301 or more, also of a non-idempotent route that had run. Python's int() raises ValueError beyond 4,300 digits, and the division of a larger integer than a float holds raises OverflowError. An HTTP date in Retry-After with a huge offset did the same.

--- a/hibiscusstile/gateway/requestprogress.py
+++ b/hibiscusstile/gateway/requestprogress.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hibiscusstile import outcome
+from hibiscusstile import decimals, outcome
 from hibiscusstile.gateway import routes
 
 __all__ = ["RequestProgress"]
@@ -90,8 +90,9 @@
         The IDs of a stream increase. IDs that are not numbers only differ.
         """
         last_id = self._last_event_id
-        if event_id.isdecimal() and last_id.isdecimal():
-            return int(event_id) > int(last_id)
+        number, last_number = decimals.parse(event_id), decimals.parse(last_id)
+        if number is not None and last_number is not None:
+            return number > last_number
         return bool(event_id) and event_id != last_id
 
     def may_run_again(self, route: routes.Route, *, started: bool) -> bool:
--- a/hibiscusstile/platform/callerrequests.py
+++ b/hibiscusstile/platform/callerrequests.py
@@ -4,7 +4,7 @@
 
 from aiohttp import web
 
-from hibiscusstile import outcome
+from hibiscusstile import decimals, outcome
 from hibiscusstile.gateway import exchange
 from hibiscusstile.platform import headers
 
@@ -31,7 +31,7 @@
             outcome.Reason.BAD_REQUEST,
             "the X-Request-Id header is missing, or the target is not a path",
         )
-    time_left_ms = received.get(headers.TIME_LEFT, "").strip()
+    time_left_ms = decimals.parse(received.get(headers.TIME_LEFT, "").strip())
     authorization = received.get(headers.AUTHORIZATION, "")
     key = ""
     if authorization.lower().startswith(_AUTHORIZATION_SCHEME):
@@ -51,8 +51,8 @@
         ),
         body=body,
         received_s=received_s,
-        caller_timeout_s=int(time_left_ms) / 1000
-        if time_left_ms.isdecimal()
+        caller_timeout_s=time_left_ms / 1000
+        if time_left_ms is not None
         else None,
         model=received.get(headers.MODEL, ""),
         parts=parts,
--- a/hibiscusstile/platform/eventstream.py
+++ b/hibiscusstile/platform/eventstream.py
@@ -5,6 +5,7 @@
 import re
 from collections.abc import Iterator
 
+from hibiscusstile import decimals
 from hibiscusstile.gateway import exchange
 
 __all__ = ["EventFormatError", "EventSizeError", "EventStreamParser"]
@@ -90,6 +91,8 @@
     return exchange.StreamEvent(
         event_bytes,
         id_match.group(1).decode(errors="replace") if id_match else "",
-        int(version_match.group(1)) if version_match else None,
+        decimals.parse(version_match.group(1).decode())
+        if version_match
+        else None,
         has_content=_CONTENT_LINE.search(event_bytes) is not None,
     )
--- a/hibiscusstile/platform/headers.py
+++ b/hibiscusstile/platform/headers.py
@@ -9,6 +9,7 @@
 
 import multidict
 
+from hibiscusstile import decimals
 from hibiscusstile.gateway import exchange, serverstatements
 
 __all__ = [
@@ -155,19 +156,19 @@
     parts = []
     for item in value.split(","):
         part_id, _, tokens = item.strip().rpartition(":")
-        if not part_id or not tokens.isdecimal():
+        count = decimals.parse(tokens)
+        if not part_id or count is None:
             break
-        parts.append(exchange.PromptPart(part_id, int(tokens)))
+        parts.append(exchange.PromptPart(part_id, count))
     return tuple(parts)
 
 
 def parse_token_counts(value: str) -> tuple[int, int]:
     """Returns the prompt tokens and maximum output tokens; 0 if unknown."""
     prompt, _, output = value.partition(",")
-    prompt, output = prompt.strip(), output.strip()
     return (
-        int(prompt) if prompt.isdecimal() else 0,
-        int(output) if output.isdecimal() else 0,
+        decimals.parse(prompt.strip()) or 0,
+        decimals.parse(output.strip()) or 0,
     )
 
 
@@ -223,6 +224,6 @@
         delay = email.utils.parsedate_to_datetime(
             value
         ) - email.utils.parsedate_to_datetime(date)
-    except (TypeError, ValueError):
+    except (TypeError, ValueError, OverflowError):
         return None
     return delay if delay > datetime.timedelta(0) else None
--- a/hibiscusstile/platform/responsecheck.py
+++ b/hibiscusstile/platform/responsecheck.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from hibiscusstile import outcome
+from hibiscusstile import decimals, outcome
 from hibiscusstile.gateway import exchange, fleet, serverstatements
 from hibiscusstile.platform import headers
 
@@ -39,8 +39,7 @@
 
 def parse_weights_version(response: aiohttp.ClientResponse) -> int | None:
     """Returns the weights version that a response reports, if any."""
-    text = response.headers.get(headers.WEIGHTS_VERSION, "")
-    return int(text) if text.isdecimal() else None
+    return decimals.parse(response.headers.get(headers.WEIGHTS_VERSION, ""))
 
 
 def _failure(
