Ignore listed weights versions that operators have not named

An engine whose entry listed a version above the target, written by another writer, counted as up to date: the rollout sent it no order, and an idle engine kept its old weights for good. The version also spread to all gateways.

A listed version above the newest named one is no longer recorded, and one that was recorded before the first target was known is dropped when that arrives. The rollout then reads the engine's report, as for every engine of unknown version. An engine that is ahead of this gateway's knowledge becomes known by its responses and reports.

test_a_listed_version_that_was_never_named_hides_no_engine failed before in both orders of entry and target: the engine was never asked.

--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -7,7 +7,7 @@
 import logbook
 
 from hibiscusstile import logs
-from hibiscusstile.gateway import fleet, follower
+from hibiscusstile.gateway import fleet, follower, weights
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import operatorrecords, serverentries, topics
 
@@ -48,6 +48,7 @@
                 self._state.set_target_version(
                     version_record.model, version_record.version
                 )
+                self._forget_unnamed(version_record.model)
         except operatorrecords.RecordError as error:
             logs.warn(
                 _log,
@@ -57,6 +58,18 @@
                 error=str(error),
             )
 
+    def _forget_unnamed(self, model: str) -> None:
+        """Drops listed versions that operators have not named."""
+        table = self._state.weights
+        for server in self._state.fleet.servers:
+            version = server.weights.get(model)
+            if (
+                version is not None
+                and version == table.version_at(server.server_id, model)
+                and _is_unnamed(table, model, version)
+            ):
+                table.forget_version(server.server_id, model)
+
 
 class ServerEntryConsumer(follower.Consumer):
     """Updates the fleet from the entries of backend servers.
@@ -137,5 +150,16 @@
             known_version = self._state.weights.version_at(
                 server.server_id, model
             )
+            if _is_unnamed(self._state.weights, model, version):
+                continue
             if known_version is None or version > known_version:
                 self._state.note_weights(server.server_id, model, version)
+
+
+def _is_unnamed(table: weights.WeightsTable, model: str, version: int) -> bool:
+    """Returns whether a listed version is above all that operators named.
+
+    Recorded, it would keep the rollout from updating the engine.
+    """
+    target = table.target(model)
+    return target is not None and version > target.version
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -6,6 +6,9 @@
 import contextlib
 import datetime
 import itertools
+import json
+
+import pytest
 
 from hibiscusstile.gateway import (
     engineorders,
@@ -16,6 +19,8 @@
     serverstatements,
 )
 from hibiscusstile.gateway import state as state_lib
+from hibiscusstile.platform import consumers, topics
+from hibiscusstile_standins import runner as runner_lib
 from tests import builders as base
 from tests.builders import gateway as builders
 from tests.builders import rollout as rollouts
@@ -72,12 +77,13 @@
 class _Setup:
     """A process with engines, a log and a newer target version."""
 
-    def __init__(self, engines: int) -> None:
+    def __init__(self, engines: int, target: int | None = 2) -> None:
         self.clock = _SteppingClock()
         self.state = _state(self.clock, engines)
         self.log = rollouts.MemoryLog()
         self.engines = rollouts.MemoryEngines(self.state)
-        self.state.set_target_version("m1", 2)
+        if target is not None:
+            self.state.set_target_version("m1", target)
 
     async def run(self, for_s: float) -> None:
         changes = _rollout(self.state, self.log, self.engines, "a")
@@ -95,6 +101,28 @@
         assert sum(start_s <= t < start_s + 0.5 for t in times) <= 3
 
 
+@pytest.mark.parametrize("listed_first", [False, True])
+async def test_a_listed_version_that_was_never_named_hides_no_engine(
+    listed_first: bool,
+) -> None:
+    """Guards against an outdated engine that an odd entry hides for good."""
+    setup = _Setup(3, target=None if listed_first else 2)
+    entry = runner_lib.FakeBackendServer("i-1").discovery_entry(
+        builders.ENGINE_SERVICE,
+        address="10.0.0.1:1",
+        models=[{"name": "m1", "version": 99}],
+    )
+    consumers.ServerEntryConsumer(setup.state).apply(
+        topics.KeyedRecord("i-1", entry, 0)
+    )
+    record = json.dumps({"model": "m1", "version": 2}).encode()
+    consumers.OperatorRecordConsumer(setup.state).apply(
+        topics.KeyedRecord("version/m1", record, 0)
+    )
+    await setup.run(4.0)
+    assert setup.engines.versions == {"i-0": 2, "i-1": 2, "i-2": 2}
+
+
 async def test_no_order_is_sent_to_a_server_that_wants_none() -> None:
     """Guards against orders to an engine that leaves or asked for a pause."""
     setup = _Setup(4)
