Ignore engines' reports with numbers out of range

A report with a weights version of 400 digits made its engine count as up to date, so that the rollout left it on its old weights; negative counts were taken too. Reports now have the bounded types of the other records, and one outside them counts as not read.

Four cases of test_an_odd_report_is_not_used failed before. Events of KV cache stores were tried with eight odd bodies too (test_odd_events_do_not_end_the_feed) and the feed goes on without a change.

--- a/hibiscusstile/platform/orders.py
+++ b/hibiscusstile/platform/orders.py
@@ -7,7 +7,7 @@
 
 from hibiscusstile import boundedhttp, sockets
 from hibiscusstile.gateway import engineorders, fleet, serverstatements
-from hibiscusstile.platform import headers
+from hibiscusstile.platform import bounded, headers
 
 __all__ = ["HttpOrders"]
 
@@ -28,8 +28,8 @@
 
 
 class _Weights(pydantic.BaseModel):
-    name: str
-    version: int
+    name: bounded.Text
+    version: bounded.Version
 
 
 class _Report(pydantic.BaseModel):
@@ -37,9 +37,9 @@
     # Whether the engine is executing an order.
     busy: bool = False
     # Number of orders accepted since the engine's start, not a log offset.
-    sequence: int = 0
-    waiting: int = 0
-    running: int = 0
+    sequence: bounded.Count = 0
+    waiting: bounded.Count = 0
+    running: bounded.Count = 0
 
 
 class HttpOrders(engineorders.EngineOrders):
