Pass over records that a follower's consumer fails on

An exception in a consumer ended the task that follows the topic. The offset is stored only after the whole batch, so the task read the same record after its restart and failed again, until the supervisor ended the process, and each new process ended at the same record (reported by operators: 'the machines that read the list ended again and again').

IsolatingConsumer logs such a record as record_failed and goes on with the next one. The three followers of the gateway role use it.

--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -11,7 +11,11 @@
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import operatorrecords, serverentries, topics
 
-__all__ = ["OperatorRecordConsumer", "ServerEntryConsumer"]
+__all__ = [
+    "IsolatingConsumer",
+    "OperatorRecordConsumer",
+    "ServerEntryConsumer",
+]
 
 _log = logbook.Logger("feeds")
 
@@ -19,6 +23,50 @@
 _MAX_LOGGED_ERRORS = 1024
 
 
+class IsolatingConsumer(follower.Consumer):
+    """Passes over records that another consumer fails on unexpectedly.
+
+    Without it, the follower's task would restart, read the same record and
+    fail again until its supervisor ends the process.
+
+    Args:
+        consumer: Applies the records.
+    """
+
+    def __init__(self, consumer: follower.Consumer) -> None:
+        self._consumer = consumer
+
+    def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
+        """Applies the newest records, one by one if that fails."""
+        try:
+            self._consumer.apply_all(records)
+        except Exception as error:
+            logs.warn(_log, "listing_failed", error=repr(error))
+            for record in records:
+                self.apply(record)
+
+    def apply(self, record: topics.KeyedRecord) -> None:
+        """Applies a record, or logs why that failed."""
+        try:
+            self._consumer.apply(record)
+        except Exception as error:
+            logs.warn(
+                _log,
+                "record_failed",
+                key=record.key,
+                offset=record.offset,
+                error=repr(error),
+            )
+
+    def note_lost(self) -> None:
+        """Tells the consumer that reading the topic starts to fail."""
+        self._consumer.note_lost()
+
+    def note_back(self) -> None:
+        """Tells the consumer that the topic can be read again."""
+        self._consumer.note_back()
+
+
 class OperatorRecordConsumer(follower.Consumer):
     """Applies the operators' configuration and the weights versions they name.
 
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -98,7 +98,10 @@
             operatorrecords.CONFIGURATION_KEY,
         )
         self._operator_record_follower = follower.KeyedFollower(
-            self._platform_store, operatorrecords.OPERATOR_TOPIC, relay, clock
+            self._platform_store,
+            operatorrecords.OPERATOR_TOPIC,
+            consumers.IsolatingConsumer(relay),
+            clock,
         )
         self._notice_handler = notices.NoticeHandler(self._state)
         self._mesh = mesh.Mesh(
@@ -115,14 +118,16 @@
         self._member_follower = follower.KeyedFollower(
             self._platform_store,
             members.MEMBER_TOPIC,
-            self._membership,
+            consumers.IsolatingConsumer(self._membership),
             clock,
             _MEMBER_READ_INTERVAL,
         )
         self._server_entry_follower = follower.KeyedFollower(
             self._platform_store,
             serverentries.SERVER_TOPIC,
-            consumers.ServerEntryConsumer(self._state),
+            consumers.IsolatingConsumer(
+                consumers.ServerEntryConsumer(self._state)
+            ),
             clock,
             datetime.timedelta(
                 seconds=_SERVER_ENTRY_READ_SHARE * boot_settings.drain_s
