Test a gateway process beside odd entries of every kind

The process, its rollout and its callers' port go on while the list holds an entry of each odd kind.

--- a/tests/gateway/test_oddentries.py
+++ b/tests/gateway/test_oddentries.py
@@ -4,8 +4,11 @@
 
 import asyncio
 import dataclasses
+import json
+import pathlib
 from typing import Any
 
+import aiohttp
 import logbook
 import pytest
 
@@ -13,6 +16,7 @@
 from hibiscusstile.platform import serverentries, servers
 from hibiscusstile_standins import runner as runner_lib
 from tests.builders import gateway as builders
+from tests.builders import gatewayprocess
 
 _DEEP = b'{"service": ' + b"[" * 100_000 + b"]" * 100_000 + b"}"
 _ODD_FIELDS: dict[str, dict[str, Any]] = {
@@ -127,3 +131,36 @@
     ]
     assert len(ignored) == 1
     assert "address" in ignored[0].extra["error"]
+
+
+async def test_a_process_serves_beside_odd_entries(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a process that ends at an entry, again at each start."""
+    async with gatewayprocess.gateway_process(
+        tmp_path, events=3, pace_s=0.0
+    ) as gateway:
+        topic = serverentries.SERVER_TOPIC
+        for number, entry in enumerate(_ODD_ENTRIES.values()):
+            entry = entry.replace(
+                builders.PLAIN_SERVICE.encode(),
+                builders.ENGINE_SERVICE.encode(),
+            )
+            await gateway.store.put(topic, f"odd-{number}", entry)
+        target = json.dumps({"model": "m1", "version": 2}).encode()
+        await gateway.store.put("keyed.op", "version/m1", target)
+        async with aiohttp.ClientSession() as session:
+            await gateway.wait_status(session, 200, 10)
+            for number in range(60):
+                headers = {
+                    **gatewayprocess.HEADERS,
+                    "X-Request-Id": f"r{number}",
+                }
+                async with session.post(
+                    gateway.url, data=b"{}", headers=headers
+                ) as response:
+                    assert response.status == 200
+                await asyncio.sleep(0.05)
+        assert gateway.process is not None
+        assert gateway.process.poll() is None
+        assert "child_failed" not in gateway.log.read_text()
