--- a/hibiscusstile/platform/members.py
+++ b/hibiscusstile/platform/members.py
@@ -13,7 +13,7 @@
 from hibiscusstile.gateway import follower
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import mesh
-from hibiscusstile.platform import topics
+from hibiscusstile.platform import addresses, bounded, recorderrors, topics
 
 __all__ = ["MEMBER_TOPIC", "GatewayMembership"]
 
@@ -26,10 +26,10 @@
 
 
 class _Member(pydantic.BaseModel):
-    address: str
-    secret: str
+    address: addresses.IpAddress
+    secret: bounded.Text
     # Absent in the records of earlier versions.
-    zone: str = ""
+    zone: bounded.Text = ""
 
 
 class GatewayMembership(follower.Consumer):
@@ -116,7 +116,7 @@
                 _log,
                 "record_unreadable",
                 key=record.key,
-                error=error.errors(include_input=False)[0]["msg"],
+                error=recorderrors.describe_first(error),
             )
             return
         self._peers[record.key] = mesh.Peer(
--- a/hibiscusstile/platform/operatorrecords.py
+++ b/hibiscusstile/platform/operatorrecords.py
@@ -7,6 +7,7 @@
 import pydantic
 
 from hibiscusstile.gateway import routes
+from hibiscusstile.platform import addresses, bounded, recorderrors
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -32,61 +33,61 @@
 
 
 class _Share(_RecordModel):
-    service: str
-    weight: float = 1.0
+    service: bounded.Text
+    weight: bounded.Weight = 1.0
 
 
 class _Route(_RecordModel):
-    name: str = ""
+    name: bounded.Text = ""
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float
-    target_latency_ms: float
-    priority: int = 5
-    service: str | None = None
+    timeout_ms: bounded.Milliseconds
+    target_latency_ms: bounded.Milliseconds
+    priority: bounded.Rank = 5
+    service: bounded.Text | None = None
     traffic_split: list[_Share] | None = None
-    attempts: int = 1
+    attempts: bounded.Count = 1
     allow_anonymous: bool = False
     resumable: bool = False
-    gap_aim_ms: float = 0
+    gap_aim_ms: bounded.Milliseconds = 0
 
 
 class _ModelName(_RecordModel):
-    name: str
+    name: bounded.Text
 
 
 class _Engine(_RecordModel):
-    slots: int
-    kv_tokens: int
+    slots: bounded.Count
+    kv_tokens: bounded.Count
     models: list[_ModelName] = []
 
 
 class _Service(_RecordModel):
-    name: str
+    name: bounded.Text
     # Absent for a KV cache store, since no requests are routed to it.
-    max_connections: int = 0
+    max_connections: bounded.Count = 0
     engine: _Engine | None = None
-    kv_store_addr: str = ""
-    zone: str = ""
+    kv_store_addr: addresses.OptionalIpAddress = ""
+    zone: bounded.Text = ""
 
 
 class _Limits(_RecordModel):
-    max_header_bytes: int
-    max_body_bytes: int
-    header_timeout_ms: float
-    idle_timeout_ms: float
+    max_header_bytes: bounded.Count
+    max_body_bytes: bounded.Count
+    header_timeout_ms: bounded.Milliseconds
+    idle_timeout_ms: bounded.Milliseconds
 
 
 class _Tenant(_RecordModel):
-    name: str
+    name: bounded.Text
     api_keys: list[str]
-    priority: int | None = None
+    priority: bounded.Rank | None = None
     isolated: bool = False
 
 
 class _Configuration(_RecordModel):
-    version: int
+    version: bounded.Version
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits | None = None
@@ -94,8 +95,8 @@
 
 
 class _Version(_RecordModel):
-    model: str
-    version: int
+    model: bounded.Text
+    version: bounded.Version
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -125,7 +126,7 @@
     try:
         parsed = _Version.model_validate_json(value)
     except pydantic.ValidationError as error:
-        raise RecordError(_describe_first_error(error)) from None
+        raise RecordError(recorderrors.describe_first(error)) from None
     return VersionRecord(parsed.model, parsed.version)
 
 
@@ -139,7 +140,7 @@
         parsed = _Configuration.model_validate_json(value)
         return _to_routing_table(parsed)
     except pydantic.ValidationError as error:
-        raise RecordError(_describe_first_error(error)) from None
+        raise RecordError(recorderrors.describe_first(error)) from None
     except ValueError as error:
         raise RecordError(str(error)) from None
 
@@ -209,9 +210,3 @@
         engine,
         prefix_store,
     )
-
-
-def _describe_first_error(error: pydantic.ValidationError) -> str:
-    first = error.errors(include_input=False, include_url=False)[0]
-    location = ".".join(str(part) for part in first["loc"])
-    return f"{location}: {first['msg']}"
