Begin waiting reads anew when another topic can be read again

A configuration could be applied up to 9.5 s late after an outage in which the store hung: the waiting read of keyed.op is never answered, keep-alive probes are, and the relay helps only if a peer knows the version. Members were read as late. The read of the server entries, which waits for less, notices the return first; it now makes the other followers read again at once, two calls for each outage and process.

--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -6,8 +6,9 @@
 import asyncio
 import dataclasses
 import datetime
+import functools
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import logbook
 
@@ -15,7 +16,7 @@
 from hibiscusstile import logs, platform
 from hibiscusstile.platform import topics
 
-__all__ = ["Consumer", "KeyedFollower", "ReadPace"]
+__all__ = ["Consumer", "KeyedFollower", "ReadPace", "link"]
 
 _log = logbook.Logger("follower")
 
@@ -147,6 +148,19 @@
         self._lost_s = 0.0
         self._last_failed_read_s = 0.0
         self._wait = _INITIAL_WAIT
+        self._on_back: Callable[[], None] = lambda: None
+        self._read_limit: asyncio.Timeout | None = None
+        self._renewed = False
+
+    def on_back(self, call: Callable[[], None]) -> None:
+        """Sets what is called when the topic can be read again."""
+        self._on_back = call
+
+    def renew(self) -> None:
+        """Reads again at once if a read waits, as its response may be lost."""
+        if self._read_limit is not None and not self._read_limit.expired():
+            self._renewed = True
+            self._read_limit.reschedule(asyncio.get_running_loop().time())
 
     def restart(self) -> None:
         """Makes the next read fetch every key again.
@@ -222,13 +236,19 @@
         self, offset: int, wait: datetime.timedelta
     ) -> topics.RecordBatch | topics.Trimmed | platform.LogUnavailable:
         limit = wait + self._pace.answer_limit
+        self._renewed = False
         try:
-            async with asyncio.timeout(limit.total_seconds()):
+            async with asyncio.timeout(limit.total_seconds()) as read_limit:
+                self._read_limit = read_limit if wait else None
                 return await self._log.read(self._topic, offset, wait)
         except TimeoutError:
+            if self._renewed:
+                return await self._read(offset, datetime.timedelta(0))
             return platform.LogUnavailable(
                 f"no response within {limit.total_seconds():g} s"
             )
+        finally:
+            self._read_limit = None
 
     def _note_failure(self, message: str) -> None:
         now_s = self._clock.monotonic()
@@ -260,6 +280,7 @@
             )
             self._consumer.note_back(self._last_failed_read_s)
             self._wait = _INITIAL_WAIT
+            self._on_back()
         self._failures = 0
 
     def _pause_left(self) -> datetime.timedelta:
@@ -275,3 +296,19 @@
         taken_s = self._clock.monotonic() - self._read_started_s
         delay_s = max(_MIN_RETRY_DELAY_S, interval_s - taken_s)
         return datetime.timedelta(seconds=delay_s * random.uniform(0.7, 1.0))
+
+
+def link(followers: Sequence[KeyedFollower]) -> None:
+    """Makes followers of one store read again when one of them can again.
+
+    Reads that waited during the outage may never be answered, and topics that
+    are read less often would notice this last.
+    """
+
+    def renew_others(returned: KeyedFollower) -> None:
+        for each in followers:
+            if each is not returned:
+                each.renew()
+
+    for each in followers:
+        each.on_back(functools.partial(renew_others, each))
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -131,6 +131,7 @@
             self._member_follower,
             self._server_entry_follower,
         )
+        follower.link(self._followers)
         self._rollout = rollout.Rollout(
             self._state,
             rolloutlease.RolloutLease(
