Answer requests that have not arrived completely when a process stops

In a planned stop, callers whose request was still arriving got no answer: a request with an incomplete body was cut at the exit, and a connection with an incomplete head was closed as idle 2.4 s after the signal. A caller that reused the connection of a stream begun before the signal met its close.

Requests that are incomplete when the last responses are due are now refused as not run. A connection counts as idle only 0.5 s after its last response and never while a head is arriving, so that the connection of such a stream carries one more request, whose response announces the close. The refusal of an incomplete head closes only the sending side: a full close resets the connection when the rest arrives, and the caller may lose the refusal. The port closes before the refusals are written, which takes ms, so that fewer new connections are left in the backlog.

--- a/hibiscusstile/entry/listener.py
+++ b/hibiscusstile/entry/listener.py
@@ -19,9 +19,11 @@
 _MAX_HEADER_FIELD_BYTES = 8190
 _SHUTDOWN_TIMEOUT_S = 1.0
 _BACKLOG = 1024
-# Callers send a request when they open a connection, so that it arrives about
-# one round trip later.
-_FIRST_REQUEST_WAIT_S = 0.5
+# Callers send a request when they open a connection, or right after a response,
+# so that it arrives about one round trip later.
+_REQUEST_WAIT_S = 0.5
+# Time in which a caller reads the refusal of a request that it still sends.
+_LINGER_S = 1.0
 
 
 class HttpProtocol(web.RequestHandler):
@@ -32,7 +34,12 @@
     refusal and is closed; aiohttp itself has no timeout for this.
     """
 
-    __slots__ = ("_head_timeout_s", "_head_timer", "_opened_s")
+    __slots__ = (
+        "_head_started",
+        "_head_timeout_s",
+        "_head_timer",
+        "_opened_s",
+    )
 
     def __init__(
         self,
@@ -43,6 +50,7 @@
         **options: Any,
     ) -> None:
         super().__init__(manager, loop=loop, **options)
+        self._head_started = False
         self._head_timeout_s = head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
         self._opened_s = 0.0
@@ -52,14 +60,23 @@
         """Whether the connection is waiting for its next request.
 
         False as soon as a request has been received, although its handler
-        starts only in the next iteration of the event loop. A new connection
-        becomes idle only after a while, since its first request may be on the
-        way.
+        starts only in the next iteration of the event loop, and while a head is
+        incomplete. A connection becomes idle only a while after it was opened
+        or after its last response, since a request may be on the way.
         """
-        if self._waiter is None or self._waiter.done():
+        if not self._is_waiting or self._head_started:
             return False
-        age_s = asyncio.get_running_loop().time() - self._opened_s
-        return self._request_count > 0 or age_s >= _FIRST_REQUEST_WAIT_S
+        waiting_since_s = max(
+            self._opened_s,
+            self._next_keepalive_close_time - self._keepalive_timeout,
+        )
+        now_s = asyncio.get_running_loop().time()
+        return now_s - waiting_since_s >= _REQUEST_WAIT_S
+
+    @property
+    def head_started(self) -> bool:
+        """Whether a part of the next request's head has been received."""
+        return self._head_started
 
     @property
     def reused(self) -> bool:
@@ -82,10 +99,18 @@
 
     def data_received(self, data: bytes) -> None:
         """Cancels the timeout once the first head is complete."""
+        count = self._request_count
         super().data_received(data)
+        self._head_started = self._request_count == count and not (
+            self._messages or self._current_request
+        )
         if self._head_timer and (self._messages or self._current_request):
             self._cancel_head_timer()
 
+    @property
+    def _is_waiting(self) -> bool:
+        return self._waiter is not None and not self._waiter.done()
+
     def _cancel_head_timer(self) -> None:
         if self._head_timer is not None:
             self._head_timer.cancel()
@@ -93,20 +118,29 @@
 
     def _refuse_slow_head(self) -> None:
         self._head_timer = None
-        if self.transport is None:
-            return
-        refusal = outcome.Refusal(
-            outcome.Reason.SLOW_CLIENT,
-            "the request head did not arrive within the time limit",
+        self.refuse_head(
+            outcome.Refusal(
+                outcome.Reason.SLOW_CLIENT,
+                "the request head did not arrive within the time limit",
+            )
         )
+
+    def refuse_head(self, refusal: outcome.Refusal) -> None:
+        """Refuses the request whose head is incomplete, and closes."""
+        if self.transport is None or self._close:
+            return
         response = refusals.to_response(refusal, identity.new_id("req"))
         body = response.body if isinstance(response.body, bytes) else b""
-        head = [f"HTTP/1.1 {response.status} Request Timeout"]
+        head = [f"HTTP/1.1 {response.status} {response.reason}"]
         head += [f"{name}: {value}" for name, value in response.headers.items()]
         head += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
         transport: Any = self.transport
         transport.write("\r\n".join(head).encode() + body)
-        transport.close()
+        # A close resets the connection if the rest of the request arrives, and
+        # the caller may then lose the response.
+        transport.write_eof()
+        self.close()
+        asyncio.get_running_loop().call_later(_LINGER_S, transport.close)
 
     def handle_error(
         self,
--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 from typing import Any
 
 import multidict
@@ -36,6 +37,11 @@
     outcome.Reason.INTERNAL: 500,
 }
 _DEFAULT_STATUS = 503
+_UNREAD_REFUSAL = outcome.Refusal(
+    outcome.Reason.LEAVING,
+    "the instance stops before the request has arrived",
+    retry_after=datetime.timedelta(seconds=0.05),
+)
 
 
 def http_status(refusal: outcome.Refusal) -> int:
@@ -69,6 +75,9 @@
         self._listening = asyncio.Event()
         self._http_server: web.Server | None = None
         self._server: asyncio.Server | None = None
+        # Time limits of the bodies that are being read.
+        self._reads: set[asyncio.Timeout] = set()
+        self._refuses_unread = False
 
     @property
     def port(self) -> int:
@@ -122,6 +131,16 @@
             if protocol.idle:
                 protocol.force_close()
 
+    def refuse_unread(self) -> None:
+        """Refuses the requests that have not arrived completely."""
+        self._refuses_unread = True
+        for read in self._reads:
+            if not read.expired():
+                read.reschedule(asyncio.get_running_loop().time())
+        for protocol in self._protocols():
+            if protocol.head_started:
+                protocol.refuse_head(_UNREAD_REFUSAL)
+
     def _protocols(self) -> list[listener.HttpProtocol]:
         if self._http_server is None:
             return []
@@ -187,14 +206,21 @@
     ) -> exchange.ForwardedRequest | outcome.Refusal:
         """Returns the complete request, or a refusal if it cannot be read."""
         try:
-            async with asyncio.timeout(_BODY_TIMEOUT_S):
-                body = await request.read()
+            limit_s = 0.0 if self._refuses_unread else _BODY_TIMEOUT_S
+            async with asyncio.timeout(limit_s) as read:
+                self._reads.add(read)
+                try:
+                    body = await request.read()
+                finally:
+                    self._reads.discard(read)
         except web.HTTPRequestEntityTooLarge:
             return outcome.Refusal(
                 outcome.Reason.TOO_LARGE,
                 "the request body exceeds the configured size limit",
             )
         except TimeoutError:
+            if self._refuses_unread:
+                return _UNREAD_REFUSAL
             return outcome.Refusal(
                 outcome.Reason.SLOW_CLIENT,
                 "the request body did not arrive in time",
@@ -282,10 +308,10 @@
     async def finish_stream(self) -> None:
         """Ends a streamed response.
 
-        A stream that began before a stop has not announced that its connection
-        closes.
+        If it began before a stop, it has not announced that its connection
+        closes. The caller may be sending its next request, so the connection
+        stays open for that.
         """
-        self._close_if_draining(self.response)
         await self.response.write_eof()
 
     async def refuse(self, refusal: outcome.Refusal) -> None:
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -280,12 +280,12 @@
             self._ingress.close_idle()
             if port_closed and not self._ingress.connections:
                 break
-            if (
-                not self._ingress.busy_connections
-                or self._clock.monotonic() >= schedule.answer_until_s
-            ):
+            is_late = self._clock.monotonic() >= schedule.answer_until_s
+            if is_late or not self._ingress.busy_connections:
                 self._ingress.close_port()
                 port_closed = True
+            if is_late:
+                self._ingress.refuse_unread()
             await self._clock.sleep(_DRAIN_POLL_INTERVAL)
 
     async def _sleep_until(self, time_s: float) -> None:
