--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -34,6 +34,10 @@
 # Lower bound on the process count that divides the retry reserve: a process
 # that has just started has not discovered its peers yet.
 _MIN_PROCESSES = 6
+# The process before a restarted one may just have spent its part of the
+# reserve. Without any tokens, its first callers would be refused where a server
+# rejects a request that it has not run.
+_INITIAL_TOKENS_SHARE = 1 / 3
 _DEFAULT_MAX_HELD_BODY_BYTES = 1024 * 1024
 _DEFAULT_STABLE_WINDOW = datetime.timedelta(seconds=3)
 
@@ -229,11 +233,11 @@
         """Returns the retry budget of a service."""
         budget = self._budgets.get(service)
         if budget is None:
+            max_tokens = self._retry_policy.reserve / self._process_count
             budget = self._budgets[service] = retrybudget.RetryBudget(
                 share=self._retry_policy.share,
-                # The process before this one may just have spent its share.
-                initial_tokens=0.0,
-                max_tokens=self._retry_policy.reserve / self._process_count,
+                initial_tokens=_INITIAL_TOKENS_SHARE * max_tokens,
+                max_tokens=max_tokens,
             )
         return budget
 
