Do not combine pages of newest records from two eras

After a restore of the store between two pages, servers that only the lost part of the log listed stayed in the fleet, since the end that the first page showed belonged to another log. Such a read now fails and is repeated.

test_pages_of_two_eras_are_not_combined failed before.

--- a/hibiscusstile/platform/platformstore.py
+++ b/hibiscusstile/platform/platformstore.py
@@ -93,6 +93,7 @@
         # Pages are not a snapshot: what changes while they are read comes after
         # the end that the first one shows.
         end: int | None = None
+        era: int | None = None
         while received_bytes <= _MAX_NEWEST_BYTES:
             status, body = await self._call(
                 "GET", "log-newest", parameters, _CALL_TIMEOUT
@@ -112,9 +113,14 @@
                 return platform.LogUnavailable(
                     "the store's response is malformed"
                 )
-            end = page.end if end is None else end
+            if end is None:
+                end, era = page.end, self.era
+            elif self.era != era:
+                return platform.LogUnavailable(
+                    "the store was restored while its records were read"
+                )
             if not page.has_more or not page.items:
-                return topics.NewestRecords(tuple(records), end, self.era)
+                return topics.NewestRecords(tuple(records), end, era)
             parameters["after"] = page.items[-1].key
         return platform.LogUnavailable(
             f"the newest records of {topic} exceed {_MAX_NEWEST_BYTES} bytes"
