Keep the restart of a follower during a read of all keys

After a change of the store's address, a follower that was reading all keys stored the offset of the old store, which undid the restart: records of the new store below that offset were never read. A read that a restart overtakes is now thrown away.

test_a_restart_during_a_read_of_all_keys_is_not_undone failed before.

--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -143,6 +143,7 @@
         self._clock = clock
         self._pace = pace or ReadPace()
         self._offset: int | None = None
+        self._restart_requested = False
         self._failures = 0
         self._read_started_s = 0.0
         self._lost_s = 0.0
@@ -168,6 +169,7 @@
         Required after a change to another log, which has other offsets.
         """
         self._offset = None
+        self._restart_requested = True
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
@@ -183,7 +185,10 @@
                 await self._clock.sleep(self._retry_delay())
 
     async def _read_all(self) -> bool:
+        self._restart_requested = False
         newest = await self._log.read_newest(self._topic)
+        if self._restart_requested:
+            return True
         if isinstance(newest, platform.LogUnavailable):
             self._note_failure(newest.message)
             return False
