Read a topic anew when the store was restored from a copy

A position was an offset alone. A gateway that was frozen, cut off or paused while the store came back went on from its old offset: if the topic had grown past it again, the configuration, the named version and the servers' entries between were skipped without a trace, and only a read past the end showed the restore. A position is now an era and an offset; an answer or a known era that differs from it makes the follower read every key again. Consumers are told of an outage, so that servers that the copy lacks are kept for the grace period. Logged as topic_restored and topic_read_again.

test_records_below_an_outgrown_offset_are_read (two cases) and test_servers_missing_from_the_copy_are_kept_for_a_moment failed before.

--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -142,7 +142,9 @@
         self._consumer = consumer
         self._clock = clock
         self._pace = pace or ReadPace()
+        # The next record's offset, and the era of the log that it belongs to.
         self._offset: int | None = None
+        self._era: int | None = None
         self._restart_requested = False
         self._failures = 0
         self._read_started_s = 0.0
@@ -168,13 +170,15 @@
 
         Required after a change to another log, which has other offsets.
         """
-        self._offset = None
+        self._offset = self._era = None
         self._restart_requested = True
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         while True:
             self._read_started_s = self._clock.monotonic()
+            if self._offset is not None and self._log.era != self._era:
+                self._note_restored(self._log.era)
             if self._offset is None:
                 succeeded = await self._read_all()
             else:
@@ -192,9 +196,18 @@
         if isinstance(newest, platform.LogUnavailable):
             self._note_failure(newest.message)
             return False
+        if self._era is not None and newest.era != self._era:
+            logs.event(
+                _log,
+                "topic_read_again",
+                topic=self._topic,
+                era=newest.era,
+                records=len(newest.records),
+                end=newest.end,
+            )
         self._consumer.apply_all(newest.records)
         self._note_success()
-        self._offset = newest.end
+        self._offset, self._era = newest.end, newest.era
         self._wait = _INITIAL_WAIT
         return True
 
@@ -204,6 +217,9 @@
         if isinstance(records, platform.LogUnavailable):
             self._note_failure(records.message)
             return False
+        if records.era != self._era:
+            self._note_restored(records.era)
+            return await self._read_all()
         if isinstance(records, topics.Trimmed):
             logs.event(
                 _log,
@@ -255,6 +271,24 @@
         finally:
             self._read_limit = None
 
+    def _note_restored(self, era: int | None) -> None:
+        """Discards the position, which another log has used since.
+
+        Consumers are told of an outage: the copy may lack records that their
+        writers will write again.
+        """
+        logs.event(
+            _log,
+            "topic_restored",
+            topic=self._topic,
+            era=era,
+            before=self._era,
+            offset=self._offset,
+        )
+        self._offset = None
+        if not self._failures:
+            self._note_failure("the store was restored from a copy")
+
     def _note_failure(self, message: str) -> None:
         now_s = self._clock.monotonic()
         if not self._failures:
--- a/tests/gateway/test_restoredstore.py
+++ b/tests/gateway/test_restoredstore.py
@@ -114,6 +114,56 @@
     return {server.server_id for server in state.fleet.servers}
 
 
+@pytest.mark.parametrize("restores", [1, 3])
+async def test_records_below_an_outgrown_offset_are_read(
+    feeds: _Feeds, restores: int
+) -> None:
+    """Guards against records lost if the topic outgrows a position (CONFIG)."""
+    await feeds.publish(1)
+    await feeds.list_server("i-1")
+    feeds.store.take_copy()
+    await feeds.publish(2)
+    await feeds.fill(3)
+    async with feeds.following():
+        await feeds.until(lambda state: state.table is not None)
+        await feeds.until(lambda state: len(state.fleet) == 1)
+    for number in range(restores):
+        feeds.store.restore()
+        await feeds.publish(3 + number)
+    await feeds.store.put(
+        _OPERATORS, "version/m1", b'{"model": "m1", "version": 7}'
+    )
+    await feeds.list_server("i-1", state="draining")
+    await feeds.list_server("i-2")
+    await feeds.fill(4)
+    async with feeds.following():
+        await feeds.until(
+            lambda state: state.table.version == 2 + restores  # type: ignore[union-attr]
+        )
+        await feeds.until(lambda state: state.weights.target("m1") is not None)
+        await feeds.until(lambda state: _server_ids(state) == {"i-1", "i-2"})
+        usable = feeds.state.fleet.usable_servers(builders.PLAIN_SERVICE)
+        assert [server.server_id for server in usable] == ["i-2"]
+
+
+async def test_servers_missing_from_the_copy_are_kept_for_a_moment(
+    feeds: _Feeds,
+) -> None:
+    """Guards against refusals until running servers register again."""
+    await feeds.list_server("i-1")
+    feeds.store.take_copy()
+    await feeds.list_server("i-2")
+    async with feeds.following():
+        await feeds.until(lambda state: len(state.fleet) == 2)
+    feeds.store.restore()
+    await feeds.fill(4)
+    async with feeds.following():
+        newest_reads = feeds.store.calls.count("newest")
+        await feeds.until_page(newest_reads + 1)
+        await asyncio.sleep(0.1)
+        assert _server_ids(feeds.state) == {"i-1", "i-2"}
+
+
 async def test_pages_of_two_eras_are_not_combined(feeds: _Feeds) -> None:
     """Guards against servers that only the lost part of the log listed."""
     await feeds.list_server("i-2")
