Announce a gateway again if its announcement is of an earlier start

A gateway that had restarted since the copy that the store was restored from found an announcement of its name there and left it. The others kept the secret of its earlier start and could not connect to it: it got no notices, and its peers none of its own. Only the own value counts as announced now.

test_an_announcement_of_an_earlier_start_is_replaced failed before.

--- a/hibiscusstile/platform/members.py
+++ b/hibiscusstile/platform/members.py
@@ -53,6 +53,7 @@
         self._own_name = peer_mesh.name
         self._peers: dict[str, mesh.Peer] = {}
         self._peers_changed = False
+        self._own_value = b""
         self._is_announced = False
         self._is_leaving = False
 
@@ -62,7 +63,7 @@
         Also removes gateways that have been unreachable for a minute.
         """
         await self._mesh.wait_listening()
-        value = json.dumps(
+        self._own_value = json.dumps(
             {
                 "address": self._mesh.address,
                 "secret": self._mesh.secret,
@@ -72,7 +73,7 @@
         while True:
             if not self._is_announced:
                 self._is_announced = await self._append_record(
-                    self._own_name, value
+                    self._own_name, self._own_value
                 )
             if self._peers_changed:
                 self._peers_changed = False
@@ -93,17 +94,19 @@
         """Replaces the membership by the newest records of all gateways."""
         self._peers.clear()
         self._peers_changed = True
-        self._is_announced = any(each.key == self._own_name for each in records)
+        self._is_announced = self._is_leaving
         for record in records:
             self.apply(record)
 
     def apply(self, record: topics.KeyedRecord) -> None:
         """Applies the announcement of a gateway, or its removal."""
         if record.key == self._own_name:
-            # After an empty value, `announce` appends the announcement again:
-            # another gateway took this one for lost. A leaving gateway
-            # removed its announcement itself.
-            self._is_announced = bool(record.value) or self._is_leaving
+            # After another value, `announce` appends the announcement again:
+            # it is empty if another gateway took this one for lost, and of an
+            # earlier start if the store was restored from a copy. A leaving
+            # gateway removed its announcement itself.
+            is_own = bool(record.value) and record.value == self._own_value
+            self._is_announced = is_own or self._is_leaving
             return
         self._peers_changed = True
         if not record.value:
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -87,3 +87,15 @@
     membership.apply(topics.KeyedRecord("a", b"", 1))
     await _run_tasks(membership, peer_mesh, 20)
     assert _appended_records(log) == [("a", True), ("a", False)]
+
+
+async def test_an_announcement_of_an_earlier_start_is_replaced() -> None:
+    """Guards against peers that cannot connect after the store was restored."""
+    clock = base.YieldingClock()
+    log = rollouts.MemoryLog()
+    membership, peer_mesh = _new_membership(clock, log)
+    await _run_tasks(membership, peer_mesh, 20)
+    earlier = json.dumps(_LOST_MEMBER).encode()
+    membership.apply_all([topics.KeyedRecord("a", earlier, 1)])
+    await _run_tasks(membership, peer_mesh, 20)
+    assert _appended_records(log) == [("a", True), ("a", True)]
