Keep peers that a restored store lacks until they announce themselves

Gateways that had started since the copy were missing from the store after it was restored, and all others closed their connections to them until they were announced and read again, some seconds in which notices of leaving servers, weights and crashes were lost. Missing peers are now kept for 8 s.

test_peers_that_a_restored_store_lacks_are_kept_for_a_moment failed before.

--- a/hibiscusstile/platform/members.py
+++ b/hibiscusstile/platform/members.py
@@ -23,6 +23,9 @@
 _UPDATE_INTERVAL = datetime.timedelta(milliseconds=500)
 # Longer than any network partition or restart that a process recovers from.
 _REMOVE_AFTER = datetime.timedelta(seconds=60)
+# A gateway whose announcement is missing after the store was restored from a
+# copy announces itself again within about 4 s.
+_KEEP_MISSING_S = 8.0
 
 
 class _Member(pydantic.BaseModel):
@@ -53,6 +56,8 @@
         self._own_name = peer_mesh.name
         self._peers: dict[str, mesh.Peer] = {}
         self._peers_changed = False
+        # Times since which peers are missing from the listed announcements.
+        self._missing_since_s: dict[str, float] = {}
         self._own_value = b""
         self._is_announced = False
         self._is_leaving = False
@@ -75,6 +80,7 @@
                 self._is_announced = await self._append_record(
                     self._own_name, self._own_value
                 )
+            self._drop_missing()
             if self._peers_changed:
                 self._peers_changed = False
                 self._state.set_process_count(len(self._peers) + 1)
@@ -91,10 +97,17 @@
         await self._append_record(self._own_name, b"")
 
     def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
-        """Replaces the membership by the newest records of all gateways."""
-        self._peers.clear()
+        """Applies the newest records of all gateways.
+
+        Peers that are missing are kept for a moment.
+        """
         self._peers_changed = True
         self._is_announced = self._is_leaving
+        now_s = self._state.clock.monotonic()
+        listed = {record.key for record in records}
+        for name in self._peers:
+            if name not in listed:
+                self._missing_since_s.setdefault(name, now_s)
         for record in records:
             self.apply(record)
 
@@ -109,6 +122,7 @@
             self._is_announced = is_own or self._is_leaving
             return
         self._peers_changed = True
+        self._missing_since_s.pop(record.key, None)
         if not record.value:
             self._peers.pop(record.key, None)
             return
@@ -126,6 +140,14 @@
             record.key, member.address, member.secret, member.zone
         )
 
+    def _drop_missing(self) -> None:
+        now_s = self._state.clock.monotonic()
+        for name, since_s in list(self._missing_since_s.items()):
+            if now_s - since_s >= _KEEP_MISSING_S:
+                del self._missing_since_s[name]
+                self._peers.pop(name, None)
+                self._peers_changed = True
+
     async def _remove_lost(self, name: str) -> None:
         """Removes the record of a gateway that cannot be reached.
 
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -99,3 +99,21 @@
     membership.apply_all([topics.KeyedRecord("a", earlier, 1)])
     await _run_tasks(membership, peer_mesh, 20)
     assert _appended_records(log) == [("a", True), ("a", True)]
+
+
+async def test_peers_that_a_restored_store_lacks_are_kept_for_a_moment() -> (
+    None
+):
+    """Guards against notices lost until the peers announce themselves again."""
+    clock = base.YieldingClock()
+    membership, peer_mesh = _new_membership(clock, rollouts.MemoryLog())
+    value = json.dumps(_LOST_MEMBER).encode()
+    membership.apply_all([topics.KeyedRecord(name, value, 0) for name in "bcd"])
+    membership.apply_all([])
+    membership.apply(topics.KeyedRecord("c", value, 1))
+    membership.apply(topics.KeyedRecord("d", b"", 2))
+    await _run_tasks(membership, peer_mesh, 10)
+    assert set(peer_mesh.peers) == {"b", "c"}
+    await _run_tasks(membership, peer_mesh, 60)
+    assert clock.monotonic() > 1010
+    assert peer_mesh.peers == ("c",)
