Test what operators see of a restored store, and older versions in its copy

The first test fails without the era on the status page and the announcement that is written again. The second passes before and after: versions of the configuration never went back in one process's lifetime.

--- a/tests/gateway/test_configurationrelay.py
+++ b/tests/gateway/test_configurationrelay.py
@@ -65,6 +65,22 @@
         assert state.table is not None and state.table.version == 5
 
 
+def test_a_gateway_that_starts_on_a_copy_keeps_its_peers_version() -> None:
+    """Guards against a restored store that brings back an older version."""
+    clock = base.ManualClock()
+    _, newer = _relay(clock, "a", 5)
+    state, started = _relay(clock, "b", 3)
+    newer.note_peer_version("b", 3)
+    clock.advance(2.1)
+    newer.note_peer_version("b", 3)
+    offered = newer.offer("b")
+    assert offered is not None
+    started.receive("a", offered)
+    started.apply_all([_record(3)])
+    started.apply(_record(4))
+    assert state.table is not None and state.table.version == 5
+
+
 @contextlib.asynccontextmanager
 async def _running(*links: mesh.Mesh) -> AsyncIterator[None]:
     runs = [
--- a/tests/gateway/test_process.py
+++ b/tests/gateway/test_process.py
@@ -7,12 +7,13 @@
 import pathlib
 import signal
 from collections.abc import AsyncIterator
+from typing import Any
 
 import aiohttp
 import pytest
 
 from hibiscusstile import supervisor
-from hibiscusstile.platform import boot
+from hibiscusstile.platform import boot, members
 from hibiscusstile.roles import gateway as gateway_role
 from hibiscusstile_standins import store as store_lib
 from tests.builders import gatewayprocess as process_lib
@@ -173,3 +174,37 @@
     assert 20.0 < row["paused_for_s"] <= 30.0
     log = gateway.log.read_text()
     assert "server_said_leaving" in log and "server_paused" in log
+
+
+async def test_operators_see_that_the_store_was_restored(
+    gateway: process_lib.GatewayProcess,
+) -> None:
+    """Guards against a restore that neither page nor log tells of."""
+    async with aiohttp.ClientSession() as session:
+        await gateway.wait_status(session, 200, 10)
+        async with asyncio.timeout(5):
+            while not gateway.store.payloads(members.MEMBER_TOPIC):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        gateway.store.restore(copy_age_s=60.0)
+        await gateway.publish(gateway.store, 2)
+        end_s = gateway.clock.monotonic() + 3
+        page: dict[str, Any] = {}
+        while page.get("revision") != 2:
+            assert gateway.clock.monotonic() < end_s, page
+            await asyncio.sleep(0.05)
+            async with session.get(
+                f"{process_lib.METRICS_URL}/status"
+            ) as response:
+                page = await response.json()
+        async with asyncio.timeout(5):
+            while not gateway.store.payloads(members.MEMBER_TOPIC):  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        async with session.get(
+            f"{process_lib.METRICS_URL}/metrics"
+        ) as response:
+            metrics = await response.text()
+    assert page["store"]["era"] == 2
+    assert page["store"]["known_for_s"] < 5
+    assert "hibiscusstile_store_restores 1" in metrics
+    log = gateway.log.read_text()
+    assert "store_restored" in log and "topic_read_again" in log
