--- a/hibiscusstile/ctl/log_summary.py
+++ b/hibiscusstile/ctl/log_summary.py
@@ -15,6 +15,7 @@
     {
         "store_lost",
         "store_back",
+        "store_restored",
         "server_suspected",
         "server_kept",
         "server_gone",
