Let the stand-in store come back from a copy

The stand-in restores a store whose newest records are gone: offsets are given out again, a read past the end gets 410, calls in progress are cut, and Store-Era in all responses rises by one.

--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -22,6 +22,7 @@
     log,
     server,
     service,
+    store,
     text,
     weights,
 )
@@ -291,3 +292,59 @@
         await session.post("/fault", json={"name": "thaw"})
         async with session.get("/balance") as response:
             assert response.status == 200
+
+
+async def test_a_restored_store_has_only_the_records_of_its_copy() -> None:
+    """Guards against a store that keeps offsets or keys newer than its copy."""
+    stand_in = store.PlatformStoreService()
+    topic = "keyed.op"
+    async with _running(stand_in) as session:
+        await stand_in.put(topic, "a", b"1")
+        await stand_in.put(topic, "b", b"1")
+        stand_in.take_copy()
+        await stand_in.put(topic, "a", b"2")
+        await stand_in.put(topic, "b", b"")
+        read = f"/v1/log-read?topic={topic}&part=0&from="
+        waiting = asyncio.ensure_future(session.get(f"{read}4&wait_ms=9000"))
+        async with asyncio.timeout(5):
+            while stand_in.calls != ("read",):  # noqa: ASYNC110
+                await asyncio.sleep(0.01)
+        stand_in.restore()
+        # aiohttp repeats a GET request whose connection was dropped.
+        response = await waiting
+        assert stand_in.calls == ("read", "read")
+        assert response.status == 410
+        assert response.headers["Store-Era"] == "2"
+        assert await stand_in.put(topic, "c", b"1") == 2
+        stand_in.set_page_size(2)
+        query = f"/v1/log-newest?topic={topic}&part=0"
+        async with session.get(query) as response:
+            page = await response.json()
+        assert [(e["key"], e["offset"]) for e in page["items"]] == [
+            ("a", 0),
+            ("b", 1),
+        ]
+        assert (page["end"], page["has_more"]) == (3, True)
+        async with session.get(f"{query}&after=b") as response:
+            page = await response.json()
+        assert [each["key"] for each in page["items"]] == ["c"]
+        assert not page["has_more"]
+
+
+async def test_each_restore_increases_the_era_of_all_responses() -> None:
+    """Guards against a stand-in whose errors lack the era."""
+    stand_in = store.PlatformStoreService()
+    async with _running(stand_in) as session:
+        await stand_in.put("keyed.op", "a", b"1")
+        await asyncio.sleep(0.2)
+        await stand_in.put("keyed.op", "a", b"2")
+        stand_in.restore(copy_age_s=0.1)
+        assert stand_in.payloads("keyed.op") == [b"\x01a1"]
+        stand_in.restore(copy_age_s=0.0)
+        stand_in.set_down(True)
+        async with session.get("/v1/log-read?topic=t&from=0") as response:
+            assert response.status == 503
+            assert response.headers["Store-Era"] == str(stand_in.era) == "3"
+        stand_in.set_era_header(None)
+        async with session.get("/v1/log-read?topic=t&from=0") as response:
+            assert "Store-Era" not in response.headers
