Read the era of the store from its responses

A store that was restored from a copy gives offsets out again; Store-Era in its responses rises by one each time, and nothing read it. The results of all reads and appends now carry the era that their offsets belong to. A response of an older era than the newest known one is an error if its request was sent before that era was known.

test_a_conditional_append_fails_if_the_topic_has_grown compares the whole result, which now has the era; the stand-in's era is expected there.

--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -21,11 +21,13 @@
     "count_retry",
     "count_server_down",
     "count_store_call",
+    "count_store_restore",
     "observe_first_event",
     "observe_first_token",
     "render",
     "set_queue_length",
     "set_revision",
+    "set_store_era",
 ]
 
 _prompt_tokens = collectors.Counter(
@@ -84,6 +86,13 @@
 _store_calls = collectors.Counter(
     "hibiscusstile_store_calls", "Calls to the platform's store by outcome"
 )
+_store_restores = collectors.Counter(
+    "hibiscusstile_store_restores",
+    "Restores of the platform's store from a copy that were noticed",
+)
+_store_era = collectors.Gauge(
+    "hibiscusstile_store_era", "Newest known era of the platform's store"
+)
 _first_event_seconds = collectors.Histogram(
     "hibiscusstile_first_event_seconds",
     "Time from a request to its answer's first event, by rank",
@@ -126,6 +135,16 @@
     _store_calls.inc({"call": call, "outcome": result})
 
 
+def count_store_restore() -> None:
+    """Counts a change of the store's era."""
+    _store_restores.inc({})
+
+
+def set_store_era(era: int) -> None:
+    """Records the newest known era of the store."""
+    _store_era.set({}, era)
+
+
 def observe_first_event(rank: int, seconds: float) -> None:
     """Records the time to the first event of an answer."""
     _first_event_seconds.observe({"rank": str(rank)}, seconds)
--- a/hibiscusstile/platform/__init__.py
+++ b/hibiscusstile/platform/__init__.py
@@ -30,9 +30,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Appended:
-    """The append took effect at `offset`."""
+    """The append took effect at `offset` of a log in this era, if known."""
 
     offset: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/platform/platformstore.py
+++ b/hibiscusstile/platform/platformstore.py
@@ -11,7 +11,8 @@
 import pydantic
 
 from hibiscusstile import boundedhttp, metrics, platform, sockets
-from hibiscusstile.platform import topics
+from hibiscusstile import clock as clock_lib
+from hibiscusstile.platform import storeera, topics
 
 __all__ = ["PlatformStore"]
 
@@ -51,10 +52,14 @@
 
     Args:
         address: Address of the store, as `ip:port`.
+        clock: Clock for the time since which the store's era is known.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(
+        self, address: str, clock: clock_lib.Clock | None = None
+    ) -> None:
         self._address = address
+        self._eras = storeera.EraTracker(clock or clock_lib.SystemClock())
         self._session: aiohttp.ClientSession | None = None
 
     @property
@@ -62,9 +67,20 @@
         """Address of the store."""
         return self._address
 
+    @property
+    def era(self) -> int | None:
+        """Newest known era of the store; None if unknown."""
+        return self._eras.era
+
+    @property
+    def era_known_for_s(self) -> float | None:
+        """Seconds since the era became known; None if it is not."""
+        return self._eras.known_for_s
+
     async def move(self, address: str) -> None:
         """Switches to another address and closes the connections."""
         self._address = address
+        self._eras.reset()
         await self.close()
 
     async def read_newest(
@@ -94,7 +110,7 @@
                     "the store's response is malformed"
                 )
             if not page.has_more or not page.items:
-                return topics.NewestRecords(tuple(records), page.end)
+                return topics.NewestRecords(tuple(records), page.end, self.era)
             parameters["after"] = page.items[-1].key
         return platform.LogUnavailable(
             f"the newest records of {topic} exceed {_MAX_NEWEST_BYTES} bytes"
@@ -112,11 +128,11 @@
             "GET", "log-read", parameters, wait + _READ_TIMEOUT_MARGIN
         )
         if status == 410:
-            return topics.Trimmed(_parse_position(body).first)
+            return topics.Trimmed(_parse_position(body).first, self.era)
         if status != 200:
             return platform.LogUnavailable(_describe_error(status, body))
         try:
-            return _split_records(body, offset)
+            return _split_records(body, offset, self.era)
         except (struct.error, ValueError):
             return platform.LogUnavailable("the store's response is malformed")
 
@@ -137,9 +153,9 @@
             "POST", "log-append", parameters, _CALL_TIMEOUT, data
         )
         if status == 200:
-            return platform.Appended(_parse_position(body).offset)
+            return platform.Appended(_parse_position(body).offset, self.era)
         if status == 412:
-            return topics.AppendConflict(_parse_position(body).end)
+            return topics.AppendConflict(_parse_position(body).end, self.era)
         if status in (0, 500, 502, 504):
             return platform.AppendUnknown(_describe_error(status, body))
         return platform.AppendRefused(_describe_error(status, body))
@@ -158,7 +174,11 @@
         time_limit: datetime.timedelta,
         data: bytes | None = None,
     ) -> tuple[int, bytes]:
-        """Returns the HTTP status and body, or 0 and the error without one."""
+        """Returns the HTTP status and body, or 0 and the error without one.
+
+        A response of an older era than the newest known one is an error.
+        """
+        era_at_sending = self.era
         try:
             async with self._get_session().request(
                 method,
@@ -173,8 +193,10 @@
                 body = await boundedhttp.read_body(
                     response, _MAX_RESPONSE_BYTES
                 )
-                metrics.count_store_call(endpoint, str(response.status))
+            metrics.count_store_call(endpoint, str(response.status))
+            if self._eras.note_response(response.headers, era_at_sending):
                 return response.status, body
+            return 0, b"the response precedes a restore of the store"
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             metrics.count_store_call(endpoint, "no_answer")
             return 0, repr(error).encode()
@@ -195,7 +217,9 @@
         return self._session
 
 
-def _split_records(body: bytes, offset: int) -> topics.RecordBatch:
+def _split_records(
+    body: bytes, offset: int, era: int | None
+) -> topics.RecordBatch:
     end, _ = _READ_HEADER.unpack_from(body)
     payloads = []
     position = _READ_HEADER.size
@@ -206,7 +230,7 @@
             raise ValueError("the last record is truncated")
         payloads.append(body[position : position + size])
         position += size
-    return topics.RecordBatch(tuple(payloads), offset, end)
+    return topics.RecordBatch(tuple(payloads), offset, end, era)
 
 
 def _parse_position(body: bytes) -> _Position:
--- a/hibiscusstile/platform/topics.py
+++ b/hibiscusstile/platform/topics.py
@@ -37,10 +37,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NewestRecords:
-    """The newest record of each key, and the offset to read on from."""
+    """The newest record of each key, and the offset to read on from.
+
+    Attributes:
+        records: The records.
+        end: Offset to read on from.
+        era: Era of the log that the offsets belong to; None if unknown. A log
+            that was restored from a copy has a new era and other offsets.
+    """
 
     records: tuple[KeyedRecord, ...]
     end: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -50,6 +58,7 @@
     payloads: tuple[bytes, ...]
     start: int
     end: int
+    era: int | None = None
 
     @property
     def next_offset(self) -> int:
@@ -62,6 +71,7 @@
     """The requested records were deleted; `first` is the first kept offset."""
 
     first: int
+    era: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -69,11 +79,17 @@
     """The topic does not end where the append expected, but at `end`."""
 
     end: int
+    era: int | None = None
 
 
 class KeyedLog(abc.ABC):
     """A log with keyed topics, which retain the newest record of each key."""
 
+    @property
+    def era(self) -> int | None:
+        """Newest known era of the log; None if unknown."""
+        return None
+
     @abc.abstractmethod
     async def read_newest(
         self, topic: str
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -66,7 +66,7 @@
         self._clock = clock
         self._reload_requested = asyncio.Event()
         self._platform_store = platformstore.PlatformStore(
-            boot_settings.store_address
+            boot_settings.store_address, clock
         )
         self._state = state_lib.GatewayState(
             clock,
@@ -182,6 +182,7 @@
             "role": self.name,
             "peer_id": self._settings.name,
             "revision": table.version if table else None,
+            "store": self._store_status(),
             "ready": self._gateway.ready,
             "leaving": self._gateway.draining,
             "active_requests": self._gateway.active,
@@ -205,6 +206,13 @@
             ],
         }
 
+    def _store_status(self) -> dict[str, object]:
+        known_for_s = self._platform_store.era_known_for_s
+        return {
+            "era": self._platform_store.era,
+            "known_for_s": None if known_for_s is None else round(known_for_s),
+        }
+
     def _server_status(self, server: fleet.BackendServer) -> dict[str, object]:
         statements = self._state.server_statements
         said_leaving = statements.leaving_server(server)
--- a/tests/gateway/test_feeds.py
+++ b/tests/gateway/test_feeds.py
@@ -129,7 +129,7 @@
     try:
         await platform_store.append("lease", b"a", 0)
         result = await platform_store.append("lease", b"b", 0)
-        assert result == topics.AppendConflict(1)
+        assert result == topics.AppendConflict(1, store.era)
         records = await platform_store.read("lease", 0, _NO_WAIT)
         assert isinstance(records, topics.RecordBatch)
         assert records.payloads == (b"a",)
