Count the grace for weights of unknown age from the process's start

A gateway that starts uses engines that lack a version of unknown age for a short time, in which no bound holds.

It now also ends 0.7 of the stable window after the process's start, whatever time imports and the first read take.

--- a/hibiscusstile/__init__.py
+++ b/hibiscusstile/__init__.py
@@ -2,6 +2,11 @@
 
 from __future__ import annotations
 
-__all__ = ["__version__"]
+import time
+
+__all__ = ["STARTED_S", "__version__"]
 
 __version__ = "0.2.0"
+
+STARTED_S = time.monotonic()
+"""When this process started, on the monotonic clock; imports take a while."""
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -60,6 +60,8 @@
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         weights_bounds: Bounds on the use of outdated weights.
+        started_s: When the process started, on the monotonic clock; now if
+            None.
     """
 
     def __init__(
@@ -69,6 +71,7 @@
         retries: RetryPolicy,
         max_held_body_bytes: int = _DEFAULT_MAX_HELD_BODY_BYTES,
         weights_bounds: weights_lib.WeightsBounds | None = None,
+        started_s: float | None = None,
     ) -> None:
         self._clock = clock
         self._max_held_body_bytes = max_held_body_bytes
@@ -83,7 +86,9 @@
         self._fleet = fleet.Fleet(clock, self._server_statements)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
-        self._weights = weights_lib.WeightsTable(clock, weights_bounds)
+        self._weights = weights_lib.WeightsTable(
+            clock, weights_bounds, started_s
+        )
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
--- a/hibiscusstile/gateway/weights.py
+++ b/hibiscusstile/gateway/weights.py
@@ -31,9 +31,11 @@
 _MAX_LAG_SHARE = 0.625
 _UNKNOWN_SERVER_SHARE = 0.4375
 _MAX_START_LAG_SHARE = 0.875
-# Share of the time without bounds after a process's start for which versions
-# of unknown age may be missing. It starts before the process reads the store.
+# Shares of the stable window for which engines may lack a version of unknown
+# age: from when it is learned, and from the start of the process. The second
+# allows for an interpreter that starts slowly.
 _UNKNOWN_AGE_GRACE_SHARE = 0.4
+_START_GRACE_SHARE = 0.7
 # Peers' ages that differ by less are not logged.
 _MIN_LOGGED_CORRECTION_S = 0.5
 
@@ -67,15 +69,17 @@
         """Target's age up to which a server of unknown version is used."""
         return _UNKNOWN_SERVER_SHARE * self.version_s
 
-    @property
-    def assumed_age_s(self) -> float:
-        """Age assumed for a version of unknown age when it is learned.
+    def assumed_age_s(self, process_age_s: float) -> float:
+        """Returns the age to assume for a version when it is learned.
 
-        Servers that lack it are used for a short time only. This process may
-        have started long after the version was published, but is not bound by
-        `version_s` yet.
+        Servers that lack it are used for a short time only. It may have been
+        published long before this process started, or lost the store, but the
+        process is not bound by `version_s` until the stable window has passed.
         """
         grace_s = _UNKNOWN_AGE_GRACE_SHARE * self.stable_window_s
+        if process_age_s < 2 * self.stable_window_s:
+            start_grace_s = _START_GRACE_SHARE * self.stable_window_s
+            grace_s = min(grace_s, max(0.0, start_grace_s - process_age_s))
         return max(0.0, self.max_lag_s - grace_s)
 
 
@@ -104,12 +108,18 @@
     Args:
         clock: Clock for the times at which versions are learned.
         bounds: Bounds on the use of outdated weights.
+        started_s: When the process started, on the monotonic clock; now if
+            None.
     """
 
     def __init__(
-        self, clock: clock_lib.Clock, bounds: WeightsBounds | None = None
+        self,
+        clock: clock_lib.Clock,
+        bounds: WeightsBounds | None = None,
+        started_s: float | None = None,
     ) -> None:
         self._clock = clock
+        self._started_s = clock.monotonic() if started_s is None else started_s
         self._bounds = bounds or WeightsBounds()
         # Target versions by model, oldest first.
         self._targets: dict[str, list[TargetVersion]] = {}
@@ -203,7 +213,7 @@
         """
         now_s = self._clock.monotonic()
         is_known = age_s is not None and not delay_s
-        taken_age_s = self._bounds.assumed_age_s
+        taken_age_s = self._bounds.assumed_age_s(now_s - self._started_s)
         if age_s is not None:
             upper_bound_s = age_s + delay_s
             taken_age_s = (
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -10,6 +10,7 @@
 
 import logbook
 
+import hibiscusstile
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
@@ -79,6 +80,7 @@
             _retry_policy(boot_settings),
             boot_settings.max_held_body_bytes,
             _weights_bounds(boot_settings),
+            hibiscusstile.STARTED_S,
         )
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
--- a/tests/gateway/test_weights.py
+++ b/tests/gateway/test_weights.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hibiscusstile.gateway import load as load_lib
-from hibiscusstile.gateway import notices, selection, serverselection
+from hibiscusstile.gateway import notices, selection, serverselection, weights
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import codec, messages
 from hibiscusstile.platform import consumers, topics
@@ -168,6 +168,10 @@
     assert _select(state) is not None
     clock.advance(0.5)
     assert _select(state) is None
+    # Nor if the process took long to start and read it.
+    late = weights.WeightsTable(clock, started_s=clock.monotonic() - 2.8)
+    late.set_target("m1", 2, weights.STORE_READ, None)
+    assert late.lag_s("m1", 1) >= late.bounds.max_lag_s
     # A gateway that does not know the age does not vouch for one.
     other, _ = _gateway(clock, 2)
     _connect(state, other)
