--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -68,6 +68,8 @@
         stable_window: Time after an outage of the store from which unlisted
             servers must get no requests.
         weights_bounds: Bounds on the use of outdated weights.
+        started_s: When the process started, on the monotonic clock; now if
+            None.
     """
 
     def __init__(
@@ -78,6 +80,7 @@
         max_held_body_bytes: int = _DEFAULT_MAX_HELD_BODY_BYTES,
         stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
         weights_bounds: weights_lib.WeightsBounds | None = None,
+        started_s: float | None = None,
     ) -> None:
         self._clock = clock
         self._max_held_body_bytes = max_held_body_bytes
@@ -92,7 +95,9 @@
         self._fleet = fleet.Fleet(clock, self._server_statements, stable_window)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
-        self._weights = weights_lib.WeightsTable(clock, weights_bounds)
+        self._weights = weights_lib.WeightsTable(
+            clock, weights_bounds, started_s
+        )
         self._recent_prefills = recentprefills.RecentPrefills()
         self._pending_prefills = pendingprefills.PendingPrefills(clock)
         self._prefix_stores = prefixstores.PrefixStoreTable()
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -10,6 +10,7 @@
 
 import logbook
 
+import hibiscusstile
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
@@ -76,6 +77,7 @@
             boot_settings.max_held_body_bytes,
             datetime.timedelta(seconds=boot_settings.stable_window_s),
             _weights_bounds(boot_settings),
+            hibiscusstile.STARTED_S,
         )
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
