Let the connections to other gateways start again after a failure

When the supervisor of these connections gave up, its parent started it again, and that failed at once with ValueError, since the child 'broadcast' was added a second time. The root supervisor then gave up too, and the process ended.

The child is now added when the mesh is built. test_the_connections_to_gateways_can_be_started_again failed before with that ValueError.

--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -96,6 +96,9 @@
             self._receive_messages,
         )
         self._connections = supervisor.Supervisor("links", state.clock)
+        self._connections.add(
+            supervisor.ChildSpec("broadcast", self._broadcast)
+        )
         self._queues: dict[str, asyncio.Queue[codec.Frame]] = {}
         self._batch = noticebatch.NoticeBatch()
         self._peers: dict[str, Peer] = {}
@@ -140,9 +143,6 @@
 
     async def run_connections(self) -> None:
         """Maintains the outgoing connections until cancelled."""
-        self._connections.add(
-            supervisor.ChildSpec("broadcast", self._broadcast)
-        )
         await self._connections.run()
 
     async def set_peers(self, peers: dict[str, Peer]) -> None:
--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -129,3 +129,16 @@
     await asyncio.gather(*tasks, return_exceptions=True)
     assert not ended
     assert peers == ()
+
+
+async def test_the_connections_to_gateways_can_be_started_again() -> None:
+    """Guards against a process that ends once its links failed too often."""
+    _, peer_mesh = _new_membership(
+        clock_lib.SystemClock(), rollouts.MemoryLog()
+    )
+    for _ in range(2):
+        task = asyncio.ensure_future(peer_mesh.run_connections())
+        ended, _ = await asyncio.wait([task], timeout=0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert not ended
