--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -159,3 +159,16 @@
     await _run_tasks(membership, peer_mesh, 60)
     assert clock.monotonic() > 1010
     assert peer_mesh.peers == ("c",)
+
+
+async def test_the_connections_to_gateways_can_be_started_again() -> None:
+    """Guards against a process that ends once its links failed too often."""
+    _, peer_mesh = _new_membership(
+        clock_lib.SystemClock(), rollouts.MemoryLog()
+    )
+    for _ in range(2):
+        task = asyncio.ensure_future(peer_mesh.run_connections())
+        ended, _ = await asyncio.wait([task], timeout=0.05)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+        assert not ended
