--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -113,12 +113,21 @@
         )
         self._urgent.set()
 
-    def add_weights(self, model: str, version: int, server_id: str) -> None:
+    def add_weights(
+        self,
+        model: str,
+        version: int,
+        server_id: str,
+        age_s: float | None = None,
+    ) -> None:
         """Announces a weights version that a server has loaded.
 
-        An empty server id announces a target version.
+        An empty server id announces a target version of an age in seconds;
+        None if it is unknown.
         """
-        self._weights.append(messages.WeightsUpdate(model, version, server_id))
+        self._weights.append(
+            messages.WeightsUpdate(model, version, server_id, age_s)
+        )
 
     def add_claim(self, fence: int) -> None:
         """Announces, without delay, that this process claimed the lease."""
@@ -214,6 +223,14 @@
                     now_s - _SNAPSHOT_WINDOW_S
                 )
             ),
+            changes=tuple(
+                messages.WeightsChangeUpdate(server_id, duration_s)
+                for server_id, duration_s in self._state.weights.changing()
+            )[-messages.MAX_NOTICE_ENTRIES :],
+            weights=tuple(
+                messages.WeightsUpdate(model, version, age_s=age_s)
+                for model, version, age_s in self._state.weights.known_ages()
+            )[-messages.MAX_NOTICE_ENTRIES :],
             rates=tuple(
                 messages.RatesUpdate(service, each.sizes, each.observations)
                 for service, each in self._state.all_engine_rates.items()
@@ -264,7 +281,7 @@
         for change in notice.changes:
             self._state.weights.note_changing(change.server, change.for_s)
         for weights in notice.weights:
-            self._apply_weights(weights)
+            self._apply_weights(peer_id, weights)
         for claim in notice.claims:
             self._last_claim = (peer_id, claim.fence, now_s)
 
@@ -281,10 +298,18 @@
         if notice.crashes and charges.has_news:
             self._state.notices.send_soon()
 
-    def _apply_weights(self, weights: messages.WeightsUpdate) -> None:
+    def _apply_weights(
+        self, peer_id: str, weights: messages.WeightsUpdate
+    ) -> None:
         table = self._state.weights
         if not weights.server:
-            table.set_target(weights.model, weights.version)
+            table.set_target(
+                weights.model,
+                weights.version,
+                peer_id,
+                weights.age_s,
+                self._state.pauses.delay_s,
+            )
             return
         current = table.version_at(weights.server, weights.model)
         if current is not None and weights.version > current:
