--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -38,6 +38,11 @@
     def __init__(self, consumer: follower.Consumer) -> None:
         self._consumer = consumer
 
+    @property
+    def awaits_records(self) -> bool:
+        """Whether the consumer expects records."""
+        return self._consumer.awaits_records
+
     def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
         """Applies the newest records, one by one if that fails."""
         try:
