Keep the rollout lease's tokens increasing over restores

After the store had come back from a copy, engines saw orders with a lower fencing token after a higher one and two holders with one token. Cause: the token was the offset of the claim's record plus one, a restored log gives offsets out again, and claims that it had lost were still valid at their holders.

Claims name their era and count only if the response to the append carries the same one. A process that learns of a newer era waits for as long as for another one's claim, unless its own claim is the last one or a claim of the new era is in the log. A holder that learns of it stops ordering until it has claimed again. Processes read the claims once when they start, so the wait is over before most rollouts. Logs without eras keep the tokens of before; a token that is not above those which this process has used or peers have announced is not used.

--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -180,12 +180,18 @@
         # Running requests, waiting tokens and send time, by server id.
         self._sent_loads: dict[str, tuple[int, int, float]] = {}
         self._last_claim: tuple[str, int, float] | None = None
+        self._highest_fence = 0
 
     @property
     def last_claim(self) -> tuple[str, int, float] | None:
         """Holder, fencing token and arrival time of a peer's last claim."""
         return self._last_claim
 
+    @property
+    def highest_fence(self) -> int:
+        """Highest fencing token that peers have announced, 0 for none."""
+        return self._highest_fence
+
     def next_notice(self) -> messages.GatewayNotice | None:
         """Returns the next notice for all peers, or None if it is empty."""
         crashes, clearances = self._state.crashing_parts.charges.drain()
@@ -284,6 +290,7 @@
             self._apply_weights(peer_id, weights)
         for claim in notice.claims:
             self._last_claim = (peer_id, claim.fence, now_s)
+            self._highest_fence = max(self._highest_fence, claim.fence)
 
     def _apply_charges(self, notice: messages.GatewayNotice) -> None:
         charges = self._state.crashing_parts.charges
--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -72,6 +72,7 @@
         """Runs rollouts as needed until cancelled."""
         while True:
             await self._clock.sleep(_CHECK_INTERVAL)
+            await self._lease.refresh()
             if not self._update_outdated():
                 continue
             unchanged_s = self._clock.monotonic() - self._unchanged_since_s
@@ -147,6 +148,7 @@
                         self._change(model, server)
                     )
                 await self._clock.sleep(_POLL_INTERVAL)
+                self._lease.observe_era()
 
     def _next_wave(
         self,
--- a/hibiscusstile/gateway/rolloutlease.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -1,11 +1,17 @@
 """Lease that lets one process at a time send weights orders.
 
 A process claims the lease by a conditional append to the lease's topic, which
-succeeds only at the topic's expected end. The record's offset determines the
-fencing token. A claim is valid for a fixed time from just before it is sent.
-A process that reads another one's claim waits for the claim's duration, the
-longest delivery of an order and a pause before it claims the lease itself, so
-that two holders never overlap.
+succeeds only at the topic's expected end. The log's era and the record's offset
+determine the fencing token. A claim is valid for a fixed time from just before
+it is sent. A process that reads another one's claim waits for the claim's
+duration, the longest delivery of an order and a pause before it claims the
+lease itself, so that two holders never overlap.
+
+A log that has been restored from a copy may have lost claims whose holders
+still count on them, and gives their offsets out again. A claim counts only in
+its era. A process that learns of a newer era waits as if it had just read a
+claim of another process, unless the last claim is its own or one of the new
+era.
 """
 
 from __future__ import annotations
@@ -17,7 +23,7 @@
 import logbook
 
 from hibiscusstile import logs, platform
-from hibiscusstile.gateway import notices
+from hibiscusstile.gateway import fencing, notices
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import claimrecords, topics
 
@@ -37,20 +43,22 @@
 # Longest delay until an order sent at a claim's end reaches its engine: orders
 # time out after 0.3 s.
 _MAX_DELIVERY_S = 0.5
+# A read starts again if the log was restored or has deleted old records.
+_MAX_READ_RESTARTS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Claim:
-    """A claim of the lease.
+    """A claim of the lease that this process has won.
 
     Attributes:
-        holder: Name of the process that holds the claim.
         fence: Fencing token of the claim.
+        era: Era of the log in which it counts; None if the log tells none.
         expires_s: Expiry time on the monotonic clock.
     """
 
-    holder: str
     fence: int
+    era: int | None
     expires_s: float
 
 
@@ -78,16 +86,22 @@
         self._log = log
         self._notice_handler = notice_handler
         self._name = name
-        self._pause_s = pause.total_seconds()
-        self._last_claim: Claim | None = None
+        # Time after a claim's expiry until another process may claim.
+        self._grace_s = _MAX_DELIVERY_S + pause.total_seconds()
+        self._era: int | None = None
+        self._own_claim: Claim | None = None
+        self._last_holder: str | None = None
+        self._highest_fence = 0
         self._topic_end: int | None = None
+        self._next_read_s = 0.0
         self._earliest_claim_s = 0.0
 
     @property
     def held_claim(self) -> Claim | None:
         """Valid claim of this process, or None."""
-        claim = self._last_claim
-        if claim is None or claim.holder != self._name:
+        claim = self._own_claim
+        # Another call to the log may have learned of a newer era.
+        if claim is None or claim.era != self._newest_era():
             return None
         return claim if self._clock.monotonic() < claim.expires_s else None
 
@@ -97,103 +111,235 @@
         claim = self.held_claim
         return claim.expires_s - self._clock.monotonic() if claim else 0.0
 
+    def status(self) -> dict[str, object]:
+        """Returns the lease as shown to operators."""
+        return {
+            "era": self._era,
+            "holder": self._last_holder,
+            "held": self.held_claim is not None,
+            "highest_token": max(
+                self._highest_fence, self._notice_handler.highest_fence
+            ),
+        }
+
     def may_claim(self, unchanged_s: float) -> bool:
         """Returns whether this process may try to claim the lease.
 
         Args:
             unchanged_s: Time since the set of outdated engines last changed.
         """
-        now_s = self._clock.monotonic()
-        if now_s < self._earliest_claim_s:
+        if self._clock.monotonic() < self._earliest_claim_s:
             return False
-        last = self._last_claim
-        if last is not None and last.holder == self._name:
+        if self._last_holder == self._name:
             return True
-        if last is None and self._topic_end is None:
-            return unchanged_s >= _CLAIM_SPREAD_S * self._spread_position()
-        return (
-            unchanged_s
-            >= _TAKEOVER_DELAY_S + _CLAIM_SPREAD_S * self._spread_position()
-        )
+        spread_s = _CLAIM_SPREAD_S * self._spread_position()
+        if self._last_holder is None:
+            return unchanged_s >= spread_s
+        return unchanged_s >= _TAKEOVER_DELAY_S + spread_s
 
     def _spread_position(self) -> float:
         """Returns this process's place among claimants, from 0 to 1."""
         digest = hashlib.blake2b(self._name.encode(), digest_size=2).digest()
         return int.from_bytes(digest, "big") / 65_536
 
+    def observe_era(self) -> None:
+        """Adopts the newest era that any call to the log has learned."""
+        self._note_era(self._newest_era())
+
+    async def refresh(self) -> None:
+        """Reads the claims once after each rise of the log's era.
+
+        The waits that the last claim requires then begin before a rollout is
+        needed.
+        """
+        self.observe_era()
+        if (
+            self._era is not None
+            and self._topic_end is None
+            and self._clock.monotonic() >= self._next_read_s
+        ):
+            await self._read_claims()
+
     async def claim(self) -> bool:
-        """Appends a claim; returns whether the append succeeded.
+        """Appends a claim; returns whether it succeeded.
 
         If it failed, an earlier claim of this process stays valid until it
         expires.
         """
+        self.observe_era()
         if self._topic_end is None and not await self._read_claims():
-            self._earliest_claim_s = self._clock.monotonic() + _RETRY_DELAY_S
             return False
         if self._clock.monotonic() < self._earliest_claim_s:
             return False
+        era = self._era
         sent_s = self._clock.monotonic()
-        payload = claimrecords.encode(claimrecords.ClaimRecord(self._name))
+        payload = claimrecords.encode(claimrecords.ClaimRecord(self._name, era))
         result = await self._log.append(_TOPIC, payload, self._topic_end)
         if isinstance(result, platform.Appended):
-            self._topic_end = result.offset + 1
-            self._last_claim = Claim(
-                self._name,
-                result.offset + 1,
-                sent_s + _CLAIM_DURATION.total_seconds(),
-            )
-            self._state.notices.add_claim(result.offset + 1)
-            logs.event(_log, "lease_won", fence=result.offset + 1)
-            return True
+            return self._note_appended(result, era, sent_s)
         if isinstance(result, topics.AppendConflict):
             logs.event(_log, "lease_lost", end=result.end)
+            self.observe_era()
             await self._read_claims()
             return False
         # The append may still succeed seconds later, but only while the topic's
         # end is unchanged, so the claims are read again before the next try.
         logs.event(_log, "lease_unknown", error=result.message)
-        self._topic_end = None
-        self._earliest_claim_s = self._clock.monotonic() + _RETRY_DELAY_S
+        self._read_again_later()
         return False
 
+    def _note_appended(
+        self, result: platform.Appended, era: int | None, sent_s: float
+    ) -> bool:
+        """Records an appended claim; returns whether it counts.
+
+        Args:
+            result: Response to the append.
+            era: Era that the claim names.
+            sent_s: When the append was sent, on the monotonic clock.
+        """
+        self._note_era(result.era)
+        self.observe_era()
+        if result.era != era or self._era != era:
+            # The claim was appended at an offset that another era gave out.
+            logs.event(_log, "lease_outdated", era=era, current=self._era)
+            self._read_again_later()
+            return False
+        self._topic_end = result.offset + 1
+        self._last_holder = self._name
+        fence = fencing.fencing_token(era, result.offset)
+        floor = max(self._highest_fence, self._notice_handler.highest_fence)
+        if fence is None or fence <= floor:
+            logs.warn(_log, "lease_token_unusable", fence=fence, floor=floor)
+            self._earliest_claim_s = self._clock.monotonic() + _RETRY_DELAY_S
+            return False
+        self._highest_fence = fence
+        self._own_claim = Claim(
+            fence, era, sent_s + _CLAIM_DURATION.total_seconds()
+        )
+        self._state.notices.add_claim(fence)
+        logs.event(_log, "lease_won", fence=fence, era=era)
+        return True
+
+    def _newest_era(self) -> int | None:
+        learned = self._log.era
+        return learned if _is_newer(learned, self._era) else self._era
+
+    def _note_era(self, era: int | None) -> None:
+        """Adopts a newer era and waits for claims that the log may have lost.
+
+        Claims of earlier eras were sent before now. None of them was another
+        process's while this one holds the last claim or others wait for its
+        end.
+        """
+        if not _is_newer(era, self._era):
+            return
+        logs.event(_log, "lease_era", era=era, before=self._era)
+        self._era = era
+        self._topic_end = None
+        self._next_read_s = 0.0
+        now_s = self._clock.monotonic()
+        own = self._own_claim
+        if own is None or now_s >= own.expires_s + self._grace_s:
+            self._last_holder = None
+            self._earliest_claim_s = self._earliest_after(now_s)
+
+    def _earliest_after(self, sent_s: float) -> float:
+        """Returns when a process may claim after another one's claim."""
+        return sent_s + _CLAIM_DURATION.total_seconds() + self._grace_s
+
+    def _read_again_later(self) -> None:
+        self._topic_end = None
+        self._next_read_s = self._clock.monotonic() + _RETRY_DELAY_S
+        self._earliest_claim_s = max(self._earliest_claim_s, self._next_read_s)
+
     async def _read_claims(self) -> bool:
         """Reads the last claim and sets the earliest time of the next one.
 
         Returns whether the log responded.
         """
         offset = self._topic_end or 0
-        last: bytes | None = None
-        while True:
+        last: tuple[claimrecords.ClaimRecord | None, int] | None = None
+        restarts = 0
+        while restarts <= _MAX_READ_RESTARTS:
+            known_era = self._era
             records = await self._log.read(
                 _TOPIC, offset, datetime.timedelta(0)
             )
             if isinstance(records, platform.LogUnavailable):
-                self._topic_end = None
-                return False
+                break
+            self._note_era(records.era)
+            self.observe_era()
+            if records.era != self._era:
+                break
+            if self._era != known_era and offset:
+                # The offset was one of an earlier era.
+                restarts += 1
+                offset, last = 0, None
+                continue
             if isinstance(records, topics.Trimmed):
+                restarts += 1
                 offset = records.first
                 continue
-            if records.payloads:
-                last = records.payloads[-1]
+            for index, payload in enumerate(records.payloads):
+                record = claimrecords.decode(payload)
+                if not self._is_of_earlier_era(record):
+                    last = record, offset + index
             offset = records.next_offset
             if offset >= records.end or not records.payloads:
-                break
-        self._topic_end = records.end
-        if last is not None:
-            self._note_claim(last, records.end)
-        return True
+                self._topic_end = records.end
+                if last is not None:
+                    self._note_claim(*last)
+                return True
+        self._read_again_later()
+        return False
 
-    def _note_claim(self, payload: bytes, fence: int) -> None:
-        record = claimrecords.decode(payload)
-        holder = record.holder if record else ""
+    def _is_of_earlier_era(
+        self, record: claimrecords.ClaimRecord | None
+    ) -> bool:
+        return (
+            record is not None
+            and record.era is not None
+            and self._era is not None
+            and record.era < self._era
+        )
+
+    def _note_claim(
+        self, record: claimrecords.ClaimRecord | None, offset: int
+    ) -> None:
+        """Records the last claim that was read.
+
+        Args:
+            record: The claim; None if it is unreadable.
+            offset: Its offset.
+        """
+        now_s = self._clock.monotonic()
+        self._last_holder = record.holder if record else ""
+        if record is None or record.era != self._era:
+            # An older release or another writer appended it at some time.
+            self._own_claim = None
+            self._earliest_claim_s = self._earliest_after(now_s)
+            return
+        if record.holder == self._name:
+            if self._era is not None:
+                self._earliest_claim_s = now_s
+            return
         # The log does not record the send time. The arrival of the holder's
         # notice is a tighter upper bound for it than the time of this read.
-        sent_s = self._clock.monotonic()
+        fence = fencing.fencing_token(record.era, offset)
         announced = self._notice_handler.last_claim
-        if announced is not None and announced[:2] == (holder, fence):
+        sent_s = now_s
+        if announced is not None and announced[:2] == (record.holder, fence):
             sent_s = announced[2]
-        expires_s = sent_s + _CLAIM_DURATION.total_seconds()
-        self._last_claim = Claim(holder, fence, expires_s)
-        if holder != self._name:
-            self._earliest_claim_s = expires_s + _MAX_DELIVERY_S + self._pause_s
-            logs.event(_log, "lease_held_elsewhere", holder=holder, fence=fence)
+        self._own_claim = None
+        self._earliest_claim_s = self._earliest_after(sent_s)
+        logs.event(
+            _log, "lease_held_elsewhere", holder=record.holder, fence=fence
+        )
+
+
+def _is_newer(era: int | None, known: int | None) -> bool:
+    """Returns whether an era is in range and newer than the known one."""
+    if era is None or not 0 <= era <= fencing.MAX_ERA:
+        return False
+    return known is None or era > known
--- a/hibiscusstile/platform/claimrecords.py
+++ b/hibiscusstile/platform/claimrecords.py
@@ -19,21 +19,28 @@
 
     Attributes:
         holder: Name of the process that claims the lease.
+        era: Era of the log in which the claim counts; None if the log does not
+            tell it, or if an older release wrote the claim.
     """
 
     holder: str
+    era: int | None = None
 
 
 class _Body(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(strict=True)
+
     holder: Annotated[
         str,
         pydantic.Field(min_length=1, max_length=_MAX_HOLDER_CHARACTERS),
     ]
+    era: Annotated[int, pydantic.Field(ge=0)] | None = None
 
 
 def encode(record: ClaimRecord) -> bytes:
     """Encodes a claim."""
-    return _Body(holder=record.holder).model_dump_json().encode()
+    body = _Body(holder=record.holder, era=record.era)
+    return body.model_dump_json(exclude_none=True).encode()
 
 
 def decode(payload: bytes) -> ClaimRecord | None:
@@ -42,4 +49,4 @@
         body = _Body.model_validate_json(payload)
     except pydantic.ValidationError:
         return None
-    return ClaimRecord(body.holder)
+    return ClaimRecord(body.holder, body.era)
--- a/tests/builders/rollout.py
+++ b/tests/builders/rollout.py
@@ -13,20 +13,38 @@
 
 
 class MemoryLog(topics.KeyedLog):
-    """In-memory log that can be down or lose the response to an append."""
+    """In-memory log that can fail, lose responses and be restored.
 
-    def __init__(self) -> None:
+    Args:
+        era: First era that responses carry; None for a log without eras.
+    """
+
+    def __init__(self, era: int | None = None) -> None:
         self.payloads: dict[str, list[bytes]] = {}
         self.down = False
         self.lose_next = False
         self.trimmed_before = 0
         self.newest_reads = 0
+        self.store_era = era
+        self._seen_era: int | None = None
+
+    @property
+    def era(self) -> int | None:
+        """Newest era that a response has carried."""
+        return self._seen_era
+
+    def restore(self, topic: str, kept: int) -> None:
+        """Returns to a copy with the first `kept` records of a topic."""
+        del self.payloads.setdefault(topic, [])[kept:]
+        if self.store_era is not None:
+            self.store_era += 1
 
     async def read_newest(
         self, topic: str
     ) -> topics.NewestRecords | platform.LogUnavailable:
         """Returns no records, as rollouts read no keyed topics."""
         self.newest_reads += 1
+        self._seen_era = self.store_era
         return topics.NewestRecords((), len(self.payloads.get(topic, [])))
 
     async def read(
@@ -35,10 +53,15 @@
         """Returns the records from an offset on."""
         if self.down:
             return platform.LogUnavailable("down")
+        self._seen_era = self.store_era
         if offset < self.trimmed_before:
-            return topics.Trimmed(self.trimmed_before)
+            return topics.Trimmed(self.trimmed_before, self.store_era)
         kept = self.payloads.get(topic, [])
-        return topics.RecordBatch(tuple(kept[offset:]), offset, len(kept))
+        if offset > len(kept):
+            return topics.Trimmed(0, self.store_era)
+        return topics.RecordBatch(
+            tuple(kept[offset:]), offset, len(kept), self.store_era
+        )
 
     async def append(
         self, topic: str, payload: bytes, expected_end: int | None = None
@@ -53,12 +76,14 @@
             return platform.AppendRefused("down")
         kept = self.payloads.setdefault(topic, [])
         if expected_end is not None and expected_end != len(kept):
-            return topics.AppendConflict(len(kept))
+            self._seen_era = self.store_era
+            return topics.AppendConflict(len(kept), self.store_era)
         kept.append(payload)
         if self.lose_next:
             self.lose_next = False
             return platform.AppendUnknown("lost")
-        return platform.Appended(len(kept) - 1)
+        self._seen_era = self.store_era
+        return platform.Appended(len(kept) - 1, self.store_era)
 
     async def close(self) -> None:
         """Does nothing, as there are no resources to release."""
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -125,33 +125,58 @@
     assert ordered == {each.server_id for each in (paused, draining, other)}
 
 
+class _SharedLog:
+    """Three processes, each with engines, that share a log."""
+
+    def __init__(self, era: int | None = None) -> None:
+        self.clock = _SteppingClock()
+        self.log = rollouts.MemoryLog(era)
+        self.states = [_state(self.clock, 6) for _ in range(3)]
+        self.engines = [rollouts.MemoryEngines(each) for each in self.states]
+        self._rollouts = [
+            _rollout(state, self.log, engines, name)
+            for state, engines, name in zip(
+                self.states, self.engines, ("a", "b", "c"), strict=True
+            )
+        ]
+
+    async def run(self, version: int, for_s: float) -> None:
+        """Publishes a version and lets all processes roll it out."""
+        for each in self.states:
+            each.set_target_version("m1", version)
+        await _run(self.clock, self._rollouts, for_s)
+
+    def check_orders(self) -> None:
+        """Checks that tokens never go back and that holders pause."""
+        orders = sorted(
+            (at_s, order.holder, order.fence)
+            for each in self.engines
+            for at_s, _, order in each.orders
+        )
+        assert orders
+        for before, after in itertools.pairwise(orders):
+            assert after[2] >= before[2]
+            if before[1] != after[1]:
+                assert after[0] - before[0] > 3.0
+                assert after[2] > before[2]
+
+
 async def test_two_processes_never_order_within_one_lease() -> None:
     """Guards against orders of two holders whose leases overlap."""
-    clock = _SteppingClock()
-    log = rollouts.MemoryLog()
-    state = [_state(clock, 6) for _ in range(3)]
-    engines = [rollouts.MemoryEngines(each) for each in state]
-    for each in state:
-        each.set_target_version("m1", 2)
-    names = ("a", "b", "c")
-    await _run(
-        clock,
-        [
-            _rollout(parts[0], log, parts[1], parts[2])
-            for parts in zip(state, engines, names, strict=True)
-        ],
-        20.0,
-    )
-    orders = sorted(
-        (at_s, order.holder, order.fence)
-        for each in engines
-        for at_s, _, order in each.orders
-    )
-    assert orders
-    for before, after in itertools.pairwise(orders):
-        if before[1] != after[1]:
-            assert after[0] - before[0] > 3.0
-            assert after[2] > before[2]
+    shared = _SharedLog()
+    await shared.run(2, 20.0)
+    shared.check_orders()
+
+
+async def test_orders_keep_their_sequence_over_restores() -> None:
+    """Guards against orders of holders whose claims the log has lost."""
+    shared = _SharedLog(1)
+    for version in range(2, 8):
+        await shared.run(version, 5.0)
+        shared.log.restore("hibiscusstile.weights", version % 3)
+    await shared.run(9, 20.0)
+    shared.check_orders()
+    assert {order.version for _, _, order in shared.engines[0].orders} >= {9}
 
 
 async def test_a_claim_without_a_response_sends_no_orders() -> None:
