--- a/tests/builders/rollout.py
+++ b/tests/builders/rollout.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import datetime
+import types
+from collections.abc import Generator
 
 from hibiscusstile import platform
 from hibiscusstile.gateway import engineorders, fleet
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import topics
 
-__all__ = ["MemoryEngines", "MemoryLog"]
+__all__ = ["MemoryEngines", "MemoryLog", "SteppedLog"]
 
 
 class MemoryLog(topics.KeyedLog):
@@ -89,6 +91,93 @@
         """Does nothing, as there are no resources to release."""
 
 
+@types.coroutine
+def _step() -> Generator[None, None, None]:
+    """Suspends a coroutine that is run step by step."""
+    yield
+
+
+class SteppedLog(topics.KeyedLog):
+    """One process's client of a shared log, whose calls are run in two steps.
+
+    The first step carries out the call and the second one receives the
+    response. The fate of the call is read at its first step.
+
+    Args:
+        store: The shared log.
+    """
+
+    def __init__(self, store: MemoryLog) -> None:
+        self._store = store
+        self._era: int | None = None
+        self.fate = "done"
+        # Appends without a response that the log may still carry out.
+        self.late: list[tuple[str, bytes, int | None]] = []
+        self.sending: tuple[str, bytes, int | None] | None = None
+
+    @property
+    def era(self) -> int | None:
+        """Newest era that a response has carried."""
+        return self._era
+
+    def learn(self) -> None:
+        """Receives a response of another call."""
+        self._note_era(self._store.store_era)
+
+    def _note_era(self, era: int | None) -> None:
+        if era is not None:
+            self._era = max(self._era or 0, era)
+
+    async def read_newest(
+        self, topic: str
+    ) -> topics.NewestRecords | platform.LogUnavailable:
+        """Returns no records, as rollouts read no keyed topics."""
+        return platform.LogUnavailable("not used")
+
+    async def read(
+        self, topic: str, offset: int, wait: datetime.timedelta
+    ) -> topics.RecordBatch | topics.Trimmed | platform.LogUnavailable:
+        """Returns the records from an offset on, or that they are lost."""
+        await _step()
+        fate = self.fate
+        result = await self._store.read(topic, offset, wait)
+        await _step()
+        if fate == "refused":
+            return platform.LogUnavailable(fate)
+        if not isinstance(result, platform.LogUnavailable):
+            self._note_era(result.era)
+        return result
+
+    async def append(
+        self, topic: str, payload: bytes, expected_end: int | None = None
+    ) -> (
+        platform.Appended
+        | topics.AppendConflict
+        | platform.AppendRefused
+        | platform.AppendUnknown
+    ):
+        """Appends a record now, later or not at all."""
+        self.sending = (topic, payload, expected_end)
+        await _step()
+        self.sending = None
+        fate = self.fate
+        if fate == "late":
+            self.late.append((topic, payload, expected_end))
+        if fate in ("late", "refused"):
+            await _step()
+            return platform.AppendUnknown(fate)
+        result = await self._store.append(topic, payload, expected_end)
+        await _step()
+        if fate == "lost":
+            return platform.AppendUnknown(fate)
+        if isinstance(result, platform.Appended | topics.AppendConflict):
+            self._note_era(result.era)
+        return result
+
+    async def close(self) -> None:
+        """Does nothing, as there are no resources to release."""
+
+
 class MemoryEngines(engineorders.EngineOrders):
     """Engines that load weights instantly and record accepted orders."""
 
