Take the log's era from its client in the rollout lease

The client knows which responses are late and takes a lower era if the store itself went back; the lease adopted only higher ones, so that after one wrong header it would never have claimed again. It now adopts each change.

--- a/hibiscusstile/gateway/rolloutlease.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -100,8 +100,8 @@
     def held_claim(self) -> Claim | None:
         """Valid claim of this process, or None."""
         claim = self._own_claim
-        # Another call to the log may have learned of a newer era.
-        if claim is None or claim.era != self._newest_era():
+        # Another call to the log may have learned of a new era.
+        if claim is None or claim.era != self._log_era():
             return None
         return claim if self._clock.monotonic() < claim.expires_s else None
 
@@ -143,8 +143,34 @@
         return int.from_bytes(digest, "big") / 65_536
 
     def observe_era(self) -> None:
-        """Adopts the newest era that any call to the log has learned."""
-        self._note_era(self._newest_era())
+        """Adopts the log's era and waits for claims that it may have lost.
+
+        Claims of other eras were sent before now. None of them was another
+        process's while this one holds the last claim or others wait for its
+        end.
+        """
+        era = self._log_era()
+        if era == self._era:
+            return
+        logs.event(_log, "lease_era", era=era, before=self._era)
+        self._era = era
+        self._topic_end = None
+        self._next_read_s = 0.0
+        now_s = self._clock.monotonic()
+        own = self._own_claim
+        if own is None or now_s >= own.expires_s + self._grace_s:
+            self._last_holder = None
+            self._earliest_claim_s = self._earliest_after(now_s)
+
+    def _log_era(self) -> int | None:
+        """Returns the era that the log's client knows.
+
+        If it knows none that tokens can represent, the last one stays.
+        """
+        era = self._log.era
+        if era is None or era > fencing.MAX_ERA:
+            return self._era
+        return era
 
     async def refresh(self) -> None:
         """Reads the claims once after each rise of the log's era.
@@ -198,7 +224,6 @@
             era: Era that the claim names.
             sent_s: When the append was sent, on the monotonic clock.
         """
-        self._note_era(result.era)
         self.observe_era()
         if result.era != era or self._era != era:
             # The claim was appended at an offset that another era gave out.
@@ -210,8 +235,14 @@
         fence = fencing.fencing_token(era, result.offset)
         floor = max(self._highest_fence, self._notice_handler.highest_fence)
         if fence is None or fence <= floor:
+            # Without eras, offsets pass the floor again after some claims.
             logs.warn(_log, "lease_token_unusable", fence=fence, floor=floor)
-            self._earliest_claim_s = self._clock.monotonic() + _RETRY_DELAY_S
+            now_s = self._clock.monotonic()
+            self._earliest_claim_s = (
+                now_s + _RETRY_DELAY_S
+                if era is None
+                else self._earliest_after(now_s)
+            )
             return False
         self._highest_fence = fence
         self._own_claim = Claim(
@@ -221,29 +252,6 @@
         logs.event(_log, "lease_won", fence=fence, era=era)
         return True
 
-    def _newest_era(self) -> int | None:
-        learned = self._log.era
-        return learned if _is_newer(learned, self._era) else self._era
-
-    def _note_era(self, era: int | None) -> None:
-        """Adopts a newer era and waits for claims that the log may have lost.
-
-        Claims of earlier eras were sent before now. None of them was another
-        process's while this one holds the last claim or others wait for its
-        end.
-        """
-        if not _is_newer(era, self._era):
-            return
-        logs.event(_log, "lease_era", era=era, before=self._era)
-        self._era = era
-        self._topic_end = None
-        self._next_read_s = 0.0
-        now_s = self._clock.monotonic()
-        own = self._own_claim
-        if own is None or now_s >= own.expires_s + self._grace_s:
-            self._last_holder = None
-            self._earliest_claim_s = self._earliest_after(now_s)
-
     def _earliest_after(self, sent_s: float) -> float:
         """Returns when a process may claim after another one's claim."""
         return sent_s + _CLAIM_DURATION.total_seconds() + self._grace_s
@@ -268,7 +276,6 @@
             )
             if isinstance(records, platform.LogUnavailable):
                 break
-            self._note_era(records.era)
             self.observe_era()
             if records.era != self._era:
                 break
@@ -336,10 +343,3 @@
         logs.event(
             _log, "lease_held_elsewhere", holder=record.holder, fence=fence
         )
-
-
-def _is_newer(era: int | None, known: int | None) -> bool:
-    """Returns whether an era is in range and newer than the known one."""
-    if era is None or not 0 <= era <= fencing.MAX_ERA:
-        return False
-    return known is None or era > known
