Wait for claims in history that the log has deleted

A process whose read of the claims found them deleted took the topic for one without claims and claimed at once, beside a holder whose claim was still valid. Cause: after 410 the lease read on from the first kept record and drew no conclusion from the gap. It now waits as for a claim of an unknown holder, unless others still wait for its own claim; logs without eras keep the behaviour of before.

test_a_claim_in_forgotten_history_is_waited_for failed before (claimed after 0.1 s instead of 6 s).

--- a/hibiscusstile/gateway/rolloutlease.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -145,9 +145,8 @@
     def observe_era(self) -> None:
         """Adopts the log's era and waits for claims that it may have lost.
 
-        Claims of other eras were sent before now. None of them was another
-        process's while this one holds the last claim or others wait for its
-        end.
+        Claims of other eras were sent before now. If other processes still wait
+        for the end of this one's claim, none of them was later than that.
         """
         era = self._log_era()
         if era == self._era:
@@ -156,12 +155,19 @@
         self._era = era
         self._topic_end = None
         self._next_read_s = 0.0
-        now_s = self._clock.monotonic()
-        own = self._own_claim
-        if own is None or now_s >= own.expires_s + self._grace_s:
+        if not self._others_wait():
             self._last_holder = None
+            now_s = self._clock.monotonic()
             self._earliest_claim_s = self._earliest_after(now_s)
 
+    def _others_wait(self) -> bool:
+        """Returns whether other processes still wait for this one's claim."""
+        claim = self._own_claim
+        return (
+            claim is not None
+            and self._clock.monotonic() < claim.expires_s + self._grace_s
+        )
+
     def _log_era(self) -> int | None:
         """Returns the era that the log's client knows.
 
@@ -268,7 +274,7 @@
         """
         offset = self._topic_end or 0
         last: tuple[claimrecords.ClaimRecord | None, int] | None = None
-        restarts = 0
+        restarts, claims_hidden = 0, False
         while restarts <= _MAX_READ_RESTARTS:
             known_era = self._era
             records = await self._log.read(
@@ -286,6 +292,7 @@
                 continue
             if isinstance(records, topics.Trimmed):
                 restarts += 1
+                claims_hidden = self._era is not None
                 offset = records.first
                 continue
             for index, payload in enumerate(records.payloads):
@@ -297,6 +304,8 @@
                 self._topic_end = records.end
                 if last is not None:
                     self._note_claim(*last)
+                elif claims_hidden and not self._others_wait():
+                    self._note_claim(None, offset)
                 return True
         self._read_again_later()
         return False
--- a/tests/builders/rollout.py
+++ b/tests/builders/rollout.py
@@ -38,6 +38,7 @@
     def restore(self, topic: str, kept: int) -> None:
         """Returns to a copy with the first `kept` records of a topic."""
         del self.payloads.setdefault(topic, [])[kept:]
+        self.trimmed_before = min(self.trimmed_before, kept)
         if self.store_era is not None:
             self.store_era += 1
 
--- a/tests/gateway/test_rolloutlease.py
+++ b/tests/gateway/test_rolloutlease.py
@@ -116,8 +116,10 @@
     """Guards against orders by a claim of an earlier era, and long pauses."""
     processes = _Processes(rollouts.MemoryLog(4))
     lease = processes.start("a")
-    before, _ = await processes.claim(lease)
-    processes.log.restore(_TOPIC, 0)
+    for _ in range(5):
+        before, _ = await processes.claim(lease)
+    processes.log.trimmed_before = 3
+    processes.log.restore(_TOPIC, 4)
     assert lease.held_claim
     await processes.read()
     assert not lease.held_claim
@@ -138,6 +140,31 @@
     assert waited_s == pytest.approx(_HELD_S, abs=0.15)
 
 
+async def test_a_claim_without_a_response_is_not_held() -> None:
+    """Guards against a lease counted from when its claim was read back."""
+    processes = _Processes(rollouts.MemoryLog(1))
+    lease = processes.start("a")
+    await processes.claim(lease)
+    processes.clock.advance(2.6)
+    for _ in range(2):
+        processes.log.lose_next = True
+        assert not await lease.claim()
+        assert not lease.held_claim
+        processes.clock.advance(0.6)
+
+
+async def test_a_claim_in_forgotten_history_is_waited_for() -> None:
+    """Guards against two holders when the log deletes a recent claim."""
+    processes = _Processes(rollouts.MemoryLog(1))
+    other = processes.start("b")
+    await processes.read()
+    await other.refresh()
+    await processes.claim(processes.start("a"))
+    processes.log.trimmed_before = 1
+    _, waited_s = await processes.claim(other)
+    assert waited_s == pytest.approx(_HELD_S, abs=0.15)
+
+
 class _RestoringLog(rollouts.MemoryLog):
     """Log that is restored just before it appends the next claim."""
 
--- a/tests/gateway/test_rolloutlease_stateful.py
+++ b/tests/gateway/test_rolloutlease_stateful.py
@@ -58,6 +58,16 @@
         super()._note_claim(record, offset)
 
 
+class _IgnoresForgottenClaims(rolloutlease.RolloutLease):
+    """Takes a log without readable claims for one without claims."""
+
+    def _note_claim(
+        self, record: claimrecords.ClaimRecord | None, offset: int
+    ) -> None:
+        if record is not None:
+            super()._note_claim(record, offset)
+
+
 @pytest.mark.parametrize(
     "broken",
     [
@@ -65,6 +75,7 @@
         _TrustsAnyResponse,
         _TrustsOwnClaims,
         _CountsClaimsOfEarlierEras,
+        _IgnoresForgottenClaims,
     ],
 )
 def test_machine_detects_a_broken_lease(
--- a/tests/lease_machine.py
+++ b/tests/lease_machine.py
@@ -154,6 +154,14 @@
         claims = self.store.payloads.get(_TOPIC, [])
         self.store.restore(_TOPIC, max(0, len(claims) - lost))
 
+    @stateful.rule(kept=st.integers(0, 2))
+    def forget(self, kept: int) -> None:
+        """Deletes all but the newest claims."""
+        claims = self.store.payloads.get(_TOPIC, [])
+        self.store.trimmed_before = max(
+            self.store.trimmed_before, len(claims) - kept
+        )
+
     @stateful.rule(down=st.booleans())
     def outage(self, down: bool) -> None:
         self.store.down = down
