Tell holders of the rollout lease apart by address

An instance that replaces another one under its name took the claims of that one for its own and claimed at once, so that two machines ordered in turn without a pause. Claims now bear the instance's address; a claim counts as this instance's if name and address agree. Claims of older releases bear none, so an instance that has just been updated waits once as for another one's.

test_a_replaced_instance_is_another_holder fails if only names are compared (claimed at once instead of after 6 s).

--- a/hibiscusstile/gateway/rolloutlease.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -27,7 +27,7 @@
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import claimrecords, topics
 
-__all__ = ["Claim", "RolloutLease"]
+__all__ = ["Claim", "Holder", "RolloutLease"]
 
 _log = logbook.Logger("rolloutlease")
 
@@ -62,6 +62,22 @@
     expires_s: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Holder:
+    """One instance that may hold the lease.
+
+    An instance that replaces another one may bear its name, but engines see
+    orders from two machines.
+
+    Attributes:
+        name: Name of the instance.
+        address: IP address of the instance.
+    """
+
+    name: str
+    address: str
+
+
 class RolloutLease:
     """Claims the lease and tracks its holder.
 
@@ -69,7 +85,7 @@
         state: State of this gateway process.
         log: Log that stores the claims.
         notice_handler: Source of the claims that other processes announce.
-        name: Unique name of this process.
+        holder: This process's instance.
         pause: Minimum time between the orders of two holders.
     """
 
@@ -78,19 +94,19 @@
         state: state_lib.GatewayState,
         log: topics.KeyedLog,
         notice_handler: notices.NoticeHandler,
-        name: str,
+        holder: Holder,
         pause: datetime.timedelta,
     ) -> None:
         self._state = state
         self._clock = state.clock
         self._log = log
         self._notice_handler = notice_handler
-        self._name = name
+        self._holder = holder
         # Time after a claim's expiry until another process may claim.
         self._grace_s = _MAX_DELIVERY_S + pause.total_seconds()
         self._era: int | None = None
         self._own_claim: Claim | None = None
-        self._last_holder: str | None = None
+        self._last_holder: Holder | None = None
         self._highest_fence = 0
         self._topic_end: int | None = None
         self._next_read_s = 0.0
@@ -115,7 +131,7 @@
         """Returns the lease as shown to operators."""
         return {
             "era": self._era,
-            "holder": self._last_holder,
+            "holder": self._last_holder.name if self._last_holder else None,
             "held": self.held_claim is not None,
             "highest_token": max(
                 self._highest_fence, self._notice_handler.highest_fence
@@ -130,7 +146,7 @@
         """
         if self._clock.monotonic() < self._earliest_claim_s:
             return False
-        if self._last_holder == self._name:
+        if self._last_holder == self._holder:
             return True
         spread_s = _CLAIM_SPREAD_S * self._spread_position()
         if self._last_holder is None:
@@ -139,7 +155,9 @@
 
     def _spread_position(self) -> float:
         """Returns this process's place among claimants, from 0 to 1."""
-        digest = hashlib.blake2b(self._name.encode(), digest_size=2).digest()
+        digest = hashlib.blake2b(
+            self._holder.name.encode(), digest_size=2
+        ).digest()
         return int.from_bytes(digest, "big") / 65_536
 
     def observe_era(self) -> None:
@@ -205,7 +223,11 @@
             return False
         era = self._era
         sent_s = self._clock.monotonic()
-        payload = claimrecords.encode(claimrecords.ClaimRecord(self._name, era))
+        payload = claimrecords.encode(
+            claimrecords.ClaimRecord(
+                self._holder.name, self._holder.address, era
+            )
+        )
         result = await self._log.append(_TOPIC, payload, self._topic_end)
         if isinstance(result, platform.Appended):
             return self._note_appended(result, era, sent_s)
@@ -237,7 +259,7 @@
             self._read_again_later()
             return False
         self._topic_end = result.offset + 1
-        self._last_holder = self._name
+        self._last_holder = self._holder
         fence = fencing.fencing_token(era, result.offset)
         floor = max(self._highest_fence, self._notice_handler.highest_fence)
         if fence is None or fence <= floor:
@@ -330,13 +352,15 @@
             offset: Its offset.
         """
         now_s = self._clock.monotonic()
-        self._last_holder = record.holder if record else ""
+        self._last_holder = (
+            Holder(record.holder, record.address) if record else Holder("", "")
+        )
         if record is None or record.era != self._era:
             # An older release or another writer appended it at some time.
             self._own_claim = None
             self._earliest_claim_s = self._earliest_after(now_s)
             return
-        if record.holder == self._name:
+        if self._last_holder == self._holder:
             if self._era is not None:
                 self._earliest_claim_s = now_s
             return
--- a/hibiscusstile/platform/claimrecords.py
+++ b/hibiscusstile/platform/claimrecords.py
@@ -19,11 +19,14 @@
 
     Attributes:
         holder: Name of the process that claims the lease.
+        address: IP address of its instance; empty if an older release wrote the
+            claim.
         era: Era of the log in which the claim counts; None if the log does not
             tell it, or if an older release wrote the claim.
     """
 
     holder: str
+    address: str = ""
     era: int | None = None
 
 
@@ -34,12 +37,15 @@
         str,
         pydantic.Field(min_length=1, max_length=_MAX_HOLDER_CHARACTERS),
     ]
+    address: Annotated[
+        str, pydantic.Field(max_length=_MAX_HOLDER_CHARACTERS)
+    ] = ""
     era: Annotated[int, pydantic.Field(ge=0)] | None = None
 
 
 def encode(record: ClaimRecord) -> bytes:
     """Encodes a claim."""
-    body = _Body(holder=record.holder, era=record.era)
+    body = _Body(holder=record.holder, address=record.address, era=record.era)
     return body.model_dump_json(exclude_none=True).encode()
 
 
@@ -49,4 +55,4 @@
         body = _Body.model_validate_json(payload)
     except pydantic.ValidationError:
         return None
-    return ClaimRecord(body.holder, body.era)
+    return ClaimRecord(body.holder, body.address, body.era)
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -134,15 +134,16 @@
             self._server_entry_follower,
         )
         follower.link(self._followers)
+        self._lease = rolloutlease.RolloutLease(
+            self._state,
+            self._platform_store,
+            self._notice_handler,
+            rolloutlease.Holder(boot_settings.name, boot_settings.address),
+            datetime.timedelta(seconds=boot_settings.lease_s),
+        )
         self._rollout = rollout.Rollout(
             self._state,
-            rolloutlease.RolloutLease(
-                self._state,
-                self._platform_store,
-                self._notice_handler,
-                boot_settings.name,
-                datetime.timedelta(seconds=boot_settings.lease_s),
-            ),
+            self._lease,
             self._engine_orders,
             boot_settings.name,
         )
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -65,7 +65,9 @@
     name: str,
 ) -> rollout.Rollout:
     reader = notices.NoticeHandler(state)
-    lease = rolloutlease.RolloutLease(state, log, reader, name, _PAUSE)
+    lease = rolloutlease.RolloutLease(
+        state, log, reader, rolloutlease.Holder(name, "192.0.2.1"), _PAUSE
+    )
     return rollout.Rollout(state, lease, engines, name)
 
 
--- a/tests/gateway/test_rolloutlease.py
+++ b/tests/gateway/test_rolloutlease.py
@@ -29,11 +29,14 @@
         self.log = log
         self.handlers: dict[str, notices.NoticeHandler] = {}
 
-    def start(self, name: str) -> rolloutlease.RolloutLease:
+    def start(
+        self, name: str, address: str = "192.0.2.1"
+    ) -> rolloutlease.RolloutLease:
         state = builders.gateway_state(self.clock)
         self.handlers[name] = notices.NoticeHandler(state)
+        holder = rolloutlease.Holder(name, address)
         return rolloutlease.RolloutLease(
-            state, self.log, self.handlers[name], name, _PAUSE
+            state, self.log, self.handlers[name], holder, _PAUSE
         )
 
     async def claim(
@@ -211,13 +214,21 @@
     assert not waited_s
 
 
+async def test_a_replaced_instance_is_another_holder() -> None:
+    """Guards against orders of two machines with one name in turn."""
+    processes = _Processes(rollouts.MemoryLog(1))
+    await processes.claim(processes.start("a"))
+    _, waited_s = await processes.claim(processes.start("a", "192.0.2.2"))
+    assert waited_s == pytest.approx(_HELD_S, abs=0.15)
+
+
 async def test_a_log_without_eras_gives_tokens_from_offsets() -> None:
     """Guards against a change of behaviour with older logs."""
     processes = _Processes(rollouts.MemoryLog())
     lease = processes.start("a")
     assert await processes.claim(lease) == (1, 0.0)
     assert await processes.claim(lease) == (2, 0.0)
-    assert json.loads(processes.log.payloads[_TOPIC][0]) == {"holder": "a"}
+    assert json.loads(processes.log.payloads[_TOPIC][0])["holder"] == "a"
 
 
 @pytest.mark.parametrize("era", [2**21, 10**17])
--- a/tests/gateway/test_rolloutlease_stateful.py
+++ b/tests/gateway/test_rolloutlease_stateful.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 import pytest
 
 from hibiscusstile import platform
@@ -54,7 +56,7 @@
         self, record: claimrecords.ClaimRecord | None, offset: int
     ) -> None:
         if record is not None:
-            record = claimrecords.ClaimRecord(record.holder, self._era)
+            record = dataclasses.replace(record, era=self._era)
         super()._note_claim(record, offset)
 
 
--- a/tests/lease_machine.py
+++ b/tests/lease_machine.py
@@ -44,7 +44,7 @@
             self.state,
             self.log,
             self.notices,
-            name,
+            rolloutlease.Holder(name, "192.0.2.1"),
             datetime.timedelta(seconds=_PAUSE_S),
         )
         self.task: Coroutine[Any, Any, Any] | None = None
