Show the rollout lease on the status page

Operators see the era, the last holder, whether this gateway holds the lease and the highest fencing token known. A test claims in the stand-in of the platform's store over two restores.

--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -192,6 +192,7 @@
             "leaving": self._gateway.draining,
             "active_requests": self._gateway.active,
             "peers": list(self._mesh.peers),
+            "lease": self._lease.status(),
             "engine_rates": {
                 service: {
                     "observations": each.observations,
--- a/tests/gateway/test_rolloutlease.py
+++ b/tests/gateway/test_rolloutlease.py
@@ -10,7 +10,8 @@
 from hibiscusstile import platform
 from hibiscusstile.gateway import notices, rolloutlease
 from hibiscusstile.peers import messages
-from hibiscusstile.platform import topics
+from hibiscusstile.platform import platformstore, topics
+from hibiscusstile_standins import store as store_lib
 from tests import builders as base
 from tests.builders import gateway as builders
 from tests.builders import rollout as rollouts
@@ -126,6 +127,12 @@
     assert lease.held_claim
     await processes.read()
     assert not lease.held_claim
+    assert lease.status() == {
+        "era": 4,
+        "holder": "a",
+        "held": False,
+        "highest_token": before,
+    }
     after, waited_s = await processes.claim(lease)
     assert after > before
     assert waited_s < 0.6
@@ -267,3 +274,33 @@
         ),
     )
     assert (await processes.claim(lease))[0] == 4
+
+
+async def test_a_claim_in_the_platforms_store_counts_in_its_era() -> None:
+    """Guards against a lease that does not see the store's eras."""
+    store = store_lib.PlatformStoreService()
+    await store.start()
+    client = platformstore.PlatformStore(f"127.0.0.1:{store.port}")
+    clock = base.ManualClock()
+    state = builders.gateway_state(clock)
+    holder = rolloutlease.Holder("a", "192.0.2.1")
+    lease = rolloutlease.RolloutLease(
+        state, client, notices.NoticeHandler(state), holder, _PAUSE
+    )
+    try:
+        tokens = []
+        for _ in range(2):
+            store.take_copy()
+            assert not await lease.claim()
+            clock.advance(_HELD_S)
+            assert await lease.claim()
+            assert lease.held_claim
+            tokens.append(lease.held_claim.fence)
+            store.restore()
+            await client.read_newest("keyed.op")
+            assert not lease.held_claim
+            clock.advance(_HELD_S)
+        assert tokens == [(1 << 32) + 1, (2 << 32) + 1]
+    finally:
+        await client.close()
+        await store.close()
