--- a/hibiscusstile/gateway/rolloutlease.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -164,7 +164,7 @@
         """Adopts the log's era and waits for claims that it may have lost.
 
         Claims of other eras were sent before now. If other processes still wait
-        for the end of this one's claim, none of them was later than that.
+        after this one's claim, none of them has claimed since.
         """
         era = self._log_era()
         if era == self._era:
@@ -179,7 +179,7 @@
             self._earliest_claim_s = self._earliest_after(now_s)
 
     def _others_wait(self) -> bool:
-        """Returns whether other processes still wait for this one's claim."""
+        """Returns whether other processes still wait after this one's claim."""
         claim = self._own_claim
         return (
             claim is not None
@@ -197,7 +197,7 @@
         return era
 
     async def refresh(self) -> None:
-        """Reads the claims once after each rise of the log's era.
+        """Reads the claims once after each change of the log's era.
 
         The waits that the last claim requires then begin before a rollout is
         needed.
