--- /dev/null
+++ b/hibiscusstile/gateway/statuspage.py
@@ -0,0 +1,60 @@
+"""The part of the operators' status page that shows routing state."""
+
+from __future__ import annotations
+
+from hibiscusstile.gateway import fleet
+from hibiscusstile.gateway import state as state_lib
+
+__all__ = ["describe_state"]
+
+
+def describe_state(
+    state: state_lib.GatewayState, own_name: str
+) -> dict[str, object]:
+    """Returns the engines' rates, blocked prompt parts and backend servers.
+
+    Args:
+        state: State of this gateway process.
+        own_name: Name of this instance.
+    """
+    return {
+        "engine_rates": {
+            service: {
+                "observations": each.observations,
+                "prefill_tokens_per_s": round(each.prefill_tokens_per_s),
+                "sizes_s": each.sizes,
+            }
+            for service, each in state.all_engine_rates.items()
+            if each.observations
+        },
+        "blocked": [
+            {"key": each.key, "crashes": each.crashes}
+            for each in state.crashing_parts.blocks
+        ],
+        "backend_servers": [
+            _describe_server(state, own_name, server)
+            for server in state.fleet.servers
+        ],
+    }
+
+
+def _describe_server(
+    state: state_lib.GatewayState, own_name: str, server: fleet.BackendServer
+) -> dict[str, object]:
+    statements = state.server_statements
+    said_leaving = statements.leaving_server(server)
+    return {
+        "server": server.server_id,
+        "service": server.service,
+        "zone": server.zone,
+        "leaving": server.leaving,
+        "said_leaving_to": (
+            said_leaving.source or own_name if said_leaving else ""
+        ),
+        "said_leaving_s_ago": (
+            round(said_leaving.age_s, 1) if said_leaving else ""
+        ),
+        "paused_for_s": round(statements.pause_left_s(server), 1),
+        "up": state.health.is_up(server.server_id),
+        "running": state.loads.for_server(server.server_id).running,
+    }
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -15,12 +15,12 @@
 from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
     configurationrelay,
-    fleet,
     follower,
     notices,
     rollout,
     rolloutlease,
     service,
+    statuspage,
     stopping,
     weights,
 )
@@ -200,23 +200,7 @@
             "active_requests": self._gateway.active,
             "peers": list(self._mesh.peers),
             "lease": self._lease.status(),
-            "engine_rates": {
-                service: {
-                    "observations": each.observations,
-                    "prefill_tokens_per_s": round(each.prefill_tokens_per_s),
-                    "sizes_s": each.sizes,
-                }
-                for service, each in self._state.all_engine_rates.items()
-                if each.observations
-            },
-            "blocked": [
-                {"key": each.key, "crashes": each.crashes}
-                for each in self._state.crashing_parts.blocks
-            ],
-            "backend_servers": [
-                self._server_status(server)
-                for server in self._state.fleet.servers
-            ],
+            **statuspage.describe_state(self._state, self._settings.name),
         }
 
     def _store_status(self) -> dict[str, object]:
@@ -226,27 +210,6 @@
             "known_for_s": None if known_for_s is None else round(known_for_s),
         }
 
-    def _server_status(self, server: fleet.BackendServer) -> dict[str, object]:
-        statements = self._state.server_statements
-        said_leaving = statements.leaving_server(server)
-        return {
-            "server": server.server_id,
-            "service": server.service,
-            "zone": server.zone,
-            "leaving": server.leaving,
-            "said_leaving_to": (
-                said_leaving.source or self._settings.name
-                if said_leaving
-                else ""
-            ),
-            "said_leaving_s_ago": (
-                round(said_leaving.age_s, 1) if said_leaving else ""
-            ),
-            "paused_for_s": round(statements.pause_left_s(server), 1),
-            "up": self._state.health.is_up(server.server_id),
-            "running": self._state.loads.for_server(server.server_id).running,
-        }
-
     def reload(self) -> None:
         """Requests a reload of the settings file."""
         self._reload_requested.set()
