--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -9,7 +9,6 @@
 
 import argparse
 import asyncio
-import dataclasses
 import hashlib
 import json
 from typing import Any
@@ -18,35 +17,14 @@
 from aiohttp import web
 
 import hibiscusstile_standins
-from hibiscusstile_standins import malformed, server, statements
+from hibiscusstile_standins import arrivals, malformed, server, statements
 
-__all__ = ["Arrival", "FakeBackendServer"]
+__all__ = ["FakeBackendServer"]
 
 _WEIGHT_LOAD_S = 0.05
 _COMMENT_INTERVAL_S = 0.02
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Arrival:
-    """One request that reached the server.
-
-    Attributes:
-        request_id: Value of `X-Request-Id`, empty if absent.
-        method: HTTP method.
-        target: Path and query as received.
-        headers: Request headers.
-        body: Request body.
-        executed: False if the request was refused.
-    """
-
-    request_id: str
-    method: str
-    target: str
-    headers: multidict.CIMultiDict[str]
-    body: bytes
-    executed: bool
-
-
 @hibiscusstile_standins.stand_ins.register()
 class FakeBackendServer(statements.StatingServer):
     """Serves requests, reports its state and applies loading orders.
@@ -75,7 +53,7 @@
         self._version = 1
         self._orders_accepted = 0
         self._loading = False
-        self._arrivals: list[Arrival] = []
+        self._arrivals: list[arrivals.Arrival] = []
         self._orders: list[dict[str, Any]] = []
         self._disconnected_requests: list[str] = []
         self._queued_modes: list[str] = []
@@ -118,7 +96,7 @@
         return self._version
 
     @property
-    def arrivals(self) -> tuple[Arrival, ...]:
+    def arrivals(self) -> tuple[arrivals.Arrival, ...]:
         """The received requests, in order."""
         return tuple(self._arrivals)
 
@@ -288,7 +266,7 @@
         )
         refusal = self._refusal_response(request, mode)
         self._arrivals.append(
-            Arrival(
+            arrivals.Arrival(
                 request.headers.get("X-Request-Id", ""),
                 request.method,
                 request.raw_path,
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -305,18 +305,11 @@
         **headers: str,
     ) -> tuple[int, bytes, multidict.CIMultiDict[str]]:
         """Sends a request and returns status, body and headers."""
-        sent = {
-            "Host": HOST,
-            "X-Request-Id": request_id,
-            "X-Deadline-Ms": "2000",
-            "Authorization": f"Token {KEY}",
-            **{name.replace("_", "-"): text for name, text in headers.items()},
-        }
         async with self.session.request(
             method,
             yarl.URL(self.url + path, encoded=True),
             data=body or None,
-            headers=sent,
+            headers=_caller_headers(request_id, headers),
         ) as response:
             received = multidict.CIMultiDict(response.headers)
             return response.status, await response.read(), received
@@ -329,14 +322,9 @@
         Of an incomplete response, the body is what was received.
         """
         body = b""
-        sent = {
-            "Host": HOST,
-            "X-Request-Id": request_id,
-            "X-Deadline-Ms": "2000",
-            "Authorization": f"Token {KEY}",
-            **{name.replace("_", "-"): text for name, text in headers.items()},
-        }
-        async with self.session.post(self.url + path, headers=sent) as response:
+        async with self.session.post(
+            self.url + path, headers=_caller_headers(request_id, headers)
+        ) as response:
             try:
                 async for data in response.content.iter_any():
                     body += data
@@ -345,6 +333,16 @@
             return response.status, body, True
 
 
+def _caller_headers(request_id: str, headers: dict[str, str]) -> dict[str, str]:
+    return {
+        "Host": HOST,
+        "X-Request-Id": request_id,
+        "X-Deadline-Ms": "2000",
+        "Authorization": f"Token {KEY}",
+        **{name.replace("_", "-"): text for name, text in headers.items()},
+    }
+
+
 @contextlib.asynccontextmanager
 async def gateway_harness(**changes: Any) -> AsyncIterator[GatewayHarness]:
     """Runs a gateway and its store, without backend servers."""
