Take a single short failure of a read for no outage of the store

A server whose entry was removed in calm was used for up to 3.6 s after the acknowledgement (bound 2 s) if one read of the entries failed at that time, for example with 429: any failed read counted as an outage in which entries expire, so unlisted servers were kept.

Consumers are now told of an outage when a second read in a row fails, when the failed one took 0.5 s or longer, or when the store was restored.

--- a/hibiscusstile/gateway/follower.py
+++ b/hibiscusstile/gateway/follower.py
@@ -29,6 +29,9 @@
 _INITIAL_RETRY_S = 0.25
 # Reads that take longer than that are followed by the next one after this.
 _MIN_RETRY_DELAY_S = 0.1
+# A single read that fails in less time, for example because the store rejects
+# it, is no outage in which entries expire.
+_MIN_OUTAGE_S = 0.5
 # Pause while the consumer awaits records.
 _SHORT_PAUSE = datetime.timedelta(milliseconds=200)
 # Shares of the time in which a server that leaves must be known: when it has
@@ -102,7 +105,7 @@
         """Applies a newer record; an empty value deletes the key."""
 
     def note_lost(self) -> None:
-        """Called when reading the topic starts to fail."""
+        """Called when reading the topic keeps failing."""
 
     def note_back(self, last_failed_s: float) -> None:
         """Called when the topic can be read again.
@@ -147,6 +150,7 @@
         self._era: int | None = None
         self._restart_requested = False
         self._failures = 0
+        self._outage_noted = False
         self._read_started_s = 0.0
         self._lost_s = 0.0
         self._last_failed_read_s = 0.0
@@ -287,9 +291,11 @@
         )
         self._offset = None
         if not self._failures:
-            self._note_failure("the store was restored from a copy")
+            self._note_failure(
+                "the store was restored from a copy", restored=True
+            )
 
-    def _note_failure(self, message: str) -> None:
+    def _note_failure(self, message: str, *, restored: bool = False) -> None:
         now_s = self._clock.monotonic()
         if not self._failures:
             logs.warn(
@@ -300,9 +306,15 @@
                 read_s=round(now_s - self._read_started_s, 3),
             )
             self._lost_s = now_s
-            self._consumer.note_lost()
         self._last_failed_read_s = self._read_started_s
         self._failures += 1
+        if not self._outage_noted and (
+            self._failures > 1
+            or restored
+            or now_s - self._read_started_s >= _MIN_OUTAGE_S
+        ):
+            self._outage_noted = True
+            self._consumer.note_lost()
 
     def _note_success(self) -> None:
         if self._failures:
@@ -317,7 +329,9 @@
                     now_s - self._last_failed_read_s, 3
                 ),
             )
-            self._consumer.note_back(self._last_failed_read_s)
+            if self._outage_noted:
+                self._outage_noted = False
+                self._consumer.note_back(self._last_failed_read_s)
             self._wait = _INITIAL_WAIT
             self._on_back()
         self._failures = 0
--- a/tests/builders/storepaths.py
+++ b/tests/builders/storepaths.py
@@ -69,6 +69,7 @@
         self._open = True
         self._first = 0
         self.reads = 0
+        self.refuse_next_read = False
 
     def cut(self) -> None:
         """Loses all calls and responses until `heal`."""
@@ -99,6 +100,9 @@
         self, topic: str, offset: int, wait: datetime.timedelta
     ) -> topics.RecordBatch | topics.Trimmed | platform.LogUnavailable:
         """Returns the records from an offset on."""
+        if self.refuse_next_read and topic == "keyed.servers":
+            self.refuse_next_read = False
+            return platform.LogUnavailable("refused")
         return await self._call(
             self._records(topic, offset, wait), wait + _ANSWER_LIMIT
         )
--- a/tests/gateway/test_storecuts.py
+++ b/tests/gateway/test_storecuts.py
@@ -171,6 +171,22 @@
     storepaths.run_simulated(main)
 
 
+def test_one_refused_read_keeps_no_server_that_was_removed() -> None:
+    """Guards against a short failure that counts as an outage (DRAIN)."""
+
+    async def main() -> None:
+        for start_s in _STARTS_S:
+            async with _followed() as (log, state):
+                await asyncio.sleep(start_s)
+                await log.put(_TOPIC, "i-3", _entry("i-3"))
+                await asyncio.sleep(0.01)
+                await log.put(_TOPIC, "i-1", b"")
+                log.refuse_next_read = True
+                assert await _last_use_s(state, "i-1") < _DRAIN_S, start_s
+
+    storepaths.run_simulated(main)
+
+
 def test_few_reads_are_made_while_nothing_changes() -> None:
     """Guards against calls to the store, which are priced."""
 
