Wait once for a claim of the rollout lease

After each append that the store refused or did not answer, the claims were read again, and a claim of minutes ago was taken for one sent just now, unless it was the last one that a peer had announced: three refused appends delayed a rollout by 18.6 s, while engines that are outdated for 5 s get no requests. A claim that was read before, by era and offset, now changes nothing.

Evidence: test_an_old_claim_is_not_waited_for_again failed before (18.6 s for each kind of failure) and passes now, with the state machine of the lease.

--- a/hibiscusstile/gateway/rolloutlease.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -109,6 +109,8 @@
         self._last_holder: Holder | None = None
         self._highest_fence = 0
         self._topic_end: int | None = None
+        # Era and offset of the last claim that was read.
+        self._read_claim: tuple[int | None, int] | None = None
         self._next_read_s = 0.0
         self._earliest_claim_s = 0.0
 
@@ -327,7 +329,7 @@
                 if last is not None:
                     self._note_claim(*last)
                 elif claims_hidden and not self._others_wait():
-                    self._note_claim(None, offset)
+                    self._note_claim(None, offset - 1)
                 return True
         self._read_again_later()
         return False
@@ -351,6 +353,9 @@
             record: The claim; None if it is unreadable.
             offset: Its offset.
         """
+        if self._read_claim == (self._era, offset):
+            return
+        self._read_claim = self._era, offset
         now_s = self._clock.monotonic()
         self._last_holder = (
             Holder(record.holder, record.address) if record else Holder("", "")
--- a/tests/gateway/test_rolloutlease.py
+++ b/tests/gateway/test_rolloutlease.py
@@ -175,6 +175,42 @@
     assert waited_s == pytest.approx(_HELD_S, abs=0.15)
 
 
+class _RefusingLog(rollouts.MemoryLog):
+    """Log that refuses or loses the next appends."""
+
+    failures: list[platform.AppendRefused | platform.AppendUnknown] = []
+
+    async def append(
+        self, topic: str, payload: bytes, expected_end: int | None = None
+    ) -> (
+        platform.Appended
+        | topics.AppendConflict
+        | platform.AppendRefused
+        | platform.AppendUnknown
+    ):
+        if self.failures:
+            return self.failures.pop()
+        return await super().append(topic, payload, expected_end)
+
+
+@pytest.mark.parametrize(
+    "failure", [platform.AppendRefused("x"), platform.AppendUnknown("x")]
+)
+async def test_an_old_claim_is_not_waited_for_again(
+    failure: platform.AppendRefused | platform.AppendUnknown,
+) -> None:
+    """Guards against a rollout that each failed append delays by 6 s."""
+    log = _RefusingLog(1)
+    processes = _Processes(log)
+    await processes.claim(processes.start("b"))
+    later = processes.start("a")
+    await later.refresh()
+    processes.clock.advance(60.0)
+    log.failures = [failure] * 3
+    _, waited_s = await processes.claim(later)
+    assert waited_s < 3.0
+
+
 class _RestoringLog(rollouts.MemoryLog):
     """Log that is restored just before it appends the next claim."""
 
