Select an engine that loads weights if others would start too late

An outdated engine whose queue outlasts the bound hid a current engine that was marked as changing its weights: the caller was refused although the latter would have served the request. Time limits are now followed by the second choice.

Evidence: test_an_outdated_engine_hides_no_engine_that_loads_weights failed before and passes now.

--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -71,7 +71,9 @@
     ]
     name = _ENGINE_STRATEGY if service.engine else _PLAIN_SERVICE_STRATEGY
     strategy = selection.get_selection_by_name(name)()
-    return strategy.select(context, healthy or candidates)
+    # An outdated engine may be healthy but too late.
+    selected = strategy.select(context, healthy) if healthy else None
+    return selected or strategy.select(context, candidates)
 
 
 def _candidate(
--- a/tests/gateway/test_serverselection.py
+++ b/tests/gateway/test_serverselection.py
@@ -120,6 +120,18 @@
     assert _select(state) is not None
 
 
+def test_an_outdated_engine_hides_no_engine_that_loads_weights() -> None:
+    """Guards against a refusal while an engine with new weights is there."""
+    clock, state = _state()
+    state.note_weights("i-2", "m1", 2)
+    state.set_target_version("m1", 2)
+    clock.advance(4.9)
+    for _ in range(20):
+        _begin_request(state, "i-1")
+    state.weights.note_changing("i-2", 5.0)
+    assert _selected_id(state) == "i-2"
+
+
 def test_a_silent_engine_is_avoided() -> None:
     """Guards against losing requests on connections to a dead server."""
     clock, state = _state()
