Bound the queue of engines of unknown version

A request at an engine whose version this process does not know demands no version until the newest one is 3.5 s old, and it could wait in the engine's queue past the bound of outdated weights (VERSION). Its expected start is now bounded by the target's age as that of an outdated engine.

Evidence: test_an_engine_of_unknown_version_gets_no_request_that_starts_late failed before and passes now.

--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -120,14 +120,34 @@
             if state.recent_prefills.is_recent(salt, part.part_id, now_s)
         ),
         takes_long_prompts=takes_long_prompts,
-        start_within_s=(
-            bounds.max_start_lag_s - weights_lag_s
-            if weights_lag_s
-            else math.inf
+        start_within_s=_start_within_s(
+            state, context.request.model, version, weights_lag_s
         ),
     )
 
 
+def _start_within_s(
+    state: state_lib.GatewayState,
+    model: str,
+    version: int | None,
+    weights_lag_s: float,
+) -> float:
+    """Returns the time within which a request must start at a server.
+
+    A server of unknown version may have an outdated one until requests demand
+    the target version.
+    """
+    bounds = state.weights.bounds
+    target = state.weights.target(model)
+    if version is None and target is not None:
+        age_s = state.weights.age_s(target)
+        if age_s <= bounds.unknown_server_grace_s:
+            return bounds.max_start_lag_s - age_s
+    if not weights_lag_s:
+        return math.inf
+    return bounds.max_start_lag_s - weights_lag_s
+
+
 def cache_salt(scope: str, version: int | None) -> str:
     """Returns the namespace of cached prompt parts.
 
--- a/tests/gateway/test_serverselection.py
+++ b/tests/gateway/test_serverselection.py
@@ -132,6 +132,19 @@
     assert _selected_id(state) == "i-2"
 
 
+def test_an_engine_of_unknown_version_gets_no_request_that_starts_late() -> (
+    None
+):
+    """Guards against a queue that outlasts the bound of outdated weights."""
+    clock, state = _state(zones=("z1",))
+    state.weights.forget_version("i-1", "m1")
+    state.set_target_version("m1", 2)
+    clock.advance(3.4)
+    for _ in range(20):
+        _begin_request(state, "i-1")
+    assert _select(state) is None
+
+
 def test_a_silent_engine_is_avoided() -> None:
     """Guards against losing requests on connections to a dead server."""
     clock, state = _state()
