Bind a statement without a start time to one process of its server

A response that another server sent at a reused address names its sender's id but no start time, and bound every later process of that id: a server that restarted under its id stayed unused for good, and peers were told so too. Such a statement now binds the process that is listed when it is first looked up.

Evidence: test_a_statement_for_an_unknown_start_time_binds_one_process failed before and passes now.

--- a/hibiscusstile/gateway/serverstatements.py
+++ b/hibiscusstile/gateway/serverstatements.py
@@ -175,10 +175,17 @@
         ]
 
     def _find_leaving(self, server: fleet.BackendServer) -> _Leaving | None:
-        return self._leaving.get(_incarnation(server)) or self._leaving.get(
-            # The start time was unknown.
-            (server.server_id, 0)
-        )
+        incarnation = _incarnation(server)
+        leaving = self._leaving.get(incarnation)
+        unknown = (server.server_id, 0)
+        if leaving is None and unknown in self._leaving:
+            # The statement was made by the process that is listed first.
+            leaving = self._leaving.pop(unknown)
+            self._leaving[incarnation] = leaving
+            if unknown in self._unannounced:
+                self._unannounced.remove(unknown)
+                self._unannounced.add(incarnation)
+        return leaving
 
     def _note_pause(
         self, server: fleet.BackendServer, pause: datetime.timedelta
--- a/tests/gateway/test_serverstatements.py
+++ b/tests/gateway/test_serverstatements.py
@@ -119,6 +119,21 @@
         ] == [True, False]
 
 
+def test_a_statement_for_an_unknown_start_time_binds_one_process() -> None:
+    """Guards against a server that restarts under its id and stays unused."""
+    statements = serverstatements.ServerStatements(base.ManualClock())
+    statements.note(
+        builders.backend_server("i-1", started_ms=1),
+        serverstatements.ServerStatement(leaving=True, server_id="i-2"),
+    )
+    for started_ms, accepted in ((5, False), (9, True), (5, False)):
+        server = builders.backend_server("i-2", started_ms=started_ms)
+        assert statements.accepts_requests(server) is accepted
+    assert ("i-2", 5) in [
+        (each.server_id, each.started_ms) for each in statements.drain()
+    ]
+
+
 async def test_only_a_new_process_undoes_that_its_server_leaves() -> None:
     """Guards against a late entry that lists a leaving server as ready."""
     async with _plain_service("i-1") as harness:
