--- a/review/1/case.py
+++ b/review/1/case.py
@@ -11,14 +11,14 @@
 
 from common import world as world_lib
 
-_DOCUMENTS = [f"d0c{number:05x}" for number in range(16)]
+_DOCUMENTS = [f"d0c{number:05x}" for number in range(24)]
 _DOCUMENT_TOKENS = 13_300
 _CRASHING_PART = "badbadbad"
 _BATCH_TIMES_S = (8.0, 16.0)
 _END_S = 22.0
 _SOUND_INTERVAL_S = 0.05
 # Requests with the part in one batch, each on a document of its own.
-_BATCH_SIZE = 12
+_BATCH_SIZE = 16
 _BACK_AFTER_S = 3.0
 _MAX_LATE = 3
 
@@ -32,7 +32,7 @@
             ("z1", "z2")[number % 2],
             {"crash_part": crash_part},
         )
-        for number in range(14)
+        for number in range(18)
     ]
 
 
@@ -72,7 +72,7 @@
     async def send_sound() -> None:
         for number in itertools.count():
             document = _DOCUMENTS[number % len(_DOCUMENTS)]
-            send((number // 16) % 2, document, f"a{number % 16:04x}", "sound")
+            send((number // 24) % 2, document, f"a{number % 24:04x}", "sound")
             await asyncio.sleep(_SOUND_INTERVAL_S)
 
     started = asyncio.get_running_loop().time()
--- a/review/common/world.py
+++ b/review/common/world.py
@@ -539,7 +539,6 @@
         play: Plays the case and returns what breaks the rule.
         gateways: Number of gateways.
     """
-
     folder = pathlib.Path(file).resolve().parent
     (folder / "record.txt").unlink(missing_ok=True)
 
