--- a/review/common/world.py
+++ b/review/common/world.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import os
@@ -287,7 +288,11 @@
             for runner in self.runners:
                 if runner.registered and runner.running:
                     runner.sequence += 1
-                    await self.put("keyed.servers", runner.id, runner.entry())
+                    # A store that is away gets the next heartbeat instead.
+                    with contextlib.suppress(aiohttp.ClientError):
+                        await self.put(
+                            "keyed.servers", runner.id, runner.entry()
+                        )
 
     async def control(self, runner: Runner, **options: Any) -> None:
         """Changes options of a running runner."""
