--- a/review/3/case.py
+++ b/review/3/case.py
@@ -3,124 +3,33 @@
 from __future__ import annotations
 
 import asyncio
-import itertools
 import sys
-from typing import Any
 
 sys.path.insert(0, __file__.rsplit("/", 2)[0])
 
+from common import leaving
 from common import world as world_lib
 
-# Streams of a few seconds, asked for in groups.
-_EVENTS = 30
-_PACE_S = 0.1
-_GROUP_INTERVAL_S = 3.0
-_GROUP_SIZE = 12
-_LEAVES_S = 7.5
-_RESTORE_S = 10.4
 _COPY_AGE_S = 5.0
 _AWAY_S = 0.5
 # The runner's removal is written again so long after the store is back.
 _WRITTEN_AGAIN_S = 1.5
-# The runner serves for `drain_ms` and "a little longer" after it has left.
-_EXIT_S = 13.5
-_END_S = 20.0
 
 
-async def _play(world: world_lib.World) -> list[str]:
-    runners = [
-        world_lib.Runner(
-            f"i-{number}",
-            "model",
-            ("z1", "z2")[number % 2],
-            {"events": _EVENTS, "pace_s": _PACE_S},
-        )
-        for number in range(4)
-    ]
-    await world.start(
-        runners,
-        world_lib.configuration(
-            3,
-            [world_lib.route("advice", "streaming", "model", timeout_ms=8000)],
-            [world_lib.tenant("desk", "key-a")],
-        ),
-    )
-    requests: list[asyncio.Task[Any]] = []
-    numbers = itertools.count(1)
-
-    async def send_groups() -> None:
-        while True:
-            for number in range(_GROUP_SIZE):
-                parts = [(f"f{next(numbers):06x}", 380)]
-                requests.append(
-                    world.spawn(
-                        world.request(
-                            number % 2,
-                            "/advice/",
-                            kind="stream",
-                            parts=parts,
-                            deadline_ms=8000,
-                        )
-                    )
-                )
-            await asyncio.sleep(_GROUP_INTERVAL_S)
-
-    loop = asyncio.get_running_loop()
-    started = loop.time()
-
-    async def at(second: float) -> None:
-        await asyncio.sleep(max(0.0, started + second - loop.time()))
-
-    groups = world.spawn(send_groups())
-    left = runners[0]
-    await at(_LEAVES_S)
-    await world.control(left, leaving=True)
+async def _restore(world: world_lib.World, left: world_lib.Runner) -> None:
+    world.note("the store is away")
+    await world.store_fault("set_down", down=True)
+    await asyncio.sleep(_AWAY_S)
+    await world.store_fault("set_down", down=False)
+    await world.store_fault("restore", copy_age_s=_COPY_AGE_S)
+    world.note(f"the store is back from a copy {_COPY_AGE_S:g} s old")
+    await asyncio.sleep(_WRITTEN_AGAIN_S)
     await world.unregister(left.id)
-    gone = world.note("a runner removes its entry and leaves", runner=left.id)
-    await at(_RESTORE_S)
-    if world_lib.trouble():
-        world.note("the store is away")
-        await world.store_fault("set_down", down=True)
-        await asyncio.sleep(_AWAY_S)
-        await world.store_fault("set_down", down=False)
-        await world.store_fault("restore", copy_age_s=_COPY_AGE_S)
-        world.note(f"the store is back from a copy {_COPY_AGE_S:g} s old")
-        await asyncio.sleep(_WRITTEN_AGAIN_S)
-        await world.unregister(left.id)
-        world.note("the runner's removal is written again")
-    await at(_EXIT_S)
-    assert left.process is not None
-    left.process.terminate()
-    world.note("the runner exits", runner=left.id)
-    await at(_END_S)
-    groups.cancel()
-    await asyncio.wait(requests)
-    return _judge(world, left.id, gone + world_lib.DRAIN_S)
+    world.note("the runner's removal is written again")
 
 
-def _judge(
-    world: world_lib.World, runner_id: str, bound_from: float
-) -> list[str]:
-    answers = {each["request"]: each for each in world.answers}
-    late = [
-        each
-        for each in world.seen_by_runners()
-        if each["what"] == "arrived"
-        and each["runner"] == runner_id
-        and answers[each["request"]]["sent"] > bound_from
-    ]
-    cut = [
-        each["request"]
-        for each in late
-        if answers[each["request"]].get("outcome") != "whole"
-    ]
-    if not late:
-        return []
-    return [
-        f"DRAIN: {len(late)} requests that were sent more than "
-        f"{world_lib.DRAIN_S:g} s after the runner {runner_id} was gone reached "
-        f"it; {len(cut)} of them were cut when it exited"
-    ]
+async def _play(world: world_lib.World) -> list[str]:
+    return await leaving.play(world, _restore)
 
 
 if __name__ == "__main__":
