--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,4 +1,4 @@
-"""Batches of requests with a prompt part that crashes runners."""
+"""A part that crashes runners, under a first part that is new to all."""
 
 from __future__ import annotations
 
@@ -11,43 +11,44 @@
 
 from common import world as world_lib
 
-_DOCUMENTS = [f"d0c{number:05x}" for number in range(24)]
-_DOCUMENT_TOKENS = 13_300
-_CRASHING_PART = "badbadbad"
-_BATCH_TIMES_S = (8.0, 16.0)
-_END_S = 22.0
-_SOUND_INTERVAL_S = 0.05
-# Requests with the part in one batch, each on a document of its own.
-_BATCH_SIZE = 16
+# Shared by all requests, sound ones too.
+_FIRST_PART = ("f1f1f1f1", 800)
+_CRASHING_PART = ("badbadbad", 400)
+_SOUND_PARTS = [(f"a{number:07x}", 400) for number in range(12)]
+# Streams of four seconds, with pauses far below the aim of 500 ms.
+_EVENTS = 40
+_PACE_S = 0.1
+_SOUND_INTERVAL_S = 0.1
+_CRASHING_INTERVAL_S = 1.0
+_FIRST_CRASHING_S = 3.0
+_END_S = 40.0
 _BACK_AFTER_S = 3.0
-_MAX_LATE = 3
+_BOUND_S = 2 * world_lib.STABLE_WINDOW_S
+_MIN_COMPARED = 20
 
 
-def _runners() -> list[world_lib.Runner]:
-    crash_part = _CRASHING_PART if world_lib.trouble() else ""
-    return [
+async def _play(world: world_lib.World) -> list[str]:
+    crash_part = _CRASHING_PART[0] if world_lib.trouble() else ""
+    runners = [
         world_lib.Runner(
             f"i-{number}",
             "model",
             ("z1", "z2")[number % 2],
-            {"crash_part": crash_part},
+            {"crash_part": crash_part, "events": _EVENTS, "pace_s": _PACE_S},
         )
-        for number in range(18)
+        for number in range(8)
     ]
-
-
-def _prompt(document: str, number: int, part: str) -> list[tuple[str, int]]:
-    return [(document, _DOCUMENT_TOKENS), (part, 60), (f"f{number:06x}", 300)]
-
-
-async def _play(world: world_lib.World) -> list[str]:
     await world.start(
-        _runners(),
+        runners,
         world_lib.configuration(
-            1,
+            3,
             [
                 world_lib.route(
-                    "summary", "streaming", "model", target_latency_ms=1500
+                    "summary",
+                    "streaming",
+                    "model",
+                    timeout_ms=10_000,
+                    target_latency_ms=1500,
                 )
             ],
             [world_lib.tenant("desk", "key-a")],
@@ -57,71 +58,73 @@
     requests: list[asyncio.Task[Any]] = []
     numbers = itertools.count(1)
 
-    def send(caller: int, document: str, part: str, kind: str) -> None:
+    def send(caller: int, part: tuple[str, int], kind: str) -> None:
+        parts = [_FIRST_PART, part, (f"f{next(numbers):06x}", 200)]
         requests.append(
             world.spawn(
                 world.request(
                     caller,
                     "/summary/",
                     kind=kind,
-                    parts=_prompt(document, next(numbers), part),
+                    parts=parts,
+                    deadline_ms=10_000,
                 )
             )
         )
 
     async def send_sound() -> None:
         for number in itertools.count():
-            document = _DOCUMENTS[number % len(_DOCUMENTS)]
-            send((number // 24) % 2, document, f"a{number % 24:04x}", "sound")
+            send(number % 2, _SOUND_PARTS[number % 12], "sound")
             await asyncio.sleep(_SOUND_INTERVAL_S)
 
-    started = asyncio.get_running_loop().time()
+    async def send_crashing() -> None:
+        for number in itertools.count():
+            send(number % 2, _CRASHING_PART, "with the part")
+            await asyncio.sleep(_CRASHING_INTERVAL_S)
+
     sound = world.spawn(send_sound())
-    for batch_s in _BATCH_TIMES_S:
-        await asyncio.sleep(
-            started + batch_s - asyncio.get_running_loop().time()
-        )
-        world.note(f"a batch of {_BATCH_SIZE} requests with the part is sent")
-        for number, document in enumerate(_DOCUMENTS[:_BATCH_SIZE]):
-            send(number % 2, document, _CRASHING_PART, "with the part")
-    await asyncio.sleep(started + _END_S - asyncio.get_running_loop().time())
-    sound.cancel()
+    await asyncio.sleep(_FIRST_CRASHING_S)
+    begun = world.note("the first request with the part is sent")
+    crashing = world.spawn(send_crashing())
+    await asyncio.sleep(_END_S - _FIRST_CRASHING_S)
+    ended = world.note("the last requests have been sent")
+    for each in (sound, crashing):
+        each.cancel()
     await asyncio.wait(requests)
-    return _judge(world)
+    return _judge(world, begun, ended)
 
 
-def _judge(world: world_lib.World) -> list[str]:
+def _judge(world: world_lib.World, begun: float, ended: float) -> list[str]:
     events = world.seen_by_runners()
     crashes = [each["t"] for each in events if each["what"] == "crashes"]
-    with_part = {
-        each["request"]
-        for each in world.answers
-        if each["kind"] == "with the part"
-    }
     world.note("crashes in all", count=len(crashes))
-    lost = [
-        each
-        for each in world.answers
-        if each["kind"] == "sound" and each.get("outcome") != "whole"
-    ]
-    world.note("sound requests cut", count=len(lost))
-    if len(crashes) < 5:
-        return []
-    bound_from = crashes[4] + world_lib.STABLE_WINDOW_S
-    late = [
-        each
-        for each in events
-        if each["what"] == "arrived"
-        and each["request"] in with_part
-        and each["t"] > bound_from
-    ]
-    world.note("requests with the part that came late", count=len(late))
-    if len(late) <= _MAX_LATE:
+    # Without crashes, the rule has no start; the same time is compared.
+    bound_from = (crashes[:5] or [begun])[-1] + _BOUND_S
+    started = {each["request"] for each in events if each["what"] == "begins"}
+
+    def count(from_t: float, to_t: float) -> tuple[int, int]:
+        sent = [
+            each["request"]
+            for each in world.answers
+            if each["kind"] == "sound" and from_t <= each["sent"] < to_t
+        ]
+        return len(sent), sum(each in started for each in sent)
+
+    sent_before, begun_before = count(0.0, begun)
+    sent_after, begun_after = count(bound_from, ended)
+    world.note(
+        "sound requests that began",
+        before=f"{begun_before}/{sent_before}",
+        after=f"{begun_after}/{sent_after}",
+    )
+    if min(sent_before, sent_after) < _MIN_COMPARED:
+        raise RuntimeError("too few sound requests to compare")
+    if 2 * begun_after * sent_before >= begun_before * sent_after:
         return []
     return [
-        f"BUDGET: {len(late)} requests with the part reached runners more than "
-        f"{world_lib.STABLE_WINDOW_S:g} s after the fifth crash (3 may); "
-        f"{len(crashes)} crashes, {len(lost)} sound requests cut"
+        f"LOST: from {_BOUND_S:g} s after the last of {len(crashes)} crashes, "
+        f"{begun_after} of {sent_after} sound requests began at the first "
+        f"attempt; before the first, {begun_before} of {sent_before}"
     ]
 
 
