--- a/review/common/world.py
+++ b/review/common/world.py
@@ -534,6 +534,10 @@
     }
 
 
+def _interrupt(*_: object) -> None:
+    raise KeyboardInterrupt
+
+
 def run_case(
     file: str, play: Callable[[World], Awaitable[list[str]]], gateways: int = 2
 ) -> None:
@@ -547,6 +551,9 @@
     folder = pathlib.Path(file).resolve().parent
     (folder / "record.txt").unlink(missing_ok=True)
 
+    # An interrupted run ends its processes too.
+    signal.signal(signal.SIGTERM, _interrupt)
+
     async def run() -> int:
         world = World(folder, gateways)
         try:
@@ -563,7 +570,7 @@
 
     try:
         code = asyncio.run(run())
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         print(f"the case could not run: {error!r}")
         code = 2
     sys.exit(code)
