--- a/review/common/leaving.py
+++ b/review/common/leaving.py
@@ -15,7 +15,7 @@
 _GROUP_INTERVAL_S = 3.0
 _GROUP_SIZE = 12
 _LEAVES_S = 7.5
-_DISRUPTION_S = 10.4
+_DISRUPTION_S = 10.7
 # The runner serves for `drain_ms` and "a little longer" after it has left.
 _EXIT_S = 13.5
 _END_S = 20.0
--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -46,6 +46,8 @@
         self.work_s: float = options.get("work_s", 0.03)
         self.events: int = options.get("events", 6)
         self.pace_s: float = options.get("pace_s", 0.02)
+        # Output tokens of one event; 0 for streams of `events` events.
+        self.event_tokens: int = options.get("event_tokens", 0)
         # Prompt part on which the process crashes as it begins to answer.
         self.crash_part: str = options.get("crash_part", "")
         # Whether answers say that the runner leaves.
@@ -211,7 +213,11 @@
             )
         )
         first = int(headers.get("last-event-id", "0") or "0") + 1
-        for number in range(first, self.events + 1):
+        count = self.events
+        if self.event_tokens:
+            output = headers.get("x-token-usage", ",0").partition(",")[2]
+            count = int(output) // self.event_tokens
+        for number in range(first, count + 1):
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
             await writer.drain()
