--- a/review/1/case.py
+++ b/review/1/case.py
@@ -15,8 +15,8 @@
 _FIRST_PART = ("f1f1f1f1", 800)
 _CRASHING_PART = ("badbadbad", 400)
 _SOUND_PARTS = [(f"a{number:07x}", 400) for number in range(12)]
-# Streams of four seconds, with pauses far below the aim of 500 ms.
-_EVENTS = 40
+# Streams of 4.5 seconds, with pauses far below the aim of 500 ms.
+_EVENTS = 45
 _PACE_S = 0.1
 _SOUND_INTERVAL_S = 0.1
 _CRASHING_INTERVAL_S = 1.0
