Take late requests of a stop by their whole time limit

Cause: late requests were admitted if twice the slowest recent request of their route fitted into the time left. That is no bound on this request: streams of one route differ by more, and servers may become busier.

Now a late request is taken if its whole time limit ends before the time for final responses, so a stop can end none of them. The statistics of servicetimes have no other use and are removed with their two tests. The test that short requests are taken for longer than streams now goes by the limit; test_a_request_that_is_taken_late_has_its_whole_time_limit is stricter than the tests of the estimate were.

--- a/hibiscusstile/gateway/deadline.py
+++ b/hibiscusstile/gateway/deadline.py
@@ -10,7 +10,16 @@
 from hibiscusstile import outcome
 from hibiscusstile.gateway import exchange, routes
 
-__all__ = ["RequestDeadline"]
+__all__ = ["RequestDeadline", "time_limit_s"]
+
+
+def time_limit_s(
+    request: exchange.ForwardedRequest, route: routes.Route
+) -> float:
+    """Returns how long a request may take after its arrival, in seconds."""
+    if request.caller_timeout_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, request.caller_timeout_s)
 
 
 class RequestDeadline:
@@ -29,10 +38,7 @@
         clock: clock_lib.Clock,
     ) -> None:
         self._clock = clock
-        limit_s = route.timeout_s
-        if request.caller_timeout_s is not None:
-            limit_s = min(limit_s, request.caller_timeout_s)
-        self._end_s = request.received_s + limit_s
+        self._end_s = request.received_s + time_limit_s(request, route)
         self._is_stopping = False
         self._timeout: asyncio.Timeout | None = None
 
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -99,16 +99,6 @@
         """When the request must have its final response."""
         return self._deadline
 
-    @property
-    def route_name(self) -> str:
-        """Name of the request's route."""
-        return self._destination.route.name
-
-    @property
-    def elapsed_s(self) -> float:
-        """Seconds since the request arrived."""
-        return self._now_s() - self._request.received_s
-
     async def run(self) -> None:
         """Serves the request.
 
@@ -122,9 +112,6 @@
             async with self._deadline.enforced():
                 await self._attempt_until_answered()
             result = "served"
-            self._state.service_times.note(
-                self.route_name, self.elapsed_s, self._now_s()
-            )
         except TimeoutError:
             result = "timed_out"
             if self._relay.unfinished_server is not None:
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -7,6 +7,7 @@
 from hibiscusstile import logs, metrics, outcome
 from hibiscusstile.gateway import (
     crashdetection,
+    deadline,
     exchange,
     forwarding,
     resolving,
@@ -140,35 +141,15 @@
     ) -> None:
         if self._schedule is None:
             return
-        limit_s = destination.route.timeout_s
-        if request.caller_timeout_s is not None:
-            limit_s = min(limit_s, request.caller_timeout_s)
-        now_s = self._state.clock.monotonic()
         refusal = stopping.refusal(
             self._schedule,
-            self._slowest_s(destination.route.name, now_s),
-            limit_s=limit_s,
-            now_s=now_s,
+            limit_s=deadline.time_limit_s(request, destination.route),
+            now_s=self._state.clock.monotonic(),
             others_serve=self._state.peer_count > 0,
         )
         if refusal is not None:
             raise outcome.Refused(refusal)
 
-    def _slowest_s(self, route_name: str, now_s: float) -> float | None:
-        """Returns the longest time of recent requests and of those under way.
-
-        None if too few requests were served to tell.
-        """
-        slowest_s = self._state.service_times.slowest_s(route_name, now_s)
-        if slowest_s is None:
-            return None
-        under_way_s = [
-            each.elapsed_s
-            for each in self._forwarders
-            if each.route_name == route_name
-        ]
-        return max([slowest_s, *under_way_s])
-
     async def _forward(
         self,
         request: exchange.ForwardedRequest,
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -23,7 +23,6 @@
     recentprefills,
     routes,
     serverstatements,
-    servicetimes,
 )
 from hibiscusstile.gateway import weights as weights_lib
 
@@ -103,7 +102,6 @@
         self._prefix_stores = prefixstores.PrefixStoreTable()
         self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
-        self._service_times = servicetimes.ServiceTimes()
         self._pauses = pausedetection.PauseDetector(clock)
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
@@ -174,11 +172,6 @@
         """Prompt parts that engines are prefilling."""
         return self._pending_prefills
 
-    @property
-    def service_times(self) -> servicetimes.ServiceTimes:
-        """How long recent requests of each route have taken."""
-        return self._service_times
-
     @property
     def peer_count(self) -> int:
         """Number of other gateways that are announced; none of them stops."""
@@ -222,7 +215,6 @@
             return False
         before = self._table.version if self._table else None
         self._table = table
-        self._service_times.keep_only({each.name for each in table.routes})
         metrics.set_revision(table.version)
         logs.event(
             _log,
--- a/hibiscusstile/gateway/stopping.py
+++ b/hibiscusstile/gateway/stopping.py
@@ -19,9 +19,6 @@
 # margins together stay below a sixth of a short stop.
 _ANSWER_MARGIN_S = 0.2
 _MAX_ANSWER_MARGIN_SHARE = 0.025
-# A request may take this many times as long as the slowest recent one: while
-# several processes stop, the servers of the others are busier than before.
-_SERVICE_TIME_FACTOR = 2.0
 # Another process serves a caller that returns, so it need not wait.
 _RETRY_ELSEWHERE_S = 0.05
 
@@ -64,7 +61,6 @@
 
 def refusal(
     schedule: StopSchedule,
-    slowest_s: float | None,
     *,
     limit_s: float,
     now_s: float,
@@ -73,13 +69,12 @@
     """Returns the refusal of a request that arrives during a stop.
 
     The load balancer sends requests to a process that is not ready if it has
-    too few others, so they are served as long as they are expected to end in
-    time.
+    too few others, and callers use open connections, so requests are served
+    whose whole time limit ends in time. How long earlier requests took is no
+    bound: a stream may be many times as long as others of its route.
 
     Args:
         schedule: Times of the stop.
-        slowest_s: Longest time that a recent request of the route has taken;
-            None if too few were served to tell.
         limit_s: Longest time that the request may take.
         now_s: Time on the monotonic clock.
         others_serve: Whether there are processes that do not stop.
@@ -89,11 +84,8 @@
     """
     if now_s < schedule.accept_all_until_s:
         return None
-    expected_s = limit_s
-    if slowest_s is not None:
-        expected_s = min(limit_s, _SERVICE_TIME_FACTOR * slowest_s)
     time_left_s = schedule.answer_until_s - now_s
-    if expected_s <= time_left_s:
+    if limit_s <= time_left_s:
         return None
     retry_after_s = (
         _RETRY_ELSEWHERE_S
@@ -102,6 +94,6 @@
     )
     return outcome.Refusal(
         outcome.Reason.LEAVING,
-        "the instance stops before the request is expected to end",
+        "the instance stops before the request's time limit ends",
         retry_after=datetime.timedelta(seconds=retry_after_s),
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -221,8 +221,8 @@
     async def drain(self) -> None:
         """Reports not ready and ends when no caller is connected any more.
 
-        Requests that are expected to end before the process must exit are
-        still served, and others refused. The wait ends early enough before the
+        Requests whose time limit ends before the process must exit are still
+        served, and others refused. The wait ends early enough before the
         kill signal to close the connections.
         """
         signalled_s = self._clock.monotonic()
--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -147,6 +147,12 @@
         self._crash_text = text
         self._crash_restart_s = restart_s
 
+    @server.fault
+    def set_streams(self, events: int, pace_s: float) -> None:
+        """Changes the number of events and their interval in new streams."""
+        self._events = events
+        self._pace_s = pace_s
+
     @server.fault
     def ignore_orders(self) -> None:
         """Neither executes nor answers weight-loading orders."""
--- a/tests/gateway/test_stopping.py
+++ b/tests/gateway/test_stopping.py
@@ -15,7 +15,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome, supervisor
 from hibiscusstile.entry import listener
-from hibiscusstile.gateway import servicetimes, stopping
+from hibiscusstile.gateway import stopping
 from hibiscusstile.platform import boot
 from hibiscusstile.roles import gateway as gateway_role
 from tests.builders import gateway as builders
@@ -172,13 +172,36 @@
         assert headers["Connection"] == "close"
 
 
+async def test_a_long_stream_late_in_a_stop_is_refused_and_not_cut() -> None:
+    """Guards against estimating a stream's time from shorter streams."""
+    async with builders.gateway_harness() as harness:
+        runner = await harness.add_runner(builders.ENGINE_SERVICE, "i-1")
+        question = ("/question/1", builders.prompt_headers("a", "b"))
+        for number in range(12):
+            await harness.call(question[0], f"r{number}", **question[1])
+        now_s = harness.state.clock.monotonic()
+        harness.gateway.start_draining(
+            stopping.StopSchedule(now_s, now_s + 0.8, now_s + 1.0)
+        )
+        short = await harness.receive(
+            question[0], "short", X_Deadline_Ms="300", **question[1]
+        )
+        runner.set_streams(events=40, pace_s=0.05)
+        status, _, complete = await harness.receive(
+            question[0], "long", **question[1]
+        )
+        arrived = [each.request_id for each in runner.arrivals]
+    assert (short[0], short[2]) == (200, True)
+    assert (status, complete) == (503, True)
+    assert "long" not in arrived
+
+
 def _refusal(
-    slowest_s: float | None, *, after_s: float, others_serve: bool = True
+    limit_s: float, *, after_s: float, others_serve: bool = True
 ) -> outcome.Refusal | None:
     return stopping.refusal(
         stopping.StopSchedule.after_signal(100.0, 8.0),
-        slowest_s,
-        limit_s=10.0,
+        limit_s=limit_s,
         now_s=100.0 + after_s,
         others_serve=others_serve,
     )
@@ -200,11 +223,30 @@
     assert schedule.answer_until_s < schedule.exit_s < 100.0 + grace_s
 
 
+@pytest.mark.parametrize("grace_s", [0.5, 2.0, 5.0, 8.0, 60.0])
+def test_a_request_that_is_taken_late_has_its_whole_time_limit(
+    grace_s: float,
+) -> None:
+    """Guards against requests that a stop ends before their time limit."""
+    schedule = stopping.StopSchedule.after_signal(0.0, grace_s)
+    for after_s, limit_s, others_serve in itertools.product(
+        (grace_s * step / 40 for step in range(41)),
+        (0.05, 0.2, 1.0, 4.0, 10.0, 60.0),
+        (False, True),
+    ):
+        refused = stopping.refusal(
+            schedule, limit_s=limit_s, now_s=after_s, others_serve=others_serve
+        )
+        ends_in_time = after_s + limit_s <= schedule.answer_until_s
+        is_late = after_s >= schedule.accept_all_until_s
+        assert (refused is None) == (ends_in_time or not is_late)
+
+
 def test_short_requests_are_taken_for_longer_than_streams() -> None:
     """Guards against an outage for all callers when every process stops."""
-    assert _refusal(0.1, after_s=6.0) is None
-    assert _refusal(3.0, after_s=3.0) is not None
-    assert _refusal(None, after_s=3.0) is not None
+    assert _refusal(0.7, after_s=6.0) is None
+    assert _refusal(4.0, after_s=3.0) is not None
+    assert _refusal(1.0, after_s=6.0) is not None
 
 
 def test_a_caller_waits_for_a_restart_only_if_no_other_process_serves() -> None:
@@ -216,29 +258,3 @@
     assert elsewhere.verdict is nowhere.verdict is outcome.Verdict.NOT_RUN
     assert elsewhere.retry_after.total_seconds() < 0.1
     assert 2.0 < nowhere.retry_after.total_seconds() < 4.0
-
-
-def test_the_slowest_recent_request_is_forgotten_with_time() -> None:
-    """Guards against one slow request that is expected forever."""
-    times = servicetimes.ServiceTimes()
-    for duration_s, now_s, slowest_s in (
-        (5.0, 101.0, 5.0),
-        (1.0, 112.0, 5.0),
-        (1.0, 121.0, 1.0),
-    ):
-        for _ in range(10):
-            times.note("dossier", duration_s, now_s)
-        assert times.slowest_s("dossier", now_s) == slowest_s
-    assert times.slowest_s("dossier", 145.0) is None
-
-
-def test_few_requests_do_not_tell_how_long_one_takes() -> None:
-    """Guards against an estimate from the first requests of a process."""
-    times = servicetimes.ServiceTimes()
-    for _ in range(9):
-        times.note("dossier", 0.5, 101.0)
-    assert times.slowest_s("dossier", 102.0) is None
-    times.note("dossier", 5.0, 112.0)
-    assert times.slowest_s("dossier", 113.0) == 5.0
-    times.keep_only(set())
-    assert times.slowest_s("dossier", 113.0) is None
