Charge crashes of servers that close their port last

The request behind a crash was often not charged with it: a process that ends closes its connections before its port, so the check whether the port refuses connections met a port that still accepted one, and the crash counted as a lost response for the first request, the one behind it.

The check now waits up to 50 ms whether the new connection is closed, and connects again if so.

--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -21,6 +21,10 @@
 # A server in the same region accepts within a few ms; a longer wait means
 # that its listen backlog is full or that it is unreachable.
 _CONNECT_TIMEOUT_S = 0.4
+# A process that ends closes its connections shortly before its port, which may
+# still accept a connection in between and then resets it.
+_PORT_CLOSES_WITHIN_S = 0.05
+_MAX_PROBES = 3
 # Shorter than the servers' own keep-alive time, so that a request is rarely
 # sent on a connection that the server is about to close.
 _KEEP_ALIVE_S = 3.0
@@ -197,17 +201,19 @@
             response.close()
 
     async def refuses_connections(self, server: fleet.BackendServer) -> bool:
-        """Returns whether a connection to the server is refused."""
-        host, _, port = server.address.rpartition(":")
-        try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT_S):
-                _, writer = await asyncio.open_connection(host, int(port))
-        except ConnectionRefusedError:
-            return True
-        except (OSError, TimeoutError, ValueError, OverflowError):
-            # Whether an address without a valid port refuses is unknown.
-            return False
-        writer.close()
+        """Returns whether a connection to the server is refused.
+
+        A connection that is accepted and soon closed is made again.
+        """
+        for _ in range(_MAX_PROBES):
+            try:
+                if not await _is_closed_at_once(server.address):
+                    return False
+            except ConnectionRefusedError:
+                return True
+            except (OSError, TimeoutError, ValueError, OverflowError):
+                # Whether an address without a valid port refuses is unknown.
+                return False
         return False
 
     async def close(self) -> None:
@@ -364,3 +370,26 @@
     return exchange.AttemptFailed(
         exchange.FailureCause.LOST, outcome.Verdict.MAY_HAVE_RUN, repr(error)
     )
+
+
+async def _is_closed_at_once(address: str) -> bool:
+    """Connects, and returns whether the peer closes the connection soon.
+
+    Raises:
+        OSError: The connection was refused or failed.
+        TimeoutError: There was no connection in time.
+        ValueError: The address has no valid port.
+        OverflowError: The port is out of range.
+    """
+    host, _, port = address.rpartition(":")
+    async with asyncio.timeout(_CONNECT_TIMEOUT_S):
+        reader, writer = await asyncio.open_connection(host, int(port))
+    try:
+        async with asyncio.timeout(_PORT_CLOSES_WITHIN_S):
+            return not await reader.read(1)
+    except ConnectionError:
+        return True
+    except TimeoutError:
+        return False
+    finally:
+        writer.close()
