Tell crashing prompt parts from sound ones that they share requests with

Cause: charges were the union of all keys on a crashed server. Now each request of a crash is told by itself, with whether it had run for a while. Of the parts with equally many crashes, the one with the fewest crashed requests is blocked; parts that always came together are blocked only together, so a sound request with some of them runs and clears these. A stream clears its parts once it goes on after its first event. Requests that had run for a while and parts that were sound before are blamed after five crashes.

--- a/hibiscusstile/gateway/crashcharges.py
+++ b/hibiscusstile/gateway/crashcharges.py
@@ -4,7 +4,7 @@
 
 import collections
 import dataclasses
-from collections.abc import Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping
 
 from hibiscusstile import clock as clock_lib
 
@@ -24,22 +24,26 @@
 _REQUEST_KEY_PREFIX = "request:"
 _MAX_CRASHES = 128
 _MAX_KEYS_PER_CRASH = 1024
+_MAX_REQUESTS_PER_CRASH = 512
 _MAX_COMPLETED = 16_384
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
-    """A crash of a server and what it is charged to.
+    """A crash of a server and a request that the server was running.
 
     Attributes:
         crash_id: The server and its start time.
-        keys: Keys of the requests that the server was running.
+        keys: Keys of the request.
         age_s: Seconds since the crash.
+        survived: Whether the server had run the request for a while, which
+            makes it unlikely that the request crashed the server.
     """
 
     crash_id: str
     keys: tuple[str, ...]
     age_s: float = 0.0
+    survived: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -63,11 +67,16 @@
         crash_id: The server and its start time.
         at_s: Time of the crash on the monotonic clock.
         keys: All keys that were charged with it, also those cleared since.
+        requests: Keys of each request that the server was about to begin or
+            had just begun.
+        begin_keys: All keys of these requests.
     """
 
     crash_id: str
     at_s: float
     keys: set[str] = dataclasses.field(default_factory=set)
+    requests: set[frozenset[str]] = dataclasses.field(default_factory=set)
+    begin_keys: set[str] = dataclasses.field(default_factory=set)
 
 
 def request_key(fingerprint: str) -> str:
@@ -101,8 +110,11 @@
         self._completed_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
         )
-        # Facts to announce: keys by crash, and times of completion by key.
-        self._new_charges: dict[ChargedCrash, list[str]] = {}
+        # Facts to announce: requests by crash, each with whether it had
+        # survived, and times of completion by key.
+        self._new_charges: dict[
+            ChargedCrash, list[tuple[frozenset[str], bool]]
+        ] = {}
         self._new_completions: dict[str, float] = {}
         self._revision = 0
 
@@ -138,14 +150,24 @@
         """Returns whether a request with a key has completed before."""
         return key in self._completed_s
 
-    def note_crash(self, crash_id: str, keys: Iterable[str]) -> None:
-        """Charges a crash of a server to keys, and announces it."""
-        crash, new_keys = self._charge(crash_id, self._clock.monotonic(), keys)
-        if new_keys:
-            self._new_charges.setdefault(crash, []).extend(new_keys)
+    def note_crash(
+        self, crash_id: str, keys: Collection[str], *, survived: bool = False
+    ) -> None:
+        """Charges a crash to a request that the server ran; announces it.
+
+        Args:
+            crash_id: The server and its start time.
+            keys: Keys of the request.
+            survived: Whether the server had run the request for a while.
+        """
+        crash, request = self._charge(
+            crash_id, self._clock.monotonic(), keys, survived
+        )
+        if request:
+            self._new_charges.setdefault(crash, []).append((request, survived))
 
     def note_completed(self, keys: Iterable[str]) -> None:
-        """Clears the keys of a completed request.
+        """Clears the keys of a request that did not crash its server.
 
         Clearances of charged keys are announced.
         """
@@ -156,12 +178,13 @@
             self._clear(key, now_s)
 
     def merge_crash(self, crash: Crash) -> None:
-        """Adds a crash, or further keys of a known one."""
+        """Adds a crash, or a further request of a known one."""
         if crash.age_s < _FACT_TTL_S:
             self._charge(
                 crash.crash_id,
                 self._clock.monotonic() - crash.age_s,
                 crash.keys,
+                crash.survived,
             )
 
     def merge_clearance(self, clearance: Clearance) -> None:
@@ -175,8 +198,9 @@
         """Removes and returns the facts to announce to other gateways."""
         now_s = self._clock.monotonic()
         crashes = [
-            Crash(each.crash_id, tuple(keys), now_s - each.at_s)
-            for each, keys in self._new_charges.items()
+            Crash(each.crash_id, tuple(request), now_s - each.at_s, survived)
+            for each, requests in self._new_charges.items()
+            for request, survived in requests
         ]
         clearances = [
             Clearance(key, now_s - at_s)
@@ -196,17 +220,9 @@
         now_s = self._clock.monotonic()
         repeated = self._repeated.keys()
         crashes = [
-            Crash(
-                each.crash_id,
-                tuple(
-                    key
-                    for key in each.keys & repeated
-                    if each in self._charges[key]
-                ),
-                now_s - each.at_s,
-            )
+            Crash(each.crash_id, tuple(request), now_s - each.at_s, survived)
             for each in self._crashes
-            if each.keys & repeated
+            for request, survived in self._charged_requests(each, repeated)
         ]
         clearances = [
             Clearance(key, now_s - self._completed_s[key])
@@ -215,10 +231,41 @@
         ]
         return crashes, clearances
 
+    def _charged_requests(
+        self, crash: ChargedCrash, keys: Collection[str]
+    ) -> list[tuple[frozenset[str], bool]]:
+        """Returns the requests of a crash, without keys that are not charged.
+
+        Keys that are charged only by requests that had survived come as one
+        request.
+
+        Args:
+            crash: The crash.
+            keys: Further keys are left out too.
+        """
+        charged = {
+            key
+            for key in crash.keys
+            if key in keys and crash in self._charges[key]
+        }
+        requests = {request & charged for request in crash.requests}
+        requests.discard(frozenset())
+        survivors = frozenset(charged.difference(*requests))
+        return [(request, False) for request in requests] + (
+            [(survivors, True)] if survivors else []
+        )
+
     def _charge(
-        self, crash_id: str, at_s: float, keys: Iterable[str]
-    ) -> tuple[ChargedCrash, list[str]]:
-        """Charges a crash to keys; returns it with those not yet charged."""
+        self,
+        crash_id: str,
+        at_s: float,
+        keys: Collection[str],
+        survived: bool,
+    ) -> tuple[ChargedCrash, frozenset[str] | None]:
+        """Charges a crash to a request; returns both.
+
+        The request is None if it was charged before.
+        """
         crash = self._find_crash(crash_id, at_s) or self._add_crash(
             crash_id, at_s
         )
@@ -227,7 +274,19 @@
         for key in new_keys:
             crash.keys.add(key)
             self._charge_key(key, crash)
-        return crash, new_keys
+        request = frozenset(key for key in keys if key in crash.keys)
+        if survived:
+            return crash, request if new_keys else None
+        if (
+            request in crash.requests
+            or len(crash.requests) >= _MAX_REQUESTS_PER_CRASH
+        ):
+            return crash, None
+        crash.requests.add(request)
+        crash.begin_keys |= request
+        if not request.isdisjoint(self._repeated):
+            self._revision += 1
+        return crash, request
 
     def _charge_key(self, key: str, crash: ChargedCrash) -> None:
         completed_s = self._completed_s.get(key)
--- a/hibiscusstile/gateway/crashevidence.py
+++ b/hibiscusstile/gateway/crashevidence.py
@@ -16,7 +16,7 @@
 
 
 class RequestEvidence:
-    """Keys of one request, and the crashes and completions that it saw.
+    """Keys of one request, and what its runs tell about them.
 
     A request has a key for each of its shared prompt parts, and one for the
     whole request. The last part has none, since it belongs to the request or
@@ -42,6 +42,7 @@
             f"{request.model}/{part.part_id}" for part in request.parts[:-1]
         )
         self._part_keys = tuple(dict.fromkeys(_bounded(key) for key in keys))
+        self._survived = False
 
     @functools.cached_property
     def _fingerprint(self) -> str:
@@ -64,6 +65,15 @@
     def _keys(self) -> tuple[str, ...]:
         return (*self._part_keys, self._fingerprint)
 
+    @property
+    def survived(self) -> bool:
+        """Whether the server of the current attempt has run the request."""
+        return self._survived
+
+    def begin_attempt(self) -> None:
+        """Records that the request is sent to a server."""
+        self._survived = False
+
     def refusal(self, verdict: outcome.Verdict) -> outcome.Refusal | None:
         """Returns why the request must not run, or None.
 
@@ -79,11 +89,15 @@
         """Charges the crash of the request's server to the request."""
         # A server that starts again under its id has another start time.
         crash_id = f"{server.server_id}@{server.started_ms}"
-        self._charges.note_crash(crash_id, self._keys)
+        self._charges.note_crash(crash_id, self._keys, survived=self._survived)
         self._state.notices.send_soon()
 
-    def note_completed(self) -> None:
-        """Clears the request of the crashes so far."""
+    def note_survived(self) -> None:
+        """Clears the request of the crashes so far.
+
+        A server has completed it, or has gone on after its first event.
+        """
+        self._survived = True
         self._charges.note_completed(self._part_keys)
         # Most requests never crash a server; their fingerprints are not kept.
         if self._charges.by_key and self._fingerprint in self._charges.by_key:
--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -6,7 +6,7 @@
 import datetime
 import enum
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import logbook
 
@@ -26,6 +26,9 @@
 # Crashes that block a part which has never completed, if no other part is
 # suspect once all processes have reported their requests.
 _MIN_CRASHES_UNCONTESTED = 2
+# Crashes that block a part that was sound before. Requests with frequent parts
+# run wherever a server crashes.
+_MIN_CRASHES_ONCE_SOUND = 5
 _REPORT_S = 0.15
 # How long a block lasts. It doubles with each further crash, and each process
 # multiplies it by a factor of its own, so that not all of them try the part
@@ -54,7 +57,7 @@
 
     Attributes:
         crashes: Crashes that count against the key, close ones once.
-        all_crashes: All crashes that count against the key.
+        all_crashes: These crashes, close ones too.
         suspicion: Decides between keys with equally many crashes.
     """
 
@@ -65,26 +68,36 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Block:
-    """Why requests with a key must not run.
+    """Why requests with certain keys must not run.
 
     Attributes:
-        key: The key.
-        crashes: Crashes that count against it.
+        keys: A request that has all of these keys is blocked.
+        crashes: Crashes that count against them.
         until_s: End of the block on the monotonic clock.
     """
 
-    key: str
+    keys: frozenset[str]
     crashes: int
     until_s: float
 
+    @property
+    def label(self) -> str:
+        """The keys as text."""
+        return " ".join(sorted(self.keys))
+
 
 class CrashingParts:
     """Tells keys that crash servers from those that ran beside them.
 
     A crash is charged to all keys of the requests that the server was running,
-    and a completed request clears its keys. A key is blocked by the crashes
-    that no other blocked key explains; the key with the most of them is
-    considered first.
+    and a request that does not crash its server clears its keys. A key is
+    blocked by the crashes that no other blocked key explains; the key with the
+    most of them is considered first.
+
+    Keys with equally many crashes are told apart by the requests that met
+    these. If all that had one key also had another, the first one alone is
+    blocked. Keys that always came together are blocked together only: a request
+    with some of them may be sound, and tells which of them crash servers.
 
     Args:
         clock: Measures the length of blocks.
@@ -99,9 +112,9 @@
         self._jitter = (
             random.uniform(1.0, _MAX_JITTER) if jitter is None else jitter
         )
-        self._blocks: dict[str, Block] = {}
+        self._blocks: dict[frozenset[str], Block] = {}
         # Keys blocked on complete reports. Later crashes explain them no more.
-        self._confirmed: set[str] = set()
+        self._confirmed: set[frozenset[str]] = set()
         self._revision = 0
         # When the reports of the last crash will be complete, on the monotonic
         # clock; infinite if they are.
@@ -130,7 +143,7 @@
     def refusal(
         self, keys: Iterable[str], verdict: outcome.Verdict
     ) -> outcome.Refusal | None:
-        """Returns the refusal of a request with a blocked key, or None.
+        """Returns the refusal of a request with blocked keys, or None.
 
         Args:
             keys: Keys of the request.
@@ -140,13 +153,13 @@
         if not self._blocks:
             return None
         now_s = self._clock.monotonic()
-        for key in keys:
-            block = self._blocks.get(key)
-            if block is not None and now_s < block.until_s:
+        request_keys = frozenset(keys)
+        for block in self._blocks.values():
+            if block.keys <= request_keys and now_s < block.until_s:
                 return outcome.Refusal(
                     outcome.Reason.SUSPECT,
                     f"{block.crashes} servers crashed while they ran requests "
-                    f"with {_describe(key)}",
+                    f"with {_describe(block)}",
                     verdict,
                     _RETRY_AFTER,
                 )
@@ -169,68 +182,157 @@
             self._confirmed = set(self._blocks)
         else:
             # The missing reports may concern keys that are blocked.
-            for key in before.keys() & self._charges.by_key.keys():
-                self._blocks.setdefault(key, before[key])
-        for key in before.keys() - self._blocks.keys():
+            for keys in before:
+                if keys <= self._charges.by_key.keys():
+                    self._blocks.setdefault(keys, before[keys])
+        for keys in before.keys() - self._blocks.keys():
             metrics.count_crashing_part("cleared")
-            logs.event(_log, "part_cleared", key=key)
-        for key in self._blocks.keys() - before.keys():
+            logs.event(_log, "part_cleared", key=before[keys].label)
+        for keys in self._blocks.keys() - before.keys():
             metrics.count_crashing_part("blocked")
             logs.event(
                 _log,
                 "part_blocked",
-                key=key,
-                crashes=self._blocks[key].crashes,
-                for_s=round(self._blocks[key].until_s - now_s, 1),
+                key=self._blocks[keys].label,
+                crashes=self._blocks[keys].crashes,
+                for_s=round(self._blocks[keys].until_s - now_s, 1),
             )
 
-    def _compute_blocks(self, reported: bool) -> dict[str, Block]:
+    def _compute_blocks(self, reported: bool) -> dict[frozenset[str], Block]:
         suspects = dict(self._charges.repeated)
         explained: set[crashcharges.ChargedCrash] = set()
-        blocks: dict[str, Block] = {}
-        for key in self._confirmed & suspects.keys():
-            charged = suspects.pop(key)
-            blocks[key] = self._block(key, _count(charged), charged)
+        blocks: dict[frozenset[str], Block] = {}
+        for keys in self._confirmed:
+            if not self._still_together(keys):
+                continue
+            charged = suspects[min(keys)]
+            blocks[keys] = self._block(keys, _count(charged), charged)
             explained.update(charged)
-        while suspects:
+            for key in keys:
+                del suspects[key]
+        self._add_blocks(blocks, suspects, explained, reported)
+        self._add_blocks(blocks, suspects, explained, reported, once_sound=True)
+        return blocks
+
+    def _add_blocks(
+        self,
+        blocks: dict[frozenset[str], Block],
+        suspects: dict[str, list[crashcharges.ChargedCrash]],
+        explained: set[crashcharges.ChargedCrash],
+        reported: bool,
+        *,
+        once_sound: bool = False,
+    ) -> None:
+        """Blocks suspects, and moves their crashes to those explained.
+
+        Args:
+            blocks: Receives the blocks.
+            suspects: The crashes that count against each key.
+            explained: Crashes that other blocks explain.
+            reported: Whether all processes have reported their requests.
+            once_sound: Whether to consider parts that were sound before, and
+                crashes that met no request with the key at its begin.
+        """
+        while True:
             ranks = {
-                key: self._rank(key, charged, explained)
+                key: self._rank(
+                    key,
+                    [
+                        each
+                        for each in charged
+                        if each not in explained
+                        and (once_sound or key in each.begin_keys)
+                    ],
+                )
                 for key, charged in suspects.items()
+                if once_sound or not self._was_sound(key)
             }
+            if not ranks:
+                break
             highest = max(ranks.values())
-            keys = [key for key, rank in ranks.items() if rank == highest]
-            if not _suffices(highest, len(keys), reported):
+            tied = {
+                key: suspects[key]
+                for key, rank in ranks.items()
+                if rank == highest
+            }
+            if not (
+                highest.crashes >= _MIN_CRASHES_ONCE_SOUND
+                if once_sound
+                else _suffices(highest, len(tied), reported)
+            ):
                 break
-            for key in keys:
-                charged = suspects.pop(key)
-                blocks[key] = self._block(key, highest.crashes, charged)
+            for keys in _most_specific(tied):
+                charged = tied[min(keys)]
+                blocks[keys] = self._block(keys, highest.crashes, charged)
                 explained.update(charged)
-        return blocks
+            for key in tied:
+                del suspects[key]
+
+    def _still_together(self, keys: frozenset[str]) -> bool:
+        """Returns whether all keys of a block still have the same crashes.
+
+        If not, a request without some of them has crashed its server, or was
+        sound.
+        """
+        charged = [self._charges.repeated.get(key, []) for key in keys]
+        return bool(charged[0]) and all(each == charged[0] for each in charged)
 
     def _rank(
-        self,
-        key: str,
-        charged: Collection[crashcharges.ChargedCrash],
-        explained: Collection[crashcharges.ChargedCrash],
+        self, key: str, charged: Collection[crashcharges.ChargedCrash]
     ) -> _Rank:
-        unexplained = [each for each in charged if each not in explained]
         if crashcharges.is_request_key(key):
             suspicion = _Suspicion.REQUEST
-        elif self._charges.has_completed(key):
+        elif self._was_sound(key):
             suspicion = _Suspicion.COMPLETED_PART
         else:
             suspicion = _Suspicion.NEW_PART
-        return _Rank(_count(unexplained), len(unexplained), suspicion)
+        return _Rank(_count(charged), len(charged), suspicion)
+
+    def _was_sound(self, key: str) -> bool:
+        """Returns whether requests with a prompt part have been sound."""
+        return not crashcharges.is_request_key(
+            key
+        ) and self._charges.has_completed(key)
 
     def _block(
         self,
-        key: str,
+        keys: frozenset[str],
         crashes: int,
         charged: Collection[crashcharges.ChargedCrash],
     ) -> Block:
         doublings = max(0, crashes - _MIN_CRASHES)
         length_s = min(_MAX_BLOCK_S, _BLOCK_S * 2.0**doublings * self._jitter)
-        return Block(key, crashes, _last_s(charged) + length_s)
+        return Block(keys, crashes, _last_s(charged) + length_s)
+
+
+def _most_specific(
+    suspects: Mapping[str, Collection[crashcharges.ChargedCrash]],
+) -> set[frozenset[str]]:
+    """Returns the keys to block among those with equally many crashes.
+
+    Args:
+        suspects: The crashes that count against each key.
+
+    Returns:
+        Sets of keys that were always in the same requests. Keys are left out
+        if some, but not all, of their requests had another suspect key that
+        explains the same crashes.
+    """
+    requests = {
+        key: frozenset(
+            (crash, request.intersection(suspects))
+            for crash in charged
+            for request in crash.requests
+            if key in request
+        )
+        for key, charged in suspects.items()
+    }
+    return {
+        frozenset(other for other in requests if own and requests[other] == own)
+        or frozenset((key,))
+        for key, own in requests.items()
+        if not any(each and each < own for each in requests.values())
+    }
 
 
 def _suffices(rank: _Rank, key_count: int, reported: bool) -> bool:
@@ -251,10 +353,12 @@
     )
 
 
-def _describe(key: str) -> str:
-    if crashcharges.is_request_key(key):
+def _describe(block: Block) -> str:
+    if any(crashcharges.is_request_key(key) for key in block.keys):
         return "the same content"
-    return f"the prompt part {key}"
+    if len(block.keys) == 1:
+        return f"the prompt part {block.label}"
+    return f"the prompt parts {block.label} together"
 
 
 def _last_s(charged: Collection[crashcharges.ChargedCrash]) -> float:
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -91,6 +91,7 @@
             self._log,
             self._prefill_coalescer,
             self._rates,
+            self._evidence,
         )
         self._last_error_response: relaying.HeldError | None = None
 
@@ -264,6 +265,7 @@
             work=selected.observable_work,
         )
         self._progress.note_attempt(server.address)
+        self._evidence.begin_attempt()
         self._log.server_selected(selected)
         server_load.begin(
             in_flight, selected.candidate.cache_salt, request.parts
@@ -280,7 +282,7 @@
                     selected.candidate, in_flight, response
                 )
                 if response.head.status < _FIRST_REDIRECT_STATUS:
-                    self._evidence.note_completed()
+                    self._evidence.note_survived()
                 return held_error
         finally:
             self._prefill_coalescer.finish()
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -296,7 +296,9 @@
         charges = self._state.crashing_parts.charges
         for crash in notice.crashes:
             charges.merge_crash(
-                crashcharges.Crash(crash.crash, crash.keys, crash.age_s)
+                crashcharges.Crash(
+                    crash.crash, crash.keys, crash.age_s, crash.survived
+                )
             )
         for clearance in notice.clearances:
             charges.merge_clearance(
@@ -354,8 +356,10 @@
     crashes: list[crashcharges.Crash],
 ) -> tuple[messages.CrashUpdate, ...]:
     return tuple(
-        messages.CrashUpdate(each.crash_id, each.keys, each.age_s)
-        for each in crashes
+        messages.CrashUpdate(
+            each.crash_id, each.keys, each.age_s, each.survived
+        )
+        for each in crashes[-messages.MAX_NOTICE_ENTRIES :]
     )
 
 
--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -6,6 +6,7 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    crashevidence,
     enginerates,
     exchange,
     fleet,
@@ -22,6 +23,9 @@
 __all__ = ["HeldError", "ResponseRelay"]
 
 _FIRST_SERVER_ERROR_STATUS = 500
+# A request that crashes its server does so as the server begins its response.
+# One event may have left the server before.
+_SURVIVAL_S = 0.1
 
 HeldError = tuple[exchange.ResponseHead, bytes]
 
@@ -38,6 +42,7 @@
         log: Log of the request.
         prefill_coalescer: The request's part in prefills of its prefix.
         rates: Estimate of the service's engines.
+        evidence: What the request tells about prompt parts that crash engines.
     """
 
     def __init__(
@@ -50,6 +55,7 @@
         log: requestlog.RequestLog,
         prefill_coalescer: prefillcoalescing.PrefillCoalescer,
         rates: enginerates.EngineRates,
+        evidence: crashevidence.RequestEvidence,
     ) -> None:
         self._state = state
         self._model = model
@@ -59,6 +65,7 @@
         self._log = log
         self._prefill_coalescer = prefill_coalescer
         self._rates = rates
+        self._evidence = evidence
         self._unfinished_server: fleet.BackendServer | None = None
 
     @property
@@ -218,6 +225,7 @@
         """Records an event with content."""
         candidate.load.note_activity(self._now_s())
         if in_flight.started:
+            self._note_survival(in_flight)
             return
         candidate.load.note_started(in_flight, self._now_s())
         if in_flight.work is not None:
@@ -229,6 +237,13 @@
         self._state.health.note_response(candidate.server, False)
         self._log.note_first_event()
 
+    def _note_survival(self, in_flight: load.InFlightRequest) -> None:
+        """Clears the request once its server has gone on for a while."""
+        if self._evidence.survived:
+            return
+        if self._now_s() - in_flight.started_s >= _SURVIVAL_S:
+            self._evidence.note_survived()
+
     async def _relay_event(
         self,
         candidate: selection.Candidate,
--- a/hibiscusstile/gateway/statuspage.py
+++ b/hibiscusstile/gateway/statuspage.py
@@ -28,7 +28,7 @@
             if each.observations
         },
         "blocked": [
-            {"key": each.key, "crashes": each.crashes}
+            {"key": each.label, "crashes": each.crashes}
             for each in state.crashing_parts.blocks
         ],
         "backend_servers": [
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -146,12 +146,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashUpdate:
-    """A crash of a backend server, and what the server was running.
+    """A crash of a backend server, and a request that it was running.
+
+    Earlier releases sent all of its requests in one update.
 
     Attributes:
         crash: Id of the server and its start time.
-        keys: Keys of the requests that it was running, and of their parts.
+        keys: Keys of the request and of its prompt parts.
         age_s: Seconds since the crash.
+        survived: Whether the server had run the request for a while.
     """
 
     crash: ShortText
@@ -159,6 +162,7 @@
         tuple[ShortText, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
     ]
     age_s: Seconds = 0.0
+    survived: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
     crashcharges,
@@ -34,7 +36,7 @@
 
 
 def _blocked(table: crashingparts.CrashingParts) -> set[str]:
-    return {block.key for block in table.blocks}
+    return {key for block in table.blocks for key in block.keys}
 
 
 async def test_requests_with_one_crashing_part_do_not_crash_every_engine() -> (
@@ -70,6 +72,50 @@
     assert sound == 200
 
 
+async def test_a_new_first_part_stays_in_use_beside_a_crashing_part() -> None:
+    """Guards against blocking what sound and crashing requests share."""
+    async with builders.gateway_harness() as harness:
+        await harness.add_crashing_runners(
+            builders.ENGINE_SERVICE, _SERVERS, "bad", _RESTART_S
+        )
+        for runner in harness.runners:
+            # No stream ends before all crashes.
+            runner.set_streams(events=30, pace_s=0.05)
+        for number in range(4):
+            await harness.call(
+                "/question/1",
+                **builders.prompt_headers("new", "bad", f"last{number}"),
+            )
+            await harness.state.clock.sleep(builders.CRASH_INTERVAL)
+        bad, _, _ = await harness.call(
+            "/question/1", **builders.prompt_headers("new", "bad", "other")
+        )
+        sound, _, complete = await harness.receive(
+            "/question/1", **builders.prompt_headers("new", "good", "other")
+        )
+        # The sound request tells which of both parts crashes servers.
+        elsewhere, _, _ = await harness.call(
+            "/question/1", **builders.prompt_headers("third", "bad", "other")
+        )
+    assert (sound, complete) == (200, True)
+    assert (bad, elsewhere) == (503, 503)
+
+
+async def test_a_stream_clears_its_parts_before_its_end() -> None:
+    """Guards against long streams whose parts stay suspect until they end."""
+    async with builders.gateway_harness() as harness:
+        await harness.add_runner(
+            builders.ENGINE_SERVICE, "i-1", events=100, pace_s=0.02
+        )
+        stream = asyncio.ensure_future(
+            harness.receive("/question/1", **builders.prompt_headers("a", "b"))
+        )
+        charges = harness.state.crashing_parts.charges
+        await harness.until(lambda: charges.has_completed("m1/a"), 1.0)
+        assert not stream.done()
+        stream.cancel()
+
+
 async def test_a_repeated_request_does_not_crash_every_server() -> None:
     """Guards against sending on a request that crashes its servers."""
     async with builders.gateway_harness() as harness:
@@ -96,6 +142,65 @@
     assert _blocked(table) == {"m/bad"}
 
 
+def test_parts_that_always_came_together_are_blocked_together_only() -> None:
+    """Guards against refusing sound requests with one of several suspects."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for number in range(3):
+        _crash(clock, table, "m/first", "m/bad", "m/deep", f"m/own{number}")
+    clock.advance(1.0)
+    assert table.refusal(["m/first", "m/bad", "m/deep"], _NOT_RUN) is not None
+    for keys in (["m/first", "m/deep", "m/good"], ["m/first"], ["m/deep"]):
+        assert table.refusal(keys, _NOT_RUN) is None
+    _crash(clock, table, "m/bad", "m/other")
+    clock.advance(1.0)
+    assert _blocked(table) == {"m/bad"}
+
+
+def test_the_part_of_the_fewest_crashed_requests_is_blocked() -> None:
+    """Guards against blocking a part of requests that waited beside."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for number in range(3):
+        _crash(clock, table, "m/first", "m/bad")
+        crash_id = f"i-{clock.monotonic()}"
+        for each in range(3):
+            keys = ["m/first", f"m/document{number}-{each}"]
+            table.charges.note_crash(crash_id, keys)
+    clock.advance(1.0)
+    assert _blocked(table) == {"m/bad"}
+
+
+def test_requests_that_had_run_for_a_while_are_blamed_last() -> None:
+    """Guards against blocking frequent parts beside two crashing ones."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for number in range(6):
+        _crash(clock, table, "m/first", f"m/bad{number % 2}")
+        crash_id = f"i-{clock.monotonic()}"
+        keys = ["m/first", "m/frequent"]
+        table.charges.note_crash(crash_id, keys, survived=True)
+        clock.advance(0.1)
+        table.charges.note_completed(["m/first"])
+    clock.advance(1.0)
+    assert _blocked(table) == {"m/bad0", "m/bad1"}
+
+
+def test_a_part_that_was_sound_is_blocked_after_more_crashes() -> None:
+    """Guards against parts that crash servers late, or only since a time."""
+    for survived in (False, True):
+        clock = base.ManualClock()
+        table = _table(clock)
+        table.charges.note_completed(["m/turned"])
+        for _ in range(5):
+            assert _blocked(table) == set()
+            clock.advance(1.0)
+            table.charges.note_crash(
+                f"i-{clock.monotonic()}", ["m/turned"], survived=survived
+            )
+        assert _blocked(table) == {"m/turned"}
+
+
 def test_crashes_without_a_common_cause_block_no_popular_part() -> None:
     """Guards against refusing sound requests when instances fail."""
     clock = base.ManualClock()
@@ -219,6 +324,26 @@
         assert _blocked(state.crashing_parts) == {"m/bad"}
 
 
+def test_gateways_tell_each_other_which_parts_came_together() -> None:
+    """Guards against a gateway that blocks more than the others do."""
+    clock = base.ManualClock()
+    states = [builders.gateway_state(clock) for _ in range(3)]
+    handlers = [notices.NoticeHandler(state) for state in states]
+    for number in range(3):
+        table = states[number % 2].crashing_parts
+        _crash(clock, table, "m/first", "m/bad")
+        table.charges.note_crash(
+            f"i-{clock.monotonic()}", ["m/frequent"], survived=True
+        )
+        _deliver(handlers[number % 2].next_notice(), handlers[1 - number % 2])
+    # The third gateway has started meanwhile.
+    _deliver(handlers[1].snapshot(), handlers[2])
+    clock.advance(1.0)
+    for state in states:
+        (block,) = state.crashing_parts.blocks
+        assert block.keys == {"m/first", "m/bad"}
+
+
 def test_reports_of_one_crash_count_once() -> None:
     """Guards against a crash that counts once for each gateway."""
     clock = base.ManualClock()
