Name the shared cache scope after the isolated workspaces

Cause: the salt of all workspaces that are not isolated was a constant. It now contains a digest of the names of the isolated ones, so under each name only workspaces outside that set make or use parts. This holds for any order of changes and needs no memory of earlier configurations.

--- a/bench/endless.py
+++ b/bench/endless.py
@@ -177,6 +177,7 @@
         routes.Service("measured", max_connections=0),
         None,
         0,
+        "shared",
     )
     sampler = _Sampler(clock)
     sampling = asyncio.ensure_future(sampler.run())
--- a/hibiscusstile/gateway/resolving.py
+++ b/hibiscusstile/gateway/resolving.py
@@ -15,7 +15,6 @@
 _NO_SERVICE_RETRY_AFTER = datetime.timedelta(milliseconds=400)
 # A process that has just started reads the configuration within this time.
 _RETRY_AFTER_STARTING = datetime.timedelta(milliseconds=500)
-_SHARED_SCOPE = "shared"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,19 +26,14 @@
         service: Service selected by the route's traffic split.
         workspace: The caller's workspace; None for anonymous callers.
         rank: Rank of the request; 0 is served first.
+        cache_scope: Scope in which the request shares cached prompt parts.
     """
 
     route: routes.Route
     service: routes.Service
     workspace: routes.Workspace | None
     rank: int
-
-    @property
-    def cache_scope(self) -> str:
-        """Scope in which the request shares cached prompt parts."""
-        if self.workspace is not None and self.workspace.isolated:
-            return f"workspace-{self.workspace.name}"
-        return _SHARED_SCOPE
+    cache_scope: str
 
 
 def resolve(
@@ -75,4 +69,7 @@
     rank = route.rank
     if workspace is not None and workspace.rank is not None:
         rank = workspace.rank
-    return Destination(route, service, workspace, rank)
+    scope = table.shared_cache_scope
+    if workspace is not None and workspace.isolated:
+        scope = f"workspace-{workspace.name}"
+    return Destination(route, service, workspace, rank, scope)
--- a/hibiscusstile/gateway/routes.py
+++ b/hibiscusstile/gateway/routes.py
@@ -21,6 +21,10 @@
 ]
 
 
+_SHARED_SCOPE = "shared"
+_SCOPE_DIGEST_BYTES = 8
+
+
 class RequestKind(enum.Enum):
     """Kind of a route's requests; decides which failures allow a retry."""
 
@@ -200,6 +204,8 @@
         keys_required: Whether requests need a valid API key, except on
             anonymous routes.
         limits: Limits on callers' requests.
+        isolated_workspaces: Names of all isolated workspaces, also of those
+            without keys.
     """
 
     version: int
@@ -208,6 +214,7 @@
     workspaces_by_key: Mapping[str, Workspace]
     keys_required: bool = False
     limits: HttpLimits = HttpLimits()
+    isolated_workspaces: frozenset[str] = frozenset()
 
     def match(self, host: str, path: str) -> Route | None:
         """Returns the route with the longest matching path prefix.
@@ -231,6 +238,23 @@
             if service.prefix_store is not None
         )
 
+    @functools.cached_property
+    def shared_cache_scope(self) -> str:
+        """Scope in which workspaces that are not isolated share prompt parts.
+
+        Its name is a function of the isolated workspaces. So no part in it was
+        made by one of these, whenever they became isolated and whatever
+        processes know of earlier configurations.
+        """
+        if not self.isolated_workspaces:
+            return _SHARED_SCOPE
+        digest = hashlib.blake2b(digest_size=_SCOPE_DIGEST_BYTES)
+        for name in sorted(self.isolated_workspaces):
+            data = name.encode(errors="surrogateescape")
+            digest.update(len(data).to_bytes(8, "big"))
+            digest.update(data)
+        return f"{_SHARED_SCOPE}-{digest.hexdigest()}"
+
     @functools.cached_property
     def _by_host(self) -> dict[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
--- a/hibiscusstile/platform/operatorrecords.py
+++ b/hibiscusstile/platform/operatorrecords.py
@@ -146,9 +146,13 @@
 
 
 def _to_routing_table(parsed: _Configuration) -> routes.RoutingTable:
+    tenants = parsed.tenants or ()
+    isolated = frozenset(each.name for each in tenants if each.isolated)
     workspaces_by_key = {
-        key: routes.Workspace(tenant.name, tenant.priority, tenant.isolated)
-        for tenant in parsed.tenants or ()
+        key: routes.Workspace(
+            tenant.name, tenant.priority, tenant.name in isolated
+        )
+        for tenant in tenants
         for key in tenant.api_keys
     }
     limits = routes.HttpLimits()
@@ -166,6 +170,7 @@
         workspaces_by_key=workspaces_by_key,
         keys_required=parsed.tenants is not None,
         limits=limits,
+        isolated_workspaces=isolated,
     )
 
 
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -167,6 +167,7 @@
     received_s: float = 0.0,
     body: bytes = b"{}",
     headers: exchange.Headers = (),
+    key: str = KEY,
 ) -> exchange.ForwardedRequest:
     """Returns a request with a prompt."""
     prompt = tuple(exchange.PromptPart(*part) for part in parts)
@@ -175,7 +176,7 @@
         "POST",
         target,
         HOST,
-        KEY,
+        key,
         headers,
         body,
         received_s,
