Bound what many endless responses cost together

Report of another operator: a runner sent bytes without end until the machine that called it ran out of memory. Many at once were not: with 100 requests, chunks of one byte blocked the event loop for 3.5 s of processor time and ended 3 s after their time limit, and held bodies took 129 MB.

Causes: the limit of held bodies counted each body by itself, and nothing limited framing, of which one byte in six was content.

Held bodies now share 8 MiB beyond their first 16 KiB each; what does not fit is relayed as it arrives. A body of which less than a quarter is content in 8 KiB that came faster than they were read ends its response.

--- a/bench/endless.py
+++ b/bench/endless.py
@@ -1,9 +1,10 @@
 """Measures what responses that never end cost a gateway.
 
 `python -m bench.endless` starts a stand-in server as a separate process for
-each kind of response and forwards one request to it. It prints the growth of
-this process's memory, the longest pause of its event loop, and how the request
-ended. `--response NAME` measures that one alone.
+each kind of response and forwards requests to it, as many at the same time as
+`--requests` says. It prints the growth of this process's memory, the longest
+pause of its event loop, and how the requests ended. `--response NAME` measures
+that one alone.
 """
 
 from __future__ import annotations
@@ -16,7 +17,7 @@
 import subprocess
 import sys
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import logbook
 import uvloop
@@ -143,14 +144,18 @@
 
 
 async def measure(
-    response: str, address: str, time_limit_s: float = _TIME_LIMIT_S
+    response: str,
+    address: str,
+    time_limit_s: float = _TIME_LIMIT_S,
+    requests: int = 1,
 ) -> Measurement:
-    """Forwards one request to a server and returns what it cost.
+    """Forwards requests to a server and returns what they cost.
 
     Args:
         response: Name of the response that the server sends.
         address: Address of the server, as `ip:port`.
-        time_limit_s: Timeout of the request's route.
+        time_limit_s: Timeout of the requests' route.
+        requests: Number of requests at the same time.
     """
     clock = clock_lib.SystemClock()
     state = state_lib.GatewayState(
@@ -160,7 +165,8 @@
         fleet.BackendServer("i-1", "measured", address, "zone", slots=1)
     )
     client = servers.HttpServerClient()
-    sink = _CallerSink()
+    crash_detector = crashdetection.CrashDetector(state, client)
+    sinks = [_CallerSink() for _ in range(requests)]
     started_s = clock.monotonic()
     request = exchange.ForwardedRequest(
         "r1",
@@ -182,14 +188,14 @@
     sampler = _Sampler(clock)
     sampling = asyncio.ensure_future(sampler.run())
     try:
-        await forwarding.RequestForwarder(
-            state,
-            client,
-            crashdetection.CrashDetector(state, client),
-            request,
-            sink,
-            destination,
-        ).run()
+        await asyncio.gather(
+            *(
+                forwarding.RequestForwarder(
+                    state, client, crash_detector, request, sink, destination
+                ).run()
+                for sink in sinks
+            )
+        )
         elapsed_s = clock.monotonic() - started_s
         await clock.sleep(_TICK * 2)
     finally:
@@ -200,18 +206,22 @@
         sampler.memory_bytes,
         sampler.pause_s,
         elapsed_s,
-        sink.forwarded_bytes,
-        sink.result,
-        sink.verdict,
+        sum(sink.forwarded_bytes for sink in sinks),
+        _join(sink.result for sink in sinks),
+        _join(sink.verdict for sink in sinks),
     )
 
 
+def _join(texts: Iterable[str]) -> str:
+    return ", ".join(sorted(set(texts)))
+
+
 def _resident_bytes() -> int:
     fields = pathlib.Path("/proc/self/statm").read_text().split()
     return int(fields[1]) * _PAGE_BYTES
 
 
-def _measure_in_new_processes(responses: Sequence[str]) -> None:
+def _measure_in_new_processes(responses: Sequence[str], requests: int) -> None:
     print(
         f"{'response':<22}{'memory, MiB':>12}{'pause, ms':>11}{'time, s':>9}"
         f"{'forwarded, MiB':>16}  end"
@@ -219,12 +229,15 @@
     for response in responses:
         # Memory that an earlier measurement freed would hide later growth.
         subprocess.run(
-            [sys.executable, "-m", __spec__.name, "--response", response],
+            [
+                *(sys.executable, "-m", __spec__.name, "--response", response),
+                *("--requests", str(requests)),
+            ],
             check=True,
         )
 
 
-def _measure_one(response: str) -> None:
+def _measure_one(response: str, requests: int) -> None:
     with subprocess.Popen(
         [
             *(sys.executable, "-m", "hibiscusstile_standins"),
@@ -237,7 +250,9 @@
             assert server.stdout is not None
             port = int(server.stdout.readline())
             with logbook.NullHandler():
-                result = uvloop.run(measure(response, f"127.0.0.1:{port}"))
+                result = uvloop.run(
+                    measure(response, f"127.0.0.1:{port}", requests=requests)
+                )
         finally:
             server.kill()
     end = " ".join(filter(None, (result.result, result.verdict)))
@@ -253,11 +268,14 @@
     """Measures the responses that the command line names, or all."""
     parser = argparse.ArgumentParser(prog="bench.endless", description=__doc__)
     parser.add_argument("--response", choices=sorted(endless.ENDLESS_RESPONSES))
+    parser.add_argument("--requests", type=int, default=1)
     arguments = parser.parse_args()
     if arguments.response:
-        _measure_one(arguments.response)
+        _measure_one(arguments.response, arguments.requests)
     else:
-        _measure_in_new_processes(list(endless.ENDLESS_RESPONSES))
+        _measure_in_new_processes(
+            list(endless.ENDLESS_RESPONSES), arguments.requests
+        )
     return 0
 
 
--- a/hibiscusstile/boundedhttp.py
+++ b/hibiscusstile/boundedhttp.py
@@ -30,6 +30,11 @@
 # Bytes parsed before the limits are checked again. A read of the event loop
 # holds up to 256 KiB, in which 10,000 short heads would block it for 0.5 s.
 _PARSE_STEP_BYTES = 4 * 1024
+# Steps of which most is framing, such as chunks of one byte or an endless
+# chunk extension, that end a response. Only a server that sends faster than it
+# is read fills a step, so a slow stream of small chunks is not affected.
+_MAX_THIN_STEPS = 2
+_MIN_CONTENT_SHARE = 0.25
 _HEAD_END = b"\r\n\r\n"
 # Bounds what the event loop reads at once: 43,000 chunks of one byte in 256 KiB
 # would block it for 0.2 s.
@@ -63,6 +68,7 @@
         self._head_end = b""
         self._answered = False
         self._request_count = 0
+        self._thin_steps = 0
 
     @property
     def reused(self) -> bool:
@@ -89,6 +95,7 @@
         self._in_head = True
         self._head_end = b""
         self._answered = False
+        self._thin_steps = 0
         self._request_count += 1
         super().set_response_params(**parameters)
 
@@ -137,9 +144,15 @@
         return step
 
     def _parse(self, data: bytes) -> None:
-        if self._expects_head():
+        payload = None if self._expects_head() else self._payload
+        if payload is None:
             self._head_bytes += len(data)
+        else:
+            content_bytes = payload.total_bytes
         super().data_received(data)
+        if payload is not None and not payload.is_eof():
+            content_bytes = payload.total_bytes - content_bytes
+            self._note_content_share(content_bytes, len(data))
         if self.exception() is not None:
             # The bytes are malformed; aiohttp leaves the body's reader waiting.
             self._end_payload(
@@ -149,6 +162,17 @@
             self._fail(f"more than {_MAX_HEADS} responses to one request")
         elif self._head_bytes > _MAX_HEAD_BYTES:
             self._fail(f"response heads exceed {_MAX_HEAD_BYTES} bytes")
+        elif self._thin_steps >= _MAX_THIN_STEPS:
+            self._fail(
+                "less than a quarter of the body's last "
+                f"{_MAX_THIN_STEPS * _PARSE_STEP_BYTES} bytes is content"
+            )
+
+    def _note_content_share(self, content_bytes: int, step_bytes: int) -> None:
+        if step_bytes < _PARSE_STEP_BYTES:
+            return
+        is_thin = content_bytes < _MIN_CONTENT_SHARE * step_bytes
+        self._thin_steps = self._thin_steps + 1 if is_thin else 0
 
     def _expects_head(self) -> bool:
         return self._in_head or self._payload_ended()
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -9,7 +9,7 @@
 from collections.abc import AsyncIterator
 
 from hibiscusstile import outcome
-from hibiscusstile.gateway import fleet, serverstatements
+from hibiscusstile.gateway import fleet, heldbodies, serverstatements
 
 __all__ = [
     "AttemptFailed",
@@ -212,8 +212,8 @@
         """Status and headers."""
 
     @abc.abstractmethod
-    async def read_held(self, max_bytes: int) -> HeldBody:
-        """Reads the body until it ends or exceeds `max_bytes`.
+    async def read_held(self, allowance: heldbodies.Allowance) -> HeldBody:
+        """Reads the body until it ends or grows beyond what is allowed.
 
         Raises:
             AttemptFailed: The body was truncated.
--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -114,11 +114,21 @@
         The whole body decides whether the request is sent again, so it is held
         up to a limit. A longer one is relayed as it arrives.
         """
-        held = await response.read_held(self._state.max_held_body_bytes)
-        self._progress.note_run(outcome.Verdict.RAN)
-        if not held.complete:
-            await self._relay_long_body(server, response, held.data)
-            return None
+        with self._state.held_bodies.hold() as allowance:
+            held = await response.read_held(allowance)
+            self._progress.note_run(outcome.Verdict.RAN)
+            if held.complete:
+                return await self._relay_held_body(server, response, held.data)
+        await self._relay_long_body(server, response, held.data)
+        return None
+
+    async def _relay_held_body(
+        self,
+        server: fleet.BackendServer,
+        response: exchange.ServerResponse,
+        body: bytes,
+    ) -> HeldError | None:
+        """Relays a complete body, or returns it if it is not the last one."""
         failed = response.head.status >= _FIRST_SERVER_ERROR_STATUS
         self._state.health.note_response(server, failed)
         self._log.attempt_answered(
@@ -126,9 +136,9 @@
         )
         self._require_unstarted()
         if failed and self._route.kind is routes.RequestKind.IDEMPOTENT:
-            return response.head, held.data
+            return response.head, body
         self._log.note_status(response.head.status)
-        await self._writer.send_response(response.head, held.data)
+        await self._writer.send_response(response.head, body)
         return None
 
     async def _relay_long_body(
@@ -142,8 +152,7 @@
             raise exchange.AttemptFailed(
                 exchange.FailureCause.LOST,
                 outcome.Verdict.RAN,
-                "the body of an error response exceeds "
-                f"{self._state.max_held_body_bytes} bytes",
+                f"the body of an error response exceeds {len(start)} bytes",
             )
         self._require_unstarted()
         self._log.note_status(response.head.status)
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -15,6 +15,7 @@
     enginerates,
     fleet,
     health,
+    heldbodies,
     load,
     notices,
     pausedetection,
@@ -37,7 +38,6 @@
 # reserve. Without any tokens, its first callers would be refused where a server
 # rejects a request that it has not run.
 _INITIAL_TOKENS_SHARE = 1 / 3
-_DEFAULT_MAX_HELD_BODY_BYTES = 1024 * 1024
 _DEFAULT_STABLE_WINDOW = datetime.timedelta(seconds=3)
 
 
@@ -62,8 +62,8 @@
         clock: Clock that all tables share.
         zone: Availability zone of this process.
         retries: Limits on retries.
-        max_held_body_bytes: Size up to which the body of a response is held
-            until it is complete.
+        held_bodies: Limits of response bodies that are held until they are
+            complete; defaults if None.
         stable_window: Time after an outage of the store from which unlisted
             servers must get no requests.
         weights_bounds: Bounds on the use of outdated weights.
@@ -76,13 +76,13 @@
         clock: clock_lib.Clock,
         zone: str,
         retries: RetryPolicy,
-        max_held_body_bytes: int = _DEFAULT_MAX_HELD_BODY_BYTES,
+        held_bodies: heldbodies.HeldBodies | None = None,
         stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
         weights_bounds: weights_lib.WeightsBounds | None = None,
         started_s: float | None = None,
     ) -> None:
         self._clock = clock
-        self._max_held_body_bytes = max_held_body_bytes
+        self._held_bodies = held_bodies or heldbodies.HeldBodies()
         self._zone = zone
         self._retry_policy = retries
         self._table: routes.RoutingTable | None = None
@@ -118,9 +118,9 @@
         return self._zone
 
     @property
-    def max_held_body_bytes(self) -> int:
-        """Size up to which the body of a response is held until complete."""
-        return self._max_held_body_bytes
+    def held_bodies(self) -> heldbodies.HeldBodies:
+        """Response bodies that are held until they are complete."""
+        return self._held_bodies
 
     @property
     def table(self) -> routes.RoutingTable | None:
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -43,6 +43,7 @@
 
 class _Gateway(_FileModel):
     held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
+    held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
 
 
 class _File(_FileModel):
@@ -82,6 +83,7 @@
             may start on older ones.
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
+        max_held_total_bytes: Size of all bodies that are held at the same time.
         role: Name of the process's role.
     """
 
@@ -100,6 +102,7 @@
     lease_s: float
     version_s: float
     max_held_body_bytes: int
+    max_held_total_bytes: int
     role: str = "gateway"
 
 
@@ -153,4 +156,5 @@
         lease_s=parsed.bounds.lease_ms / 1000,
         version_s=parsed.bounds.version_ms / 1000,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
+        max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
     )
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -13,7 +13,12 @@
 
 from hibiscusstile import boundedhttp, outcome, sockets
 from hibiscusstile.backends import httpsession
-from hibiscusstile.gateway import exchange, fleet, serverstatements
+from hibiscusstile.gateway import (
+    exchange,
+    fleet,
+    heldbodies,
+    serverstatements,
+)
 from hibiscusstile.platform import eventstream, headers, responsecheck
 
 __all__ = ["HttpServerClient"]
@@ -273,13 +278,15 @@
         """Status and headers."""
         return self._head
 
-    async def read_held(self, max_bytes: int) -> exchange.HeldBody:
-        """Reads the body until it ends or exceeds `max_bytes`."""
+    async def read_held(
+        self, allowance: heldbodies.Allowance
+    ) -> exchange.HeldBody:
+        """Reads the body until it ends or grows beyond what is allowed."""
         data = bytearray()
         with _translated_failures():
             async for chunk in self._response.content.iter_any():
                 data += chunk
-                if len(data) > max_bytes:
+                if not allowance.grow(len(data)):
                     return exchange.HeldBody(bytes(data), complete=False)
             await self._response.check_complete()
         return exchange.HeldBody(bytes(data), complete=True)
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -16,6 +16,7 @@
 from hibiscusstile.gateway import (
     configurationrelay,
     follower,
+    heldbodies,
     notices,
     rollout,
     rolloutlease,
@@ -74,7 +75,10 @@
             clock,
             boot_settings.zone,
             _retry_policy(boot_settings),
-            boot_settings.max_held_body_bytes,
+            heldbodies.HeldBodies(
+                boot_settings.max_held_body_bytes,
+                boot_settings.max_held_total_bytes,
+            ),
             datetime.timedelta(seconds=boot_settings.stable_window_s),
             _weights_bounds(boot_settings),
             hibiscusstile.STARTED_S,
--- a/tests/gateway/test_endless.py
+++ b/tests/gateway/test_endless.py
@@ -19,7 +19,10 @@
     *("trailers", "error_body", "event", "event_lines", "interim_responses"),
     *("head_field", "head_fields", "garbage", "other_response_body"),
     *("other_responses", "after_the_response"),
+    *("tiny_chunks", "chunk_extension"),
 )
+_REQUESTS = 60
+_MAX_PAUSE_OF_ALL_S = 0.5
 
 
 class _ServerThread:
@@ -67,6 +70,25 @@
     server.close()
 
 
+@pytest.mark.parametrize(
+    "response",
+    ["body", "error_body", "tiny_chunks", "chunk_extension", "head_field"],
+)
+async def test_many_endless_responses_have_a_bounded_cost(
+    response: str, address: str
+) -> None:
+    """Guards against a faulty server that stalls all callers of a process.
+
+    With 100 requests, tiny chunks blocked the event loop for 3.5 s, and held
+    bodies took 129 MB.
+    """
+    result = await measuring.measure(
+        response, address, _TIME_LIMIT_S, requests=_REQUESTS
+    )
+    assert result.memory_bytes < _MAX_MEMORY_BYTES
+    assert result.pause_s < _MAX_PAUSE_OF_ALL_S
+
+
 async def test_an_endless_response_has_a_bounded_cost(
     response: str, address: str
 ) -> None:
--- a/tests/gateway/test_latecopies.py
+++ b/tests/gateway/test_latecopies.py
@@ -7,7 +7,7 @@
 import pytest
 
 from hibiscusstile import outcome
-from hibiscusstile.gateway import exchange, fleet
+from hibiscusstile.gateway import exchange, fleet, heldbodies
 from hibiscusstile.platform import servers
 from tests.builders import gateway as builders
 from tests.builders import rawserver
@@ -33,7 +33,8 @@
     async with client.send(
         _server(address), request, exchange.SendOptions("", 0, 2.0)
     ) as response:
-        held = await response.read_held(1_000_000)
+        with heldbodies.HeldBodies().hold() as allowance:
+            held = await response.read_held(allowance)
         return held.data
 
 
--- a/tests/gateway/test_longbodies.py
+++ b/tests/gateway/test_longbodies.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from hibiscusstile.gateway import exchange, fleet
+from hibiscusstile.gateway import exchange, fleet, heldbodies
 from hibiscusstile.platform import servers
 from tests.builders import gateway as builders
 from tests.builders import rawserver
@@ -65,7 +65,8 @@
                 exchange.SendOptions("", 0, 20.0),
             ) as response,
         ):
-            held = await response.read_held(_HELD_BYTES)
+            with heldbodies.HeldBodies(_HELD_BYTES).hold() as allowance:
+                held = await response.read_held(allowance)
             assert not held.complete
             received = bytearray(held.data)
             count = 0
@@ -77,3 +78,32 @@
     finally:
         await client.close()
     assert bytes(received) == body
+
+
+async def test_a_slow_body_of_tiny_chunks_reaches_the_caller() -> None:
+    """Guards against taking a slow sound body for endless framing."""
+    body = b"0123456789" * 400
+
+    async def script(connection: rawserver.RawConnection) -> None:
+        await connection.read_request()
+        await connection.send(
+            rawserver.response_bytes(
+                "r1", b"", framing="", Transfer_Encoding="chunked"
+            )
+        )
+        for position in range(0, len(body), 500):
+            chunks = (
+                b"1\r\n" + body[each : each + 1] + b"\r\n"
+                for each in range(position, position + 500)
+            )
+            await connection.send(b"".join(chunks))
+            await asyncio.sleep(_PAUSE_S)
+        await connection.send(b"0\r\n\r\n")
+
+    async with (
+        builders.gateway_harness() as harness,
+        rawserver.raw_server(script) as address,
+    ):
+        await harness.add_address(builders.PLAIN_SERVICE, "i-1", address)
+        status, received, complete = await harness.receive("/payment/1")
+    assert (status, received, complete) == (200, body, True)
