Block parts that no fact tells apart for a short time only

A sound part that was at the same three crashes as the crashing one, in other requests, was blocked with it for 60 s and more, and could not be cleared meanwhile.

Cause: a block of several candidates was treated as proved. It now lasts 3 to 6 s, different for each gateway, and does not outlast a crash or a sound request that tells the parts apart.

--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -36,6 +36,8 @@
 _BLOCK_S = 60.0
 _MAX_BLOCK_S = 900.0
 _MAX_JITTER = 2.0
+# How long blocks last of which only some are right. Soon a request tells.
+_CONTESTED_BLOCK_S = 3.0
 # A part is cleared as soon as a request with it completes.
 _RETRY_AFTER = datetime.timedelta(seconds=1)
 
@@ -74,11 +76,13 @@
         keys: A request that has all of these keys is blocked.
         crashes: Crashes that count against them.
         until_s: End of the block on the monotonic clock.
+        contested: Whether another block explains the same crashes as well.
     """
 
     keys: frozenset[str]
     crashes: int
     until_s: float
+    contested: bool = False
 
     @property
     def label(self) -> str:
@@ -97,7 +101,9 @@
     Keys with equally many crashes are told apart by the requests that met
     these. If all that had one key also had another, the first one alone is
     blocked. Keys that always came together are blocked together only: a request
-    with some of them may be sound, and tells which of them crash servers.
+    with some of them may be sound, and tells which of them crash servers. If
+    several keys remain, all are blocked for a short time, until a sound request
+    or another crash tells them apart.
 
     Args:
         clock: Measures the length of blocks.
@@ -179,7 +185,11 @@
         self._reported_s = float("inf") if reported else reported_s
         before, self._blocks = self._blocks, self._compute_blocks(reported)
         if reported:
-            self._confirmed = set(self._blocks)
+            self._confirmed = {
+                keys
+                for keys, block in self._blocks.items()
+                if not block.contested
+            }
         else:
             # The missing reports may concern keys that are blocked.
             for keys in before:
@@ -261,9 +271,12 @@
                 else _suffices(highest, len(tied), reported)
             ):
                 break
-            for keys in _most_specific(tied):
+            groups = _most_specific(tied)
+            for keys in groups:
                 charged = tied[min(keys)]
-                blocks[keys] = self._block(keys, highest.crashes, charged)
+                blocks[keys] = self._block(
+                    keys, highest.crashes, charged, contested=len(groups) > 1
+                )
                 explained.update(charged)
             for key in tied:
                 del suspects[key]
@@ -299,10 +312,14 @@
         keys: frozenset[str],
         crashes: int,
         charged: Collection[crashcharges.ChargedCrash],
+        *,
+        contested: bool = False,
     ) -> Block:
         doublings = max(0, crashes - _MIN_CRASHES)
         length_s = min(_MAX_BLOCK_S, _BLOCK_S * 2.0**doublings * self._jitter)
-        return Block(keys, crashes, _last_s(charged) + length_s)
+        if contested:
+            length_s = _CONTESTED_BLOCK_S * self._jitter
+        return Block(keys, crashes, _last_s(charged) + length_s, contested)
 
 
 def _most_specific(
--- a/tests/gateway/test_crashingparts.py
+++ b/tests/gateway/test_crashingparts.py
@@ -201,6 +201,24 @@
         assert _blocked(table) == {"m/turned"}
 
 
+def test_parts_that_no_fact_tells_apart_are_blocked_for_a_short_time() -> None:
+    """Guards against a sound part that stays blocked beside a crashing one."""
+    clock = base.ManualClock()
+    table = _table(clock)
+    for number in range(3):
+        _crash(clock, table, "m/bad", f"m/own{number}")
+        table.charges.note_crash(f"i-{clock.monotonic()}", ["m/sound"])
+    clock.advance(1.0)
+    assert _blocked(table) == {"m/bad", "m/sound"}
+    clock.advance(3.0)
+    assert _blocked(table) == set()
+    _crash(clock, table, "m/bad", "m/own")
+    clock.advance(1.0)
+    assert _blocked(table) == {"m/bad"}
+    clock.advance(60.0)
+    assert _blocked(table) == {"m/bad"}
+
+
 def test_crashes_without_a_common_cause_block_no_popular_part() -> None:
     """Guards against refusing sound requests when instances fail."""
     clock = base.ManualClock()
