Decide anew on parts that crashed requests leave a choice of

A block whose crashes other keys explain as well is now short and decided anew with the next crash or sound request.

--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -76,7 +76,7 @@
         keys: A request that has all of these keys is blocked.
         crashes: Crashes that count against them.
         until_s: End of the block on the monotonic clock.
-        contested: Whether another block explains the same crashes as well.
+        contested: Whether other keys explain the same crashes as well.
     """
 
     keys: frozenset[str]
@@ -102,8 +102,8 @@
     these. If all that had one key also had another, the first one alone is
     blocked. Keys that always came together are blocked together only: a request
     with some of them may be sound, and tells which of them crash servers. If
-    several keys remain, all are blocked for a short time, until a sound request
-    or another crash tells them apart.
+    the facts leave a choice, blocks are short and last until a sound request or
+    another crash tells the keys apart.
 
     Args:
         clock: Measures the length of blocks.
@@ -272,10 +272,11 @@
             ):
                 break
             groups = _most_specific(tied)
+            contested = groups != {frozenset(tied)}
             for keys in groups:
                 charged = tied[min(keys)]
                 blocks[keys] = self._block(
-                    keys, highest.crashes, charged, contested=len(groups) > 1
+                    keys, highest.crashes, charged, contested=contested
                 )
                 explained.update(charged)
             for key in tied:
