--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -383,10 +383,8 @@
     """Connects, and returns whether the peer closes the connection soon.
 
     Raises:
-        OSError: The connection was refused or failed.
-        TimeoutError: There was no connection in time.
-        ValueError: The address has no valid port.
-        OverflowError: The port is out of range.
+        OSError: The connection was refused, failed or took too long.
+        ValueError, OverflowError: The address has no valid port.
     """
     host, _, port = address.rpartition(":")
     async with asyncio.timeout(_CONNECT_TIMEOUT_S):
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -189,11 +189,9 @@
 
 def prompt_headers(*part_ids: str) -> dict[str, str]:
     """Returns the headers of a request with a prompt, for `call`."""
-    return {
-        "X_Model": "m1",
-        "X_Token_Usage": f"{500 * len(part_ids)},100",
-        "X_Prompt_Prefix": ",".join(f"{each}:500" for each in part_ids),
-    }
+    prefix = ",".join(f"{each}:500" for each in part_ids)
+    usage = f"{500 * len(part_ids)},100"
+    return dict(X_Model="m1", X_Token_Usage=usage, X_Prompt_Prefix=prefix)
 
 
 def gateway_state(
