--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -128,7 +128,7 @@
         response: exchange.ServerResponse,
         body: bytes,
     ) -> HeldError | None:
-        """Relays a complete body, or returns it if it is not the last one."""
+        """Relays a complete response; returns errors that allow a retry."""
         failed = response.head.status >= _FIRST_SERVER_ERROR_STATUS
         self._state.health.note_response(server, failed)
         self._log.attempt_answered(
