--- a/hibiscusstile_standins/runner.py
+++ b/hibiscusstile_standins/runner.py
@@ -23,6 +23,7 @@
 
 _WEIGHT_LOAD_S = 0.05
 _COMMENT_INTERVAL_S = 0.02
+_PAUSE_S = 2.5
 
 
 @hibiscusstile_standins.stand_ins.register()
@@ -120,6 +121,7 @@
             lose_answer: Executes the request, then drops the connection.
             hang: Sends no response.
             stall: Sends two events, then comments without end.
+            pause: Sends two events, nothing for 2.5 s, then the rest.
             cut: Ends the response in the middle of the body or the stream.
             unframed: No `Content-Length`; the closed connection ends the body.
             unframed_reset: As `unframed`, but with a reset in mid-body.
@@ -127,7 +129,8 @@
             garbage: Bytes that are not HTTP.
             no_digest: No `X-Response-Stamp`.
 
-        Streams support `full`, `lose_answer`, `hang`, `stall` and `cut` only.
+        Streams support `full`, `lose_answer`, `hang`, `stall`, `pause` and
+        `cut` only.
         """
         self._queued_modes.extend(modes)
 
@@ -369,6 +372,8 @@
                 while True:
                     await response.write(b": \n\n")
                     await asyncio.sleep(_COMMENT_INTERVAL_S)
+            if mode == "pause" and number == 3:
+                await asyncio.sleep(_PAUSE_S)
             if mode == "cut" and number == 3 and first == 1:
                 # Cuts a new stream in mid-event; a resumed stream completes.
                 await response.write(b"id: 3\nda")
