End streams of silent servers at their time limit only

Cause: a limit on the time without an event, meant for servers that hang, ended streams. Nothing tells a hung server from a sound one that is silent, such as an engine that has preempted the stream. The limit also ran on while the gateway waited for its caller to read. A stream that might be resumed left its server after half of the limit, whether or not another server was there to take it.

Now a silent server is recorded and avoided by other requests, as before, and the stream goes on until its time limit. A stream that may be resumed leaves only if another server is healthy, has a free slot and time to answer, if an attempt is left, and if the budget has the tokens for the next server and for the way back to the first one.

--- a/hibiscusstile/gateway/attemptfailures.py
+++ b/hibiscusstile/gateway/attemptfailures.py
@@ -66,7 +66,8 @@
                 else:
                     self._state.health.note_no_response(server)
             case exchange.FailureCause.STALLED:
-                self._state.health.note_no_response(server)
+                # Recorded when the server became silent.
+                pass
 
     def _note_rejection(
         self, server_id: str, failure: exchange.AttemptFailed
--- a/hibiscusstile/gateway/attemptlimits.py
+++ b/hibiscusstile/gateway/attemptlimits.py
@@ -16,6 +16,7 @@
     exchange.FailureCause.NOT_REACHED,
     exchange.FailureCause.FULL,
     exchange.FailureCause.OTHER_WEIGHTS,
+    exchange.FailureCause.STALLED,
 )
 
 
@@ -27,6 +28,7 @@
         self._excluded_for_request: set[str] = set()
         self._failed_deliveries = 0
         self._connect_failures = 0
+        self._left_silent_server = False
 
     @property
     def excluded(self) -> set[str]:
@@ -38,6 +40,11 @@
         """Whether a server has received the request and failed."""
         return self._failed_deliveries > 0
 
+    @property
+    def left_silent_server(self) -> bool:
+        """Whether a stream has left a server that sent no event."""
+        return self._left_silent_server
+
     def excludes_for_request(self, server_id: str) -> bool:
         """Returns whether a server gets the request no more."""
         return server_id in self._excluded_for_request
@@ -58,6 +65,8 @@
             self._connect_failures += 1
         else:
             self._failed_deliveries += 1
+        if cause is exchange.FailureCause.STALLED:
+            self._left_silent_server = True
         if cause in _PASSING_CAUSES:
             self._excluded_until_pause.add(server_id)
         else:
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -148,7 +148,7 @@
     INVALID = "invalid"
     """The response is malformed, out of order or larger than a limit."""
     STALLED = "stalled"
-    """The response made no progress for longer than its caller waits."""
+    """The server was silent, and another one could continue the stream."""
 
 
 class AttemptFailed(Exception):  # noqa: N818 - an outcome, not a program error
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -13,6 +13,7 @@
     crashevidence,
     deadline,
     exchange,
+    handover,
     load,
     overload,
     prefillcoalescing,
@@ -20,6 +21,7 @@
     requestlog,
     requestprogress,
     resolving,
+    retries,
     selection,
     sending,
     serverselection,
@@ -32,7 +34,8 @@
 _NO_SERVER_PAUSE = datetime.timedelta(milliseconds=60)
 # Share of the target latency for which a request waits for a server.
 _MAX_WAIT_TARGET_SHARE = 0.5
-# Longest time after a failure for which a started stream waits for a server.
+# Longest time after a failure for which a stream that has begun waits for a
+# server.
 # Callers abandon a started stream after 2 s without an event.
 _MAX_RESUME_WAIT_S = 1.5
 _FIRST_REDIRECT_STATUS = 300
@@ -82,6 +85,10 @@
         self._prefill_coalescer = prefillcoalescing.PrefillCoalescer(
             state, request, destination.route.target_latency_s, self._rates
         )
+        self._budget = state.budget(destination.service.name)
+        self._retries = retries.Retries(
+            destination.route, self._budget, writer, self._progress, self._log
+        )
         self._relay = relaying.ResponseRelay(
             state,
             request.model,
@@ -92,6 +99,16 @@
             self._prefill_coalescer,
             self._rates,
             self._evidence,
+            handover.StreamHandover(
+                state,
+                self._progress,
+                self._deadline,
+                self._limits,
+                self._retries,
+                self._evidence,
+                self._log,
+                self._select_server,
+            ),
         )
         self._last_error_response: relaying.HeldError | None = None
 
@@ -106,7 +123,7 @@
         On failure the caller gets an error response, or a truncated stream if
         one has started.
         """
-        self._state.budget(self._destination.service.name).note_first_attempt()
+        self._budget.note_first_attempt()
         # Stays if writing to the caller raises an exception.
         result = "caller_lost"
         try:
@@ -130,6 +147,7 @@
             result = "cancelled"
             raise
         finally:
+            self._retries.release()
             self._log.request_ended(
                 result, self._progress, self._deadline, self._refusal
             )
@@ -148,7 +166,7 @@
             if held_error is None:
                 return
             self._last_error_response = held_error
-            if not (self._may_run_again() and self._acquire_retry()):
+            if not (self._retries.may_run_again() and self._retries.acquire()):
                 await self._send_last_error()
                 return
             self._limits.exclude(selected.candidate.server.server_id)
@@ -161,13 +179,7 @@
         """
         while True:
             self._refuse_if_suspect()
-            selected = serverselection.select_server(
-                self._state,
-                self._destination.service,
-                self._selection_context(),
-                self._destination.cache_scope,
-                self._limits.excluded,
-            )
+            selected = self._select_server(self._limits.excluded)
             if selected is not None:
                 self._refuse_if_overloaded(selected)
                 if (
@@ -195,7 +207,7 @@
             for server in usable_servers
         ):
             return False
-        if self._writer.started:
+        if self._writer.started or self._limits.left_silent_server:
             return self._now_s() - self._last_failure_s < _MAX_RESUME_WAIT_S
         elapsed_s = self._now_s() - self._request.received_s
         return (
@@ -307,7 +319,7 @@
         Takes a token from the retry budget if a server received the request.
         """
         ran = failure.verdict is not outcome.Verdict.NOT_RUN
-        if ran and not self._may_run_again():
+        if ran and not self._retries.may_run_again():
             raise outcome.refused(
                 outcome.Reason.BACKEND_FAILED,
                 "the server sent no complete response, and the request must not"
@@ -318,26 +330,11 @@
         # budget.
         if self._limits.allow_retry_after(failure.cause) and (
             failure.cause is exchange.FailureCause.NOT_REACHED
-            or self._acquire_retry()
+            or self._retries.acquire()
         ):
             return
         self._refuse_further_attempts()
 
-    def _may_run_again(self) -> bool:
-        return self._progress.may_run_again(
-            self._destination.route, started=self._writer.started
-        )
-
-    def _acquire_retry(self) -> bool:
-        service = self._destination.service.name
-        # Only the reason matters to the budget: the retry costs a token.
-        refusal = outcome.Refusal(outcome.Reason.BACKEND_FAILED, "retry")
-        granted = self._state.budget(service).try_acquire(
-            refusal, started=self._writer.started
-        )
-        self._log.retry_decided(granted)
-        return granted
-
     async def _finish_failed(self, refusal: outcome.Refusal) -> None:
         """Ends a failed request.
 
@@ -369,13 +366,21 @@
             new_connection=self._progress.repeats_address,
         )
 
-    def _selection_context(self) -> selection.SelectionContext:
-        return selection.SelectionContext(
-            self._request,
-            self._destination.rank,
-            self._destination.route.target_latency_s,
-            self._state.zone,
-            self._rates,
+    def _select_server(
+        self, excluded_ids: set[str]
+    ) -> selection.SelectedServer | None:
+        return serverselection.select_server(
+            self._state,
+            self._destination.service,
+            selection.SelectionContext(
+                self._request,
+                self._destination.rank,
+                self._destination.route.target_latency_s,
+                self._state.zone,
+                self._rates,
+            ),
+            self._destination.cache_scope,
+            excluded_ids,
         )
 
     def _now_s(self) -> float:
--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-import asyncio
+import functools
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
@@ -10,13 +10,14 @@
     enginerates,
     exchange,
     fleet,
+    handover,
     load,
     prefillcoalescing,
-    progress,
     requestlog,
     requestprogress,
     routes,
     selection,
+    silence,
 )
 from hibiscusstile.gateway import state as state_lib
 
@@ -43,6 +44,7 @@
         prefill_coalescer: The request's part in prefills of its prefix.
         rates: Estimate of the service's engines.
         evidence: What the request tells about prompt parts that crash engines.
+        stream_handover: Decides when a stream leaves a silent server.
     """
 
     def __init__(
@@ -56,6 +58,7 @@
         prefill_coalescer: prefillcoalescing.PrefillCoalescer,
         rates: enginerates.EngineRates,
         evidence: crashevidence.RequestEvidence,
+        stream_handover: handover.StreamHandover,
     ) -> None:
         self._state = state
         self._model = model
@@ -66,6 +69,7 @@
         self._prefill_coalescer = prefill_coalescer
         self._rates = rates
         self._evidence = evidence
+        self._handover = stream_handover
         self._unfinished_server: fleet.BackendServer | None = None
 
     @property
@@ -186,36 +190,42 @@
         in_flight: load.InFlightRequest,
         response: exchange.ServerResponse,
     ) -> None:
-        max_gap_s = progress.max_event_gap_s(
-            self._route,
-            may_resume=self._progress.may_run_again(
-                self._route, started=self._writer.started
-            ),
+        server = candidate.server
+        # Leaving this server takes another run.
+        self._progress.note_run(outcome.Verdict.MAY_HAVE_RUN)
+        watch = silence.SilenceWatch(
+            silence.limit_s(self._route),
+            functools.partial(self._handover.note_silent, server),
+            functools.partial(self._handover.try_leave, server),
         )
-        loop = asyncio.get_running_loop()
         continues = self._writer.started
         # Only a caller that resumes may already have all events.
         event_needed = continues or not self._progress.last_event_id
         try:
-            async with asyncio.timeout(max_gap_s) as event_due:
+            async with watch.watching():
                 async for event in response.events():
                     if event.has_content:
                         if continues:
                             self._require_next(event)
                             continues = False
+                        if watch.silent:
+                            self._handover.note_output(server)
                         self._note_content(candidate, in_flight)
+                        event_needed = False
                     elif continues:
                         # May be the text of an error instead of a comment.
                         continue
+                    watch.pause()
                     await self._relay_event(candidate, response.head, event)
-                    if event.has_content:
-                        event_needed = False
-                        event_due.reschedule(loop.time() + max_gap_s)
-        except TimeoutError:
+                    self._log.note_caller_wait(
+                        watch.resume(output=event.has_content)
+                    )
+        except silence.ServerSilent:
             raise exchange.AttemptFailed(
                 exchange.FailureCause.STALLED,
                 outcome.Verdict.MAY_HAVE_RUN,
-                f"no event for {max_gap_s:g} s",
+                f"no event for {silence.limit_s(self._route):g} s, and another "
+                "server can continue the stream",
             ) from None
         if event_needed:
             raise exchange.AttemptFailed(
@@ -226,7 +236,7 @@
         if not self._writer.started:
             await self._writer.start_stream(response.head)
         await self._writer.finish_stream()
-        self._log.attempt_answered(candidate.server.server_id, "streamed")
+        self._log.attempt_answered(server.server_id, "streamed")
 
     def _note_content(
         self, candidate: selection.Candidate, in_flight: load.InFlightRequest
@@ -264,9 +274,7 @@
         self._note_version(candidate.server, event.weights_version)
         if not self._writer.started:
             await self._writer.start_stream(head)
-        write_started_s = self._now_s()
         await self._writer.write(event.data)
-        self._log.note_caller_wait(self._now_s() - write_started_s)
         self._progress.note_event(event.event_id, has_content=event.has_content)
 
     def _note_version(
--- a/hibiscusstile/gateway/requestlog.py
+++ b/hibiscusstile/gateway/requestlog.py
@@ -126,6 +126,26 @@
         """Logs and counts an attempt that got a complete response."""
         self._attempt(server_id, result, outcome.Verdict.RAN)
 
+    def server_silent(self, server_id: str) -> None:
+        """Logs and counts a server that sends no event of its stream."""
+        metrics.count_silent_server()
+        self._silence("server_silent", server_id)
+
+    def server_silence_ended(self, server_id: str) -> None:
+        """Logs that a silent server has sent an event."""
+        self._silence("server_silence_ended", server_id)
+
+    def _silence(self, event: str, server_id: str) -> None:
+        now_s = self._state.clock.monotonic()
+        logs.event(
+            _log,
+            event,
+            request=self._request.request_id,
+            server=server_id,
+            silent_s=round(now_s - self._server_output_s, 3),
+            elapsed_s=self._elapsed_s(),
+        )
+
     def retry_decided(self, granted: bool) -> None:
         """Counts a retry decision, and logs a retry denied by the budget."""
         service = self._destination.service.name
--- /dev/null
+++ b/hibiscusstile/gateway/retries.py
@@ -0,0 +1,85 @@
+"""Decides whether one request may be sent again, and pays for it."""
+
+from __future__ import annotations
+
+from hibiscusstile import outcome, retrybudget
+from hibiscusstile.gateway import (
+    exchange,
+    requestlog,
+    requestprogress,
+    routes,
+)
+
+__all__ = ["Retries"]
+
+# A stream that leaves its silent server may be rejected by the next one and
+# then has to go back.
+_TOKENS_TO_LEAVE = 2
+
+
+class Retries:
+    """Retries of one request.
+
+    Args:
+        route: Route of the request.
+        budget: Retry budget of its service.
+        writer: Writes the response to the caller.
+        progress: Attempts of the request.
+        log: Log of the request.
+    """
+
+    def __init__(
+        self,
+        route: routes.Route,
+        budget: retrybudget.RetryBudget,
+        writer: exchange.ResponseWriter,
+        progress: requestprogress.RequestProgress,
+        log: requestlog.RequestLog,
+    ) -> None:
+        self._route = route
+        self._budget = budget
+        self._writer = writer
+        self._progress = progress
+        self._log = log
+        self._held_tokens = 0
+
+    def may_run_again(self) -> bool:
+        """Returns whether a request that may have run may be sent again."""
+        return self._progress.may_run_again(
+            self._route, started=self._writer.started
+        )
+
+    def acquire(self) -> bool:
+        """Returns whether the budget allows a retry, and takes its token."""
+        if self._held_tokens:
+            self._held_tokens -= 1
+            granted = True
+        else:
+            granted = self._try_acquire()
+        self._log.retry_decided(granted)
+        return granted
+
+    def hold_tokens_to_leave(self) -> bool:
+        """Takes the tokens of the next retries, if the budget has them all.
+
+        Returns:
+            Whether it has.
+        """
+        if self._budget.tokens < _TOKENS_TO_LEAVE:
+            return False
+        while self._held_tokens < _TOKENS_TO_LEAVE:
+            if not self._try_acquire():
+                self.release()
+                return False
+            self._held_tokens += 1
+        return True
+
+    def release(self) -> None:
+        """Returns the tokens that were taken and not used."""
+        self._budget.give_back(self._held_tokens)
+        self._held_tokens = 0
+
+    def _try_acquire(self) -> bool:
+        # Only the reason matters to the budget: the retry costs a token.
+        refusal = outcome.Refusal(outcome.Reason.BACKEND_FAILED, "retry")
+        return self._budget.try_acquire(refusal, started=self._writer.started)
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -8,7 +8,7 @@
 from hibiscusstile.gateway import fleet, pools, routes, selection
 from hibiscusstile.gateway import state as state_lib
 
-__all__ = ["cache_salt", "select_server"]
+__all__ = ["cache_salt", "is_healthy", "select_server"]
 
 _ENGINE_STRATEGY = "expected_first_token"
 _PLAIN_SERVICE_STRATEGY = "least_running"
@@ -61,14 +61,7 @@
     ]
     if not candidates:
         return None
-    now_s = state.clock.monotonic()
-    healthy = [
-        each
-        for each in candidates
-        if state.health.is_up(each.server.server_id)
-        and not state.weights.is_changing(each.server.server_id)
-        and each.load.overdue_s(now_s) < _MAX_SILENCE_S
-    ]
+    healthy = [each for each in candidates if is_healthy(state, each)]
     name = _ENGINE_STRATEGY if service.engine else _PLAIN_SERVICE_STRATEGY
     strategy = selection.get_selection_by_name(name)()
     # An outdated engine may be healthy but too late.
@@ -76,6 +69,18 @@
     return selected or strategy.select(context, candidates)
 
 
+def is_healthy(
+    state: state_lib.GatewayState, candidate: selection.Candidate
+) -> bool:
+    """Returns whether a server is not down, silent or loading weights."""
+    server_id = candidate.server.server_id
+    return (
+        state.health.is_up(server_id)
+        and not state.weights.is_changing(server_id)
+        and candidate.load.overdue_s(state.clock.monotonic()) < _MAX_SILENCE_S
+    )
+
+
 def _candidate(
     state: state_lib.GatewayState,
     service: routes.Service,
--- /dev/null
+++ b/hibiscusstile/gateway/silence.py
@@ -0,0 +1,140 @@
+"""Watches for servers that send no event of a stream for a while.
+
+Silence alone ends no stream: only its time limit does. Only events count as
+output, since a server may send comments that keep the connection open for as
+long as it likes.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from collections.abc import AsyncIterator, Callable
+
+from hibiscusstile.gateway import routes
+
+__all__ = ["ServerSilent", "SilenceWatch", "limit_s"]
+
+# Callers abandon a stream after the longest of these gaps between two events.
+_MIN_PATIENCE_S = 2.0
+_PATIENCE_TARGETS = 4.0
+_PATIENCE_EVENT_GAPS = 8.0
+# Share of the caller's patience after which a server counts as silent. Another
+# server that continues the stream has the rest of it to send its first event.
+_SILENCE_SHARE = 0.5
+# Time in which data is read that arrived while this process was paused.
+_CATCH_UP_S = 0.05
+# Time until a caller that does not read, or another server, is checked again.
+_RECHECK_S = 0.25
+
+
+class ServerSilent(Exception):  # noqa: N818 - an outcome, not a program error
+    """The stream leaves a silent server, since another one may continue it."""
+
+
+def limit_s(route: routes.Route) -> float:
+    """Returns the time without an event after which a server is silent."""
+    patience_s = max(
+        _MIN_PATIENCE_S,
+        _PATIENCE_TARGETS * route.target_latency_s,
+        _PATIENCE_EVENT_GAPS * route.event_gap_s,
+    )
+    return patience_s * _SILENCE_SHARE
+
+
+class SilenceWatch:
+    """Notices a silent server, and ends the wait for it once another is ready.
+
+    Args:
+        max_silence_s: Time without output after which a server is silent.
+        note_silent: Called when the server becomes silent.
+        try_leave: Returns whether the stream leaves its silent server now;
+            called until it does or the server sends an event.
+    """
+
+    def __init__(
+        self,
+        max_silence_s: float,
+        note_silent: Callable[[], None],
+        try_leave: Callable[[], bool],
+    ) -> None:
+        self._max_silence_s = max_silence_s
+        self._note_silent = note_silent
+        self._try_leave = try_leave
+        self._loop = asyncio.get_running_loop()
+        self._scope = asyncio.timeout(None)
+        self._timer: asyncio.TimerHandle | None = None
+        self._output_s = self._loop.time()
+        self._paused_s: float | None = None
+        self._output_count = 0
+        # Output after which the limit was seen to have passed.
+        self._overdue_count: int | None = None
+        self._silent = False
+
+    @property
+    def silent(self) -> bool:
+        """Whether the server is silent."""
+        return self._silent
+
+    @contextlib.asynccontextmanager
+    async def watching(self) -> AsyncIterator[None]:
+        """Watches during the context.
+
+        Raises:
+            ServerSilent: The stream leaves the server.
+        """
+        self._output_s = self._loop.time()
+        self._schedule(self._output_s + self._max_silence_s)
+        try:
+            async with self._scope:
+                yield
+        except TimeoutError:
+            if not self._scope.expired():
+                raise
+            raise ServerSilent from None
+        finally:
+            if self._timer is not None:
+                self._timer.cancel()
+
+    def pause(self) -> None:
+        """Stops counting while the caller is written to."""
+        self._paused_s = self._loop.time()
+
+    def resume(self, *, output: bool) -> float:
+        """Counts again and returns the length of the pause in seconds.
+
+        Args:
+            output: Whether the server has sent an event.
+        """
+        now_s = self._loop.time()
+        pause_s = 0.0 if self._paused_s is None else now_s - self._paused_s
+        self._paused_s = None
+        if output:
+            self._output_s = now_s
+            self._output_count += 1
+            self._silent = False
+        else:
+            self._output_s += pause_s
+        return pause_s
+
+    def _schedule(self, time_s: float) -> None:
+        self._timer = self._loop.call_at(time_s, self._check)
+
+    def _check(self) -> None:
+        now_s = self._loop.time()
+        due_s = self._output_s + self._max_silence_s
+        if self._paused_s is not None:
+            self._schedule(now_s + _RECHECK_S)
+        elif now_s < due_s:
+            self._schedule(due_s)
+        elif self._overdue_count != self._output_count:
+            self._overdue_count = self._output_count
+            self._schedule(now_s + _CATCH_UP_S)
+        else:
+            if not self._silent:
+                self._silent = True
+                self._note_silent()
+            if self._try_leave():
+                self._scope.reschedule(now_s)
+            else:
+                self._schedule(now_s + _RECHECK_S)
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -20,6 +20,7 @@
     "count_request",
     "count_retry",
     "count_server_down",
+    "count_silent_server",
     "count_store_call",
     "count_store_restore",
     "observe_first_event",
@@ -79,6 +80,10 @@
     "hibiscusstile_servers_down",
     "Servers that refused connections after they had lost a request",
 )
+_silent_servers = collectors.Counter(
+    "hibiscusstile_silent_servers",
+    "Streams whose server sent no event for half of their caller's patience",
+)
 _crashing_parts = collectors.Counter(
     "hibiscusstile_crashing_parts",
     "Prompt parts blocked because they crash engines, and parts cleared",
@@ -125,6 +130,11 @@
     _servers_down.inc({"planned": str(planned).lower()})
 
 
+def count_silent_server() -> None:
+    """Counts a stream whose server is silent."""
+    _silent_servers.inc({})
+
+
 def count_crashing_part(change: str) -> None:
     """Counts a prompt part that was blocked or cleared."""
     _crashing_parts.inc({"change": change})
--- a/hibiscusstile/retrybudget.py
+++ b/hibiscusstile/retrybudget.py
@@ -84,3 +84,7 @@
             return False
         self._tokens -= 1.0
         return True
+
+    def give_back(self, tokens: int) -> None:
+        """Returns tokens of retries that were not made."""
+        self._tokens = min(self._max_tokens, self._tokens + tokens)
