Let a server read a long body until the time limit of its request

A request whose server did not read a body of 1 MB for 2.5 s ended with 502, also if it must not run again, although its time limit allowed the server to read on. TCP_USER_TIMEOUT closes a connection to a peer that acknowledges everything but has no room for more data, not only to one that is gone.

Requests with a body beyond what the kernel of the server buffers now set the limit to the time left; others keep the short one.

--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 import aiohttp
-import multidict
 import yarl
 
 from hibiscusstile import boundedhttp, outcome, sockets
@@ -19,7 +18,12 @@
     heldbodies,
     serverstatements,
 )
-from hibiscusstile.platform import eventstream, headers, responsecheck
+from hibiscusstile.platform import (
+    eventstream,
+    headers,
+    responsecheck,
+    serverrequests,
+)
 
 __all__ = ["HttpServerClient"]
 
@@ -180,7 +184,9 @@
                 yarl.URL(
                     f"http://{server.address}{request.target}", encoded=True
                 ),
-                headers=_outgoing_headers(server, request, options),
+                headers=serverrequests.outgoing_headers(
+                    server, request, options
+                ),
                 data=request.body or None,
                 allow_redirects=False,
                 trace_request_ctx=trace,
@@ -241,6 +247,7 @@
                     socket_factory=sockets.create_socket,
                     **keep_alive,
                 ),
+                request_class=serverrequests.ServerRequest,
                 response_class=_CheckedResponse,
                 timeout=aiohttp.ClientTimeout(
                     total=None, sock_connect=_CONNECT_TIMEOUT_S
@@ -345,30 +352,6 @@
         ) from None
 
 
-def _outgoing_headers(
-    server: fleet.BackendServer,
-    request: exchange.ForwardedRequest,
-    options: exchange.SendOptions,
-) -> multidict.CIMultiDict[str]:
-    outgoing = multidict.CIMultiDict(request.headers)
-    outgoing[headers.EXPECTED_SERVER] = server.server_id
-    outgoing[headers.TIME_LEFT] = str(max(1, int(options.time_left_s * 1000)))
-    if options.workspace:
-        outgoing[headers.WORKSPACE] = options.workspace
-    if options.cache_salt:
-        outgoing[headers.CACHE_SALT] = options.cache_salt
-        outgoing[headers.RANK] = headers.format_rank(options.rank)
-    if options.weights_version is not None:
-        outgoing[headers.EXPECTED_VERSION] = str(options.weights_version)
-    if options.fetch_from:
-        outgoing[headers.FETCH_FROM] = options.fetch_from
-    if options.save_to:
-        outgoing[headers.SAVE_TO] = options.save_to
-    if options.last_event_id:
-        outgoing[headers.LAST_EVENT_ID] = options.last_event_id
-    return outgoing
-
-
 def _request_failure(
     trace: httpsession.RequestTrace, error: Any
 ) -> exchange.AttemptFailed:
--- a/hibiscusstile/sockets.py
+++ b/hibiscusstile/sockets.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import socket
 from typing import Any
 
@@ -9,12 +10,18 @@
 
 from hibiscusstile import boundedhttp
 
-__all__ = ["create_socket", "open_session", "set_tcp_options"]
+__all__ = [
+    "create_socket",
+    "open_session",
+    "set_tcp_options",
+    "set_unread_limit",
+]
 
 # The kernel closes a dead connection within about 3 s, the time in which the
 # platform expects a fault to be handled: an idle one after 1 s and two probes
 # 1 s apart, one with unacknowledged data after 2.5 s.
 _USER_TIMEOUT_MS = 2500
+_MAX_USER_TIMEOUT_MS = 2**31 - 1
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
 _KEEPALIVE_PROBES = 2
@@ -43,6 +50,26 @@
     sock.setsockopt(level, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
 
+def set_unread_limit(
+    sock: socket.socket, limit: datetime.timedelta | None
+) -> None:
+    """Sets how long a live peer may leave data unread.
+
+    The kernel closes a connection after `TCP_USER_TIMEOUT` also if the peer
+    responds, but has no room for more data as its program does not read.
+
+    Args:
+        sock: Socket of the connection.
+        limit: The limit, which also delays the detection of a dead peer; the
+            limit of `set_tcp_options` if None.
+    """
+    timeout_ms = _USER_TIMEOUT_MS
+    if limit is not None:
+        limit_ms = round(limit / datetime.timedelta(milliseconds=1))
+        timeout_ms = max(timeout_ms, min(limit_ms, _MAX_USER_TIMEOUT_MS))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, timeout_ms)
+
+
 def open_session(
     timeout: aiohttp.ClientTimeout,
     *,
--- a/tests/gateway/test_longbodies.py
+++ b/tests/gateway/test_longbodies.py
@@ -16,6 +16,8 @@
 _HELD_BYTES = 100_000
 _PAUSE_EVERY_CHUNKS = 5
 _PAUSE_S = 0.005
+# Longer than the time after which a dead peer is detected.
+_UNREAD_S = 3.0
 
 
 def _chunked(body: bytes, sizes: random.Random) -> bytes:
@@ -107,3 +109,32 @@
         await harness.add_address(builders.PLAIN_SERVICE, "i-1", address)
         status, received, complete = await harness.receive("/payment/1")
     assert (status, received, complete) == (200, body, True)
+
+
+@pytest.mark.parametrize("path", ["/payment/1", "/lookup/1"])
+async def test_a_server_may_read_a_long_body_late(path: str) -> None:
+    """Guards against a sound server that is cut while it does not read."""
+
+    async def script(connection: rawserver.RawConnection) -> None:
+        await asyncio.sleep(_UNREAD_S)
+        request_id = await connection.read_request()
+        await connection.send(rawserver.response_bytes(request_id, b"done"))
+
+    limits = builders.configuration_record()["limits"]
+    limits["max_body_bytes"] = _BODY_BYTES
+    routes = [
+        builders.operator_route(name, f"/{name}/", kind=kind, timeout_ms=8000)
+        for name, kind in (
+            ("payment", "non_idempotent"),
+            ("lookup", "idempotent"),
+        )
+    ]
+    async with (
+        builders.gateway_harness(routes=routes, limits=limits) as harness,
+        rawserver.raw_server(script) as address,
+    ):
+        await harness.add_address(builders.PLAIN_SERVICE, "i-1", address)
+        status, body, _ = await harness.call(
+            path, body=b"x" * _BODY_BYTES, X_Deadline_Ms="8000"
+        )
+    assert (status, body) == (200, b"done")
