Keep a stream at its server if an event arrives as it leaves

The wait for a silent server ends in the next step of the event loop. An event that was read in between was being written to the caller when that interrupted it; it did not count as sent, and the next server would have sent it again.

Found by review of the code, not seen in a run. The test failed before.

--- a/hibiscusstile/gateway/silence.py
+++ b/hibiscusstile/gateway/silence.py
@@ -70,6 +70,8 @@
         # Output after which the limit was seen to have passed.
         self._overdue_count: int | None = None
         self._silent = False
+        # Whether the wait for the server is about to end.
+        self._leaving = False
 
     @property
     def silent(self) -> bool:
@@ -97,8 +99,17 @@
                 self._timer.cancel()
 
     def pause(self) -> None:
-        """Stops counting while the caller is written to."""
-        self._paused_s = self._loop.time()
+        """Stops counting while the caller is written to.
+
+        An event that arrives just as the stream leaves its server keeps it
+        there: ending the wait now would interrupt the writing of the event.
+        """
+        now_s = self._loop.time()
+        self._paused_s = now_s
+        if self._leaving:
+            self._leaving = False
+            self._scope.reschedule(None)
+            self._schedule(now_s + _RECHECK_S)
 
     def resume(self, *, output: bool) -> float:
         """Counts again and returns the length of the pause in seconds.
@@ -135,6 +146,7 @@
                 self._silent = True
                 self._note_silent()
             if self._try_leave():
+                self._leaving = True
                 self._scope.reschedule(now_s)
             else:
                 self._schedule(now_s + _RECHECK_S)
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -63,6 +63,24 @@
     assert watched.silences == 1
 
 
+async def test_an_event_that_arrives_in_time_keeps_the_server() -> None:
+    """Guards against an event whose writing is interrupted and repeated."""
+    loop = asyncio.get_running_loop()
+    arrived = loop.create_future()
+
+    def try_leave() -> bool:
+        if not arrived.done():
+            arrived.set_result(None)
+        return True
+
+    watch = silence.SilenceWatch(0.05, lambda: None, try_leave)
+    async with watch.watching():
+        await arrived
+        watch.pause()
+        await asyncio.sleep(0.1)
+        watch.resume(output=True)
+
+
 async def test_a_time_limit_in_a_watched_stream_is_no_silence() -> None:
     """Guards against a deadline that the log shows as a silent server."""
     watched = _Watched(5.0)
