Keep servers gone that a restored store lists again

Callers saw streams cut: a store that came back from a copy listed a server whose entry had been removed since, gateways sent it requests (DRAIN), and it exited as it had announced.

Cause: a removal was kept as absence only. Fleet.remove forgot the server, and Fleet.put compares entries with those that said draining, so the entry of the copy counted as a new server.

A server that is dropped is now remembered by id and start time with its highest sequence. An entry of the same process holds only with a higher one, which a process that was silent for too long has when it writes again, while a copy cannot have it. After a grace period the same sequence suffices, since the store may have lost the entry of a live server. At most 4,096 are remembered. A process that another one of its id replaced is gone too.

Records that precede the listed entry, but come again since reading goes on from the end of the first page, are passed over. A removal among them would otherwise hold against the entry after it.

--- a/hibiscusstile/gateway/fleet.py
+++ b/hibiscusstile/gateway/fleet.py
@@ -25,6 +25,8 @@
 _KEPT_SHARE = 0.9
 # The oldest ones are dropped; their servers have ended long before.
 _MAX_LEAVING_SERVERS = 4096
+# The oldest ones are dropped; a copy of the store is only seconds old.
+_MAX_GONE_SERVERS = 4096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -39,6 +41,8 @@
         slots: Maximum number of concurrent requests.
         leaving: Whether it is shutting down.
         started_ms: Start time as Unix time in ms; 0 if unknown.
+        sequence: Number of the entry, which each entry of a process raises;
+            -1 if unknown.
         weights: Weights version that its entry lists for each model.
     """
 
@@ -49,6 +53,7 @@
     slots: int
     leaving: bool = False
     started_ms: int = 0
+    sequence: int = -1
     weights: Mapping[str, int] = dataclasses.field(default_factory=dict)
 
 
@@ -64,6 +69,13 @@
     last. Start times that are unknown count as unchanged while the server is
     listed.
 
+    A store that is restored from a copy lists servers again whose entries were
+    removed since. A server that is gone is listed again only by an entry of
+    another start time, or of a higher sequence than any before: a process that
+    was silent for too long goes on counting. The same sequence suffices if the
+    grace period has ended since: the store may have lost the entry of a live
+    server, which writes it again.
+
     Args:
         clock: Clock for the grace period after a store outage.
         statements: What servers say of themselves; none by default.
@@ -86,6 +98,9 @@
         self._servers_by_service: dict[str, dict[str, BackendServer]] = {}
         # Ids and start times, oldest first.
         self._leaving: dict[tuple[str, int], None] = {}
+        # Highest sequence that does not list a gone server again, by id and
+        # start time, oldest first.
+        self._gone: dict[tuple[str, int], int] = {}
         # Expiry time of entries that expired around an outage of the store.
         self._expired_at_s: dict[str, float] = {}
         # End of the grace period; infinite during an outage.
@@ -136,9 +151,26 @@
         ]
         return min(pauses_s, default=None)
 
-    def put(self, server: BackendServer) -> None:
-        """Adds or updates a server."""
+    def put(self, server: BackendServer) -> bool:
+        """Adds or updates a server.
+
+        Returns:
+            Whether the entry holds; False if it precedes the removal of its
+            server, which is then neither added nor updated.
+        """
+        if self._precedes_removal(server):
+            logs.event(
+                _log,
+                "entry_of_gone_server",
+                server=server.server_id,
+                started_ms=server.started_ms,
+                sequence=server.sequence,
+            )
+            return False
+        self._gone.pop((server.server_id, server.started_ms), None)
         current = self._servers.get(server.server_id)
+        if current is not None:
+            server = self._succeed(current, server)
         if server.leaving:
             self._note_leaving(server)
         elif self._has_left(server, current):
@@ -151,7 +183,7 @@
             server = dataclasses.replace(server, leaving=True)
         self._expired_at_s.pop(server.server_id, None)
         if current == server:
-            return
+            return True
         if current is not None and current.service != server.service:
             self._servers_by_service[current.service].pop(
                 server.server_id, None
@@ -170,6 +202,7 @@
                 address=server.address,
                 zone=server.zone,
             )
+        return True
 
     def remove(self, server_id: str) -> None:
         """Removes a server.
@@ -184,16 +217,19 @@
             return
         self._drop(server_id)
 
-    def replace(self, listing: Iterable[BackendServer]) -> None:
+    def replace(self, listing: Iterable[BackendServer]) -> list[BackendServer]:
         """Applies a complete listing; removes the servers missing from it.
 
         Missing servers are kept for the grace period as in `remove`.
+
+        Returns:
+            The servers whose entries hold, as in `put`.
         """
         listed = {server.server_id: server for server in listing}
-        for server in listed.values():
-            self.put(server)
+        holding = [server for server in listed.values() if self.put(server)]
         for server_id in [each for each in self._servers if each not in listed]:
             self.remove(server_id)
+        return holding
 
     def note_store_lost(self) -> None:
         """Records that the store of server entries does not respond."""
@@ -231,6 +267,35 @@
         if len(self._leaving) > _MAX_LEAVING_SERVERS:
             del self._leaving[next(iter(self._leaving))]
 
+    def _note_gone(self, server: BackendServer, last_sequence: int) -> None:
+        if not server.started_ms or last_sequence < 0:
+            return
+        incarnation = server.server_id, server.started_ms
+        self._gone.pop(incarnation, None)
+        self._gone[incarnation] = last_sequence
+        if len(self._gone) > _MAX_GONE_SERVERS:
+            del self._gone[next(iter(self._gone))]
+
+    def _precedes_removal(self, server: BackendServer) -> bool:
+        """Returns whether an entry precedes the removal of its server."""
+        gone_sequence = self._gone.get((server.server_id, server.started_ms))
+        return gone_sequence is not None and server.sequence <= gone_sequence
+
+    def _succeed(
+        self, current: BackendServer, server: BackendServer
+    ) -> BackendServer:
+        """Returns the server of an entry that replaces the current one.
+
+        It keeps the highest sequence, as an older copy of the entry may come
+        last. A process that another one with its id has replaced is gone.
+        """
+        if server.started_ms == current.started_ms:
+            sequence = max(current.sequence, server.sequence)
+            return dataclasses.replace(server, sequence=sequence)
+        if server.started_ms > current.started_ms:
+            self._note_gone(current, current.sequence)
+        return server
+
     def _has_left(
         self, server: BackendServer, current: BackendServer | None
     ) -> bool:
@@ -272,8 +337,11 @@
 
     def _drop(self, server_id: str) -> None:
         now_s = self._clock.monotonic()
+        was_kept = server_id in self._expired_at_s
         kept_s = now_s - self._expired_at_s.pop(server_id, now_s)
         server = self._servers.pop(server_id)
+        # A live server may write its last entry again after an outage.
+        self._note_gone(server, server.sequence - (1 if was_kept else 0))
         self._servers_by_service[server.service].pop(server_id, None)
         logs.event(
             _log,
--- a/hibiscusstile/platform/consumers.py
+++ b/hibiscusstile/platform/consumers.py
@@ -153,21 +153,26 @@
         # Errors of the malformed entries, by key, which servers repeat with
         # each heartbeat.
         self._errors: dict[str, str] = {}
+        # Offsets of the newest entries, by key. Reading goes on from the end
+        # that their first page shows, so records that precede them may follow.
+        self._newest_offsets: dict[str, int] = {}
 
     def apply_all(self, records: Sequence[topics.KeyedRecord]) -> None:
         """Replaces the fleet by the newest entries of all servers."""
+        self._newest_offsets = {each.key: each.offset for each in records}
         servers = [
             server
             for record in records
             if (server := self._decode(record)) is not None
         ]
-        self._state.fleet.replace(servers)
-        for server in servers:
+        for server in self._state.fleet.replace(servers):
             self._note_weights(server)
         self._state.forget_unlisted()
 
     def apply(self, record: topics.KeyedRecord) -> None:
         """Applies a newer entry, or the removal of an entry."""
+        if record.offset < self._newest_offsets.get(record.key, 0):
+            return
         server = self._decode(record)
         if server is None:
             # Only an empty value removes a server. An entry that cannot be
@@ -176,8 +181,8 @@
                 self._state.fleet.remove(record.key)
                 self._state.forget_unlisted()
             return
-        self._state.fleet.put(server)
-        self._note_weights(server)
+        if self._state.fleet.put(server):
+            self._note_weights(server)
 
     def note_lost(self) -> None:
         """Records that entries may expire while their servers still run."""
--- a/hibiscusstile/platform/serverentries.py
+++ b/hibiscusstile/platform/serverentries.py
@@ -42,6 +42,8 @@
     slots: bounded.Count = 0
     # Start time of the server, as Unix time in ms.
     born: bounded.Count = 0
+    # Rises with each entry that a process writes.
+    sequence: bounded.Count = -1
     models: Annotated[
         list[_Weights], pydantic.Field(max_length=_MAX_MODELS)
     ] = []
@@ -76,5 +78,6 @@
         slots=parsed.slots,
         leaving=parsed.state == _DRAINING,
         started_ms=parsed.born,
+        sequence=parsed.sequence,
         weights={each.name: each.version for each in parsed.models},
     )
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -144,6 +144,7 @@
     zone: str = "z1",
     leaving: bool = False,
     started_ms: int = 0,
+    sequence: int = -1,
     weights: dict[str, int] | None = None,
 ) -> fleet.BackendServer:
     """Returns a listed backend server."""
@@ -155,6 +156,7 @@
         slots=8,
         leaving=leaving,
         started_ms=started_ms,
+        sequence=sequence,
         weights=weights or {},
     )
 
--- a/tests/gateway/test_fleet.py
+++ b/tests/gateway/test_fleet.py
@@ -119,3 +119,101 @@
     servers.put(builders.backend_server("i-2", started_ms=left_ms))
     usable_servers = servers.usable_servers(builders.ENGINE_SERVICE)
     assert "i-2" in [server.server_id for server in usable_servers]
+
+
+@pytest.mark.parametrize(
+    ("then_ms", "sequence", "usable"),
+    [
+        (7, 4, False),
+        (7, 5, False),
+        (7, -1, False),
+        (7, 6, True),
+        (8, 0, True),
+    ],
+)
+def test_an_older_entry_does_not_list_a_gone_server_again(
+    then_ms: int, sequence: int, usable: bool
+) -> None:
+    """Guards against requests to a gone server that a copy lists (DRAIN)."""
+    clock = base.ManualClock()
+    servers = fleet.Fleet(clock)
+    servers.put(builders.backend_server(started_ms=7, sequence=5))
+    # The last entry that was read is an older copy.
+    servers.put(builders.backend_server(started_ms=7, sequence=3))
+    servers.remove("i-1")
+    servers.note_store_lost()
+    entry = builders.backend_server(started_ms=then_ms, sequence=sequence)
+    assert servers.replace([entry]) == ([entry] if usable else [])
+    servers.note_store_back(clock.monotonic())
+    assert bool(servers.usable_servers(builders.ENGINE_SERVICE)) == usable
+
+
+@pytest.mark.parametrize(("sequence", "usable"), [(4, False), (5, True)])
+def test_a_server_that_an_outage_took_away_may_repeat_its_last_entry(
+    sequence: int, usable: bool
+) -> None:
+    """Guards against a live server that stays unused since it was late."""
+    clock = base.ManualClock()
+    servers = fleet.Fleet(clock)
+    servers.put(builders.backend_server(started_ms=7, sequence=5))
+    servers.note_store_lost()
+    servers.replace([])
+    servers.note_store_back(clock.monotonic())
+    clock.advance(3.0)
+    assert not servers.usable_servers(builders.ENGINE_SERVICE)
+    servers.put(builders.backend_server(started_ms=7, sequence=sequence))
+    assert bool(servers.usable_servers(builders.ENGINE_SERVICE)) == usable
+
+
+def test_a_server_that_came_back_is_gone_again_when_it_is_removed() -> None:
+    """Guards against a second removal that a copy undoes (DRAIN)."""
+    servers = fleet.Fleet(base.ManualClock())
+    for sequence in (5, 9):
+        servers.put(builders.backend_server(started_ms=7, sequence=sequence))
+        assert servers.usable_servers(builders.ENGINE_SERVICE)
+        servers.remove("i-1")
+    servers.put(builders.backend_server(started_ms=7, sequence=9))
+    assert not servers.usable_servers(builders.ENGINE_SERVICE)
+
+
+def test_an_older_process_does_not_replace_its_successor() -> None:
+    """Guards against a copy that lists the process before a restart (DRAIN)."""
+    servers = fleet.Fleet(base.ManualClock())
+    older = builders.backend_server(started_ms=7, sequence=50)
+    newer = builders.backend_server(started_ms=8, sequence=2)
+    servers.put(older)
+    servers.put(newer)
+    servers.replace([older])
+    assert servers.usable_servers(builders.ENGINE_SERVICE) == [newer]
+
+
+def test_an_entry_within_the_grace_period_needs_no_higher_sequence() -> None:
+    """Guards against dropping a live server whose last entry comes again."""
+    clock = base.ManualClock()
+    servers = fleet.Fleet(clock)
+    entry = builders.backend_server(started_ms=7, sequence=5)
+    servers.put(entry)
+    servers.note_store_lost()
+    servers.remove("i-1")
+    servers.note_store_back(clock.monotonic())
+    clock.advance(1.9)
+    servers.put(entry)
+    clock.advance(5.0)
+    assert servers.usable_servers(builders.ENGINE_SERVICE) == [entry]
+
+
+def test_gone_servers_that_are_remembered_are_bounded() -> None:
+    """Guards against memory that grows with each server that has ended."""
+    servers = fleet.Fleet(base.ManualClock())
+    for number in range(4097):
+        server_id = f"i-{number}"
+        servers.put(
+            builders.backend_server(server_id, started_ms=7, sequence=5)
+        )
+        servers.remove(server_id)
+    for server_id in ("i-0", "i-4096"):
+        servers.put(
+            builders.backend_server(server_id, started_ms=7, sequence=5)
+        )
+    usable = servers.usable_servers(builders.ENGINE_SERVICE)
+    assert [server.server_id for server in usable] == ["i-0"]
--- a/tests/gateway/test_restoredstore.py
+++ b/tests/gateway/test_restoredstore.py
@@ -164,6 +164,48 @@
         assert _server_ids(feeds.state) == {"i-1", "i-2"}
 
 
+async def test_a_gone_server_that_the_copy_lists_is_not_used(
+    feeds: _Feeds,
+) -> None:
+    """Guards against requests to a server that has left (DRAIN)."""
+
+    def usable_ids(state: state_lib.GatewayState) -> set[str]:
+        usable = state.fleet.usable_servers(builders.PLAIN_SERVICE)
+        return {server.server_id for server in usable}
+
+    await feeds.list_server("i-1", sequence=5)
+    await feeds.list_server("i-2")
+    feeds.store.take_copy()
+    async with feeds.following():
+        await feeds.until(lambda state: len(state.fleet) == 2)
+        await feeds.store.put(_SERVERS, "i-1", b"")
+        await feeds.until(lambda state: _server_ids(state) == {"i-2"})
+    feeds.store.restore()
+    await feeds.list_server("i-3")
+    async with feeds.following():
+        await feeds.until(lambda state: "i-3" in _server_ids(state))
+        assert usable_ids(feeds.state) == {"i-2", "i-3"}
+        # A process that was silent for three heartbeats goes on counting.
+        await feeds.list_server("i-1", sequence=6)
+        await feeds.until(lambda state: "i-1" in usable_ids(state))
+
+
+async def test_a_removal_that_an_entry_followed_removes_no_server() -> None:
+    """Guards against a live server that records read twice take away."""
+    state = builders.gateway_state(clock_lib.SystemClock())
+    consumer = consumers.ServerEntryConsumer(state)
+    entry = runner_lib.FakeBackendServer("i-1").discovery_entry(
+        builders.PLAIN_SERVICE, address="127.0.0.1:1", sequence=9
+    )
+    # The removal is older, and comes since the list took several pages.
+    consumer.apply_all([topics.KeyedRecord("i-1", entry, 8)])
+    consumer.apply(topics.KeyedRecord("i-1", b"", 7))
+    consumer.apply(topics.KeyedRecord("i-1", entry, 8))
+    assert state.fleet.usable_servers(builders.PLAIN_SERVICE)
+    consumer.apply(topics.KeyedRecord("i-1", b"", 9))
+    assert not state.fleet.usable_servers(builders.PLAIN_SERVICE)
+
+
 async def test_pages_of_two_eras_are_not_combined(feeds: _Feeds) -> None:
     """Guards against servers that only the lost part of the log listed."""
     await feeds.list_server("i-2")
