Reject server entries without slots, born or sequence

Cause: missing fields had defaults, so the entry named a server to use. Without a start time it matches none that is known to be gone or leaving. The store's description says that an entry with missing fields names no server.

The decoder now requires the fields that the gateway reads and every server writes. Such an entry is ignored and logged once, as other malformed ones are; the listed server stays unchanged. The tests of odd entries and their fuzzing got the fields; the fuzzing would have accepted no entry otherwise.

--- a/hibiscusstile/platform/serverentries.py
+++ b/hibiscusstile/platform/serverentries.py
@@ -39,11 +39,12 @@
     address: addresses.IpAddress
     zone: bounded.Text
     state: Literal["ready", "draining"]
-    slots: bounded.Count = 0
-    # Start time of the server, as Unix time in ms.
-    born: bounded.Count = 0
+    slots: bounded.Count
+    # Start time of the server, as Unix time in ms. With the sequence, it tells
+    # an entry of a running server from one of a server that has left.
+    born: bounded.Count
     # Rises with each entry that a process writes.
-    sequence: bounded.Count = -1
+    sequence: bounded.Count
     models: Annotated[
         list[_Weights], pydantic.Field(max_length=_MAX_MODELS)
     ] = []
--- a/tests/gateway/test_oddentries.py
+++ b/tests/gateway/test_oddentries.py
@@ -58,8 +58,18 @@
     )
 
 
+def _entry_without(*names: str, **changes: Any) -> bytes:
+    fields = json.loads(_entry(**changes))
+    return json.dumps(
+        {name: fields[name] for name in fields if name not in names}
+    ).encode()
+
+
 _ODD_ENTRIES = {
     **{name: _entry(**fields) for name, fields in _ODD_FIELDS.items()},
+    "no slots": _entry_without("slots"),
+    "no start": _entry_without("born"),
+    "no sequence": _entry_without("sequence"),
     "deeply nested": _DEEP,
     "not UTF-8": b"\xff",
     "number of 5,000 digits": b'{"slots": ' + b"9" * 5000 + b"}",
@@ -119,6 +129,23 @@
         await client.close()
 
 
+async def test_an_entry_without_fields_lists_no_gone_server() -> None:
+    """Guards against requests to a server that has left (DRAIN)."""
+    async with builders.gateway_harness(routes=_ROUTES) as world:
+        topic = serverentries.SERVER_TOPIC
+        gone = await world.add_runner(builders.PLAIN_SERVICE, "i-1")
+        await world.store.put(topic, "i-1", b"")
+        await world.until(lambda: world.state.fleet.get("i-1") is None)
+        entry = _entry_without(
+            "cold_remaining_ms", "sequence", "born", address=gone.address
+        )
+        await world.store.put(topic, "i-1", entry)
+        await world.add_runner(builders.PLAIN_SERVICE, "i-2")
+        for number in range(10):
+            assert (await world.call("/lookup/1", f"r{number}"))[0] == 200
+        assert not gone.arrivals
+
+
 async def test_an_odd_key_names_no_server() -> None:
     """Guards against an id that cannot be sent as a header."""
     async with builders.gateway_harness() as world:
--- a/tests/gateway/test_serverentries.py
+++ b/tests/gateway/test_serverentries.py
@@ -50,6 +50,7 @@
     optional={
         "slots": st.one_of(_INTEGERS, _JSON),
         "born": st.one_of(_INTEGERS, _JSON),
+        "sequence": st.one_of(_INTEGERS, _JSON),
         "models": st.one_of(_MODELS, _JSON),
     },
 )
@@ -61,6 +62,9 @@
     "address": "10.0.0.1:80",
     "zone": "z1",
     "state": "ready",
+    "slots": 8,
+    "born": 1,
+    "sequence": 1,
 }
 _CHANGED_ENTRIES = st.fixed_dictionaries(
     {},
@@ -69,6 +73,7 @@
         "zone": _TEXT,
         "slots": _INTEGERS,
         "born": _INTEGERS,
+        "sequence": _INTEGERS,
         "models": _MODELS,
     },
 ).map(lambda fields: json.dumps({**_SOUND, **fields}).encode())
