Let an event be written whole when its stream was to leave

Callers could get one event of a resumable stream twice (ORDER), or a stream that is cut after its first event.

Cause: the watch decides in a timer callback that a stream leaves its silent server, and the timeout cancels the stream one step of the event loop later. An event that had arrived in the same step was read in between, so that its write was cancelled. If the caller reads slowly, the bytes had been sent by then, but the event was not recorded, and the next server sent it again. Long steps, such as selections among many servers, make this more likely.

Before a write, the watch now takes back a leave that is due, so that no write is cancelled by it; an event returns the tokens that were taken to leave.

--- a/hibiscusstile/gateway/handover.py
+++ b/hibiscusstile/gateway/handover.py
@@ -64,6 +64,8 @@
 
     def note_output(self, server: fleet.BackendServer) -> None:
         """Records that a silent server has sent an event."""
+        # Held if the stream was about to leave the server.
+        self._retries.release()
         self._state.health.note_response(server, False)
         self._log.server_silence_ended(server.server_id)
 
--- a/hibiscusstile/gateway/retries.py
+++ b/hibiscusstile/gateway/retries.py
@@ -65,7 +65,7 @@
         Returns:
             Whether it has.
         """
-        if self._budget.tokens < _TOKENS_TO_LEAVE:
+        if self._budget.tokens + self._held_tokens < _TOKENS_TO_LEAVE:
             return False
         while self._held_tokens < _TOKENS_TO_LEAVE:
             if not self._try_acquire():
--- a/hibiscusstile/gateway/silence.py
+++ b/hibiscusstile/gateway/silence.py
@@ -97,8 +97,16 @@
                 self._timer.cancel()
 
     def pause(self) -> None:
-        """Stops counting while the caller is written to."""
+        """Stops counting while the caller is written to.
+
+        The stream stays if it was about to leave: output may arrive in the
+        same step of the event loop, and a write must not be cancelled, since
+        the caller would be sent its event again.
+        """
         self._paused_s = self._loop.time()
+        if self._scope.when() is not None:
+            self._scope.reschedule(None)
+            self._schedule(self._paused_s + _RECHECK_S)
 
     def resume(self, *, output: bool) -> float:
         """Counts again and returns the length of the pause in seconds.
--- a/tests/gateway/test_silence.py
+++ b/tests/gateway/test_silence.py
@@ -77,3 +77,25 @@
         _limit_s, itertools.product((100, 1500), (0, 1000))
     )
     assert list(limits) == [1.0, 4.0, 3.0, 4.0]
+
+
+async def test_output_in_the_step_of_a_leave_is_written_whole() -> None:
+    """Guards against an event that its caller gets from two servers."""
+    arrived = asyncio.Event()
+
+    def try_leave() -> bool:
+        arrived.set()
+        return True
+
+    watch = silence.SilenceWatch(0.05, lambda: None, try_leave)
+    written = False
+    with pytest.raises(silence.ServerSilent):
+        async with watch.watching():
+            await arrived.wait()
+            watch.pause()
+            await asyncio.sleep(0.05)
+            written = True
+            watch.resume(output=True)
+            assert not watch.silent
+            await asyncio.sleep(5)
+    assert written
--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -13,6 +13,8 @@
 import logbook
 import pytest
 
+from hibiscusstile.gateway import exchange, fleet, handover
+from hibiscusstile.platform import ingress, servers
 from tests.builders import gateway as builders
 from tests.builders import gatewayprocess, rawserver
 
@@ -136,6 +138,49 @@
     assert (len(first.request_ids), len(full.request_ids)) == (2, 1)
 
 
+async def test_a_stream_that_nearly_left_has_each_event_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an event that is sent again after a cancelled write."""
+    leaving = asyncio.Event()
+    try_leave = handover.StreamHandover.try_leave
+    read_events = servers._HttpServerResponse.events
+    write = ingress._HttpResponseWriter.write
+
+    def note_leave(
+        self: handover.StreamHandover, server: fleet.BackendServer
+    ) -> bool:
+        leaves = try_leave(self, server)
+        if leaves:
+            leaving.set()
+        return leaves
+
+    async def events_at_leave(
+        self: servers._HttpServerResponse,
+    ) -> AsyncIterator[exchange.StreamEvent]:
+        async for event in read_events(self):
+            if event.event_id == "2":
+                await leaving.wait()
+            yield event
+
+    async def write_slowly(
+        self: ingress._HttpResponseWriter, data: bytes
+    ) -> None:
+        await write(self, data)
+        await asyncio.sleep(0.05)
+
+    monkeypatch.setattr(handover.StreamHandover, "try_leave", note_leave)
+    monkeypatch.setattr(servers._HttpServerResponse, "events", events_at_leave)
+    monkeypatch.setattr(ingress._HttpResponseWriter, "write", write_slowly)
+    sequence = rawserver.AnswerSequence(rawserver.stream(*_EVENTS))
+    async with _servers(sequence, sequence) as harness:
+        budget = harness.state.budget(builders.ENGINE_SERVICE)
+        tokens = budget.tokens
+        answer = await _receive(harness, "/dossier/1")
+        assert answer == (200, _WHOLE, True)
+        assert budget.tokens == tokens
+
+
 async def test_a_silent_server_gets_fewer_requests_while_its_streams_last() -> (
     None
 ):
