Return the token of the way back once a server has taken a stream

Callers of other requests were denied retries while a stream that had left its silent server went on at another one.

Cause: a stream takes two tokens of the retry budget to leave, one of them for the way back if the next server rejects it. It held the second until its end, although a server had begun to send events.

The first event of a run now returns the tokens that the request holds.

--- a/hibiscusstile/gateway/handover.py
+++ b/hibiscusstile/gateway/handover.py
@@ -69,6 +69,11 @@
         self._state.health.note_response(server, False)
         self._log.server_silence_ended(server.server_id)
 
+    def note_started(self) -> None:
+        """Records that a server has sent the first event of its run."""
+        # No way back to a silent server is needed any more.
+        self._retries.release()
+
     def try_leave(self, server: fleet.BackendServer) -> bool:
         """Returns whether the stream leaves its silent server now.
 
--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -248,6 +248,7 @@
         if in_flight.started:
             self._note_survival(in_flight)
             return
+        self._handover.note_started()
         candidate.load.note_started(in_flight, self._now_s())
         if in_flight.work is not None:
             self._rates.observe(
--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -138,6 +138,27 @@
     assert (len(first.request_ids), len(full.request_ids)) == (2, 1)
 
 
+async def test_a_stream_that_goes_on_holds_no_token() -> None:
+    """Guards against retries denied for tokens that a stream cannot use."""
+    first = rawserver.AnswerSequence(rawserver.stream(*_EVENTS[:2], 5.0))
+    second = rawserver.AnswerSequence(
+        rawserver.stream(_EVENTS[2], 2.0, _EVENTS[3])
+    )
+    async with _servers(first, second) as harness:
+        _drain_budget(harness, 2.0)
+        budget = harness.state.budget(builders.ENGINE_SERVICE)
+        # Suspended for 0.5 s, so that the first attempt is at the other server.
+        harness.state.health.note_unreachable(
+            harness.state.fleet.get("i-2")  # type: ignore[arg-type]
+        )
+        answer = asyncio.ensure_future(_receive(harness, "/dossier/1"))
+        await harness.until(lambda: bool(second.request_ids))
+        await harness.until(lambda: budget.tokens == 1.0, 1.8)
+        assert not answer.done()
+        assert await answer == (200, _WHOLE, True)
+        assert budget.tokens == 1.0
+
+
 async def test_a_stream_that_nearly_left_has_each_event_once(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
