List the second server of a test once the first has the request

The test relied on a suspension of 0.5 s to begin at the first server, which may have ended on a busy machine.

--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -177,14 +177,15 @@
     second = rawserver.AnswerSequence(
         rawserver.stream(_EVENTS[2], 2.0, _EVENTS[3])
     )
-    async with _servers(first, second) as harness:
+    async with (
+        _servers(first) as harness,
+        rawserver.raw_server(second.serve) as address,
+    ):
         _drain_budget(harness, 2.0)
         budget = harness.state.budget(builders.ENGINE_SERVICE)
-        # Suspended for 0.5 s, so that the first attempt is at the other server.
-        harness.state.health.note_unreachable(
-            harness.state.fleet.get("i-2")  # type: ignore[arg-type]
-        )
         answer = asyncio.ensure_future(_receive(harness, "/dossier/1"))
+        await harness.until(lambda: bool(first.request_ids))
+        await harness.add_address(builders.ENGINE_SERVICE, "i-2", address)
         await harness.until(lambda: bool(second.request_ids))
         await harness.until(lambda: budget.tokens == 1.0, 1.8)
         assert not answer.done()
