--- a/hibiscusstile/gateway/handover.py
+++ b/hibiscusstile/gateway/handover.py
@@ -64,9 +64,16 @@
 
     def note_output(self, server: fleet.BackendServer) -> None:
         """Records that a silent server has sent an event."""
+        # Held if the stream was about to leave the server.
+        self._retries.release()
         self._state.health.note_response(server, False)
         self._log.server_silence_ended(server.server_id)
 
+    def note_started(self) -> None:
+        """Records that a server has sent the first event of its run."""
+        # No way back to a silent server is needed any more.
+        self._retries.release()
+
     def try_leave(self, server: fleet.BackendServer) -> bool:
         """Returns whether the stream leaves its silent server now.
 
@@ -75,10 +82,32 @@
         return (
             self._retries.may_run_again()
             and self._evidence.refusal(self._progress.verdict) is None
+            and self._retries.has_tokens_to_leave()
+            and self._has_free_server(server)
             and self._has_successor(server)
             and self._retries.hold_tokens_to_leave()
         )
 
+    def _has_free_server(self, server: fleet.BackendServer) -> bool:
+        """Returns whether any other server is healthy and has a free slot.
+
+        A selection among 1,000 servers takes about 45 ms, which is too long
+        for each check of each stream while the service has no free slot.
+        """
+        now_s = self._state.clock.monotonic()
+        avoided_ids = self._limits.excluded | {server.server_id}
+        for each in self._state.fleet.usable_servers(server.service):
+            if each.server_id in avoided_ids:
+                continue
+            load = self._state.loads.for_server(each.server_id)
+            if load.running + load.peer_running(
+                now_s
+            ) < each.slots and serverselection.is_healthy(
+                self._state, each.server_id, load
+            ):
+                return True
+        return False
+
     def _has_successor(self, server: fleet.BackendServer) -> bool:
         """Returns whether another server is expected to take the stream."""
         selected = self._select(self._limits.excluded | {server.server_id})
@@ -86,7 +115,9 @@
             return False
         candidate = selected.candidate
         return (
-            serverselection.is_healthy(self._state, candidate)
+            serverselection.is_healthy(
+                self._state, candidate.server.server_id, candidate.load
+            )
             and candidate.running < candidate.server.slots
             and selected.expected_s < self._deadline.time_left_s
         )
--- a/hibiscusstile/gateway/silence.py
+++ b/hibiscusstile/gateway/silence.py
@@ -70,8 +70,6 @@
         # Output after which the limit was seen to have passed.
         self._overdue_count: int | None = None
         self._silent = False
-        # Whether the wait for the server is about to end.
-        self._leaving = False
 
     @property
     def silent(self) -> bool:
@@ -101,15 +99,14 @@
     def pause(self) -> None:
         """Stops counting while the caller is written to.
 
-        An event that arrives just as the stream leaves its server keeps it
-        there: ending the wait now would interrupt the writing of the event.
+        The stream stays if it was about to leave: output may arrive in the
+        same step of the event loop, and a write must not be cancelled, since
+        the caller would be sent its event again.
         """
-        now_s = self._loop.time()
-        self._paused_s = now_s
-        if self._leaving:
-            self._leaving = False
+        self._paused_s = self._loop.time()
+        if self._scope.when() is not None:
             self._scope.reschedule(None)
-            self._schedule(now_s + _RECHECK_S)
+            self._schedule(self._paused_s + _RECHECK_S)
 
     def resume(self, *, output: bool) -> float:
         """Counts again and returns the length of the pause in seconds.
@@ -146,7 +143,6 @@
                 self._silent = True
                 self._note_silent()
             if self._try_leave():
-                self._leaving = True
                 self._scope.reschedule(now_s)
             else:
                 self._schedule(now_s + _RECHECK_S)
--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -8,11 +8,20 @@
 import pathlib
 import signal
 from collections.abc import AsyncIterator, Awaitable, Callable
+from typing import Any
 
 import aiohttp
 import logbook
 import pytest
 
+from hibiscusstile.gateway import (
+    exchange,
+    fleet,
+    handover,
+    selection,
+    serverselection,
+)
+from hibiscusstile.platform import ingress, servers
 from tests.builders import gateway as builders
 from tests.builders import gatewayprocess, rawserver
 
@@ -138,6 +147,97 @@
     assert (len(first.request_ids), len(full.request_ids)) == (2, 1)
 
 
+async def test_a_silent_stream_selects_no_server_while_none_is_free(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against silent streams that keep the event loop busy."""
+    select_server = serverselection.select_server
+    selections = 0
+
+    def count_selection(*args: Any) -> selection.SelectedServer | None:
+        nonlocal selections
+        selections += 1
+        return select_server(*args)
+
+    monkeypatch.setattr(serverselection, "select_server", count_selection)
+    sequence = rawserver.AnswerSequence(
+        rawserver.stream(_EVENTS[0], _SILENCE_S, *_EVENTS[1:])
+    )
+    async with _servers(sequence) as harness:
+        for number in range(2, 20):
+            server = builders.backend_server(f"i-{number}")
+            harness.state.fleet.put(server)
+            harness.state.weights.note_changing(server.server_id, 60)
+        answer = await _receive(harness, "/dossier/1")
+    assert answer == (200, _WHOLE, True)
+    assert selections == 1
+
+
+async def test_a_stream_that_goes_on_holds_no_token() -> None:
+    """Guards against retries denied for tokens that a stream cannot use."""
+    first = rawserver.AnswerSequence(rawserver.stream(*_EVENTS[:2], 5.0))
+    second = rawserver.AnswerSequence(
+        rawserver.stream(_EVENTS[2], 2.0, _EVENTS[3])
+    )
+    async with (
+        _servers(first) as harness,
+        rawserver.raw_server(second.serve) as address,
+    ):
+        _drain_budget(harness, 2.0)
+        budget = harness.state.budget(builders.ENGINE_SERVICE)
+        answer = asyncio.ensure_future(_receive(harness, "/dossier/1"))
+        await harness.until(lambda: bool(first.request_ids))
+        await harness.add_address(builders.ENGINE_SERVICE, "i-2", address)
+        await harness.until(lambda: bool(second.request_ids))
+        await harness.until(lambda: budget.tokens == 1.0, 1.8)
+        assert not answer.done()
+        assert await answer == (200, _WHOLE, True)
+        assert budget.tokens == 1.0
+
+
+async def test_a_stream_that_nearly_left_has_each_event_once(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against an event that is sent again after a cancelled write."""
+    leaving = asyncio.Event()
+    try_leave = handover.StreamHandover.try_leave
+    read_events = servers._HttpServerResponse.events
+    write = ingress._HttpResponseWriter.write
+
+    def note_leave(
+        self: handover.StreamHandover, server: fleet.BackendServer
+    ) -> bool:
+        leaves = try_leave(self, server)
+        if leaves:
+            leaving.set()
+        return leaves
+
+    async def events_at_leave(
+        self: servers._HttpServerResponse,
+    ) -> AsyncIterator[exchange.StreamEvent]:
+        async for event in read_events(self):
+            if event.event_id == "2":
+                await leaving.wait()
+            yield event
+
+    async def write_slowly(
+        self: ingress._HttpResponseWriter, data: bytes
+    ) -> None:
+        await write(self, data)
+        await asyncio.sleep(0.05)
+
+    monkeypatch.setattr(handover.StreamHandover, "try_leave", note_leave)
+    monkeypatch.setattr(servers._HttpServerResponse, "events", events_at_leave)
+    monkeypatch.setattr(ingress._HttpResponseWriter, "write", write_slowly)
+    sequence = rawserver.AnswerSequence(rawserver.stream(*_EVENTS))
+    async with _servers(sequence, sequence) as harness:
+        budget = harness.state.budget(builders.ENGINE_SERVICE)
+        tokens = budget.tokens
+        answer = await _receive(harness, "/dossier/1")
+        assert answer == (200, _WHOLE, True)
+        assert budget.tokens == tokens
+
+
 async def test_a_silent_server_gets_fewer_requests_while_its_streams_last() -> (
     None
 ):
