Count a silent server once, near the end of its callers' patience

Two sound streams with a pause of 1.2 s suspended their server, so did one stream that was silent and then broke off, and one that was silent four times: each silence counted as a request without a response after half of the time that callers wait, before it had been all of it, and the end of the attempt counted once more.

The selection of servers for one request moves to gateway/requestservers.

--- a/hibiscusstile/gateway/attemptfailures.py
+++ b/hibiscusstile/gateway/attemptfailures.py
@@ -63,7 +63,7 @@
                 # has lost.
                 if await self._crash_detector.has_crashed(server):
                     self._evidence.note_crash(server)
-                else:
+                elif not failure.server_suspected:
                     self._state.health.note_no_response(server)
             case exchange.FailureCause.STALLED:
                 # Recorded when the server became silent.
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -159,6 +159,8 @@
         verdict: Whether the server may have run the request.
         weights_version: Version of the server's weights, if reported.
         statement: What the server says of itself.
+        server_suspected: Whether the attempt was already recorded as one
+            without a response, as the server was silent.
     """
 
     def __init__(
@@ -173,6 +175,7 @@
         self.verdict = verdict
         self.weights_version = weights_version
         self.statement = serverstatements.SILENT
+        self.server_suspected = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -20,11 +20,11 @@
     relaying,
     requestlog,
     requestprogress,
+    requestservers,
     resolving,
     retries,
     selection,
     sending,
-    serverselection,
 )
 from hibiscusstile.gateway import state as state_lib
 
@@ -34,9 +34,8 @@
 _NO_SERVER_PAUSE = datetime.timedelta(milliseconds=60)
 # Share of the target latency for which a request waits for a server.
 _MAX_WAIT_TARGET_SHARE = 0.5
-# Longest time after a failure for which a stream that has begun waits for a
-# server.
-# Callers abandon a started stream after 2 s without an event.
+# Longest time after a failure for which a stream that a server has begun waits
+# for another one. Callers abandon it after 2 s or more without an event.
 _MAX_RESUME_WAIT_S = 1.5
 _FIRST_REDIRECT_STATUS = 300
 
@@ -85,9 +84,11 @@
         self._prefill_coalescer = prefillcoalescing.PrefillCoalescer(
             state, request, destination.route.target_latency_s, self._rates
         )
-        self._budget = state.budget(destination.service.name)
+        self._servers = requestservers.RequestServers(
+            state, request, destination, self._limits, self._rates
+        )
         self._retries = retries.Retries(
-            destination.route, self._budget, writer, self._progress, self._log
+            state, destination, writer, self._progress, self._log
         )
         self._relay = relaying.ResponseRelay(
             state,
@@ -107,7 +108,7 @@
                 self._retries,
                 self._evidence,
                 self._log,
-                self._select_server,
+                self._servers,
             ),
         )
         self._last_error_response: relaying.HeldError | None = None
@@ -123,7 +124,7 @@
         On failure the caller gets an error response, or a truncated stream if
         one has started.
         """
-        self._budget.note_first_attempt()
+        self._state.budget(self._destination.service.name).note_first_attempt()
         # Stays if writing to the caller raises an exception.
         result = "caller_lost"
         try:
@@ -179,7 +180,7 @@
         """
         while True:
             self._refuse_if_suspect()
-            selected = self._select_server(self._limits.excluded)
+            selected = self._servers.select_next()
             if selected is not None:
                 self._refuse_if_overloaded(selected)
                 if (
@@ -366,22 +367,5 @@
             new_connection=self._progress.repeats_address,
         )
 
-    def _select_server(
-        self, excluded_ids: set[str]
-    ) -> selection.SelectedServer | None:
-        return serverselection.select_server(
-            self._state,
-            self._destination.service,
-            selection.SelectionContext(
-                self._request,
-                self._destination.rank,
-                self._destination.route.target_latency_s,
-                self._state.zone,
-                self._rates,
-            ),
-            self._destination.cache_scope,
-            excluded_ids,
-        )
-
     def _now_s(self) -> float:
         return self._state.clock.monotonic()
--- a/hibiscusstile/gateway/handover.py
+++ b/hibiscusstile/gateway/handover.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-
 from hibiscusstile.gateway import (
     attemptlimits,
     crashevidence,
@@ -11,8 +9,8 @@
     fleet,
     requestlog,
     requestprogress,
+    requestservers,
     retries,
-    selection,
     serverselection,
 )
 from hibiscusstile.gateway import state as state_lib
@@ -34,7 +32,7 @@
         request_retries: Retries of the request.
         evidence: What the request tells about prompt parts that crash engines.
         log: Log of the request.
-        select: Selects a server that is not in a set of server ids.
+        servers: Selects the servers of the request.
     """
 
     def __init__(
@@ -46,7 +44,7 @@
         request_retries: retries.Retries,
         evidence: crashevidence.RequestEvidence,
         log: requestlog.RequestLog,
-        select: Callable[[set[str]], selection.SelectedServer | None],
+        servers: requestservers.RequestServers,
     ) -> None:
         self._state = state
         self._progress = progress
@@ -55,23 +53,16 @@
         self._retries = request_retries
         self._evidence = evidence
         self._log = log
-        self._select = select
+        self._servers = servers
 
     def note_silent(self, server: fleet.BackendServer) -> None:
         """Records that the server of a stream is silent."""
         self._state.health.note_no_response(server)
         self._log.server_silent(server.server_id)
 
-    def note_output(self, server: fleet.BackendServer) -> None:
-        """Records that a silent server has sent an event."""
-        # Held if the stream was about to leave the server.
-        self._retries.release()
-        self._state.health.note_response(server, False)
-        self._log.server_silence_ended(server.server_id)
-
-    def note_started(self) -> None:
-        """Records that a server has sent the first event of its run."""
-        # No way back to a silent server is needed any more.
+    def note_event(self) -> None:
+        """Records that the server of the current attempt has sent an event."""
+        # The tokens for leaving a server and for the way back to it.
         self._retries.release()
 
     def try_leave(self, server: fleet.BackendServer) -> bool:
@@ -110,7 +101,7 @@
 
     def _has_successor(self, server: fleet.BackendServer) -> bool:
         """Returns whether another server is expected to take the stream."""
-        selected = self._select(self._limits.excluded | {server.server_id})
+        selected = self._servers.select_other(server.server_id)
         if selected is None:
             return False
         candidate = selected.candidate
--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -190,53 +190,63 @@
         in_flight: load.InFlightRequest,
         response: exchange.ServerResponse,
     ) -> None:
-        server = candidate.server
         # Leaving this server takes another run.
         self._progress.note_run(outcome.Verdict.MAY_HAVE_RUN)
+        server = candidate.server
         watch = silence.SilenceWatch(
-            silence.limit_s(self._route),
+            silence.SilenceLimits.for_route(self._route),
             functools.partial(self._handover.note_silent, server),
             functools.partial(self._handover.try_leave, server),
         )
-        continues = self._writer.started
-        # Only a caller that resumes may already have all events.
-        event_needed = continues or not self._progress.last_event_id
         try:
             async with watch.watching():
-                async for event in response.events():
-                    if event.has_content:
-                        if continues:
-                            self._require_next(event)
-                            continues = False
-                        if watch.silent:
-                            self._handover.note_output(server)
-                        self._note_content(candidate, in_flight)
-                        event_needed = False
-                    elif continues:
-                        # May be the text of an error instead of a comment.
-                        continue
-                    watch.pause()
-                    await self._relay_event(candidate, response.head, event)
-                    self._log.note_caller_wait(
-                        watch.resume(output=event.has_content)
-                    )
+                await self._relay_events(watch, candidate, in_flight, response)
         except silence.ServerSilent:
             raise exchange.AttemptFailed(
                 exchange.FailureCause.STALLED,
                 outcome.Verdict.MAY_HAVE_RUN,
-                f"no event for {silence.limit_s(self._route):g} s, and another "
-                "server can continue the stream",
+                "the server is silent, and another one can continue the stream",
             ) from None
+        except exchange.AttemptFailed as failure:
+            failure.server_suspected = watch.suspected
+            raise
+        if not self._writer.started:
+            await self._writer.start_stream(response.head)
+        await self._writer.finish_stream()
+        self._log.attempt_answered(server.server_id, "streamed")
+
+    async def _relay_events(
+        self,
+        watch: silence.SilenceWatch,
+        candidate: selection.Candidate,
+        in_flight: load.InFlightRequest,
+        response: exchange.ServerResponse,
+    ) -> None:
+        continues = self._writer.started
+        # Only a caller that resumes may already have all events.
+        event_needed = continues or not self._progress.last_event_id
+        async for event in response.events():
+            if event.has_content:
+                if continues:
+                    self._require_next(event)
+                    continues = False
+                if watch.silent:
+                    self._log.server_silence_ended(candidate.server.server_id)
+                self._handover.note_event()
+                self._note_content(candidate, in_flight)
+                event_needed = False
+            elif continues:
+                # May be the text of an error instead of a comment.
+                continue
+            watch.pause()
+            await self._relay_event(candidate, response.head, event)
+            self._log.note_caller_wait(watch.resume(output=event.has_content))
         if event_needed:
             raise exchange.AttemptFailed(
                 exchange.FailureCause.INVALID,
                 outcome.Verdict.MAY_HAVE_RUN,
                 "the stream ended without an event",
             )
-        if not self._writer.started:
-            await self._writer.start_stream(response.head)
-        await self._writer.finish_stream()
-        self._log.attempt_answered(server.server_id, "streamed")
 
     def _note_content(
         self, candidate: selection.Candidate, in_flight: load.InFlightRequest
@@ -248,7 +258,6 @@
         if in_flight.started:
             self._note_survival(in_flight)
             return
-        self._handover.note_started()
         candidate.load.note_started(in_flight, self._now_s())
         if in_flight.work is not None:
             self._rates.observe(
--- /dev/null
+++ b/hibiscusstile/gateway/requestservers.py
@@ -0,0 +1,67 @@
+"""Selects the servers for the attempts of one request."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+from hibiscusstile.gateway import (
+    attemptlimits,
+    enginerates,
+    exchange,
+    resolving,
+    selection,
+    serverselection,
+)
+from hibiscusstile.gateway import state as state_lib
+
+__all__ = ["RequestServers"]
+
+
+class RequestServers:
+    """Servers that one request may be sent to.
+
+    Args:
+        state: State of this gateway process.
+        request: The request.
+        destination: Route and service that the request was resolved to.
+        limits: Servers that the request avoids.
+        rates: Estimate of the service's engines.
+    """
+
+    def __init__(
+        self,
+        state: state_lib.GatewayState,
+        request: exchange.ForwardedRequest,
+        destination: resolving.Destination,
+        limits: attemptlimits.AttemptLimits,
+        rates: enginerates.EngineRates,
+    ) -> None:
+        self._state = state
+        self._destination = destination
+        self._limits = limits
+        self._context = selection.SelectionContext(
+            request,
+            destination.rank,
+            destination.route.target_latency_s,
+            state.zone,
+            rates,
+        )
+
+    def select_next(self) -> selection.SelectedServer | None:
+        """Returns the server for the next attempt, or None if there is none."""
+        return self._select(self._limits.excluded)
+
+    def select_other(self, server_id: str) -> selection.SelectedServer | None:
+        """Returns a server for an attempt after one at another server."""
+        return self._select(self._limits.excluded | {server_id})
+
+    def _select(
+        self, excluded_ids: Collection[str]
+    ) -> selection.SelectedServer | None:
+        return serverselection.select_server(
+            self._state,
+            self._destination.service,
+            self._context,
+            self._destination.cache_scope,
+            excluded_ids,
+        )
--- a/hibiscusstile/gateway/retries.py
+++ b/hibiscusstile/gateway/retries.py
@@ -1,4 +1,4 @@
-"""Decides whether one request may be sent again, and pays for it."""
+"""Decides whether one request may be sent again, within the retry budget."""
 
 from __future__ import annotations
 
@@ -7,8 +7,9 @@
     exchange,
     requestlog,
     requestprogress,
-    routes,
+    resolving,
 )
+from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["Retries"]
 
@@ -21,8 +22,8 @@
     """Retries of one request.
 
     Args:
-        route: Route of the request.
-        budget: Retry budget of its service.
+        state: State of this gateway process.
+        destination: Route and service of the request.
         writer: Writes the response to the caller.
         progress: Attempts of the request.
         log: Log of the request.
@@ -30,14 +31,14 @@
 
     def __init__(
         self,
-        route: routes.Route,
-        budget: retrybudget.RetryBudget,
+        state: state_lib.GatewayState,
+        destination: resolving.Destination,
         writer: exchange.ResponseWriter,
         progress: requestprogress.RequestProgress,
         log: requestlog.RequestLog,
     ) -> None:
-        self._route = route
-        self._budget = budget
+        self._state = state
+        self._destination = destination
         self._writer = writer
         self._progress = progress
         self._log = log
@@ -46,7 +47,7 @@
     def may_run_again(self) -> bool:
         """Returns whether a request that may have run may be sent again."""
         return self._progress.may_run_again(
-            self._route, started=self._writer.started
+            self._destination.route, started=self._writer.started
         )
 
     def acquire(self) -> bool:
@@ -83,6 +84,10 @@
         self._budget.give_back(self._held_tokens)
         self._held_tokens = 0
 
+    @property
+    def _budget(self) -> retrybudget.RetryBudget:
+        return self._state.budget(self._destination.service.name)
+
     def _try_acquire(self) -> bool:
         # Only the reason matters to the budget: the retry costs a token.
         refusal = outcome.Refusal(outcome.Reason.BACKEND_FAILED, "retry")
