Go back to a silent server as soon as another one rejects the stream

A stream that had left its silent server was cut if two other servers rejected it and the retry budget had no third token, or if more rejected it than a request may fail at, although the first server would have gone on.

--- a/hibiscusstile/gateway/attemptlimits.py
+++ b/hibiscusstile/gateway/attemptlimits.py
@@ -18,6 +18,13 @@
     exchange.FailureCause.OTHER_WEIGHTS,
     exchange.FailureCause.STALLED,
 )
+# Failures of a server that has not run the request.
+_REJECTIONS = (
+    exchange.FailureCause.NOT_REACHED,
+    exchange.FailureCause.FULL,
+    exchange.FailureCause.OTHER_WEIGHTS,
+    exchange.FailureCause.REPLACED,
+)
 
 
 class AttemptLimits:
@@ -28,7 +35,8 @@
         self._excluded_for_request: set[str] = set()
         self._failed_deliveries = 0
         self._connect_failures = 0
-        self._left_silent_server = False
+        self._silent_server_id = ""
+        self._returns = False
 
     @property
     def excluded(self) -> set[str]:
@@ -43,7 +51,16 @@
     @property
     def left_silent_server(self) -> bool:
         """Whether a stream has left a server that sent no event."""
-        return self._left_silent_server
+        return bool(self._silent_server_id)
+
+    @property
+    def return_to(self) -> str:
+        """Id of the silent server that the stream goes back to, or empty.
+
+        It does so once another server has rejected it: the silent one is known
+        to have run the request, and further ones may reject it, too.
+        """
+        return self._silent_server_id if self._returns else ""
 
     def excludes_for_request(self, server_id: str) -> bool:
         """Returns whether a server gets the request no more."""
@@ -66,7 +83,10 @@
         else:
             self._failed_deliveries += 1
         if cause is exchange.FailureCause.STALLED:
-            self._left_silent_server = True
+            self._silent_server_id = server_id
+        self._returns = (
+            cause in _REJECTIONS and server_id != self._silent_server_id
+        )
         if cause in _PASSING_CAUSES:
             self._excluded_until_pause.add(server_id)
         else:
--- a/hibiscusstile/gateway/requestservers.py
+++ b/hibiscusstile/gateway/requestservers.py
@@ -49,6 +49,15 @@
 
     def select_next(self) -> selection.SelectedServer | None:
         """Returns the server for the next attempt, or None if there is none."""
+        return_to = self._limits.return_to
+        if return_to:
+            usable_servers = self._state.fleet.usable_servers(
+                self._destination.service.name
+            )
+            other_ids = {each.server_id for each in usable_servers}
+            selected = self._select(other_ids - {return_to})
+            if selected is not None:
+                return selected
         return self._select(self._limits.excluded)
 
     def select_other(self, server_id: str) -> selection.SelectedServer | None:
--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -67,7 +67,7 @@
     assert answers == [[200, streams.WHOLE, True, 1]] * len(sequences)
 
 
-@pytest.mark.parametrize("rejecting", [1])
+@pytest.mark.parametrize("rejecting", [1, 2, 7])
 async def test_a_stream_goes_back_if_no_other_server_takes_it(
     rejecting: int,
 ) -> None:
