Return unused retry tokens to the budget that they came from

A reload of the settings replaces the retry budgets. A request that was under way went on with the old one, and could be sent again beyond the new limit.

--- a/hibiscusstile/gateway/retries.py
+++ b/hibiscusstile/gateway/retries.py
@@ -43,6 +43,9 @@
         self._progress = progress
         self._log = log
         self._held_tokens = 0
+        # Where the held tokens come from: a reload of the settings replaces the
+        # budgets.
+        self._held_from: retrybudget.RetryBudget | None = None
 
     def may_run_again(self) -> bool:
         """Returns whether a request that may have run may be sent again."""
@@ -72,6 +75,7 @@
         """
         if not self.has_tokens_to_leave():
             return False
+        self._held_from = self._budget
         while self._held_tokens < _TOKENS_TO_LEAVE:
             if not self._try_acquire():
                 self.release()
@@ -81,8 +85,10 @@
 
     def release(self) -> None:
         """Returns the tokens that were taken and not used."""
-        self._budget.give_back(self._held_tokens)
+        if self._held_from is not None:
+            self._held_from.give_back(self._held_tokens)
         self._held_tokens = 0
+        self._held_from = None
 
     @property
     def _budget(self) -> retrybudget.RetryBudget:
--- a/tests/gateway/test_handover.py
+++ b/tests/gateway/test_handover.py
@@ -88,7 +88,7 @@
     assert loop.time() - started_s < streams.SILENCE_S
 
 
-@pytest.mark.parametrize("reload", [False])
+@pytest.mark.parametrize("reload", [False, True])
 async def test_a_cancelled_stream_returns_its_tokens(reload: bool) -> None:
     """Guards against retries that are denied for requests that have ended."""
     first = rawserver.AnswerSequence(rawserver.stream(*streams.EVENTS[:2], 60))
