Keep attempts with output when a health probe is silent

Callers of an engine that was slow to answer one health probe saw their answers end with `backend_failed` or, on an engine alone or with the retry budget spent, with an error event, although the engine went on generating them.

Cause: a probe without an answer for 1.5 s failed all running attempts of the engine. It failed attempts that got output during the probe, attempts whose caller had filled the send window, and requests that were sent after the probe began, which had not waited for 1.5 s at all.

Now a silent probe fails only the attempts that have waited for the engine's next event since the probe began. The engine is announced as down as before.

The recorder in test_enginemonitor.py now also checks that only silence names a time. The state of an attempt is a module of its own, and the executor's fakes are builders.

--- a/hibiscusstile/sidecar/enginemonitor.py
+++ b/hibiscusstile/sidecar/enginemonitor.py
@@ -29,7 +29,9 @@
         note_crash: Attributes a crash to the requests that the engine was
             running; takes the incarnation that crashed.
         fail_running: Ends running attempts with a refusal. The second
-            argument is the current incarnation, whose attempts continue.
+            argument is the current incarnation, whose attempts continue. The
+            third one is the time since which the engine is silent; attempts
+            with later output continue. None stands for a crash.
         announce_health: Sends the changed health to the peers.
         clock: Schedules the polls.
     """
@@ -39,7 +41,7 @@
         engine: backends.EngineBackend,
         view: cacheview.CacheView,
         note_crash: Callable[[str], Awaitable[None]],
-        fail_running: Callable[[outcome.Refusal, str], None],
+        fail_running: Callable[[outcome.Refusal, str, float | None], None],
         announce_health: Callable[[], Awaitable[None]],
         clock: clock_lib.Clock,
     ) -> None:
@@ -77,11 +79,14 @@
                 that then does not answer counts as crashed, not as hung.
         """
         async with self._poll_lock:
+            probe_started_s = self._clock.monotonic()
             result = await self._engine.probe(_PROBE_TIMEOUT.total_seconds())
             if isinstance(result, backends.EngineHealth):
                 await self._handle_health(result)
             elif result is not backends.ProbeFailure.MALFORMED:
-                await self._handle_probe_failure(result, stream_broke)
+                await self._handle_probe_failure(
+                    result, probe_started_s, stream_broke
+                )
 
     async def _handle_health(self, health: backends.EngineHealth) -> None:
         if health.incarnation != self._incarnation:
@@ -90,7 +95,7 @@
                     "engine_restarted incarnation={}", health.incarnation
                 )
                 await self._note_crash(self._incarnation)
-                self._fail_running(_crash_refusal(), health.incarnation)
+                self._fail_running(_crash_refusal(), health.incarnation, None)
             if self._view.incarnation != health.incarnation:
                 self._view.reset(health.incarnation)
             self._incarnation = health.incarnation
@@ -103,15 +108,22 @@
             await self._announce_health()
 
     async def _handle_probe_failure(
-        self, failure: backends.ProbeFailure, stream_broke: bool
+        self,
+        failure: backends.ProbeFailure,
+        probe_started_s: float,
+        stream_broke: bool,
     ) -> None:
+        # A busy engine may be slow to answer the probe while it generates, so
+        # a silent probe ends only the attempts that got no output meanwhile.
+        refused = failure is backends.ProbeFailure.REFUSED
+        silent_since_s = None if refused else probe_started_s
+        refusal = _timeout_refusal()
+        if refused or stream_broke:
+            refusal = _crash_refusal()
+            await self._note_crash(self._incarnation)
         # Repeated while the engine is down, because an attempt that starts
         # after the first failure would otherwise wait on the hung engine.
-        if failure is backends.ProbeFailure.REFUSED or stream_broke:
-            await self._note_crash(self._incarnation)
-            self._fail_running(_crash_refusal(), "")
-        else:
-            self._fail_running(_timeout_refusal(), "")
+        self._fail_running(refusal, "", silent_since_s)
         if self._health is not None:
             _log.warning("engine_down reason={}", failure.value)
             self._health = None
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -31,6 +31,7 @@
     suspectscreen,
 )
 from hibiscusstile.sidecar import revision as revision_lib
+from hibiscusstile.sidecar.runningattempt import RunningAttempt
 
 __all__ = ["AttemptExecutor"]
 
@@ -41,18 +42,6 @@
 _MAINTENANCE_INTERVAL = datetime.timedelta(milliseconds=200)
 
 
-@dataclasses.dataclass(slots=True)
-class _RunningAttempt:
-    stream: attemptstream.AttemptStream
-    work_id: str
-    dispatch: messages.Dispatch
-    incarnation: str = ""
-    stream_broken: bool = False
-    ended: bool = False
-    timeout_scope: asyncio.Timeout | None = None
-    failure: outcome.Refusal | None = None
-
-
 class AttemptExecutor:
     """Runs the attempts of a sidecar, each in its own task.
 
@@ -97,7 +86,7 @@
         self._crash_location = crash_location
         self._probe_engine = probe_engine
         self._clock = clock
-        self._attempts: dict[str, _RunningAttempt] = {}
+        self._attempts: dict[str, RunningAttempt] = {}
 
     @property
     def active_count(self) -> int:
@@ -122,7 +111,7 @@
         stream = attemptstream.AttemptStream(
             dispatch.attempt_id, connection, self._clock
         )
-        attempt = _RunningAttempt(stream, dispatch.work.work_id, dispatch)
+        attempt = RunningAttempt(stream, dispatch)
         self._attempts[dispatch.attempt_id] = attempt
         self._tasks.add(
             supervisor.ChildSpec(
@@ -165,7 +154,10 @@
         self._tasks.cancel(attempt_id)
 
     def fail_running(
-        self, refusal: outcome.Refusal, incarnation: str = ""
+        self,
+        refusal: outcome.Refusal,
+        incarnation: str = "",
+        silent_since_s: float | None = None,
     ) -> None:
         """Immediately fails the attempts that were sent to the engine.
 
@@ -174,17 +166,13 @@
             incarnation: Current incarnation of the engine if it has already
                 restarted. Only attempts known to have run on an earlier
                 incarnation fail in that case.
+            silent_since_s: Monotonic time since which the engine is silent,
+                None if it is known to have crashed. Only attempts that have
+                waited for the engine since then fail.
         """
-        now_s = asyncio.get_running_loop().time()
         for attempt in self._attempts.values():
-            unaffected = incarnation and attempt.incarnation in (
-                "",
-                incarnation,
-            )
-            if attempt.timeout_scope is None or attempt.failure or unaffected:
-                continue
-            attempt.failure = refusal
-            attempt.timeout_scope.reschedule(now_s)
+            if attempt.is_affected(incarnation, silent_since_s):
+                attempt.fail(refusal)
 
     def detach(self, connection: connection_lib.PeerConnection) -> None:
         """Detaches all streams from a connection that has ended."""
@@ -203,7 +191,7 @@
 
     async def _run(
         self,
-        attempt: _RunningAttempt,
+        attempt: RunningAttempt,
         dispatch: messages.Dispatch,
         revision: int,
     ) -> None:
@@ -216,7 +204,7 @@
 
     async def _execute(
         self,
-        attempt: _RunningAttempt,
+        attempt: RunningAttempt,
         dispatch: messages.Dispatch,
         revision: int,
     ) -> None:
@@ -240,7 +228,9 @@
             )
 
     async def _generate(
-        self, attempt: _RunningAttempt, dispatch: messages.Dispatch
+        self,
+        attempt: RunningAttempt,
+        dispatch: messages.Dispatch,
     ) -> None:
         generation = self._build_generation_request(dispatch)
         deadline_s = self._clock.monotonic() + dispatch.deadline_s
@@ -254,28 +244,16 @@
             self._build_generation_request(dispatch), work.work_id
         )
         self._bidder.note_dispatched(work, generation.cache_salt)
-        served_tokens = 0
         try:
             # The same request may have crashed another engine meanwhile.
             self._suspect_screen.screen(dispatch)
             attempt.incarnation = self._cache_view.incarnation
             async with asyncio.timeout(None) as attempt.timeout_scope:
+                attempt.engine_wait_started_s = self._clock.monotonic()
                 async for event in self._require_engine().generate(generation):
-                    if isinstance(event, backends.EngineStarted):
-                        served_tokens += (
-                            dispatch.work.prompt_tokens - event.cached_tokens
-                        )
-                        attempt.incarnation = (
-                            event.incarnation or attempt.incarnation
-                        )
-                        self._admission_queue.note_started(work.work_id)
-                        self._record_start(generation, dispatch, event)
-                        await attempt.stream.send_started(event.cached_tokens)
-                    elif isinstance(event, backends.EngineText):
-                        served_tokens += 1
-                        await attempt.stream.send_text(event.text)
-                    else:
-                        await attempt.stream.send_end(event)
+                    attempt.note_event(event)
+                    await self._handle_event(attempt, generation, event)
+                    attempt.engine_wait_started_s = self._clock.monotonic()
         except TimeoutError:
             if attempt.failure is None:
                 raise
@@ -290,10 +268,32 @@
             raise
         finally:
             attempt.timeout_scope = None
+            attempt.engine_wait_started_s = None
             self._bidder.note_ended(dispatch.work.work_id)
-            self._admission_queue.finish(dispatch.work.work_id, served_tokens)
+            self._admission_queue.finish(
+                dispatch.work.work_id, attempt.served_tokens
+            )
 
-    async def _handle_broken_stream(self, attempt: _RunningAttempt) -> None:
+    async def _handle_event(
+        self,
+        attempt: RunningAttempt,
+        generation: backends.GenerationRequest,
+        event: backends.EngineEvent,
+    ) -> None:
+        """Sends an event to the entry instance, at the pace it reads."""
+        match event:
+            case backends.EngineStarted():
+                self._admission_queue.note_started(
+                    attempt.dispatch.work.work_id
+                )
+                self._record_start(generation, attempt.dispatch, event)
+                await attempt.stream.send_started(event.cached_tokens)
+            case backends.EngineText():
+                await attempt.stream.send_text(event.text)
+            case backends.EngineEnd():
+                await attempt.stream.send_end(event)
+
+    async def _handle_broken_stream(self, attempt: RunningAttempt) -> None:
         """Checks for an engine crash after a stream broke.
 
         This completes before the failure is reported and before the next
--- a/tests/builders/__init__.py
+++ b/tests/builders/__init__.py
@@ -45,6 +45,12 @@
     long_prompt,
     nested_levels,
 )
+from tests.builders.executors import (
+    RecordingConnection,
+    SteppedEngine,
+    attempt_executor,
+    suspect_broadcaster,
+)
 from tests.builders.fleets import (
     FLEET_WORKSPACES,
     FakeInstanceList,
@@ -82,13 +88,16 @@
     "FakeSidecarPool",
     "InMemoryStream",
     "ManualClock",
+    "RecordingConnection",
     "ReferenceCache",
     "ScriptedFleet",
     "ScriptedLink",
     "SimulatedEngine",
+    "SteppedEngine",
     "UnreliableLog",
     "YieldingClock",
     "apply_records",
+    "attempt_executor",
     "block_events",
     "cache_events",
     "call_fleet",
@@ -120,6 +129,7 @@
     "service_reply",
     "split_policy",
     "store_with_records",
+    "suspect_broadcaster",
     "synchronize_ledgers",
     "unshared_levels",
     "work_item",
--- a/tests/sidecar/test_enginemonitor.py
+++ b/tests/sidecar/test_enginemonitor.py
@@ -39,8 +39,16 @@
     async def note_crash(self, incarnation: str) -> None:
         self.crashes.append(incarnation)
 
-    def fail_running(self, refusal: outcome.Refusal, incarnation: str) -> None:
+    def fail_running(
+        self,
+        refusal: outcome.Refusal,
+        incarnation: str,
+        silent_since_s: float | None,
+    ) -> None:
         assert refusal.verdict is outcome.Verdict.MAY_HAVE_RUN
+        # A crash ends all attempts, silence only those without output.
+        crashed = refusal.reason is outcome.Reason.BACKEND_CRASHED
+        assert (silent_since_s is None) == crashed
         self.refusals.append((refusal.reason, incarnation))
 
     async def announce(self) -> None:
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -7,24 +7,14 @@
 from typing import Any
 
 from hibiscusstile import (
-    admission,
     backends,
-    bidder,
     cacheview,
     clock,
     outcome,
-    platform,
     supervisor,
-    suspectlog,
     suspects,
 )
 from hibiscusstile.peers import messages
-from hibiscusstile.sidecar import (
-    asyncadmission,
-    cachescopes,
-    executor,
-    suspectbroadcast,
-)
 from tests import builders
 
 
@@ -61,32 +51,6 @@
         return backends.ProbeFailure.REFUSED
 
 
-class _RecordingConnection:
-    """Records the messages sent to an entry instance."""
-
-    def __init__(self) -> None:
-        self.sent: list[messages.PeerMessage] = []
-
-    async def send(self, message: messages.PeerMessage) -> None:
-        self.sent.append(message)
-
-
-class _UnavailableLog(platform.LogClient):
-    """A log service that is unavailable."""
-
-    def __init__(self) -> None:
-        super().__init__("")
-
-    async def append(self, stream: str, payload: bytes) -> Any:
-        return platform.AppendUnknown("down")
-
-    async def read(self, stream: str, offset: int, **kwargs: Any) -> Any:
-        return platform.LogUnavailable("down")
-
-    async def close(self) -> None:
-        return
-
-
 async def test_crash_charge_is_sent_before_attempt_failures() -> None:
     """Guards against a retry by an entry that is unaware of the crash."""
     system_clock = clock.SystemClock()
@@ -95,28 +59,15 @@
     view = cacheview.CacheView()
     view.reset("engine-1")
     table = suspects.SuspectTable(system_clock)
-    broadcaster = suspectbroadcast.SuspectBroadcaster(
-        table, suspectlog.SuspectAppender(_UnavailableLog(), system_clock)
-    )
-    limits = admission.QueueLimits(32, 400_000, 2_000_000, 1000, 20_000.0)
-    queue = admission.AdmissionQueue(system_clock, limits)
-    store = builders.store_with_records(
-        builders.record("model", "m1", weights_version="1")
-    )
-    attempt_executor = executor.AttemptExecutor(
+    broadcaster = builders.suspect_broadcaster(table)
+    attempt_executor = builders.attempt_executor(
         tasks,
         engine,
-        asyncadmission.AsyncAdmissionQueue(queue, system_clock),
         view,
-        bidder.Bidder(system_clock, queue, view, 20_000.0, lambda rank: 0),
-        cachescopes.CacheScopeResolver(store, lambda: None),
-        store,
         broadcaster,
-        ("az-1", "s1"),
         lambda broke: attempt_executor.note_crash("engine-1"),
-        system_clock,
     )
-    connection: Any = _RecordingConnection()
+    connection = builders.RecordingConnection()
     broadcaster.add(connection)
     supervision = asyncio.ensure_future(tasks.run())
     attempt_executor.start(connection, builders.dispatch("att-1", "one"), 0)
