Send keep-alives to each entry without waiting for the others

Callers of one entry instance could see their answers end with `peer_lost`, or start again on another engine, because another entry instance had stopped reading: the sound sidecar missed its keep-alives and the entry gave it up after 1.5 s.

Cause: the sidecar's maintenance task sent the keep-alives one after another and waited without a limit for room in each send buffer. One full buffer held up the keep-alives of all attempts and the cancellation of orphaned ones, for up to the 25 s after which a silent peer is dropped.

Now they are sent at the same time, and the wait for each ends after 0.2 s.

tests/sidecar/test_keepalives.py failed before: no keep-alive reached the second entry within 1.5 s. It uses a connection whose buffer stays full; the fault was not seen with real processes.

--- a/hibiscusstile/sidecar/attemptstream.py
+++ b/hibiscusstile/sidecar/attemptstream.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import datetime
 
 import xxhash
@@ -16,6 +17,7 @@
 
 _MAX_UNACKNOWLEDGED_CHUNKS = 512
 _PROGRESS_INTERVAL_S = 0.5
+_PROGRESS_SEND_TIMEOUT_S = 0.2
 _RECONNECT_GRACE = datetime.timedelta(milliseconds=900)
 
 
@@ -75,9 +77,16 @@
         await self._send(messages.Started(self._attempt_id, cached_tokens))
 
     async def send_progress_if_idle(self) -> None:
-        """Sends a keep-alive message if nothing was sent for 0.5 s."""
-        if self._clock.monotonic() - self._last_send_s >= _PROGRESS_INTERVAL_S:
-            await self._send(messages.Progress(self._attempt_id))
+        """Sends a keep-alive message if nothing was sent for 0.5 s.
+
+        An entry instance that does not read has a full send buffer. The wait
+        for it ends early, since keep-alives of other attempts follow.
+        """
+        if self._clock.monotonic() - self._last_send_s < _PROGRESS_INTERVAL_S:
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_PROGRESS_SEND_TIMEOUT_S):
+                await self._send(messages.Progress(self._attempt_id))
 
     async def send_text(self, text: str) -> None:
         """Sends a chunk, after waiting for room in the send window."""
--- a/hibiscusstile/sidecar/executor.py
+++ b/hibiscusstile/sidecar/executor.py
@@ -116,7 +116,7 @@
         self._tasks.add(
             supervisor.ChildSpec(
                 dispatch.attempt_id,
-                lambda: self._run(attempt, dispatch, revision),
+                lambda: self._run(attempt, revision),
                 supervisor.Restart.TEMPORARY,
             )
         )
@@ -186,28 +186,24 @@
             for attempt_id, attempt in list(self._attempts.items()):
                 if attempt.stream.orphaned:
                     self.cancel(attempt_id)
-                elif not attempt.ended:
-                    await attempt.stream.send_progress_if_idle()
+            await asyncio.gather(
+                *(
+                    attempt.stream.send_progress_if_idle()
+                    for attempt in self._attempts.values()
+                    if not attempt.ended
+                )
+            )
 
-    async def _run(
-        self,
-        attempt: RunningAttempt,
-        dispatch: messages.Dispatch,
-        revision: int,
-    ) -> None:
+    async def _run(self, attempt: RunningAttempt, revision: int) -> None:
         try:
-            await self._execute(attempt, dispatch, revision)
+            await self._execute(attempt, revision)
             attempt.ended = True
             await self._clock.sleep(_ENDED_ATTEMPT_RETENTION)
         finally:
-            del self._attempts[dispatch.attempt_id]
+            del self._attempts[attempt.dispatch.attempt_id]
 
-    async def _execute(
-        self,
-        attempt: RunningAttempt,
-        dispatch: messages.Dispatch,
-        revision: int,
-    ) -> None:
+    async def _execute(self, attempt: RunningAttempt, revision: int) -> None:
+        dispatch = attempt.dispatch
         try:
             await revision_lib.wait_for_revision(
                 self._store, self._clock, revision
