Do not count a pause of the entry as silence of its sidecars

Callers could see answers end with `peer_lost` after their entry instance had been paused for 1.5 s, although the sidecars had sent keep-alives all the time. All running responses of the entry were concerned, and the retry budget holds tokens for a tenth of them.

Cause: the limit on silence was one timer. After a pause it expires before the messages that came meanwhile are read.

Now the limit is made of three waits, one after another. A pause ends at most the wait that it falls into, and the messages are read during the next one. A sidecar that is silent is still given up after 1.5 s.

tests/peers/test_attemptchannel.py, test_messages_of_a_pause_are_received, failed before: the message that a socket had received during the pause came too late. It blocks the event loop in place of a pause; real processes were not paused. The other two tests keep the limit as it was.

--- a/hibiscusstile/peers/attemptchannel.py
+++ b/hibiscusstile/peers/attemptchannel.py
@@ -3,12 +3,16 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from hibiscusstile.peers import messages
 
 __all__ = ["AttemptChannel", "ChannelLost"]
 
 _MAX_CHANNEL_MESSAGES = 1024
+# After a pause of this process, a wait expires before the messages that came
+# meanwhile are read. Only the wait during the pause is lost then.
+_WAITS_PER_TIMEOUT = 3
 
 
 class ChannelLost(Exception):  # noqa: N818 - an expected condition
@@ -34,11 +38,11 @@
 
         Raises:
             ChannelLost: The connection has ended.
-            TimeoutError: No message arrived within `timeout_s` seconds.
+            TimeoutError: No message arrived within `timeout_s` seconds, not
+                counting most of the time in which this process was paused.
         """
         if self._queue.empty():
-            async with asyncio.timeout(timeout_s):
-                message = await self._queue.get()
+            message = await self._wait(timeout_s)
         else:
             message = self._queue.get_nowait()
         if message is None:
@@ -61,3 +65,11 @@
         except asyncio.QueueFull:
             return False
         return True
+
+    async def _wait(self, timeout_s: float) -> messages.PeerMessage | None:
+        """Waits for a message in several shorter waits."""
+        for _ in range(_WAITS_PER_TIMEOUT):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(timeout_s / _WAITS_PER_TIMEOUT):
+                    return await self._queue.get()
+        raise TimeoutError
