Move the facts about crashes to a module of their own

The dataclasses and keys that notices, evidence and blocks share move from gateway/crashcharges to gateway/crashfacts, unchanged. Test modules change their imports only.

--- a/hibiscusstile/gateway/crashcharges.py
+++ b/hibiscusstile/gateway/crashcharges.py
@@ -1,94 +1,25 @@
-"""Crashes of backend servers and the requests that are charged with them."""
+"""Crashes of backend servers, charged to the requests that they lost."""
 
 from __future__ import annotations
 
 import collections
-import dataclasses
 from collections.abc import Collection, Iterable, Mapping
 
 from hibiscusstile import clock as clock_lib
+from hibiscusstile.gateway import crashfacts
 
-__all__ = [
-    "ChargedCrash",
-    "Clearance",
-    "Crash",
-    "CrashCharges",
-    "is_request_key",
-    "request_key",
-]
+__all__ = ["CrashCharges"]
 
 _FACT_TTL_S = 900.0
 # Reports of one crash by several gateways are at most this far apart; a server
 # may crash again before its new start time is known.
 _SAME_CRASH_S = 10.0
-_REQUEST_KEY_PREFIX = "request:"
 _MAX_CRASHES = 128
 _MAX_KEYS_PER_CRASH = 1024
 _MAX_REQUESTS_PER_CRASH = 512
 _MAX_COMPLETED = 16_384
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Crash:
-    """A crash of a server and a request that the server was running.
-
-    Attributes:
-        crash_id: The server and its start time.
-        keys: Keys of the request.
-        age_s: Seconds since the crash.
-        survived: Whether the server had run the request for a while, which
-            makes it unlikely that the request crashed the server.
-    """
-
-    crash_id: str
-    keys: tuple[str, ...]
-    age_s: float = 0.0
-    survived: bool = False
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Clearance:
-    """Withdraws the charges against a key up to its last completion.
-
-    Attributes:
-        key: Key of the completed request.
-        age_s: Seconds since the completion.
-    """
-
-    key: str
-    age_s: float = 0.0
-
-
-@dataclasses.dataclass(eq=False, slots=True)
-class ChargedCrash:
-    """A crash that is stored.
-
-    Attributes:
-        crash_id: The server and its start time.
-        at_s: Time of the crash on the monotonic clock.
-        keys: All keys that were charged with it, also those cleared since.
-        requests: Keys of each request that the server was about to begin or
-            had just begun.
-        begin_keys: All keys of these requests.
-    """
-
-    crash_id: str
-    at_s: float
-    keys: set[str] = dataclasses.field(default_factory=set)
-    requests: set[frozenset[str]] = dataclasses.field(default_factory=set)
-    begin_keys: set[str] = dataclasses.field(default_factory=set)
-
-
-def request_key(fingerprint: str) -> str:
-    """Returns the key of a whole request; other keys are prompt parts."""
-    return _REQUEST_KEY_PREFIX + fingerprint
-
-
-def is_request_key(key: str) -> bool:
-    """Returns whether a key stands for a whole request."""
-    return key.startswith(_REQUEST_KEY_PREFIX)
-
-
 class CrashCharges:
     """The crashes that count against each key.
 
@@ -101,11 +32,11 @@
 
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
-        self._crashes: list[ChargedCrash] = []
+        self._crashes: list[crashfacts.ChargedCrash] = []
         # Crashes since the last completion, by key.
-        self._charges: dict[str, list[ChargedCrash]] = {}
+        self._charges: dict[str, list[crashfacts.ChargedCrash]] = {}
         # The keys of these with more than one crash.
-        self._repeated: dict[str, list[ChargedCrash]] = {}
+        self._repeated: dict[str, list[crashfacts.ChargedCrash]] = {}
         # Time of the last known completion, by key, oldest first.
         self._completed_s: collections.OrderedDict[str, float] = (
             collections.OrderedDict()
@@ -113,18 +44,18 @@
         # Facts to announce: requests by crash, each with whether it had
         # survived, and times of completion by key.
         self._new_charges: dict[
-            ChargedCrash, list[tuple[frozenset[str], bool]]
+            crashfacts.ChargedCrash, list[tuple[frozenset[str], bool]]
         ] = {}
         self._new_completions: dict[str, float] = {}
         self._revision = 0
 
     @property
-    def by_key(self) -> Mapping[str, list[ChargedCrash]]:
+    def by_key(self) -> Mapping[str, list[crashfacts.ChargedCrash]]:
         """Crashes that count against each key, if any."""
         return self._charges
 
     @property
-    def repeated(self) -> Mapping[str, list[ChargedCrash]]:
+    def repeated(self) -> Mapping[str, list[crashfacts.ChargedCrash]]:
         """Crashes that count against each key with more than one."""
         return self._repeated
 
@@ -177,7 +108,7 @@
                 self._new_completions[key] = now_s
             self._clear(key, now_s)
 
-    def merge_crash(self, crash: Crash) -> None:
+    def merge_crash(self, crash: crashfacts.Crash) -> None:
         """Adds a crash, or a further request of a known one."""
         if crash.age_s < _FACT_TTL_S:
             self._charge(
@@ -187,30 +118,36 @@
                 crash.survived,
             )
 
-    def merge_clearance(self, clearance: Clearance) -> None:
+    def merge_clearance(self, clearance: crashfacts.Clearance) -> None:
         """Clears a key of the charges before its completion."""
         if clearance.age_s < _FACT_TTL_S:
             self._clear(
                 clearance.key, self._clock.monotonic() - clearance.age_s
             )
 
-    def drain(self) -> tuple[list[Crash], list[Clearance]]:
+    def drain(
+        self,
+    ) -> tuple[list[crashfacts.Crash], list[crashfacts.Clearance]]:
         """Removes and returns the facts to announce to other gateways."""
         now_s = self._clock.monotonic()
         crashes = [
-            Crash(each.crash_id, tuple(request), now_s - each.at_s, survived)
+            crashfacts.Crash(
+                each.crash_id, tuple(request), now_s - each.at_s, survived
+            )
             for each, requests in self._new_charges.items()
             for request, survived in requests
         ]
         clearances = [
-            Clearance(key, now_s - at_s)
+            crashfacts.Clearance(key, now_s - at_s)
             for key, at_s in self._new_completions.items()
         ]
         self._new_charges.clear()
         self._new_completions.clear()
         return crashes, clearances
 
-    def snapshot(self) -> tuple[list[Crash], list[Clearance]]:
+    def snapshot(
+        self,
+    ) -> tuple[list[crashfacts.Crash], list[crashfacts.Clearance]]:
         """Returns the facts for a gateway that has just connected.
 
         Keys with a single charge are left out: they are many, and it takes
@@ -220,19 +157,21 @@
         now_s = self._clock.monotonic()
         repeated = self._repeated.keys()
         crashes = [
-            Crash(each.crash_id, tuple(request), now_s - each.at_s, survived)
+            crashfacts.Crash(
+                each.crash_id, tuple(request), now_s - each.at_s, survived
+            )
             for each in self._crashes
             for request, survived in self._charged_requests(each, repeated)
         ]
         clearances = [
-            Clearance(key, now_s - self._completed_s[key])
+            crashfacts.Clearance(key, now_s - self._completed_s[key])
             for key in repeated
             if key in self._completed_s
         ]
         return crashes, clearances
 
     def _charged_requests(
-        self, crash: ChargedCrash, keys: Collection[str]
+        self, crash: crashfacts.ChargedCrash, keys: Collection[str]
     ) -> list[tuple[frozenset[str], bool]]:
         """Returns the requests of a crash, without keys that are not charged.
 
@@ -261,7 +200,7 @@
         at_s: float,
         keys: Collection[str],
         survived: bool,
-    ) -> tuple[ChargedCrash, frozenset[str] | None]:
+    ) -> tuple[crashfacts.ChargedCrash, frozenset[str] | None]:
         """Charges a crash to a request; returns both.
 
         The request is None if it was charged before.
@@ -288,7 +227,7 @@
             self._revision += 1
         return crash, request
 
-    def _charge_key(self, key: str, crash: ChargedCrash) -> None:
+    def _charge_key(self, key: str, crash: crashfacts.ChargedCrash) -> None:
         completed_s = self._completed_s.get(key)
         if completed_s is not None and completed_s >= crash.at_s:
             # The process that charged the key did not know of this.
@@ -313,7 +252,9 @@
         if len(remaining) < len(charges):
             self._set_charges(key, remaining)
 
-    def _set_charges(self, key: str, charges: list[ChargedCrash]) -> None:
+    def _set_charges(
+        self, key: str, charges: list[crashfacts.ChargedCrash]
+    ) -> None:
         if charges:
             self._charges[key] = charges
         else:
@@ -324,7 +265,9 @@
             return
         self._revision += 1
 
-    def _find_crash(self, crash_id: str, at_s: float) -> ChargedCrash | None:
+    def _find_crash(
+        self, crash_id: str, at_s: float
+    ) -> crashfacts.ChargedCrash | None:
         for each in reversed(self._crashes):
             if (
                 each.crash_id == crash_id
@@ -333,11 +276,11 @@
                 return each
         return None
 
-    def _add_crash(self, crash_id: str, at_s: float) -> ChargedCrash:
+    def _add_crash(self, crash_id: str, at_s: float) -> crashfacts.ChargedCrash:
         self._expire()
         if len(self._crashes) >= _MAX_CRASHES:
             self._remove(min(self._crashes, key=lambda each: each.at_s))
-        crash = ChargedCrash(crash_id, at_s)
+        crash = crashfacts.ChargedCrash(crash_id, at_s)
         self._crashes.append(crash)
         return crash
 
@@ -346,7 +289,7 @@
         for each in [each for each in self._crashes if each.at_s <= cutoff_s]:
             self._remove(each)
 
-    def _remove(self, crash: ChargedCrash) -> None:
+    def _remove(self, crash: crashfacts.ChargedCrash) -> None:
         self._crashes.remove(crash)
         for key in crash.keys:
             charges = self._charges.get(key, [])
--- a/hibiscusstile/gateway/crashevidence.py
+++ b/hibiscusstile/gateway/crashevidence.py
@@ -6,7 +6,7 @@
 import hashlib
 
 from hibiscusstile import outcome
-from hibiscusstile.gateway import crashcharges, exchange, fleet, resolving
+from hibiscusstile.gateway import crashfacts, exchange, fleet, resolving
 from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["RequestEvidence"]
@@ -59,7 +59,7 @@
             digest.update(len(data).to_bytes(8, "big"))
             digest.update(data)
         digest.update(self._request.body)
-        return crashcharges.request_key(digest.hexdigest())
+        return crashfacts.request_key(digest.hexdigest())
 
     @property
     def _keys(self) -> tuple[str, ...]:
--- /dev/null
+++ b/hibiscusstile/gateway/crashfacts.py
@@ -0,0 +1,76 @@
+"""Facts about crashes of backend servers, and keys that they concern."""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = [
+    "ChargedCrash",
+    "Clearance",
+    "Crash",
+    "is_request_key",
+    "request_key",
+]
+
+_REQUEST_KEY_PREFIX = "request:"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Crash:
+    """A crash of a server and a request that the server was running.
+
+    Attributes:
+        crash_id: The server and its start time.
+        keys: Keys of the request.
+        age_s: Seconds since the crash.
+        survived: Whether the server had run the request for a while, which
+            makes it unlikely that the request crashed the server.
+    """
+
+    crash_id: str
+    keys: tuple[str, ...]
+    age_s: float = 0.0
+    survived: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Clearance:
+    """Withdraws the charges against a key up to its last completion.
+
+    Attributes:
+        key: Key of the completed request.
+        age_s: Seconds since the completion.
+    """
+
+    key: str
+    age_s: float = 0.0
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class ChargedCrash:
+    """A crash that is stored.
+
+    Attributes:
+        crash_id: The server and its start time.
+        at_s: Time of the crash on the monotonic clock.
+        keys: All keys that were charged with it, also those cleared since.
+        requests: Keys of each request that the server was about to begin or
+            had just begun.
+        begin_keys: All keys of these requests.
+    """
+
+    crash_id: str
+    at_s: float
+    keys: set[str] = dataclasses.field(default_factory=set)
+    requests: set[frozenset[str]] = dataclasses.field(default_factory=set)
+    begin_keys: set[str] = dataclasses.field(default_factory=set)
+
+
+def request_key(fingerprint: str) -> str:
+    """Returns the key of a whole request; other keys are prompt parts."""
+    return _REQUEST_KEY_PREFIX + fingerprint
+
+
+def is_request_key(key: str) -> bool:
+    """Returns whether a key stands for a whole request."""
+    return key.startswith(_REQUEST_KEY_PREFIX)
--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -12,7 +12,7 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import crashcharges
+from hibiscusstile.gateway import crashcharges, crashfacts
 
 __all__ = ["Block", "CrashingParts"]
 
@@ -210,7 +210,7 @@
 
     def _compute_blocks(self, reported: bool) -> dict[frozenset[str], Block]:
         suspects = dict(self._charges.repeated)
-        explained: set[crashcharges.ChargedCrash] = set()
+        explained: set[crashfacts.ChargedCrash] = set()
         blocks: dict[frozenset[str], Block] = {}
         for keys in self._confirmed:
             if not self._still_together(keys):
@@ -227,8 +227,8 @@
     def _add_blocks(
         self,
         blocks: dict[frozenset[str], Block],
-        suspects: dict[str, list[crashcharges.ChargedCrash]],
-        explained: set[crashcharges.ChargedCrash],
+        suspects: dict[str, list[crashfacts.ChargedCrash]],
+        explained: set[crashfacts.ChargedCrash],
         reported: bool,
         *,
         once_sound: bool = False,
@@ -292,9 +292,9 @@
         return bool(charged[0]) and all(each == charged[0] for each in charged)
 
     def _rank(
-        self, key: str, charged: Collection[crashcharges.ChargedCrash]
+        self, key: str, charged: Collection[crashfacts.ChargedCrash]
     ) -> _Rank:
-        if crashcharges.is_request_key(key):
+        if crashfacts.is_request_key(key):
             suspicion = _Suspicion.REQUEST
         elif self._was_sound(key):
             suspicion = _Suspicion.COMPLETED_PART
@@ -304,7 +304,7 @@
 
     def _was_sound(self, key: str) -> bool:
         """Returns whether requests with a prompt part have been sound."""
-        return not crashcharges.is_request_key(
+        return not crashfacts.is_request_key(
             key
         ) and self._charges.has_completed(key)
 
@@ -312,7 +312,7 @@
         self,
         keys: frozenset[str],
         crashes: int,
-        charged: Collection[crashcharges.ChargedCrash],
+        charged: Collection[crashfacts.ChargedCrash],
         *,
         contested: bool = False,
     ) -> Block:
@@ -324,7 +324,7 @@
 
 
 def _most_specific(
-    suspects: Mapping[str, Collection[crashcharges.ChargedCrash]],
+    suspects: Mapping[str, Collection[crashfacts.ChargedCrash]],
 ) -> set[frozenset[str]]:
     """Returns the keys to block among those with equally many crashes.
 
@@ -372,18 +372,18 @@
 
 
 def _describe(block: Block) -> str:
-    if any(crashcharges.is_request_key(key) for key in block.keys):
+    if any(crashfacts.is_request_key(key) for key in block.keys):
         return "the same content"
     if len(block.keys) == 1:
         return f"the prompt part {block.label}"
     return f"the prompt parts {block.label} together"
 
 
-def _last_s(charged: Collection[crashcharges.ChargedCrash]) -> float:
+def _last_s(charged: Collection[crashfacts.ChargedCrash]) -> float:
     return max(each.at_s for each in charged)
 
 
-def _count(charged: Collection[crashcharges.ChargedCrash]) -> int:
+def _count(charged: Collection[crashfacts.ChargedCrash]) -> int:
     """Returns how many crashes count, given that close ones count once."""
     count = 0
     counted_s = float("-inf")
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -11,7 +11,7 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from hibiscusstile.gateway import crashcharges, exchange, load, serverstatements
+from hibiscusstile.gateway import crashfacts, exchange, load, serverstatements
 from hibiscusstile.peers import messages
 
 if TYPE_CHECKING:
@@ -296,13 +296,13 @@
         charges = self._state.crashing_parts.charges
         for crash in notice.crashes:
             charges.merge_crash(
-                crashcharges.Crash(
+                crashfacts.Crash(
                     crash.crash, crash.keys, crash.age_s, crash.survived
                 )
             )
         for clearance in notice.clearances:
             charges.merge_clearance(
-                crashcharges.Clearance(clearance.key, clearance.age_s)
+                crashfacts.Clearance(clearance.key, clearance.age_s)
             )
         if notice.crashes and charges.has_news:
             self._state.notices.send_soon()
@@ -353,7 +353,7 @@
 
 
 def _crash_updates(
-    crashes: list[crashcharges.Crash],
+    crashes: list[crashfacts.Crash],
 ) -> tuple[messages.CrashUpdate, ...]:
     return tuple(
         messages.CrashUpdate(
@@ -364,7 +364,7 @@
 
 
 def _clearance_updates(
-    clearances: list[crashcharges.Clearance],
+    clearances: list[crashfacts.Clearance],
 ) -> tuple[messages.ClearanceUpdate, ...]:
     return tuple(
         messages.ClearanceUpdate(each.key, each.age_s)
--- a/tests/builders/crashsimulation.py
+++ b/tests/builders/crashsimulation.py
@@ -10,7 +10,7 @@
 from typing import Any
 
 from hibiscusstile import outcome
-from hibiscusstile.gateway import crashcharges, crashingparts
+from hibiscusstile.gateway import crashfacts, crashingparts
 from tests import builders as base
 
 __all__ = ["Deployment", "Outcome", "draw_deployment", "simulate"]
@@ -96,7 +96,7 @@
 
     @property
     def keys(self) -> list[str]:
-        return [*self.parts, crashcharges.request_key(str(self.number))]
+        return [*self.parts, crashfacts.request_key(str(self.number))]
 
 
 class _Simulation:
