Count each crash of a batch that only one part explains

Cause: crashes within 0.2 s counted once, since a rack that fails must not block what its servers ran. Closeness in time does not tell such a failure from a batch.

Three or more crashes at one moment now count each against a key that nearly all of these servers had just begun, if no request with it has completed. An outside cause meets a key on all its servers only if the key is in common use, and such a key has completed. That needs a process that knows: one that completed requests for 2 s before, or that hears of requests on other servers after the crashes. Otherwise close crashes count once, as before.

--- a/hibiscusstile/gateway/crashcharges.py
+++ b/hibiscusstile/gateway/crashcharges.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import collections
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Iterable, Mapping, Sequence
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile.gateway import crashfacts
@@ -14,6 +14,10 @@
 # Reports of one crash by several gateways are at most this far apart; a server
 # may crash again before its new start time is known.
 _SAME_CRASH_S = 10.0
+# A request that completes in this time after a crash ran on another server:
+# crashes with one cause may be 0.2 s apart, and a server is back after seconds.
+_MIN_OUTLIVED_S = 0.2
+_MAX_OUTLIVED_S = 2.0
 _MAX_CRASHES = 128
 _MAX_KEYS_PER_CRASH = 1024
 _MAX_REQUESTS_PER_CRASH = 512
@@ -33,6 +37,7 @@
     def __init__(self, clock: clock_lib.Clock) -> None:
         self._clock = clock
         self._crashes: list[crashfacts.ChargedCrash] = []
+        self._last_crash_s = float("-inf")
         # Crashes since the last completion, by key.
         self._charges: dict[str, list[crashfacts.ChargedCrash]] = {}
         # The keys of these with more than one crash.
@@ -47,6 +52,7 @@
             crashfacts.ChargedCrash, list[tuple[frozenset[str], bool]]
         ] = {}
         self._new_completions: dict[str, float] = {}
+        self._observed_from_s = float("inf")
         self._revision = 0
 
     @property
@@ -59,16 +65,30 @@
         """Crashes that count against each key with more than one."""
         return self._repeated
 
+    @property
+    def crashes(self) -> Sequence[crashfacts.ChargedCrash]:
+        """All known crashes."""
+        return self._crashes
+
+    @property
+    def observed_from_s(self) -> float:
+        """Time of this process's first completion; infinite if none.
+
+        A part that was in use since then has completed.
+        """
+        return self._observed_from_s
+
     @property
     def last_crash_s(self) -> float:
         """Time of the last crash on the monotonic clock; -inf if none."""
-        return max((each.at_s for each in self._crashes), default=float("-inf"))
+        return self._last_crash_s
 
     @property
     def revision(self) -> int:
         """A number that grows whenever `repeated` changes.
 
-        It also grows when one of its keys completes for the first time.
+        It also grows when one of its keys completes for the first time, and
+        when a crash turns out to have left other servers running.
         """
         return self._revision
 
@@ -100,11 +120,13 @@
     def note_completed(self, keys: Iterable[str]) -> None:
         """Clears the keys of a request that did not crash its server.
 
-        Clearances of charged keys are announced.
+        Clearances of charged keys are announced, and the first one after each
+        crash.
         """
         now_s = self._clock.monotonic()
+        self._observed_from_s = min(self._observed_from_s, now_s)
         for key in keys:
-            if key in self._charges:
+            if self._note_outlived(key, now_s) or key in self._charges:
                 self._new_completions[key] = now_s
             self._clear(key, now_s)
 
@@ -121,9 +143,9 @@
     def merge_clearance(self, clearance: crashfacts.Clearance) -> None:
         """Clears a key of the charges before its completion."""
         if clearance.age_s < _FACT_TTL_S:
-            self._clear(
-                clearance.key, self._clock.monotonic() - clearance.age_s
-            )
+            at_s = self._clock.monotonic() - clearance.age_s
+            self._note_outlived(clearance.key, at_s)
+            self._clear(clearance.key, at_s)
 
     def drain(
         self,
@@ -168,6 +190,10 @@
             for key in repeated
             if key in self._completed_s
         ]
+        outlived = {each.outlived for each in self._crashes if each.outlived}
+        clearances += [
+            crashfacts.Clearance(key, now_s - at_s) for key, at_s in outlived
+        ]
         return crashes, clearances
 
     def _charged_requests(
@@ -212,6 +238,7 @@
         del new_keys[max(0, _MAX_KEYS_PER_CRASH - len(crash.keys)) :]
         for key in new_keys:
             crash.keys.add(key)
+            crash.models.add(crashfacts.model_of(key))
             self._charge_key(key, crash)
         request = frozenset(key for key in keys if key in crash.keys)
         if survived:
@@ -239,6 +266,27 @@
             # Tells the other processes that the key has completed before.
             self._new_completions[key] = completed_s
 
+    def _note_outlived(self, key: str, at_s: float) -> bool:
+        """Notes the crashes that the server of a completed request outlived.
+
+        Returns:
+            Whether this was not known of one of them.
+        """
+        if at_s > self._last_crash_s + _MAX_OUTLIVED_S:
+            return False
+        crashes = [
+            each
+            for each in self._crashes
+            if each.outlived is None
+            and _MIN_OUTLIVED_S <= at_s - each.at_s <= _MAX_OUTLIVED_S
+            and crashfacts.model_of(key) in each.models
+        ]
+        for each in crashes:
+            each.outlived = (key, at_s)
+        if crashes:
+            self._revision += 1
+        return bool(crashes)
+
     def _clear(self, key: str, at_s: float) -> None:
         last_s = self._completed_s.get(key)
         if last_s is None and key in self._repeated:
@@ -282,6 +330,7 @@
             self._remove(min(self._crashes, key=lambda each: each.at_s))
         crash = crashfacts.ChargedCrash(crash_id, at_s)
         self._crashes.append(crash)
+        self._last_crash_s = max(self._last_crash_s, at_s)
         return crash
 
     def _expire(self) -> None:
--- a/hibiscusstile/gateway/crashfacts.py
+++ b/hibiscusstile/gateway/crashfacts.py
@@ -9,6 +9,7 @@
     "Clearance",
     "Crash",
     "is_request_key",
+    "model_of",
     "request_key",
 ]
 
@@ -57,6 +58,8 @@
         requests: Keys of each request that the server was about to begin or
             had just begun.
         begin_keys: All keys of these requests.
+        models: Models of the parts charged.
+        outlived: Key and time of a completion on a server that ran on, if any.
     """
 
     crash_id: str
@@ -64,6 +67,8 @@
     keys: set[str] = dataclasses.field(default_factory=set)
     requests: set[frozenset[str]] = dataclasses.field(default_factory=set)
     begin_keys: set[str] = dataclasses.field(default_factory=set)
+    models: set[str] = dataclasses.field(default_factory=set)
+    outlived: tuple[str, float] | None = None
 
 
 def request_key(fingerprint: str) -> str:
@@ -74,3 +79,8 @@
 def is_request_key(key: str) -> bool:
     """Returns whether a key stands for a whole request."""
     return key.startswith(_REQUEST_KEY_PREFIX)
+
+
+def model_of(key: str) -> str:
+    """Returns the model of a prompt part's key."""
+    return key.partition("/")[0]
--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -12,15 +12,12 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import crashcharges, crashfacts
+from hibiscusstile.gateway import crashcharges, crashcounts, crashfacts
 
 __all__ = ["Block", "CrashingParts"]
 
 _log = logbook.Logger("crashingparts")
 
-# Crashes this close together count once: they may have one outside cause, such
-# as a power failure.
-_MIN_CRASH_INTERVAL_S = 0.2
 # Crashes that block a part.
 _MIN_CRASHES = 3
 # Crashes that block a part which has never completed, if no other part is
@@ -58,7 +55,8 @@
     """Order in which suspect keys are considered, the highest first.
 
     Attributes:
-        crashes: Crashes that count against the key, close ones once.
+        crashes: Crashes that count against the key. Close ones count once if
+            they may have an outside cause.
         all_crashes: These crashes, close ones too.
         suspicion: Decides between keys with equally many crashes.
     """
@@ -216,7 +214,10 @@
             if not self._still_together(keys):
                 continue
             charged = suspects[min(keys)]
-            blocks[keys] = self._block(keys, _count(charged), charged)
+            count = crashcounts.count(
+                min(keys), charged, self._charges, reported
+            )
+            blocks[keys] = self._block(keys, count, charged)
             explained.update(charged)
             for key in keys:
                 del suspects[key]
@@ -253,6 +254,7 @@
                         if each not in explained
                         and (once_sound or key in each.begin_keys)
                     ],
+                    reported,
                 )
                 for key, charged in suspects.items()
                 if once_sound or not self._was_sound(key)
@@ -292,7 +294,10 @@
         return bool(charged[0]) and all(each == charged[0] for each in charged)
 
     def _rank(
-        self, key: str, charged: Collection[crashfacts.ChargedCrash]
+        self,
+        key: str,
+        charged: Collection[crashfacts.ChargedCrash],
+        reported: bool,
     ) -> _Rank:
         if crashfacts.is_request_key(key):
             suspicion = _Suspicion.REQUEST
@@ -300,7 +305,8 @@
             suspicion = _Suspicion.COMPLETED_PART
         else:
             suspicion = _Suspicion.NEW_PART
-        return _Rank(_count(charged), len(charged), suspicion)
+        crashes = crashcounts.count(key, charged, self._charges, reported)
+        return _Rank(crashes, len(charged), suspicion)
 
     def _was_sound(self, key: str) -> bool:
         """Returns whether requests with a prompt part have been sound."""
@@ -316,7 +322,9 @@
         *,
         contested: bool = False,
     ) -> Block:
-        doublings = max(0, crashes - _MIN_CRASHES)
+        # Crashes at one moment leave no time to stop the later ones.
+        moments = min(crashes, len(crashcounts.moments(charged)))
+        doublings = max(0, moments - _MIN_CRASHES)
         length_s = min(_MAX_BLOCK_S, _BLOCK_S * 2.0**doublings * self._jitter)
         if contested:
             length_s = _CONTESTED_BLOCK_S * self._jitter
@@ -381,14 +389,3 @@
 
 def _last_s(charged: Collection[crashfacts.ChargedCrash]) -> float:
     return max(each.at_s for each in charged)
-
-
-def _count(charged: Collection[crashfacts.ChargedCrash]) -> int:
-    """Returns how many crashes count, given that close ones count once."""
-    count = 0
-    counted_s = float("-inf")
-    for at_s in sorted(each.at_s for each in charged):
-        if at_s - counted_s >= _MIN_CRASH_INTERVAL_S:
-            count += 1
-            counted_s = at_s
-    return count
--- a/tests/builders/crashsimulation.py
+++ b/tests/builders/crashsimulation.py
@@ -13,7 +13,14 @@
 from hibiscusstile.gateway import crashfacts, crashingparts
 from tests import builders as base
 
-__all__ = ["Deployment", "Outcome", "draw_deployment", "simulate"]
+__all__ = [
+    "Deployment",
+    "Outcome",
+    "draw_batches",
+    "draw_deployment",
+    "draw_outage",
+    "simulate",
+]
 
 _CRASHING_PART = "m/bad"
 _DOWN_S = 3.0
@@ -42,6 +49,13 @@
     restart_s: float | None
     crashing_from_s: float
     delay_s: float
+    # Crashing requests that arrive at one moment.
+    batch_size: int = 1
+    # Whether crashing requests have one of the documents too.
+    on_documents: bool = False
+    # When servers fail for another cause, and how many.
+    outage_s: float | None = None
+    outage_servers: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -51,6 +65,8 @@
     crashes: int
     # Requests with the part that began after the fifth crash and a window.
     late_crashes: int
+    # Those that reached servers after these times.
+    late_arrivals: int
     # Sound requests after the last of five crashes and two windows.
     sound_sent: int
     sound_refused: int
@@ -76,6 +92,36 @@
     )
 
 
+def draw_batches(numbers: random.Random) -> Deployment:
+    """Draws batches of crashing requests, the first beside known traffic."""
+    return dataclasses.replace(
+        draw_deployment(numbers),
+        servers=numbers.choice([3, 4, 8, 18]),
+        sound_rate=numbers.choice([10, 40]),
+        crashing_rate=numbers.choice([0.08, 0.15, 0.3]),
+        batch_size=numbers.choice([3, 5, 8, 16, 40]),
+        prefill_s=numbers.choice([0.02, 0.05, 0.2]),
+        first_server_first=False,
+        on_documents=numbers.random() < 0.5,
+        mixed_share=0,
+        crashing_from_s=numbers.choice([5.0, 8.0]),
+        restart_s=None,
+    )
+
+
+def draw_outage(numbers: random.Random) -> Deployment:
+    """Draws servers that fail at one moment, without a crashing part."""
+    servers = numbers.choice([3, 4, 8, 18])
+    return dataclasses.replace(
+        draw_deployment(numbers),
+        servers=servers,
+        crashing_from_s=_END_S,
+        restart_s=None,
+        outage_s=numbers.uniform(0.5, 10.0),
+        outage_servers=numbers.choice([servers, servers // 2 + 1, 3]),
+    )
+
+
 @dataclasses.dataclass(eq=False)
 class _Server:
     name: str
@@ -111,6 +157,7 @@
         self._tables = self._new_tables()
         self._servers = [_Server(f"i-{n}") for n in range(plan.servers)]
         self.crashes_s: list[float] = []
+        self.arrivals_s: list[float] = []
         self.sound_sent_s: list[float] = []
         self.sound_refused_s: list[float] = []
 
@@ -126,6 +173,8 @@
             self._after(self._numbers.random() * _NOTICE_S, self._tick, gateway)
         if self._plan.restart_s is not None:
             self._after(self._plan.restart_s, self._restart)
+        if self._plan.outage_s is not None:
+            self._after(self._plan.outage_s, self._fail)
         while self._events and self._events[0][0] < _END_S:
             at_s, _, action, arguments = heapq.heappop(self._events)
             self._clock.advance(at_s - self._now_s)
@@ -154,6 +203,10 @@
         self._after(
             self._numbers.expovariate(rate), self._arrive, crashing, rate
         )
+        for _ in range(self._plan.batch_size if crashing else 1):
+            self._send(crashing)
+
+    def _send(self, crashing: bool) -> None:
         gateway = self._numbers.randrange(self._plan.gateways)
         request = _Request(
             next(self._request_numbers),
@@ -174,6 +227,8 @@
         server = self._numbers.choice(up)
         if self._plan.first_server_first:
             server = min(up, key=lambda each: len(each.running) // 8)
+        if crashing:
+            self.arrivals_s.append(self._now_s)
         server.running.append(request)
         prefill_s = self._plan.prefill_s * self._numbers.uniform(0.5, 1.5)
         self._after(prefill_s, self._begin, server, server.starts, request)
@@ -182,6 +237,8 @@
         parts = [f"m/shared{n}" for n in range(self._plan.shared_parts)]
         part = f"m/document{self._numbers.randrange(self._plan.documents)}"
         if crashing:
+            if self._plan.on_documents:
+                parts = [*parts, part]
             part = _CRASHING_PART
             if self._numbers.random() < self._plan.mixed_share:
                 parts = [
@@ -201,6 +258,16 @@
             )
             return
         self.crashes_s.append(self._now_s)
+        self._crash(server)
+
+    def _fail(self) -> None:
+        """Ends servers whatever they run."""
+        for server in self._numbers.sample(
+            self._servers, self._plan.outage_servers
+        ):
+            self._after(self._numbers.uniform(0.0, 0.1), self._crash, server)
+
+    def _crash(self, server: _Server) -> None:
         crash_id = f"{server.name}@{server.starts}"
         server.starts += 1
         server.up_from_s = self._now_s + _DOWN_S
@@ -260,18 +327,21 @@
     restart_s = -_END_S if plan.restart_s is None else plan.restart_s
     fifth_s = crashes_s[4] if len(crashes_s) > 4 else _END_S
     # A gateway that has started is in touch after a window.
-    late_crashes = [
-        at_s
-        for at_s in crashes_s
-        if at_s > fifth_s + _STABLE_WINDOW_S
-        and not restart_s <= at_s <= restart_s + _STABLE_WINDOW_S
-    ]
+    late_crashes, late_arrivals = (
+        sum(
+            at_s > fifth_s + _STABLE_WINDOW_S
+            and not restart_s <= at_s <= restart_s + _STABLE_WINDOW_S
+            for at_s in times_s
+        )
+        for times_s in (crashes_s, simulation.arrivals_s)
+    )
     counted_from_s = 2 * _STABLE_WINDOW_S + max(
         [restart_s, *crashes_s[:5]], default=0.0
     )
     return Outcome(
         len(crashes_s),
-        len(late_crashes),
+        late_crashes,
+        late_arrivals,
         sum(at_s >= counted_from_s for at_s in simulation.sound_sent_s),
         sum(at_s >= counted_from_s for at_s in simulation.sound_refused_s),
     )
--- a/tests/gateway/test_crashsimulation.py
+++ b/tests/gateway/test_crashsimulation.py
@@ -23,3 +23,25 @@
     assert result.late_crashes <= 3, (plan, result)
     if result.sound_sent >= _MIN_COMPARED:
         assert result.sound_refused <= 0.5 * result.sound_sent, (plan, result)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_batches_with_a_crashing_part_do_not_crash_servers_again(
+    seed: int,
+) -> None:
+    """Guards against batches whose many crashes count as one."""
+    numbers = random.Random(seed)
+    plan = crashsimulation.draw_batches(numbers)
+    result = crashsimulation.simulate(plan, numbers)
+    assert result.late_arrivals <= 3, (plan, result)
+    if result.sound_sent >= _MIN_COMPARED:
+        assert result.sound_refused <= 0.5 * result.sound_sent, (plan, result)
+
+
+@pytest.mark.parametrize("seed", range(40))
+def test_servers_that_fail_at_once_block_no_sound_part(seed: int) -> None:
+    """Guards against blaming requests for a failed rack, zone or fleet."""
+    numbers = random.Random(seed)
+    plan = crashsimulation.draw_outage(numbers)
+    result = crashsimulation.simulate(plan, numbers)
+    assert result.sound_refused == 0, (plan, result)
