--- a/hibiscusstile/gateway/crashingparts.py
+++ b/hibiscusstile/gateway/crashingparts.py
@@ -12,15 +12,12 @@
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, outcome
-from hibiscusstile.gateway import crashcharges
+from hibiscusstile.gateway import crashcharges, crashcounts, crashfacts
 
 __all__ = ["Block", "CrashingParts"]
 
 _log = logbook.Logger("crashingparts")
 
-# Crashes this close together count once: they may have one outside cause, such
-# as a power failure.
-_MIN_CRASH_INTERVAL_S = 0.2
 # Crashes that block a part.
 _MIN_CRASHES = 3
 # Crashes that block a part which has never completed, if no other part is
@@ -58,7 +55,8 @@
     """Order in which suspect keys are considered, the highest first.
 
     Attributes:
-        crashes: Crashes that count against the key, close ones once.
+        crashes: Crashes that count against the key. Close ones count once if
+            they may have an outside cause.
         all_crashes: These crashes, close ones too.
         suspicion: Decides between keys with equally many crashes.
     """
@@ -210,13 +208,16 @@
 
     def _compute_blocks(self, reported: bool) -> dict[frozenset[str], Block]:
         suspects = dict(self._charges.repeated)
-        explained: set[crashcharges.ChargedCrash] = set()
+        explained: set[crashfacts.ChargedCrash] = set()
         blocks: dict[frozenset[str], Block] = {}
         for keys in self._confirmed:
             if not self._still_together(keys):
                 continue
             charged = suspects[min(keys)]
-            blocks[keys] = self._block(keys, _count(charged), charged)
+            count = crashcounts.count(
+                min(keys), charged, self._charges, reported
+            )
+            blocks[keys] = self._block(keys, count, charged)
             explained.update(charged)
             for key in keys:
                 del suspects[key]
@@ -227,8 +228,8 @@
     def _add_blocks(
         self,
         blocks: dict[frozenset[str], Block],
-        suspects: dict[str, list[crashcharges.ChargedCrash]],
-        explained: set[crashcharges.ChargedCrash],
+        suspects: dict[str, list[crashfacts.ChargedCrash]],
+        explained: set[crashfacts.ChargedCrash],
         reported: bool,
         *,
         once_sound: bool = False,
@@ -253,6 +254,7 @@
                         if each not in explained
                         and (once_sound or key in each.begin_keys)
                     ],
+                    reported,
                 )
                 for key, charged in suspects.items()
                 if once_sound or not self._was_sound(key)
@@ -292,19 +294,23 @@
         return bool(charged[0]) and all(each == charged[0] for each in charged)
 
     def _rank(
-        self, key: str, charged: Collection[crashcharges.ChargedCrash]
+        self,
+        key: str,
+        charged: Collection[crashfacts.ChargedCrash],
+        reported: bool,
     ) -> _Rank:
-        if crashcharges.is_request_key(key):
+        if crashfacts.is_request_key(key):
             suspicion = _Suspicion.REQUEST
         elif self._was_sound(key):
             suspicion = _Suspicion.COMPLETED_PART
         else:
             suspicion = _Suspicion.NEW_PART
-        return _Rank(_count(charged), len(charged), suspicion)
+        crashes = crashcounts.count(key, charged, self._charges, reported)
+        return _Rank(crashes, len(charged), suspicion)
 
     def _was_sound(self, key: str) -> bool:
         """Returns whether requests with a prompt part have been sound."""
-        return not crashcharges.is_request_key(
+        return not crashfacts.is_request_key(
             key
         ) and self._charges.has_completed(key)
 
@@ -312,11 +318,13 @@
         self,
         keys: frozenset[str],
         crashes: int,
-        charged: Collection[crashcharges.ChargedCrash],
+        charged: Collection[crashfacts.ChargedCrash],
         *,
         contested: bool = False,
     ) -> Block:
-        doublings = max(0, crashes - _MIN_CRASHES)
+        # Crashes at one moment leave no time to stop the later ones.
+        moments = min(crashes, len(crashcounts.moments(charged)))
+        doublings = max(0, moments - _MIN_CRASHES)
         length_s = min(_MAX_BLOCK_S, _BLOCK_S * 2.0**doublings * self._jitter)
         if contested:
             length_s = _CONTESTED_BLOCK_S * self._jitter
@@ -324,7 +332,7 @@
 
 
 def _most_specific(
-    suspects: Mapping[str, Collection[crashcharges.ChargedCrash]],
+    suspects: Mapping[str, Collection[crashfacts.ChargedCrash]],
 ) -> set[frozenset[str]]:
     """Returns the keys to block among those with equally many crashes.
 
@@ -372,23 +380,12 @@
 
 
 def _describe(block: Block) -> str:
-    if any(crashcharges.is_request_key(key) for key in block.keys):
+    if any(crashfacts.is_request_key(key) for key in block.keys):
         return "the same content"
     if len(block.keys) == 1:
         return f"the prompt part {block.label}"
     return f"the prompt parts {block.label} together"
 
 
-def _last_s(charged: Collection[crashcharges.ChargedCrash]) -> float:
+def _last_s(charged: Collection[crashfacts.ChargedCrash]) -> float:
     return max(each.at_s for each in charged)
-
-
-def _count(charged: Collection[crashcharges.ChargedCrash]) -> int:
-    """Returns how many crashes count, given that close ones count once."""
-    count = 0
-    counted_s = float("-inf")
-    for at_s in sorted(each.at_s for each in charged):
-        if at_s - counted_s >= _MIN_CRASH_INTERVAL_S:
-            count += 1
-            counted_s = at_s
-    return count
