Let the soak play servers that are silent for seconds

The new plan `silent` has servers that are silent before the head, before or between events or before the end, mostly for more than 2 s, with or without comments, and plain requests that take seconds. Beside them it does the planned work and lets servers leave or restart while a gateway stops. Only the restart of the server that had a request excuses its loss.

The existing plans draw the same actions and requests as before.

--- a/hibiscusstile_standins/__init__.py
+++ b/hibiscusstile_standins/__init__.py
@@ -22,6 +22,7 @@
         f"{__name__}.log",
         f"{__name__}.runner",
         f"{__name__}.service",
+        f"{__name__}.silentrunner",
         f"{__name__}.store",
     ),
 )
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 
 import argparse
 import asyncio
+import collections
 import os
 import pathlib
 import random
@@ -40,6 +41,7 @@
         folder,
         1 + (seed + 31 * os.getpid()) % fleet_lib.NETWORK_COUNT,
         plan.layout,
+        seed,
     )
     log = worklog.WorkLog(asyncio.get_running_loop().time)
     results: list[callers.RequestResult] = []
@@ -68,10 +70,12 @@
         f"{unanswered} without a complete answer, "
         f"{len(log.names)} actions: {' '.join(log.names)}"
     )
-    server_ids = {each["request_id"] for each in arrivals}
+    servers: dict[str, set[int]] = collections.defaultdict(set)
+    for each in arrivals:
+        servers[each["request_id"]].add(each["server"])
     return [
         *checks.find_violations(results, arrivals),
-        *losses.find_losses(results, server_ids, log),
+        *losses.find_losses(results, servers, log),
     ]
 
 
--- a/soak/actions.py
+++ b/soak/actions.py
@@ -20,10 +20,14 @@
 
 
 class Registry:
-    """Actions by function name, filled by decorators."""
+    """Actions by function name, filled by decorators.
 
-    def __init__(self) -> None:
-        self._actions: dict[str, Action] = {}
+    Args:
+        inherited: Registry whose actions are in this one too.
+    """
+
+    def __init__(self, inherited: Registry | None = None) -> None:
+        self._actions = dict(inherited.actions) if inherited else {}
 
     @property
     def actions(self) -> dict[str, Action]:
--- a/soak/builders.py
+++ b/soak/builders.py
@@ -12,6 +12,8 @@
     "MIXED_LAYOUT",
     "PLANNED_LAYOUT",
     "ROUTE_TIMEOUTS_S",
+    "SILENT_LAYOUT",
+    "SILENT_WIDE_LAYOUT",
     "STREAM_EVENTS",
     "GatewayAddresses",
     "Layout",
@@ -26,16 +28,31 @@
 # Time between the stop signal and the kill signal.
 GRACE_S = 8.0
 # Number of events in each response of a streaming route.
-STREAM_EVENTS = {"question": 4, "dossier": 4, "report": 20}
+STREAM_EVENTS = {
+    "question": 4,
+    "dossier": 4,
+    "report": 20,
+    "essay": 4,
+    "novel": 4,
+}
 ROUTE_TIMEOUTS_S = {
     "lookup": 4.0,
     "payment": 4.0,
     "question": 4.0,
     "dossier": 4.0,
     "report": 8.0,
+    "statement": 5.0,
+    "transfer": 5.0,
+    "essay": 5.0,
+    "novel": 5.0,
 }
 _PLAIN_SERVICE = "accounts"
+_SLOW_PLAIN_SERVICE = "archives"
+_REPEATABLE_ROUTES = ("lookup", "dossier", "statement", "novel")
+_RESUMABLE_ROUTES = ("dossier", "novel")
 _RUNNER_SLOTS = 8
+# Share of the responses of a silent server that have a silence.
+_SILENT_SHARE = 0.9
 _MODEL = {"name": "m1"}
 
 
@@ -47,16 +64,38 @@
         service: Name of its service.
         events: Number of events in each stream.
         pace_s: Interval between two events.
+        silence_s: Shortest and longest silence in a response, if it has any.
     """
 
     service: str
     events: int = 4
     pace_s: float = 0.02
+    silence_s: tuple[float, float] | None = None
 
     @property
     def is_engine(self) -> bool:
         """Whether the server runs a model."""
-        return self.service != _PLAIN_SERVICE
+        return self.service not in (_PLAIN_SERVICE, _SLOW_PLAIN_SERVICE)
+
+    def options(self, server_id: str, seed: int) -> list[str]:
+        """Returns the command-line options of the server.
+
+        Args:
+            server_id: Id of the server.
+            seed: Seed of its silences.
+        """
+        options = ["--server-id", server_id]
+        options += ["--pace-s", str(self.pace_s), "--events", str(self.events)]
+        if self.silence_s is None:
+            return ["--kind", "runner", *options]
+        shortest_s, longest_s = self.silence_s
+        return [
+            *("--kind", "silent_runner", *options),
+            *("--silence-seed", str(seed)),
+            *("--silent-share", str(_SILENT_SHARE)),
+            *("--min-silence-s", str(shortest_s)),
+            *("--max-silence-s", str(longest_s)),
+        ]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,6 +139,17 @@
     ),
 )
 
+# The longest silence leaves time for the events within the route's time limit.
+_SILENT_RUNNERS = (
+    *(RunnerSpec("thinkers", 4, 0.05, (1.5, 4.4)),) * 2,
+    RunnerSpec(_SLOW_PLAIN_SERVICE, silence_s=(1.5, 4.4)),
+    RunnerSpec("writers", 20, 0.05, (2.0, 6.5)),
+)
+SILENT_LAYOUT = Layout(3, (RunnerSpec(_PLAIN_SERVICE), *_SILENT_RUNNERS))
+SILENT_WIDE_LAYOUT = Layout(
+    10, (RunnerSpec(_PLAIN_SERVICE), *_SILENT_RUNNERS * 3)
+)
+
 
 def gateway_settings(
     number: int, addresses: GatewayAddresses, store: str, **bounds: float
@@ -130,8 +180,16 @@
     return "\n".join(lines) + "\n"
 
 
-def server_entry(runner: RunnerSpec, address: str) -> dict[str, Any]:
-    """Returns the service discovery entry of a backend server."""
+def server_entry(
+    runner: RunnerSpec, address: str, **changes: Any
+) -> dict[str, Any]:
+    """Returns the service discovery entry of a backend server.
+
+    Args:
+        runner: The server.
+        address: Its address.
+        **changes: Fields to replace.
+    """
     models = [{"name": "m1", "version": 1, "adapters": []}]
     return {
         "service": runner.service,
@@ -144,6 +202,7 @@
         "models": models if runner.is_engine else [],
         "sequence": 1,
         "born": 1,
+        **changes,
     }
 
 
@@ -152,8 +211,11 @@
 
     It has the routes whose services have a server in the layout.
     """
-    engine_services = {
-        runner.service: None for runner in layout.runners if runner.is_engine
+    services = {
+        runner.service: runner.is_engine
+        for runner in sorted(
+            layout.runners, key=lambda each: not each.is_engine
+        )
     }
     routes = [
         _route("lookup", "idempotent", _PLAIN_SERVICE),
@@ -161,17 +223,19 @@
         _route("question", "streaming", "engines"),
         _route("dossier", "streaming", "engines"),
         _route("report", "streaming", "writers"),
+        _route("statement", "idempotent", _SLOW_PLAIN_SERVICE),
+        _route("transfer", "non_idempotent", _SLOW_PLAIN_SERVICE),
+        _route("essay", "streaming", "thinkers"),
+        _route("novel", "streaming", "thinkers"),
     ]
     return {
         "version": version,
-        "routes": [
-            route
-            for route in routes
-            if route["service"] in (*engine_services, _PLAIN_SERVICE)
-        ],
+        "routes": [route for route in routes if route["service"] in services],
         "services": [
-            *(_engine_service(name) for name in engine_services),
-            {"name": _PLAIN_SERVICE, "max_connections": 100},
+            _engine_service(name)
+            if is_engine
+            else {"name": name, "max_connections": 100}
+            for name, is_engine in services.items()
         ],
         "tenants": [{"name": "soak", "api_keys": [API_KEY]}],
     }
@@ -187,8 +251,8 @@
         "target_latency_ms": 500,
         "priority": 1,
         "service": service,
-        "attempts": 2 if name in ("lookup", "dossier") else 1,
-        "resumable": name == "dossier",
+        "attempts": 2 if name in _REPEATABLE_ROUTES else 1,
+        "resumable": name in _RESUMABLE_ROUTES,
     }
 
 
--- a/soak/checks.py
+++ b/soak/checks.py
@@ -17,6 +17,7 @@
 
 # Statuses by which a gateway asserts that no backend server ran the request.
 _NOT_EXECUTED_STATUSES = (408, 421, 429, 503)
+_AT_MOST_ONCE_ROUTES = ("payment", "question", "report", "transfer", "essay")
 _EVENT_ID = re.compile(rb"id: (\d+)\n")
 # Requests sent this long before the end are after the recovery.
 _RECOVERY_WINDOW_S = 4.0
@@ -48,7 +49,7 @@
     ]
     for result in results:
         violations += _response_violations(result)
-        at_most_once = result.route in ("payment", "question", "report")
+        at_most_once = result.route in _AT_MOST_ONCE_ROUTES
         if at_most_once and run_counts[result.request_id] > 1:
             violations.append(f"twice: {result.request_id} ran")
         if (
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import json
 import os
@@ -81,6 +82,7 @@
         network: Second octet of the gateways' loopback addresses, so that
             concurrent soaks can use different ones.
         layout: The gateways and backend servers.
+        seed: Seed of the silences of backend servers.
 
     Attributes:
         gateways: The gateway processes.
@@ -95,10 +97,13 @@
         folder: pathlib.Path,
         network: int,
         layout: builders.Layout = builders.MIXED_LAYOUT,
+        seed: int = 0,
     ) -> None:
         self._folder = folder
         self._network = network
         self._layout = layout
+        self._seed = seed
+        self._entry_sequence = 1
         self._addresses: list[builders.GatewayAddresses] = []
         self._stand_ins: list[ManagedProcess] = []
         self._stand_in_urls: list[str] = []
@@ -127,7 +132,7 @@
     async def start(self) -> None:
         """Starts all processes and waits until all gateways serve requests."""
         self.session = aiohttp.ClientSession()
-        store = self._start_stand_in("store")
+        store = self._start_stand_in("store", "--kind", "store")
         self.store_proxy = proxy.Proxy(store)
         await self.store_proxy.start()
         self.other_store_proxy = proxy.Proxy(store)
@@ -190,13 +195,42 @@
             {"name": name, "arguments": fields},
         )
 
+    async def crash_server(self, number: int, delay_s: float) -> None:
+        """Makes a backend server drop its connections and restart.
+
+        Args:
+            number: Number of the server.
+            delay_s: Time until it is back.
+        """
+        # The connection of this order may be dropped too.
+        with contextlib.suppress(aiohttp.ClientError):
+            await self._post(
+                f"{self._stand_in_urls[number + 1]}/fault",
+                {"name": "crash", "arguments": {"delay_s": delay_s}},
+            )
+
+    async def list_server(self, number: int, state: str) -> None:
+        """Publishes a backend server's state, such as `draining`."""
+        self._entry_sequence += 1
+        entry = builders.server_entry(
+            self._layout.runners[number],
+            self.server_proxies[number].address,
+            state=state,
+            sequence=self._entry_sequence,
+        )
+        await self._append_entry("keyed.servers", f"i-{number}", entry)
+
     async def arrivals(self) -> list[dict[str, Any]]:
-        """Returns the requests that reached the backend servers."""
+        """Returns the requests that reached the backend servers.
+
+        The field `server` is the number of the server.
+        """
         assert self.session is not None
         found: list[dict[str, Any]] = []
-        for url in self._stand_in_urls[1:]:
+        for number, url in enumerate(self._stand_in_urls[1:]):
             async with self.session.get(f"{url}/record") as response:
-                found += (await response.json())["arrivals"]
+                record = await response.json()
+            found += [{**each, "server": number} for each in record["arrivals"]]
         return found
 
     def write_settings(
@@ -219,15 +253,15 @@
         new_path.write_text(content)
         new_path.replace(path)
 
-    def _start_stand_in(self, kind: str, *options: str) -> str:
+    def _start_stand_in(self, name: str, *options: str) -> str:
         process = ManagedProcess(
-            f"{kind}-{len(self._stand_ins)}",
+            f"{name}-{len(self._stand_ins)}",
             [
                 *(sys.executable, "-m", "hibiscusstile_standins"),
-                *("--kind", kind, "--port", "0", *options),
+                *("--port", "0", *options),
             ],
             {},
-            self._folder / f"{kind}-{len(self._stand_ins)}.log",
+            self._folder / f"{name}-{len(self._stand_ins)}.log",
         )
         process.start()
         assert process.popen is not None
@@ -242,10 +276,7 @@
     ) -> None:
         server_id = f"i-{number}"
         address = self._start_stand_in(
-            "runner",
-            *("--server-id", server_id),
-            *("--pace-s", str(runner.pace_s)),
-            *("--events", str(runner.events)),
+            "runner", *runner.options(server_id, self._seed)
         )
         server_proxy = proxy.Proxy(address)
         await server_proxy.start()
--- a/soak/keptcallers.py
+++ b/soak/keptcallers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import random
 from collections.abc import Callable, Sequence
 from typing import TypeAlias
@@ -10,13 +11,11 @@
 from soak import balancer as balancer_lib
 from soak import builders, callers, channel
 
-__all__ = ["BODIES", "GATEWAY_CHOICES", "run_caller"]
+__all__ = ["BODIES", "GATEWAY_CHOICES", "RouteMix", "run_caller"]
 
 _REQUEST_INTERVAL_S = 0.03
 _REFUSED_CONNECTION_DELAY_S = 0.05
 _MAX_RETRY_AFTER_S = 1.0
-_SHORT_ROUTES = ("lookup", "payment", "question", "dossier")
-_LONG_ROUTE = "report"
 # Share of long streams among the requests of callers that send any.
 _LONG_SHARE = 0.4
 _LARGE_BODY_BYTES = 300_000
@@ -24,6 +23,22 @@
 _Choice: TypeAlias = Callable[[balancer_lib.Balancer, random.Random, str], str]
 _Body: TypeAlias = Callable[[random.Random], Sequence[channel.BodyPart]]
 GATEWAY_CHOICES: dict[str, _Choice] = {}
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RouteMix:
+    """Routes of a caller.
+
+    Attributes:
+        short: Routes of most requests.
+        long: Route of the long streams.
+    """
+
+    short: tuple[str, ...] = ("lookup", "payment", "question", "dossier")
+    long: str = "report"
+
+
+_DEFAULT_MIX = RouteMix()
 BODIES: dict[str, _Body] = {}
 
 
@@ -81,6 +96,7 @@
     rng: random.Random,
     stopping: asyncio.Event,
     record_result: Callable[[callers.RequestResult], None],
+    mix: RouteMix = _DEFAULT_MIX,
 ) -> None:
     """Sends requests one after the other on one connection at a time.
 
@@ -90,6 +106,7 @@
         rng: Random numbers of the caller.
         stopping: Set when no further request may be sent.
         record_result: Gets the result of each request.
+        mix: Routes of the requests.
     """
     long_share = rng.choice((0.0, _LONG_SHARE))
     choose = GATEWAY_CHOICES[rng.choice(sorted(GATEWAY_CHOICES))]
@@ -107,7 +124,7 @@
                 continue
         number += 1
         is_long = rng.random() < long_share
-        route = _LONG_ROUTE if is_long else rng.choice(_SHORT_ROUTES)
+        route = mix.long if is_long else rng.choice(mix.short)
         answer, result = await _send(
             connection, address, route, f"{name}-{number}", rng
         )
--- a/soak/losses.py
+++ b/soak/losses.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection, Sequence
+from collections.abc import Mapping, Sequence
+from collections.abc import Set as AbstractSet
 
 from soak import builders, callers, worklog
 
@@ -21,27 +22,33 @@
 
 def find_losses(
     results: Sequence[callers.RequestResult],
-    server_ids: Collection[str],
+    servers: Mapping[str, AbstractSet[int]],
     log: worklog.WorkLog,
 ) -> list[str]:
     """Returns a line for each request that planned work lost.
 
     A request is lost if a gateway has read it, and its connection ends without
     a complete response around a stop, a reload or a change. Requests beside
-    faults don't count.
+    faults and requests that their server broke off don't count. A silent server
+    excuses nothing.
 
     Args:
         results: The results of all callers.
-        server_ids: Ids of the requests that reached backend servers.
+        servers: The backend servers that each request reached, by its id.
         log: What was done to the processes.
     """
     lines = []
     for result in results:
-        if not _is_lost(result, result.request_id in server_ids, log):
+        reached = result.request_id in servers
+        if not _is_lost(result, reached, log):
+            continue
+        if log.broke_off(
+            servers.get(result.request_id, set()), result.sent_s, result.ended_s
+        ):
             continue
         stop = log.find_stop(result.gateway, result.ended_s)
         if stop is not None:
-            if _is_excused(result, result.request_id in server_ids, stop):
+            if _is_excused(result, reached, stop):
                 continue
             cause = (
                 f"sent {_sent_s(result) - stop.signalled_s:.2f} s and cut "
@@ -51,12 +58,10 @@
             cause = "cut around a reload or a change"
         else:
             cause = "cut without any work on its gateway"
-        reached = (
-            "run by a server" if result.request_id in server_ids else "held"
-        )
         lines.append(
             f"lost: {result.request_id} to {result.route} at {result.gateway}, "
-            f"{reached}, status {result.status or 'none'}, {cause}"
+            f"{'run by a server' if reached else 'held'}, "
+            f"status {result.status or 'none'}, {cause}"
         )
     return lines
 
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -16,6 +16,7 @@
     faults,
     keptcallers,
     planned,
+    servermoves,
 )
 from soak import fleet as fleet_lib
 
@@ -110,6 +111,7 @@
     gap_s = (0.3, 2.5)
     caller_count = 24
     recovery_s = 5.0
+    mix: ClassVar[keptcallers.RouteMix] = keptcallers.RouteMix()
 
     async def run_callers(
         self,
@@ -130,9 +132,30 @@
                         random.Random(rng.random()),
                         stopping,
                         record_result,
+                        self.mix,
                     )
                     for number in range(self.caller_count)
                 )
             )
         finally:
             checks.cancel()
+
+
+@plans.register()
+class SilentPlan(PlannedPlan):
+    """Planned work beside backend servers that are silent for seconds."""
+
+    name = "silent"
+    layout = builders.SILENT_LAYOUT
+    work = servermoves.SERVER_WORK
+    recovery_s = 6.0
+    mix = keptcallers.RouteMix(("statement", "transfer", "essay", "novel"))
+
+
+@plans.register()
+class SilentWidePlan(SilentPlan):
+    """The silent plan with many processes."""
+
+    name = "silent-wide"
+    layout = builders.SILENT_WIDE_LAYOUT
+    caller_count = 60
--- a/soak/worklog.py
+++ b/soak/worklog.py
@@ -4,7 +4,7 @@
 
 import contextlib
 import dataclasses
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Collection, Iterator
 
 from soak import builders
 
@@ -46,6 +46,7 @@
         self._reloads: list[tuple[str, float]] = []
         self._changes: list[float] = []
         self._faults: list[tuple[float, float]] = []
+        self._breaks: list[tuple[int, float]] = []
 
     @property
     def names(self) -> tuple[str, ...]:
@@ -68,6 +69,19 @@
         """Records a new version of the configuration or the weights."""
         self._changes.append(self._now_s())
 
+    def note_break(self, server: int) -> None:
+        """Records that a backend server drops its connections."""
+        self._breaks.append((server, self._now_s()))
+
+    def broke_off(
+        self, servers: Collection[int], sent_s: float, ended_s: float
+    ) -> bool:
+        """Returns whether one of the servers broke off a request."""
+        return any(
+            server in servers and sent_s <= time_s <= ended_s
+            for server, time_s in self._breaks
+        )
+
     @contextlib.contextmanager
     def unplanned(self) -> Iterator[None]:
         """Records a fault that lasts until the context ends."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -100,8 +100,8 @@
     """Guards against losses that are missed, and excused ones that count."""
     log = worklog.WorkLog(lambda: 0.0)
     log.note_stop(result.gateway)
-    server_ids = [result.request_id] if reached_server else []
-    assert bool(losses.find_losses([result], server_ids, log)) == found
+    servers = {result.request_id: {0}} if reached_server else {}
+    assert bool(losses.find_losses([result], servers, log)) == found
 
 
 @pytest.mark.parametrize(("fault_end_s", "found"), [(2.5, False), (1.5, True)])
@@ -115,5 +115,28 @@
     log.note_stop(result.gateway)
     with log.unplanned():
         now_s = fault_end_s
-    lines = losses.find_losses([result], [result.request_id], log)
+    lines = losses.find_losses([result], {result.request_id: {0}}, log)
     assert bool(lines) == found
+
+
+@pytest.mark.parametrize(
+    ("server", "broken_s", "found"),
+    [(0, 6.0, False), (0, 4.9, True), (0, 7.1, True), (1, 6.0, True)],
+)
+def test_only_the_break_of_its_server_excuses_a_loss(
+    server: int, broken_s: float, found: bool
+) -> None:
+    """Guards against losses that are blamed on another server's restart."""
+    log = worklog.WorkLog(lambda: broken_s)
+    log.note_break(server)
+    result = builders.cut(5.0, 7.0)
+    lines = losses.find_losses([result], {result.request_id: {0}}, log)
+    assert bool(lines) == found
+
+
+@pytest.mark.parametrize("route", ["question", "essay", "novel"])
+def test_silence_excuses_no_loss(route: str) -> None:
+    """Guards against cut streams of silent servers that do not count."""
+    result = builders.cut(5.0, 7.1, route=route)
+    log = worklog.WorkLog(lambda: 0.0)
+    assert losses.find_losses([result], {result.request_id: {0}}, log)
