Count requests that a gateway gives up as lost in the soak

A 502 or 504 of a gateway's own ends an answer of a silent server as a cut connection does, if it comes before the time limit of the route.

--- a/soak/losses.py
+++ b/soak/losses.py
@@ -16,6 +16,8 @@
 # and that a server was still working on in the last part of the grace period.
 _EARLY_S = 3.0
 _LAST_PART_S = builders.GRACE_S * 5 / 6
+# Statuses by which a gateway gives up a request that may have run.
+_GIVE_UP_STATUSES = (502, 504)
 # A response that ends this little before its deadline has reached it.
 _DEADLINE_MARGIN_S = 0.1
 
@@ -28,7 +30,8 @@
     """Returns a line for each request that planned work lost.
 
     A request is lost if a gateway has read it, and its connection ends without
-    a complete response around a stop, a reload or a change. Requests beside
+    a complete response around a stop, a reload or a change, or if the gateway
+    gives up its server before its time limit. Requests beside
     faults and requests that their server broke off don't count. A silent server
     excuses nothing.
 
@@ -74,7 +77,10 @@
     result: callers.RequestResult, reached_server: bool, log: worklog.WorkLog
 ) -> bool:
     if result.status != 0 and result.body is not None:
-        return False
+        # A complete response of the gateway's own that gives up a server.
+        gives_up = reached_server and result.status in _GIVE_UP_STATUSES
+        if not gives_up:
+            return False
     if log.faulty(result.sent_s, result.ended_s):
         return False
     deadline_s = builders.ROUTE_TIMEOUTS_S[result.route] - _DEADLINE_MARGIN_S
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -148,7 +148,8 @@
     name = "silent"
     layout = builders.SILENT_LAYOUT
     work = servermoves.SERVER_WORK
-    recovery_s = 6.0
+    # The first order of weights may come 7 s after the start of the gateways.
+    recovery_s = 10.0
     mix = keptcallers.RouteMix(("statement", "transfer", "essay", "novel"))
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -92,6 +92,9 @@
             False,
         ),
         (builders.cut(5.0, 7.0, body=b"whole"), True, False),
+        (builders.cut(5.0, 7.0, body=b"stalled", status=502), True, True),
+        (builders.cut(5.0, 7.0, body=b"stalled", status=504), False, False),
+        (builders.cut(5.0, 8.95, body=b"late", status=504), True, False),
     ],
 )
 def test_losses_are_requests_that_were_read_and_got_no_whole_response(
