Accept an empty rest after a stream has left its silent server

Cause: a stream that may be resumed left a server that was silent between its last event and its end. The next server rightly had no event left, and the gateway took the empty rest for a failure.

Now an empty rest is the end of the stream if the gateway itself left a silent server, no server broke off, and the body tells its own end. After a server that broke off, an empty rest still counts as lost, since nothing tells it from one.

tests/gateway/test_silentservers.py: the case of the last event failed before; the three of a rest that may be lost passed before and pass now.

--- a/hibiscusstile/gateway/attemptlimits.py
+++ b/hibiscusstile/gateway/attemptlimits.py
@@ -19,6 +19,9 @@
     exchange.FailureCause.STALLED,
 )
 
+# Failures that may have cut off the rest of a response.
+_BREAKING_CAUSES = (exchange.FailureCause.LOST, exchange.FailureCause.INVALID)
+
 
 class AttemptLimits:
     """Counts the failed attempts of one request."""
@@ -29,6 +32,7 @@
         self._failed_deliveries = 0
         self._connect_failures = 0
         self._left_silent_server = False
+        self._broken_off = False
 
     @property
     def excluded(self) -> set[str]:
@@ -45,6 +49,14 @@
         """Whether a stream has left a server that sent no event."""
         return self._left_silent_server
 
+    @property
+    def broken_off(self) -> bool:
+        """Whether a server that had received the request failed to answer it.
+
+        Silent servers that were left for others do not count.
+        """
+        return self._broken_off
+
     def excludes_for_request(self, server_id: str) -> bool:
         """Returns whether a server gets the request no more."""
         return server_id in self._excluded_for_request
@@ -67,6 +79,8 @@
             self._failed_deliveries += 1
         if cause is exchange.FailureCause.STALLED:
             self._left_silent_server = True
+        if cause in _BREAKING_CAUSES:
+            self._broken_off = True
         if cause in _PASSING_CAUSES:
             self._excluded_until_pause.add(server_id)
         else:
--- a/hibiscusstile/gateway/exchange.py
+++ b/hibiscusstile/gateway/exchange.py
@@ -121,6 +121,7 @@
         status: HTTP status.
         headers: Headers to forward to the caller.
         event_stream: Whether the body is a stream of events.
+        framed: Whether the body tells its end, and not its connection.
         weights_version: Version of the weights used, if reported.
         statement: What the server says of itself.
     """
@@ -128,6 +129,7 @@
     status: int
     headers: Headers
     event_stream: bool = False
+    framed: bool = True
     weights_version: int | None = None
     statement: serverstatements.ServerStatement = serverstatements.SILENT
 
--- a/hibiscusstile/gateway/handover.py
+++ b/hibiscusstile/gateway/handover.py
@@ -8,6 +8,7 @@
     attemptlimits,
     crashevidence,
     deadline,
+    exchange,
     fleet,
     requestlog,
     requestprogress,
@@ -79,6 +80,22 @@
             and self._retries.hold_tokens_to_leave()
         )
 
+    def may_have_whole(self, head: exchange.ResponseHead) -> bool:
+        """Returns whether the caller may have all events of a started stream.
+
+        A silent server that the stream left may have sent the last event, so
+        that the next one has none. An empty rest counts only if the body tells
+        its end, since a server that fails may close its connection as well.
+
+        Args:
+            head: Head of the response that continues the stream.
+        """
+        return (
+            head.framed
+            and self._limits.left_silent_server
+            and not self._limits.broken_off
+        )
+
     def _has_successor(self, server: fleet.BackendServer) -> bool:
         """Returns whether another server is expected to take the stream."""
         selected = self._select(self._limits.excluded | {server.server_id})
--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -199,8 +199,11 @@
             functools.partial(self._handover.try_leave, server),
         )
         continues = self._writer.started
-        # Only a caller that resumes may already have all events.
-        event_needed = continues or not self._progress.last_event_id
+        # Only a caller that resumes, or whose stream left a silent server, may
+        # already have all events.
+        event_needed = not self._progress.last_event_id or (
+            continues and not self._handover.may_have_whole(response.head)
+        )
         try:
             async with watch.watching():
                 async for event in response.events():
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -44,6 +44,7 @@
 )
 _MAX_HEADER_FIELD_BYTES = 65_536
 _EVENT_STREAM = "text/event-stream"
+_FRAMING_HEADERS = ("Content-Length", "Transfer-Encoding")
 # Body of a response to another request that is read in order to skip it.
 _MAX_SKIPPED_BODY_BYTES = 1024 * 1024
 # Events after which the event loop runs other tasks; a read may hold 60,000.
@@ -269,6 +270,7 @@
             ),
             event_stream=response.status == 200
             and content_type.startswith(_EVENT_STREAM),
+            framed=any(name in received for name in _FRAMING_HEADERS),
             weights_version=responsecheck.parse_weights_version(response),
             statement=statement,
         )
--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -136,6 +136,41 @@
     assert (len(first.request_ids), len(full.request_ids)) == (2, 1)
 
 
+async def test_a_stream_that_leaves_after_its_last_event_is_whole() -> None:
+    """Guards against a whole stream that is cut since nothing is left of it."""
+    sequence = rawserver.AnswerSequence(
+        rawserver.stream(*_EVENTS, _SILENCE_S), rawserver.stream()
+    )
+    async with _servers(sequence, sequence) as harness:
+        answer = await _receive(harness, "/dossier/1")
+    assert answer == (200, _WHOLE, True)
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        (
+            rawserver.stream(*_EVENTS, _SILENCE_S),
+            rawserver.stream(framing="close", end="close"),
+        ),
+        (
+            rawserver.stream(*_EVENTS, _SILENCE_S),
+            rawserver.stream(end="close"),
+        ),
+        (rawserver.stream(*_EVENTS[:2], end="reset"), rawserver.stream()),
+    ],
+    ids=["closed_at_once", "without_end", "broken_off"],
+)
+async def test_a_rest_that_may_be_lost_is_not_complete(
+    first: rawserver.Answer, second: rawserver.Answer
+) -> None:
+    """Guards against a lost rest of a stream that looks like its end."""
+    sequence = rawserver.AnswerSequence(first, second)
+    async with _servers(sequence, sequence) as harness:
+        status, _, complete = await _receive(harness, "/dossier/1")
+    assert (status, complete) == (200, False)
+
+
 async def test_a_silent_server_gets_fewer_requests_while_its_streams_last() -> (
     None
 ):
