--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -57,6 +57,8 @@
         await asyncio.sleep(seconds)
         stop_work.set()
         await injection
+        if plan.ready_within_s:
+            await fleet.wait_until_ready(plan.ready_within_s)
         await asyncio.sleep(plan.recovery_s)
         stop_callers.set()
         await calling
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -142,7 +142,15 @@
             await self._start_runner(number, runner)
         for number in range(self._layout.gateway_count):
             self._start_gateway(number)
-        async with asyncio.timeout(_START_TIMEOUT_S):
+        await self.wait_until_ready(_START_TIMEOUT_S)
+
+    async def wait_until_ready(self, timeout_s: float) -> None:
+        """Waits until all gateways serve requests.
+
+        Raises:
+            TimeoutError: A gateway does not serve requests in time.
+        """
+        async with asyncio.timeout(timeout_s):
             for address in self.gateway_addresses:
                 while not await self._is_ready(address):  # noqa: ASYNC110
                     await asyncio.sleep(0.05)
--- a/soak/plans.py
+++ b/soak/plans.py
@@ -37,6 +37,9 @@
         caller_count: Number of callers.
         recovery_s: Time between the end of the last action and the last
             requests.
+        ready_within_s: Time after the last action in which all gateways must
+            serve requests; the time of recovery then begins. 0 if it begins
+            at once.
     """
 
     name: ClassVar[str]
@@ -46,6 +49,7 @@
     gap_s: ClassVar[tuple[float, float]]
     caller_count: ClassVar[int]
     recovery_s: ClassVar[float]
+    ready_within_s: ClassVar[float] = 0.0
 
     async def run_callers(
         self,
@@ -150,6 +154,9 @@
     work = servermoves.SERVER_WORK
     # The first order of weights may come 7 s after the start of the gateways.
     recovery_s = 10.0
+    # Gateways took up to 15 s from their start to their first log line on a
+    # machine with load average 25.
+    ready_within_s = 30.0
     mix = keptcallers.RouteMix(("statement", "transfer", "essay", "novel"))
 
 
