Test the stand-in for silent servers

A stand-in that is silent at places of its own choice, or that cuts a stream itself, would hide or invent losses. A place between two events is now drawn only if two events are left: a stream that is resumed after its last event could be given a place after its end, where no silence is played.

--- a/hibiscusstile_standins/silences.py
+++ b/hibiscusstile_standins/silences.py
@@ -61,7 +61,7 @@
     rng: random.Random, first: int, last: int
 ) -> tuple[int, ...]:
     """Returns a place between two events, or the end if there are none."""
-    return (rng.randint(min(first + 1, last + 1), max(first + 1, last)),)
+    return (rng.randint(first + 1, last) if first < last else last + 1,)
 
 
 @_places
