--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -104,6 +104,7 @@
         self._layout = layout
         self._seed = seed
         self._entry_sequence = 1
+        self._births = [1] * len(layout.runners)
         self._addresses: list[builders.GatewayAddresses] = []
         self._stand_ins: list[ManagedProcess] = []
         self._stand_in_urls: list[str] = []
@@ -218,13 +219,20 @@
             )
 
     async def list_server(self, number: int, state: str) -> None:
-        """Publishes a backend server's state, such as `draining`."""
+        """Publishes a backend server's state, such as `draining`.
+
+        A server that is ready again has a new time of start, since a server
+        that has begun to leave stays away until it restarts.
+        """
         self._entry_sequence += 1
+        if state == "ready":
+            self._births[number] += 1
         entry = builders.server_entry(
             self._layout.runners[number],
             self.server_proxies[number].address,
             state=state,
             sequence=self._entry_sequence,
+            born=self._births[number],
         )
         await self._append_entry("keyed.servers", f"i-{number}", entry)
 
