--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -17,6 +17,10 @@
 _FAULT_SECONDS = 3.0
 _PLANNED_SEEDS = (3, 4)
 _PLANNED_SECONDS = 4.0
+# With seed 7001, streams were cut that had left a server which was silent after
+# the last event (issue 37).
+_SILENT_SEEDS = (7001,)
+_SILENT_SECONDS = 1.5
 
 
 async def test_guarantees_hold_under_faults(tmp_path: pathlib.Path) -> None:
@@ -31,6 +35,13 @@
     await _run_seeds(_PLANNED_SEEDS, _PLANNED_SECONDS, tmp_path, "planned")
 
 
+async def test_no_stream_of_a_silent_server_is_lost(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against answers that are cut since their server is silent."""
+    await _run_seeds(_SILENT_SEEDS, _SILENT_SECONDS, tmp_path, "silent")
+
+
 async def _run_seeds(
     seeds: tuple[int, ...], seconds: float, folder: pathlib.Path, plan: str
 ) -> None:
