--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -82,7 +82,7 @@
 )
 _silent_servers = collectors.Counter(
     "hibiscusstile_silent_servers",
-    "Streams that left a silent server, or whose server was silent for too long",
+    "Attempts at streams whose server was left or suspected as silent",
 )
 _crashing_parts = collectors.Counter(
     "hibiscusstile_crashing_parts",
