--- a/hibiscusstile/gateway/handover.py
+++ b/hibiscusstile/gateway/handover.py
@@ -63,7 +63,7 @@
 
     def note_event(self) -> None:
         """Records that the server of the current attempt has sent an event."""
-        # The tokens for leaving a server and for the way back to it.
+        # No further attempt is needed to continue the stream.
         self._retries.release()
 
     def try_leave(self, server: fleet.BackendServer) -> bool:
--- a/hibiscusstile/gateway/retries.py
+++ b/hibiscusstile/gateway/retries.py
@@ -86,7 +86,7 @@
     def release(self) -> None:
         """Returns the tokens that were taken and not used."""
         if self._held_from is not None:
-            self._held_from.give_back(self._held_tokens)
+            self._held_from.return_tokens(self._held_tokens)
         self._held_tokens = 0
         self._held_from = None
 
--- a/hibiscusstile/retrybudget.py
+++ b/hibiscusstile/retrybudget.py
@@ -85,6 +85,6 @@
         self._tokens -= 1.0
         return True
 
-    def give_back(self, tokens: int) -> None:
+    def return_tokens(self, tokens: int) -> None:
         """Returns tokens of retries that were not made."""
         self._tokens = min(self._max_tokens, self._tokens + tokens)
--- a/tests/builders/gateway.py
+++ b/tests/builders/gateway.py
@@ -291,9 +291,7 @@
         clock = clock_lib.SystemClock()
         end_s = clock.monotonic() + timeout_s
         while not condition():
-            assert clock.monotonic() < end_s, (
-                "the condition was not met in time"
-            )
+            assert clock.monotonic() < end_s, "the condition was not met"
             await clock.sleep(_POLL)
 
     async def call(
@@ -323,9 +321,9 @@
         Of an incomplete response, the body is what was received.
         """
         body = b""
-        async with self.session.post(
-            self.url + path, headers=_caller_headers(request_id, headers)
-        ) as response:
+        caller_headers = _caller_headers(request_id, headers)
+        url = self.url + path
+        async with self.session.post(url, headers=caller_headers) as response:
             try:
                 async for data in response.content.iter_any():
                     body += data
