Bound what is held of request bodies that servers read slowly

Cause: a body was written to its connection at once. The transport copied what the kernel did not take, and the kernel's send buffer grew to several MB. After the request had ended, both were kept until the server read them or the time limit for unread data ended the connection.

Change: bodies are written in slices of 64 KiB; a long body's connection has a send buffer of 128 KiB; a connection that is closed drops its unsent bytes.

--- a/hibiscusstile/boundedhttp.py
+++ b/hibiscusstile/boundedhttp.py
@@ -88,6 +88,17 @@
             )
         super().connection_made(transport)
 
+    def close(self) -> None:
+        """Closes the connection and drops what the server has not read.
+
+        A request with unsent bytes is incomplete. Its transport would hold
+        them until the server reads or the kernel ends the connection.
+        """
+        transport = self.transport
+        super().close()
+        if transport is not None and transport.get_write_buffer_size():
+            transport.abort()
+
     def set_response_params(self, **parameters: Any) -> None:
         """Prepares the connection for the response to a new request."""
         self._head_count = 0
--- a/hibiscusstile/platform/servers.py
+++ b/hibiscusstile/platform/servers.py
@@ -188,7 +188,7 @@
                 headers=serverrequests.outgoing_headers(
                     server, request, options
                 ),
-                data=request.body or None,
+                data=serverrequests.body(request),
                 allow_redirects=False,
                 trace_request_ctx=trace,
             )
--- a/hibiscusstile/sockets.py
+++ b/hibiscusstile/sockets.py
@@ -13,6 +13,7 @@
 __all__ = [
     "create_socket",
     "open_session",
+    "set_send_buffer",
     "set_tcp_options",
     "set_unread_limit",
 ]
@@ -50,6 +51,16 @@
     sock.setsockopt(level, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
 
 
+def set_send_buffer(sock: socket.socket, size_bytes: int) -> None:
+    """Bounds the data that the kernel holds until the peer reads it.
+
+    Args:
+        sock: Socket of the connection.
+        size_bytes: The bound. Linux doubles it for its own records.
+    """
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, size_bytes)
+
+
 def set_unread_limit(
     sock: socket.socket, limit: datetime.timedelta | None
 ) -> None:
