Bound the requests at a server by its memory

Cause: a server ends if the requests that it holds exceed its memory, and no gateway knew what its peers had sent there.

Change: each gateway counts prompts, longest answers and bodies of its requests by server and tells its peers; a server that would not hold a further request is no candidate. Only if the settings file names servers that end for this reason.

--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -282,18 +282,19 @@
         )
         self._prefill_coalescer.begin(selected)
         try:
-            async with self._client.send(
-                server, request, self._options(selected.candidate)
-            ) as response:
-                self._state.server_statements.note(
-                    server, response.head.statement
-                )
-                held_error = await self._relay.relay(
-                    selected.candidate, in_flight, response
-                )
-                if response.head.status < _FIRST_REDIRECT_STATUS:
-                    self._evidence.note_survived()
-                return held_error
+            with self._state.server_memory.hold(server.server_id, request):
+                async with self._client.send(
+                    server, request, self._options(selected.candidate)
+                ) as response:
+                    self._state.server_statements.note(
+                        server, response.head.statement
+                    )
+                    held_error = await self._relay.relay(
+                        selected.candidate, in_flight, response
+                    )
+                    if response.head.status < _FIRST_REDIRECT_STATUS:
+                        self._evidence.note_survived()
+                    return held_error
         finally:
             self._prefill_coalescer.finish()
             server_load.end(in_flight, self._now_s())
--- a/hibiscusstile/gateway/noticebatch.py
+++ b/hibiscusstile/gateway/noticebatch.py
@@ -69,6 +69,7 @@
     """
     newest = slice(-messages.MAX_NOTICE_ENTRIES, None)
     loads = {load.server: load for each in notices for load in each.loads}
+    memory = {each.server: each for notice in notices for each in notice.memory}
     finished = {
         (done.salt, done.part) for each in notices for done in each.reads
     }
@@ -100,4 +101,5 @@
         leaving=tuple(leaving for each in notices for leaving in each.leaving)[
             newest
         ],
+        memory=tuple(memory.values())[newest],
     )
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -11,7 +11,14 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from hibiscusstile.gateway import crashfacts, exchange, load, serverstatements
+from hibiscusstile.gateway import (
+    crashfacts,
+    exchange,
+    load,
+    noticeupdates,
+    servermemory,
+    serverstatements,
+)
 from hibiscusstile.peers import messages
 
 if TYPE_CHECKING:
@@ -140,6 +147,7 @@
         crashes: tuple[messages.CrashUpdate, ...] = (),
         clearances: tuple[messages.ClearanceUpdate, ...] = (),
         leaving: tuple[messages.LeavingUpdate, ...] = (),
+        memory: tuple[messages.MemoryUpdate, ...] = (),
     ) -> messages.GatewayNotice | None:
         """Removes the collected updates and returns them with those given.
 
@@ -156,6 +164,7 @@
             crashes=crashes,
             clearances=clearances,
             leaving=leaving,
+            memory=memory,
         )
         for collected in (
             self._prefixes,
@@ -197,9 +206,12 @@
         crashes, clearances = self._state.crashing_parts.charges.drain()
         return self._state.notices.drain(
             self._changed_loads(),
-            _crash_updates(crashes),
-            _clearance_updates(clearances),
-            _leaving_updates(self._state.server_statements.drain()),
+            noticeupdates.crash_updates(crashes),
+            noticeupdates.clearance_updates(clearances),
+            noticeupdates.leaving_updates(
+                self._state.server_statements.drain()
+            ),
+            noticeupdates.memory_updates(self._state.server_memory.drain()),
         )
 
     def snapshot(self) -> messages.GatewayNotice:
@@ -242,9 +254,14 @@
                 for service, each in self._state.all_engine_rates.items()
                 if each.observations
             ),
-            crashes=_crash_updates(crashes),
-            clearances=_clearance_updates(clearances),
-            leaving=_leaving_updates(self._state.server_statements.snapshot()),
+            crashes=noticeupdates.crash_updates(crashes),
+            clearances=noticeupdates.clearance_updates(clearances),
+            leaving=noticeupdates.leaving_updates(
+                self._state.server_statements.snapshot()
+            ),
+            memory=noticeupdates.memory_updates(
+                self._state.server_memory.snapshot()
+            ),
         )
 
     def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
@@ -278,6 +295,12 @@
                 rates.sizes, rates.observations
             )
         self._apply_charges(notice)
+        for memory in notice.memory:
+            self._state.server_memory.note_peer(
+                peer_id,
+                memory.server,
+                servermemory.Footprint(memory.tokens, memory.body_bytes),
+            )
         for leaving in notice.leaving:
             self._state.server_statements.note_leaving(
                 serverstatements.LeavingServer(
@@ -350,32 +373,3 @@
             if server_id in self._sent_loads
         }
         return tuple(changed)
-
-
-def _crash_updates(
-    crashes: list[crashfacts.Crash],
-) -> tuple[messages.CrashUpdate, ...]:
-    return tuple(
-        messages.CrashUpdate(
-            each.crash_id, each.keys, each.age_s, each.survived
-        )
-        for each in crashes[-messages.MAX_NOTICE_ENTRIES :]
-    )
-
-
-def _clearance_updates(
-    clearances: list[crashfacts.Clearance],
-) -> tuple[messages.ClearanceUpdate, ...]:
-    return tuple(
-        messages.ClearanceUpdate(each.key, each.age_s)
-        for each in clearances[-messages.MAX_NOTICE_ENTRIES :]
-    )
-
-
-def _leaving_updates(
-    leaving: list[serverstatements.LeavingServer],
-) -> tuple[messages.LeavingUpdate, ...]:
-    return tuple(
-        messages.LeavingUpdate(each.server_id, each.started_ms, each.age_s)
-        for each in leaving[-messages.MAX_NOTICE_ENTRIES :]
-    )
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -106,6 +106,8 @@
     # Each request in progress uses a connection of its own.
     if service.max_connections and running >= service.max_connections:
         return None
+    if not state.server_memory.may_send(context.request, service, server_id):
+        return None
     cache_tokens = 0
     if service.engine is not None:
         cache_tokens = service.engine.cache_tokens
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -23,6 +23,7 @@
     prefixstores,
     recentprefills,
     routes,
+    servermemory,
     serverstatements,
 )
 from hibiscusstile.gateway import weights as weights_lib
@@ -94,6 +95,7 @@
         self._fleet = fleet.Fleet(clock, self._server_statements, stable_window)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
+        self._server_memory = servermemory.ServerMemory(clock)
         self._weights = weights_lib.WeightsTable(
             clock, weights_bounds, started_s
         )
@@ -147,6 +149,11 @@
         """Load and expected cache contents of each server."""
         return self._loads
 
+    @property
+    def server_memory(self) -> servermemory.ServerMemory:
+        """Memory that all gateways' requests need at each server."""
+        return self._server_memory
+
     @property
     def weights(self) -> weights_lib.WeightsTable:
         """Target and loaded versions of model weights."""
@@ -247,6 +254,7 @@
     def set_process_count(self, count: int) -> None:
         """Sets the process count that divides the retry reserve."""
         self._peer_count = count - 1
+        self._server_memory.peer_count = count - 1
         self._process_count = max(_MIN_PROCESSES, count)
         for budget in self._budgets.values():
             budget.resize(self._retry_policy.reserve / self._process_count)
@@ -302,4 +310,5 @@
         listed = {server.server_id for server in self._fleet.servers}
         self._health.keep_only(listed)
         self._loads.keep_only(listed)
+        self._server_memory.keep_only(listed)
         self._weights.keep_only(listed)
--- a/hibiscusstile/gateway/statuspage.py
+++ b/hibiscusstile/gateway/statuspage.py
@@ -42,6 +42,7 @@
     state: state_lib.GatewayState, own_name: str, server: fleet.BackendServer
 ) -> dict[str, object]:
     statements = state.server_statements
+    held = state.server_memory.held(server.server_id)
     said_leaving = statements.leaving_server(server)
     return {
         "server": server.server_id,
@@ -57,4 +58,6 @@
         "paused_for_s": round(statements.pause_left_s(server), 1),
         "up": state.health.is_up(server.server_id),
         "running": state.loads.for_server(server.server_id).running,
+        "held_tokens": held.tokens,
+        "held_body_bytes": held.body_bytes,
     }
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -13,6 +13,7 @@
     "count_control_bytes",
     "count_crashing_part",
     "count_dropped_line",
+    "count_full_server",
     "count_peer_rejection",
     "count_prompt_tokens",
     "count_recomputed_tokens",
@@ -84,6 +85,10 @@
     "hibiscusstile_silent_servers",
     "Attempts at streams whose server was left or suspected as silent",
 )
+_full_servers = collectors.Counter(
+    "hibiscusstile_full_servers",
+    "Servers left out of a selection as their memory is full, by service",
+)
 _crashing_parts = collectors.Counter(
     "hibiscusstile_crashing_parts",
     "Prompt parts blocked because they crash engines, and parts cleared",
@@ -130,6 +135,11 @@
     _servers_down.inc({"planned": str(planned).lower()})
 
 
+def count_full_server(service: str) -> None:
+    """Counts a server whose memory does not hold a further request."""
+    _full_servers.inc({"service": service})
+
+
 def count_silent_server() -> None:
     """Counts a stream whose server is silent."""
     _silent_servers.inc({})
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -24,6 +24,7 @@
     "LeaseClaimUpdate",
     "LeavingUpdate",
     "LoadUpdate",
+    "MemoryUpdate",
     "PrefillDoneUpdate",
     "PrefixUpdate",
     "RatesUpdate",
@@ -51,6 +52,21 @@
     waiting: Count
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryUpdate:
+    """Memory that the sender's requests need at a backend server.
+
+    Attributes:
+        server: Id of the backend server.
+        tokens: Prompt tokens and longest answers.
+        body_bytes: Size of the bodies.
+    """
+
+    server: ShortText
+    tokens: Count
+    body_bytes: Count = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PrefixUpdate:
     """A prompt part that an engine prefills or has in its cache.
@@ -230,6 +246,10 @@
     tuple[LeavingUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
 ]
 
+_Memory = Annotated[
+    tuple[MemoryUpdate, ...], pydantic.Field(max_length=MAX_NOTICE_ENTRIES)
+]
+
 
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -247,6 +267,7 @@
     crashes: _Crashes = ()
     clearances: _Clearances = ()
     leaving: _Leaving = ()
+    memory: _Memory = ()
 
 
 @message_types.register()
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -16,6 +16,9 @@
 
 _PATH_ENVIRONMENT_VARIABLE = "HIBISCUSSTILE_NODE_FILE"
 
+# The platform's name for servers that end if they hold too much.
+_MEMORY_CONTRACT = "pressure"
+
 
 class _FileModel(pydantic.BaseModel):
     # The platform may add fields at any time, so unknown ones are ignored.
@@ -44,6 +47,7 @@
 class _Gateway(_FileModel):
     held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
+    server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
 
 
 class _File(_FileModel):
@@ -54,6 +58,7 @@
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
     platform: _Store
+    contracts: tuple[str, ...] = ()
     # The project's own settings.
     gateway: _Gateway = _Gateway()
 
@@ -84,6 +89,10 @@
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         max_held_total_bytes: Size of all bodies that are held at the same time.
+        limits_server_memory: Whether servers end if the requests that they
+            hold exceed their memory.
+        max_server_body_bytes: Size of the request bodies that all gateways may
+            have sent to one server; only with `limits_server_memory`.
         role: Name of the process's role.
     """
 
@@ -103,6 +112,8 @@
     version_s: float
     max_held_body_bytes: int
     max_held_total_bytes: int
+    limits_server_memory: bool = False
+    max_server_body_bytes: int = 64 * 1024 * 1024
     role: str = "gateway"
 
 
@@ -157,4 +168,6 @@
         version_s=parsed.bounds.version_ms / 1000,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
+        limits_server_memory=_MEMORY_CONTRACT in parsed.contracts,
+        max_server_body_bytes=parsed.gateway.server_bodies_kb * 1024,
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -20,6 +20,7 @@
     notices,
     rollout,
     rolloutlease,
+    servermemory,
     service,
     statuspage,
     stopping,
@@ -83,6 +84,7 @@
             _weights_bounds(boot_settings),
             hibiscusstile.STARTED_S,
         )
+        self._state.server_memory.limits = _memory_limits(boot_settings)
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
         self._ingress = ingress.Ingress(
@@ -343,6 +345,7 @@
         self._settings = boot_settings
         self._state.set_retries(_retry_policy(boot_settings))
         self._state.weights.bounds = _weights_bounds(boot_settings)
+        self._state.server_memory.limits = _memory_limits(boot_settings)
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
@@ -368,3 +371,11 @@
         return os.stat(path).st_mtime_ns
     except OSError:
         return 0
+
+
+def _memory_limits(
+    boot_settings: boot.BootSettings,
+) -> servermemory.MemoryLimits:
+    return servermemory.MemoryLimits(
+        boot_settings.limits_server_memory, boot_settings.max_server_body_bytes
+    )
