Open an era of the lease before a rollout needs it

Cause: in an era without claims each process that starts waits 6 s, as the store may have lost a claim.

Change: a process that has waited and has nothing to roll out appends a record that opens the era. While the log ends with it, nobody holds the lease, and a process that starts does not wait. Logs without eras are used as before.

--- a/hibiscusstile/gateway/rollout.py
+++ b/hibiscusstile/gateway/rollout.py
@@ -74,6 +74,7 @@
             await self._clock.sleep(_CHECK_INTERVAL)
             await self._lease.refresh()
             if not self._update_outdated():
+                await self._lease.open_era()
                 continue
             unchanged_s = self._clock.monotonic() - self._unchanged_since_s
             if self._lease.may_claim(unchanged_s) and await self._lease.claim():
--- a/hibiscusstile/gateway/rolloutlease.py
+++ b/hibiscusstile/gateway/rolloutlease.py
@@ -12,18 +12,20 @@
 its era. A process that learns of a newer era waits as if it had just read a
 claim of another process, unless the last claim is its own or one of the new
 era.
+
+Once a process has waited in an era without claims, it appends a record that
+opens the era. As long as that is the log's last record, nobody holds the lease,
+and a process that starts need not wait.
 """
 
 from __future__ import annotations
 
-import dataclasses
 import datetime
-import hashlib
 
 import logbook
 
 from hibiscusstile import logs, platform
-from hibiscusstile.gateway import fencing, notices
+from hibiscusstile.gateway import fencing, leaseclaims, notices
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.platform import claimrecords, topics
 
@@ -40,6 +42,9 @@
 # Claims of processes that become eligible together spread over this time.
 _CLAIM_SPREAD_S = 0.4
 _RETRY_DELAY_S = 0.5
+# Processes that have waited in a new era read the log at different times, so
+# that one of them opens the era and the others see it.
+_OPENING_SPREAD_S = 8.0
 # Longest delay until an order sent at a claim's end reaches its engine: orders
 # time out after 0.3 s.
 _MAX_DELIVERY_S = 0.5
@@ -47,35 +52,8 @@
 _MAX_READ_RESTARTS = 3
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Claim:
-    """A claim of the lease that this process has won.
-
-    Attributes:
-        fence: Fencing token of the claim.
-        era: Era of the log in which it counts; None if the log tells none.
-        expires_s: Expiry time on the monotonic clock.
-    """
-
-    fence: int
-    era: int | None
-    expires_s: float
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Holder:
-    """One instance that may hold the lease.
-
-    An instance that replaces another one may bear its name, but engines see
-    orders from two machines.
-
-    Attributes:
-        name: Name of the instance.
-        address: IP address of the instance.
-    """
-
-    name: str
-    address: str
+Claim = leaseclaims.Claim
+Holder = leaseclaims.Holder
 
 
 class RolloutLease:
@@ -111,6 +89,8 @@
         self._topic_end: int | None = None
         # Era and offset of the last claim that was read.
         self._read_claim: tuple[int | None, int] | None = None
+        self._opened_era: int | None = None
+        self._next_opening_s = 0.0
         self._next_read_s = 0.0
         self._earliest_claim_s = 0.0
 
@@ -150,18 +130,11 @@
             return False
         if self._last_holder == self._holder:
             return True
-        spread_s = _CLAIM_SPREAD_S * self._spread_position()
+        spread_s = _CLAIM_SPREAD_S * self._holder.spread_position
         if self._last_holder is None:
             return unchanged_s >= spread_s
         return unchanged_s >= _TAKEOVER_DELAY_S + spread_s
 
-    def _spread_position(self) -> float:
-        """Returns this process's place among claimants, from 0 to 1."""
-        digest = hashlib.blake2b(
-            self._holder.name.encode(), digest_size=2
-        ).digest()
-        return int.from_bytes(digest, "big") / 65_536
-
     def observe_era(self) -> None:
         """Adopts the log's era and waits for claims that it may have lost.
 
@@ -212,6 +185,33 @@
         ):
             await self._read_claims()
 
+    async def open_era(self) -> None:
+        """Opens the log's era if no process has claimed the lease in it."""
+        if not self._may_open():
+            return
+        # Another process may have opened it meanwhile.
+        if not await self._read_claims() or not self._may_open():
+            return
+        era = self._era
+        self._next_opening_s = self._clock.monotonic() + _OPENING_SPREAD_S
+        payload = self._holder.record(era, opens_era=True)
+        result = await self._log.append(_TOPIC, payload, self._topic_end)
+        self.observe_era()
+        if isinstance(result, platform.Appended) and era == self._era:
+            logs.event(_log, "lease_era_opened", era=era)
+        self._read_again_later()
+
+    def _may_open(self) -> bool:
+        spread_s = _OPENING_SPREAD_S * self._holder.spread_position
+        return (
+            self._era is not None
+            and self._topic_end is not None
+            and self._last_holder is None
+            and self._opened_era != self._era
+            and self._clock.monotonic()
+            >= max(self._next_opening_s, self._earliest_claim_s + spread_s)
+        )
+
     async def claim(self) -> bool:
         """Appends a claim; returns whether it succeeded.
 
@@ -225,11 +225,7 @@
             return False
         era = self._era
         sent_s = self._clock.monotonic()
-        payload = claimrecords.encode(
-            claimrecords.ClaimRecord(
-                self._holder.name, self._holder.address, era
-            )
-        )
+        payload = self._holder.record(era)
         result = await self._log.append(_TOPIC, payload, self._topic_end)
         if isinstance(result, platform.Appended):
             return self._note_appended(result, era, sent_s)
@@ -326,7 +322,9 @@
             offset = records.next_offset
             if offset >= records.end or not records.payloads:
                 self._topic_end = records.end
-                if last is not None:
+                if last is not None and self._is_opening(*last):
+                    self._note_opening()
+                elif last is not None:
                     self._note_claim(*last)
                 elif claims_hidden and not self._others_wait():
                     self._note_claim(None, offset - 1)
@@ -334,6 +332,16 @@
         self._read_again_later()
         return False
 
+    def _is_opening(
+        self, record: claimrecords.ClaimRecord | None, offset: int
+    ) -> bool:
+        return (
+            record is not None
+            and record.opens_era
+            and record.era == self._era
+            and offset + 1 == self._topic_end
+        )
+
     def _is_of_earlier_era(
         self, record: claimrecords.ClaimRecord | None
     ) -> bool:
@@ -344,6 +352,11 @@
             and record.era < self._era
         )
 
+    def _note_opening(self) -> None:
+        self._opened_era = self._era
+        self._last_holder = None
+        self._earliest_claim_s = self._clock.monotonic()
+
     def _note_claim(
         self, record: claimrecords.ClaimRecord | None, offset: int
     ) -> None:
--- a/hibiscusstile/platform/claimrecords.py
+++ b/hibiscusstile/platform/claimrecords.py
@@ -15,7 +15,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimRecord:
-    """A claim as the log stores it.
+    """A claim as the log stores it, or the opening of an era.
 
     Attributes:
         holder: Name of the process that claims the lease.
@@ -23,11 +23,15 @@
             claim.
         era: Era of the log in which the claim counts; None if the log does not
             tell it, or if an older release wrote the claim.
+        opens_era: Whether the record claims nothing, but states that none of
+            the earlier claims counts any more. Older releases take it for a
+            claim.
     """
 
     holder: str
     address: str = ""
     era: int | None = None
+    opens_era: bool = False
 
 
 class _Body(pydantic.BaseModel):
@@ -41,11 +45,17 @@
         str, pydantic.Field(max_length=_MAX_HOLDER_CHARACTERS)
     ] = ""
     era: Annotated[int, pydantic.Field(ge=0)] | None = None
+    opens_era: bool | None = None
 
 
 def encode(record: ClaimRecord) -> bytes:
     """Encodes a claim."""
-    body = _Body(holder=record.holder, address=record.address, era=record.era)
+    body = _Body(
+        holder=record.holder,
+        address=record.address,
+        era=record.era,
+        opens_era=record.opens_era or None,
+    )
     return body.model_dump_json(exclude_none=True).encode()
 
 
@@ -55,4 +65,6 @@
         body = _Body.model_validate_json(payload)
     except pydantic.ValidationError:
         return None
-    return ClaimRecord(body.holder, body.address, body.era)
+    return ClaimRecord(
+        body.holder, body.address, body.era, body.opens_era or False
+    )
--- a/tests/gateway/test_rollout.py
+++ b/tests/gateway/test_rollout.py
@@ -163,6 +163,10 @@
         self.log = rollouts.MemoryLog(era)
         self.states = [_state(self.clock, 6) for _ in range(3)]
         self.engines = [rollouts.MemoryEngines(each) for each in self.states]
+        self.restart()
+
+    def restart(self) -> None:
+        """Replaces the processes by ones that know nothing of the lease."""
         self._rollouts = [
             _rollout(state, self.log, engines, name)
             for state, engines, name in zip(
@@ -209,6 +213,25 @@
     assert {order.version for _, _, order in shared.engines[0].orders} >= {9}
 
 
+async def test_orders_come_soon_after_a_restart_of_all_processes() -> None:
+    """Guards against streams that are refused for seconds after a restart.
+
+    All processes stop as the first version since the store's restore is
+    published; engines are outdated when they start again.
+    """
+    shared = _SharedLog(1)
+    await shared.log.read_newest("keyed.op")
+    await shared.run(1, 20.0)
+    for each in shared.states:
+        each.set_target_version("m1", 2)
+    started_s = shared.clock.monotonic()
+    shared.restart()
+    await shared.run(2, 12.0)
+    shared.check_orders()
+    first_s = min(each.orders[0][0] for each in shared.engines if each.orders)
+    assert first_s - started_s < 1.0
+
+
 async def test_a_claim_without_a_response_sends_no_orders() -> None:
     """Guards against orders of a process that is not sure of its lease."""
     setup = _Setup(3)
--- a/tests/gateway/test_rolloutlease.py
+++ b/tests/gateway/test_rolloutlease.py
@@ -257,6 +257,54 @@
     assert not waited_s
 
 
+@pytest.mark.parametrize("restored", [False, True])
+async def test_processes_that_start_together_need_not_wait(
+    restored: bool,
+) -> None:
+    """Guards against refused streams after a restart of all processes.
+
+    None of the processes before them had claimed the lease in this era.
+    """
+    processes = _Processes(rollouts.MemoryLog(1))
+    before = [processes.start(name) for name in "abc"]
+    if restored:
+        await processes.claim(before[0])
+        processes.log.restore(_TOPIC, 0)
+    await processes.read()
+    for _ in range(200):
+        processes.clock.advance(0.1)
+        for lease in before:
+            await lease.refresh()
+            await lease.open_era()
+    assert len(processes.log.payloads[_TOPIC]) == 1
+    await processes.read()
+    after = [processes.start(name) for name in "abc"]
+    for lease in after:
+        await lease.refresh()
+    assert after[1].may_claim(0.5)
+    _, waited_s = await processes.claim(after[1])
+    assert not waited_s
+    # The others wait for that claim.
+    assert not await after[0].claim()
+    assert not after[0].may_claim(_HELD_S - 0.1)
+
+
+async def test_an_opening_counts_in_its_era_only() -> None:
+    """Guards against two holders after a restore that lost a claim."""
+    processes = _Processes(rollouts.MemoryLog(1))
+    opener, holder = processes.start("a"), processes.start("b")
+    await processes.read()
+    for _ in range(200):
+        processes.clock.advance(0.1)
+        await opener.refresh()
+        await opener.open_era()
+    await processes.claim(holder)
+    processes.log.restore(_TOPIC, 1)
+    await processes.read()
+    _, waited_s = await processes.claim(processes.start("c"))
+    assert waited_s == pytest.approx(_HELD_S, abs=0.15)
+
+
 async def test_a_replaced_instance_is_another_holder() -> None:
     """Guards against orders of two machines with one name in turn."""
     processes = _Processes(rollouts.MemoryLog(1))
--- a/tests/gateway/test_rolloutlease_stateful.py
+++ b/tests/gateway/test_rolloutlease_stateful.py
@@ -70,6 +70,33 @@
             super()._note_claim(record, offset)
 
 
+class _OpensAtOnce(rolloutlease.RolloutLease):
+    """Opens an era without waiting for claims of the one before."""
+
+    def _may_open(self) -> bool:
+        return (
+            self._era is not None
+            and self._topic_end is not None
+            and self._opened_era != self._era
+        )
+
+
+class _TrustsOldOpenings(rolloutlease.RolloutLease):
+    """Takes the opening of any era for one of the current era."""
+
+    def _is_opening(
+        self, record: claimrecords.ClaimRecord | None, offset: int
+    ) -> bool:
+        return record is not None and record.opens_era
+
+    def _is_of_earlier_era(
+        self, record: claimrecords.ClaimRecord | None
+    ) -> bool:
+        if record is not None and record.opens_era:
+            return False
+        return super()._is_of_earlier_era(record)
+
+
 @pytest.mark.parametrize(
     "broken",
     [
@@ -78,6 +105,8 @@
         _TrustsOwnClaims,
         _CountsClaimsOfEarlierEras,
         _IgnoresForgottenClaims,
+        _OpensAtOnce,
+        _TrustsOldOpenings,
     ],
 )
 def test_machine_detects_a_broken_lease(
--- a/tests/lease_machine.py
+++ b/tests/lease_machine.py
@@ -63,6 +63,9 @@
         """Does what a rollout does at each of its polls."""
         self.lease.observe_era()
         await self.lease.refresh()
+        if not unchanged_s:
+            await self.lease.open_era()
+            return
         if self.lease.may_claim(unchanged_s):
             await self.lease.claim()
 
@@ -132,6 +135,15 @@
                 return
             self.pass_time(0.5)
 
+    @stateful.rule(slot=_SLOTS)
+    def open_era(self, slot: int) -> None:
+        """Lets only one process run, without a rollout to do."""
+        for _ in range(20):
+            self.poll(slot, 0.0)
+            for _ in range(8):
+                self.step(slot, "done")
+            self.pass_time(0.8)
+
     @stateful.rule(slot=_SLOTS)
     def learn(self, slot: int) -> None:
         """Lets another call to the log receive its response."""
