Count tokens against engines' memory only on request

Cause: the bound on prompts and answers left engines out that would have queued the requests: engines of the deployments admit and preempt by their KV cache.

Change: engine_fill in [gateway] sets the bound as a multiple of the KV cache; 0, the default, leaves tokens out. Bodies stay bounded where servers end for it.

--- a/hibiscusstile/gateway/servermemory.py
+++ b/hibiscusstile/gateway/servermemory.py
@@ -1,8 +1,8 @@
 """Bounds what all gateways have sent to one backend server.
 
-A server may end if the requests that it holds need more than its memory. The
-memory of an engine is its KV cache, in which a request needs its prompt and its
-longest answer; any server also holds the bodies of its requests.
+A server may end if the requests that it holds need more than its memory: the
+bodies of its requests and, at engines that do not queue or preempt requests
+themselves, prompts and longest answers in the KV cache.
 """
 
 from __future__ import annotations
@@ -39,7 +39,7 @@
     """Memory of a server that requests need.
 
     Attributes:
-        tokens: Prompt tokens and longest answer.
+        tokens: Prompt tokens and longest answer; 0 where they do not count.
         body_bytes: Size of the bodies.
     """
 
@@ -51,18 +51,6 @@
             self.tokens + other.tokens, self.body_bytes + other.body_bytes
         )
 
-    @classmethod
-    def of(cls, request: exchange.ForwardedRequest) -> Footprint:
-        """Returns what a request needs.
-
-        Shared prompt parts count for each request, since whether a server
-        still has them when the request starts is not known.
-        """
-        return cls(
-            request.prompt_tokens + request.max_output_tokens,
-            len(request.body),
-        )
-
 
 NOTHING = Footprint()
 
@@ -74,10 +62,13 @@
     Attributes:
         enabled: Whether servers end if requests exceed their memory.
         max_body_bytes: Size of all bodies that one server may hold.
+        engine_fill: What requests at an engine may need, as a multiple of its
+            KV cache; 0 if tokens do not count.
     """
 
     enabled: bool = False
     max_body_bytes: int = 64 * 1024 * 1024
+    engine_fill: float = 0.0
 
 
 def fits(
@@ -148,12 +139,13 @@
         """Returns whether a server's memory holds a further request."""
         if not self.limits.enabled:
             return True
+        cache_tokens = service.engine.cache_tokens if service.engine else 0
         capacity = Footprint(
-            service.engine.cache_tokens if service.engine else 0,
+            int(self.limits.engine_fill * cache_tokens),
             self.limits.max_body_bytes,
         )
         held = self.held(server_id)
-        if fits(Footprint.of(request), held, capacity, self.peer_count):
+        if fits(self._needs(request), held, capacity, self.peer_count):
             return True
         metrics.count_full_server(service.name)
         self._log_full(server_id, held, capacity)
@@ -164,7 +156,7 @@
         self, server_id: str, request: exchange.ForwardedRequest
     ) -> Iterator[None]:
         """Counts a request as held by a server until the end of the context."""
-        footprint = Footprint.of(request)
+        footprint = self._needs(request)
         self._own[server_id] = self._own.get(server_id, NOTHING) + footprint
         try:
             yield
@@ -209,6 +201,17 @@
             for server_id in set(known) - server_ids:
                 del known[server_id]
 
+    def _needs(self, request: exchange.ForwardedRequest) -> Footprint:
+        """Returns what a request needs.
+
+        Shared prompt parts count for each request, since whether a server
+        still has them when the request starts is not known.
+        """
+        tokens = request.prompt_tokens + request.max_output_tokens
+        return Footprint(
+            tokens if self.limits.engine_fill else 0, len(request.body)
+        )
+
     def _is_due(self, server_id: str, now_s: float) -> bool:
         own = self._own.get(server_id, NOTHING)
         announced, said_s = self._announced.get(server_id, (NOTHING, 0.0))
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -48,6 +48,7 @@
     held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
     server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
+    engine_fill: Annotated[float, pydantic.Field(ge=0, le=1000)] = 0.0
 
 
 class _File(_FileModel):
@@ -93,6 +94,8 @@
             hold exceed their memory.
         max_server_body_bytes: Size of the request bodies that all gateways may
             have sent to one server; only with `limits_server_memory`.
+        engine_fill: What the requests at one engine may need, as a multiple of
+            its KV cache; 0 for no bound; only with `limits_server_memory`.
         role: Name of the process's role.
     """
 
@@ -114,6 +117,7 @@
     max_held_total_bytes: int
     limits_server_memory: bool = False
     max_server_body_bytes: int = 64 * 1024 * 1024
+    engine_fill: float = 0.0
     role: str = "gateway"
 
 
@@ -170,4 +174,5 @@
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
         limits_server_memory=_MEMORY_CONTRACT in parsed.contracts,
         max_server_body_bytes=parsed.gateway.server_bodies_kb * 1024,
+        engine_fill=parsed.gateway.engine_fill,
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -377,5 +377,7 @@
     boot_settings: boot.BootSettings,
 ) -> servermemory.MemoryLimits:
     return servermemory.MemoryLimits(
-        boot_settings.limits_server_memory, boot_settings.max_server_body_bytes
+        boot_settings.limits_server_memory,
+        boot_settings.max_server_body_bytes,
+        boot_settings.engine_fill,
     )
