Forget what gateways that are gone have sent to servers

Cause: an entry of a peer that was replaced stayed until its server was removed. Change: expired entries go as another peer tells what it has sent. Result: tests/gateway/test_servermemory.py passes.

--- a/hibiscusstile/gateway/servermemory.py
+++ b/hibiscusstile/gateway/servermemory.py
@@ -171,8 +171,12 @@
         self, peer_id: str, server_id: str, footprint: Footprint
     ) -> None:
         """Records what another gateway has sent to a server."""
-        peers = self._peers.setdefault(server_id, {})
-        peers[peer_id] = footprint, self._clock.monotonic()
+        now_s = self._clock.monotonic()
+        self._peers[server_id] = {
+            each: said
+            for each, said in self._peers.get(server_id, {}).items()
+            if said[1] > now_s - _MAX_AGE_S
+        } | {peer_id: (footprint, now_s)}
 
     def snapshot(self) -> dict[str, Footprint]:
         """Returns what this gateway has sent, for a peer that is new."""
