Limit workspaces to their allowances over all gateways

Nothing read the allowances of the configuration, so a workspace that sent many times its usual took the room of the others, and the rule on allowances was broken. Each gateway now fills a share of each allowance, and lends tokens to gateways that get more of the work.

--- a/hibiscusstile/entry/refusals.py
+++ b/hibiscusstile/entry/refusals.py
@@ -37,6 +37,7 @@
     outcome.Reason.TOO_LARGE: 413,
     outcome.Reason.SUSPECT: 422,
     outcome.Reason.OVERLOADED: 429,
+    outcome.Reason.OVER_ALLOWANCE: 429,
     outcome.Reason.INTERNAL: 500,
     outcome.Reason.BACKEND_FAILED: 502,
     outcome.Reason.BACKEND_CRASHED: 502,
--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -7,6 +7,7 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    allowances,
     attemptfailures,
     attemptlimits,
     crashdetection,
@@ -50,6 +51,7 @@
         request: The request.
         writer: Writes the response to the caller.
         destination: Route and service that the request was resolved to.
+        charge: What the request was charged to its workspace; nothing if None.
     """
 
     def __init__(
@@ -60,12 +62,14 @@
         request: exchange.ForwardedRequest,
         writer: exchange.ResponseWriter,
         destination: resolving.Destination,
+        charge: allowances.Charge | None = None,
     ) -> None:
         self._state = state
         self._client = client
         self._request = request
         self._writer = writer
         self._destination = destination
+        self._charge = charge or allowances.Charge()
         self._deadline = deadline.RequestDeadline(
             request, destination.route, state.clock
         )
@@ -118,6 +122,11 @@
         """When the request must have its final response."""
         return self._deadline
 
+    @property
+    def verdict(self) -> outcome.Verdict:
+        """Whether a server may have run the request."""
+        return self._progress.verdict
+
     async def run(self) -> None:
         """Serves the request.
 
@@ -274,6 +283,7 @@
             expected_s=selected.expected_s,
             work=selected.observable_work,
         )
+        self._charge.note_attempt(self._progress.runs)
         self._progress.note_attempt(server.address)
         self._evidence.begin_attempt()
         self._log.server_selected(selected)
--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -6,6 +6,7 @@
 
 from hibiscusstile import logs, metrics, outcome
 from hibiscusstile.gateway import (
+    allowances,
     crashdetection,
     deadline,
     exchange,
@@ -105,6 +106,12 @@
         try:
             destination = resolving.resolve(self._state.table, request)
             self._refuse_if_stopping(request, destination)
+            charge = await self._state.allowances.admit(
+                destination.workspace,
+                request.prompt_tokens + request.max_output_tokens,
+                destination.rank,
+                destination.route.target_latency_s,
+            )
         except outcome.Refused as refused:
             self._log_refusal(
                 request.request_id,
@@ -114,7 +121,7 @@
             )
             await writer.refuse(refused.refusal)
         else:
-            await self._forward(request, writer, destination)
+            await self._forward(request, writer, destination, charge)
         finally:
             self._active -= 1
 
@@ -155,6 +162,7 @@
         request: exchange.ForwardedRequest,
         writer: exchange.ResponseWriter,
         destination: resolving.Destination,
+        charge: allowances.Charge,
     ) -> None:
         forwarder = forwarding.RequestForwarder(
             self._state,
@@ -163,6 +171,7 @@
             request,
             writer,
             destination,
+            charge,
         )
         if self._schedule is not None:
             forwarder.deadline.end_by(self._schedule.answer_until_s)
@@ -171,6 +180,7 @@
             await forwarder.run()
         finally:
             self._forwarders.discard(forwarder)
+            charge.settle(forwarder.verdict)
 
     def _log_refusal(
         self, request_id: str, refusal: outcome.Refusal, **fields: str
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -11,6 +11,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, retrybudget
 from hibiscusstile.gateway import (
+    allowances,
     crashingparts,
     enginerates,
     fleet,
@@ -103,6 +104,7 @@
         self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._pauses = pausedetection.PauseDetector(clock)
+        self._allowances = allowances.AllowanceDesk(clock)
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -182,6 +184,11 @@
         """Prompt parts that crash engines."""
         return self._crashing_parts
 
+    @property
+    def allowances(self) -> allowances.AllowanceDesk:
+        """Admits requests within the allowances of their workspaces."""
+        return self._allowances
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """Updates to send to other gateways."""
@@ -215,6 +222,7 @@
             return False
         before = self._table.version if self._table else None
         self._table = table
+        self._allowances.apply(table.allowances)
         metrics.set_revision(table.version)
         logs.event(
             _log,
--- a/hibiscusstile/gateway/statuspage.py
+++ b/hibiscusstile/gateway/statuspage.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hibiscusstile.gateway import fleet
+from hibiscusstile.gateway import allowances, fleet
 from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["describe_state"]
@@ -27,6 +27,7 @@
             for service, each in state.all_engine_rates.items()
             if each.observations
         },
+        "allowances": describe_allowances(state.allowances.ledger),
         "blocked": [
             {"key": each.label, "crashes": each.crashes}
             for each in state.crashing_parts.blocks
@@ -38,6 +39,28 @@
     }
 
 
+def describe_allowances(
+    ledger: allowances.AllowanceLedger,
+) -> list[dict[str, object]]:
+    """Returns each limited workspace's allowance and what is held here."""
+    return [
+        {
+            "workspace": name,
+            "rate_per_s": account.allowance.rate,
+            "burst": account.allowance.burst,
+            "unit": "tokens" if account.allowance.in_tokens else "requests",
+            "gateways": ledger.gateways,
+            "held": round(ledger.held(name)),
+            "admitted": round(account.totals.admitted_tokens),
+            "refused": account.totals.refused,
+            "refused_tokens": round(account.totals.refused_tokens),
+            "lent": round(account.totals.lent_tokens),
+            "borrowed": round(account.totals.borrowed_tokens),
+        }
+        for name, account in ledger.accounts.items()
+    ]
+
+
 def _describe_server(
     state: state_lib.GatewayState, own_name: str, server: fleet.BackendServer
 ) -> dict[str, object]:
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -9,6 +9,7 @@
 from hibiscusstile import outcome
 
 __all__ = [
+    "count_allowance",
     "count_attempt",
     "count_control_bytes",
     "count_crashing_part",
@@ -70,6 +71,10 @@
 _requests = collectors.Counter(
     "hibiscusstile_requests", "Forwarded requests by kind, rank and outcome"
 )
+_allowance_requests = collectors.Counter(
+    "hibiscusstile_allowance_requests",
+    "Requests of limited workspaces: with tokens held here, borrowed, refused",
+)
 _attempts = collectors.Counter(
     "hibiscusstile_attempts", "Attempts at backend servers by outcome"
 )
@@ -115,6 +120,11 @@
     _requests.inc({"kind": kind, "rank": str(rank), "outcome": result})
 
 
+def count_allowance(result: str) -> None:
+    """Counts a request of a workspace that has an allowance."""
+    _allowance_requests.inc({"outcome": result})
+
+
 def count_attempt(result: str) -> None:
     """Counts an attempt at a backend server."""
     _attempts.inc({"outcome": result})
--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -15,7 +15,12 @@
 from websockets.exceptions import WebSocketException
 
 from hibiscusstile import logs, supervisor
-from hibiscusstile.gateway import configurationrelay, noticebatch, notices
+from hibiscusstile.gateway import (
+    allowances,
+    configurationrelay,
+    noticebatch,
+    notices,
+)
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import codec, handshake, messages, server
 from hibiscusstile.peers import connection as connection_lib
@@ -103,6 +108,7 @@
         self._batch = noticebatch.NoticeBatch()
         self._peers: dict[str, Peer] = {}
         self._disconnected_since_s: dict[str, float] = {}
+        state.allowances.connect(self._send_tokens, self._connected_peers)
 
     @property
     def name(self) -> str:
@@ -205,6 +211,43 @@
         if batched is not None:
             self._enqueue_for(far_names, batched)
 
+    def _connected_peers(self) -> list[allowances.Peer]:
+        return [
+            allowances.Peer(name, peer.zone == self._state.zone)
+            for name, peer in self._peers.items()
+            if name not in self._disconnected_since_s
+        ]
+
+    def _send_tokens(
+        self, name: str, message: allowances.Ask | allowances.Grant
+    ) -> None:
+        """Queues a question or an answer, unless the queue is full.
+
+        A lost one costs tokens, while notices must not be dropped for it.
+        """
+        queue = self._queues.get(name)
+        if queue is None or queue.full():
+            return
+        if isinstance(message, allowances.Ask):
+            queue.put_nowait(
+                self._encode(
+                    messages.AllowanceAsk(
+                        message.number, message.workspace, message.tokens
+                    )
+                )
+            )
+        else:
+            queue.put_nowait(
+                self._encode(
+                    messages.AllowanceGrant(
+                        message.number,
+                        message.workspace,
+                        message.tokens,
+                        message.left,
+                    )
+                )
+            )
+
     def _enqueue_for(
         self, names: Iterable[str], message: messages.PeerMessage
     ) -> None:
@@ -284,6 +327,20 @@
                 )
             elif isinstance(envelope.message, messages.GatewayConfiguration):
                 self._relay.receive(remote_identity.peer_id, envelope.message)
+            elif isinstance(envelope.message, messages.AllowanceAsk):
+                ask = envelope.message
+                self._state.allowances.receive_ask(
+                    remote_identity.peer_id,
+                    allowances.Ask(ask.number, ask.workspace, ask.tokens),
+                )
+            elif isinstance(envelope.message, messages.AllowanceGrant):
+                grant = envelope.message
+                self._state.allowances.receive_grant(
+                    remote_identity.peer_id,
+                    allowances.Grant(
+                        grant.number, grant.workspace, grant.tokens, grant.left
+                    ),
+                )
 
     def _configuration_version(self) -> int:
         table = self._state.table
--- a/hibiscusstile/peers/messages/__init__.py
+++ b/hibiscusstile/peers/messages/__init__.py
@@ -6,6 +6,10 @@
 
 from __future__ import annotations
 
+from hibiscusstile.peers.messages.allowances import (
+    AllowanceAsk,
+    AllowanceGrant,
+)
 from hibiscusstile.peers.messages.base import PeerMessage, message_types
 from hibiscusstile.peers.messages.configuration import (
     ConfigDigest,
@@ -60,6 +64,8 @@
 __all__ = [
     "MAX_NOTICE_ENTRIES",
     "Ack",
+    "AllowanceAsk",
+    "AllowanceGrant",
     "BidReply",
     "BidRequest",
     "Call",
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -27,6 +27,9 @@
     ready: str = ""
 
 
+_Tolerated = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+
+
 class _Bounds(_FileModel):
     drain_ms: Annotated[float, pydantic.Field(gt=0)] = 2000
     stable_window_ms: Annotated[float, pydantic.Field(gt=0)] = 3000
@@ -35,6 +38,9 @@
     budget_slack: float = 50
     lease_ms: float = 3000
     version_ms: Annotated[float, pydantic.Field(gt=0)] = 8000
+    quota_window_s: _Tolerated = 0
+    quota_over: _Tolerated = 0
+    quota_slack: _Tolerated = 0
 
 
 class _Store(_FileModel):
@@ -81,6 +87,9 @@
             rollout lease.
         version_s: Time after the publication of weights from which no request
             may start on older ones.
+        allowance_window_s: Window in which the use of allowances is counted.
+        allowance_excess_share: Share by which a window may exceed them.
+        allowance_excess_tokens: Further tokens by which it may exceed them.
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         max_held_total_bytes: Size of all bodies that are held at the same time.
@@ -101,6 +110,9 @@
     retry_reserve: float
     lease_s: float
     version_s: float
+    allowance_window_s: float
+    allowance_excess_share: float
+    allowance_excess_tokens: float
     max_held_body_bytes: int
     max_held_total_bytes: int
     role: str = "gateway"
@@ -155,6 +167,9 @@
         retry_reserve=parsed.bounds.budget_slack,
         lease_s=parsed.bounds.lease_ms / 1000,
         version_s=parsed.bounds.version_ms / 1000,
+        allowance_window_s=parsed.bounds.quota_window_s,
+        allowance_excess_share=parsed.bounds.quota_over,
+        allowance_excess_tokens=parsed.bounds.quota_slack,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
     )
--- a/hibiscusstile/platform/ingress.py
+++ b/hibiscusstile/platform/ingress.py
@@ -29,6 +29,7 @@
     outcome.Reason.NOT_FOUND: 404,
     outcome.Reason.SLOW_CLIENT: 408,
     outcome.Reason.TOO_LARGE: 413,
+    outcome.Reason.OVER_ALLOWANCE: 429,
     outcome.Reason.BACKEND_FAILED: 502,
     outcome.Reason.EXPIRED: 504,
     outcome.Reason.INTERNAL: 500,
--- a/hibiscusstile/platform/members.py
+++ b/hibiscusstile/platform/members.py
@@ -61,6 +61,8 @@
         self._own_value = b""
         self._is_announced = False
         self._is_leaving = False
+        # Whether the first list read did not name this gateway; None before.
+        self._is_joining: bool | None = None
 
     async def announce(self) -> None:
         """Keeps this gateway announced and the mesh up to date until cancelled.
@@ -81,6 +83,10 @@
                     self._own_name, self._own_value
                 )
             self._drop_missing()
+            if self._is_joining is not None:
+                self._state.allowances.ledger.note_gateways(
+                    tuple(self._peers), joining=self._is_joining
+                )
             if self._peers_changed:
                 self._peers_changed = False
                 self._state.set_process_count(len(self._peers) + 1)
@@ -105,6 +111,8 @@
         self._is_announced = self._is_leaving
         now_s = self._state.clock.monotonic()
         listed = {record.key for record in records}
+        if self._is_joining is None:
+            self._is_joining = self._own_name not in listed
         for name in self._peers:
             if name not in listed:
                 self._missing_since_s.setdefault(name, now_s)
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -14,6 +14,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
+    allowances,
     configurationrelay,
     follower,
     heldbodies,
@@ -83,6 +84,7 @@
             _weights_bounds(boot_settings),
             hibiscusstile.STARTED_S,
         )
+        self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
         self._ingress = ingress.Ingress(
@@ -343,6 +345,7 @@
         self._settings = boot_settings
         self._state.set_retries(_retry_policy(boot_settings))
         self._state.weights.bounds = _weights_bounds(boot_settings)
+        self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
@@ -363,6 +366,14 @@
     )
 
 
+def _tolerance(boot_settings: boot.BootSettings) -> allowances.Tolerance:
+    return allowances.Tolerance(
+        boot_settings.allowance_window_s,
+        boot_settings.allowance_excess_share,
+        boot_settings.allowance_excess_tokens,
+    )
+
+
 def _modification_time_ns(path: os.PathLike[str]) -> int:
     try:
         return os.stat(path).st_mtime_ns
