--- /dev/null
+++ b/tests/gateway/test_allowances.py
@@ -0,0 +1,242 @@
+"""Tests of the allowances of workspaces."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+
+import pytest
+
+from hibiscusstile import clock as clock_lib
+from hibiscusstile import outcome
+from hibiscusstile.gateway import allowances, routes, statuspage
+from hibiscusstile.platform import operatorrecords
+from tests import builders as base
+from tests.builders import allowances as fleets
+from tests.builders import gateway as builders
+
+_NAME = fleets.WORKSPACE
+_ALLOWANCE = routes.Allowance(1000.0, 2000.0, in_tokens=True, plain_cost=200.0)
+_WORKSPACE = routes.Workspace(_NAME, allowance=_ALLOWANCE)
+
+
+def _desk(
+    clock: clock_lib.Clock, others: tuple[str, ...] = ()
+) -> allowances.AllowanceDesk:
+    desk = allowances.AllowanceDesk(clock, random.Random(1))
+    desk.apply({_NAME: _ALLOWANCE})
+    desk.ledger.note_gateways(others)
+    return desk
+
+
+async def _admit(
+    desk: allowances.AllowanceDesk, tokens: int, rank: int = 1
+) -> allowances.Charge:
+    return await desk.admit(_WORKSPACE, tokens, rank, 1.0)
+
+
+async def _is_admitted(
+    desk: allowances.AllowanceDesk, tokens: int, rank: int = 1
+) -> bool:
+    try:
+        await _admit(desk, tokens, rank)
+    except outcome.Refused as refused:
+        assert refused.refusal.reason is outcome.Reason.OVER_ALLOWANCE
+        return False
+    return True
+
+
+async def test_what_did_not_run_is_given_back_once() -> None:
+    """Guards against a refund that adds tokens, or is missing."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(1.0)
+    charge = await _admit(desk, 600)
+    assert desk.ledger.held(_NAME) == pytest.approx(400)
+    charge.settle(outcome.Verdict.NOT_RUN)
+    charge.settle(outcome.Verdict.NOT_RUN)
+    assert desk.ledger.held(_NAME) == pytest.approx(1000)
+    charge = await _admit(desk, 600)
+    charge.settle(outcome.Verdict.MAY_HAVE_RUN)
+    assert desk.ledger.held(_NAME) == pytest.approx(400)
+
+
+async def test_an_attempt_after_one_that_may_have_run_is_charged() -> None:
+    """Guards against retries beyond the allowance."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(1.0)
+    charge = await _admit(desk, 600)
+    charge.note_attempt(0)
+    charge.note_attempt(0)
+    assert desk.ledger.held(_NAME) == pytest.approx(400)
+    charge.note_attempt(1)
+    charge.note_attempt(1)
+    assert desk.ledger.held(_NAME) == pytest.approx(-200)
+
+
+async def test_unlimited_workspaces_are_not_charged() -> None:
+    """Guards against costs for deployments without allowances."""
+    desk = allowances.AllowanceDesk(base.ManualClock(), random.Random(1))
+    desk.apply({})
+    sent: list[object] = []
+    desk.connect(lambda *message: sent.append(message), tuple)
+    for workspace in (None, routes.Workspace(_NAME)):
+        charge = await desk.admit(workspace, 10**9, 0, 1.0)
+        charge.settle(outcome.Verdict.NOT_RUN)
+    assert not sent
+    assert not desk.ledger.accounts
+
+
+async def test_short_requests_go_first() -> None:
+    """Guards against long requests that take what short ones need."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    for _ in range(40):
+        clock.advance(0.1)
+        await _is_admitted(desk, 30)
+        await _is_admitted(desk, 900)
+    held = desk.ledger.held(_NAME)
+    assert not await _is_admitted(desk, round(held) - 10)
+    assert await _is_admitted(desk, 30)
+
+
+async def test_a_request_gets_tokens_of_another_gateway() -> None:
+    """Guards against refusals while other gateways hold the tokens."""
+    clock = clock_lib.SystemClock()
+    lender, asker = _desk(clock, ("b",)), _desk(clock, ("a",))
+    loop = asyncio.get_running_loop()
+
+    def send_ask(peer: str, message: allowances.Ask | allowances.Grant) -> None:
+        assert isinstance(message, allowances.Ask)
+        loop.call_soon(lender.receive_ask, "b", message)
+
+    def send_grant(
+        peer: str, message: allowances.Ask | allowances.Grant
+    ) -> None:
+        assert isinstance(message, allowances.Grant)
+        loop.call_soon(asker.receive_grant, "a", message)
+
+    asker.connect(send_ask, lambda: [allowances.Peer("a", near=True)])
+    lender.connect(send_grant, tuple)
+    await asyncio.sleep(0.2)
+    held = asker.ledger.held(_NAME)
+    assert await _is_admitted(asker, round(1.5 * held))
+    assert lender.ledger.held(_NAME) < 0.6 * held
+    assert not await _is_admitted(asker, 5000)
+
+
+async def test_a_flood_sends_few_questions() -> None:
+    """Guards against floods of messages where nobody has tokens to spare."""
+    clock = base.ManualClock()
+    others = tuple(f"g{number}" for number in range(23))
+    desk = _desk(clock, others)
+    sent: list[tuple[str, allowances.Ask]] = []
+
+    def send(peer: str, message: allowances.Ask | allowances.Grant) -> None:
+        assert isinstance(message, allowances.Ask)
+        sent.append((peer, message))
+        desk.receive_grant(
+            peer, allowances.Grant(message.number, _NAME, 0.0, 0.0)
+        )
+
+    desk.connect(send, lambda: [allowances.Peer(name, True) for name in others])
+    for _ in range(1000):
+        clock.advance(0.01)
+        for _ in range(5):
+            await _is_admitted(desk, 30)
+    assert 0 < len(sent) < 300
+
+
+def test_the_share_is_that_of_the_highest_count() -> None:
+    """Guards against shares that add up to more than the allowance.
+
+    A gateway that is not listed any more may serve for some seconds.
+    """
+    clock = base.ManualClock()
+    desk = _desk(clock, ("b", "c", "d"))
+    clock.advance(1.0)
+    desk.ledger.note_gateways(())
+    assert desk.ledger.gateways == 4
+    clock.advance(14.0)
+    desk.ledger.note_gateways(())
+    assert desk.ledger.gateways == 4
+    clock.advance(2.0)
+    desk.ledger.note_gateways(())
+    assert desk.ledger.gateways == 1
+
+
+def test_an_unlisted_start_fills_a_sixth() -> None:
+    """Guards against no service at all while the list cannot be read."""
+    clock = base.ManualClock()
+    desk = allowances.AllowanceDesk(clock, random.Random(1))
+    desk.apply({_NAME: _ALLOWANCE})
+    desk.ledger.try_take(_NAME, allowances.Cost(0.0))
+    clock.advance(2.0)
+    desk.ledger.try_take(_NAME, allowances.Cost(0.0))
+    assert desk.ledger.held(_NAME) == 0
+    clock.advance(0.6)
+    assert desk.ledger.held(_NAME) == pytest.approx(100)
+
+
+async def test_a_caller_beyond_the_allowance_gets_429() -> None:
+    """Guards against a refusal whose delay does not suffice."""
+    tenant = {
+        "name": _NAME,
+        "api_keys": [builders.KEY],
+        "rate_per_s": 4,
+        "burst": 4,
+        "unit": "requests",
+    }
+    async with builders.gateway_harness(tenants=[tenant]) as harness:
+        runner = await harness.add_runner(builders.PLAIN_SERVICE, "i-1")
+        harness.state.allowances.ledger.note_gateways(())
+        status, body, headers = await harness.call("/lookup/1", "r1")
+        assert status == 429, body
+        assert b"exceeds the allowance" in body
+        await asyncio.sleep(float(headers["Retry-After"]))
+        status, _, _ = await harness.call("/lookup/1", "r2")
+        assert status == 200
+        assert len(runner.requests) == 1
+        (shown,) = statuspage.describe_allowances(
+            harness.state.allowances.ledger
+        )
+        assert (shown["workspace"], shown["refused"]) == (_NAME, 1)
+
+
+@pytest.mark.parametrize(
+    ("field", "value", "expected"),
+    [
+        ("rate_per_s", -1, "rate_per_s.*greater than or equal to 0"),
+        ("rate_per_s", 1e13, "rate_per_s.*less than or equal to 1000000000000"),
+        ("rate_per_s", "many", "rate_per_s"),
+        ("burst", -5, "burst.*greater than or equal to 0"),
+        ("unit", "bytes", "unit.*'requests' or 'tokens'"),
+        ("plain_tokens", -1, "plain_tokens"),
+    ],
+)
+def test_impossible_allowances_are_refused(
+    field: str, value: object, expected: str
+) -> None:
+    """Guards against a configuration that limits a workspace by accident."""
+    tenant = {"name": _NAME, "api_keys": ["k"], "rate_per_s": 5, field: value}
+    with pytest.raises(
+        operatorrecords.RecordError, match=rf"tenants\.0\.{expected}"
+    ):
+        builders.routing_table(tenants=[tenant])
+
+
+def test_the_cost_of_a_request() -> None:
+    """Guards against requests that are counted in another unit."""
+    tenant = {"name": _NAME, "api_keys": ["k"], "plain_tokens": 200}
+    for fields, costs in (
+        ({"rate_per_s": 5, "unit": "tokens"}, (1540.0, 200.0)),
+        ({"rate_per_s": 5, "unit": "requests"}, (1.0, 1.0)),
+        ({"rate_per_s": 5}, (1.0, 1.0)),
+    ):
+        table = builders.routing_table(tenants=[{**tenant, **fields}])
+        allowance = table.allowances[_NAME]
+        assert (allowance.cost(1540), allowance.cost(0)) == costs
+    for rate in (0, None):
+        fields = {**tenant, "rate_per_s": rate, "burst": 5}
+        assert not builders.routing_table(tenants=[fields]).allowances
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,6 +8,7 @@
 import pytest
 
 _DECISIONS = (
+    "gateway.allowances",
     "gateway.serverselection",
     "gateway.rolloutlease",
     "gateway.follower",
