--- a/hibiscusstile/gateway/allowances/desk.py
+++ b/hibiscusstile/gateway/allowances/desk.py
@@ -6,6 +6,7 @@
 import contextlib
 import dataclasses
 import datetime
+import math
 import random
 from collections.abc import Callable, Mapping, Sequence
 
@@ -224,15 +225,20 @@
 
     def _refused(self, name: str, cost: ledger_lib.Cost) -> outcome.Refused:
         account = self._ledger.accounts.get(name)
+        message = "the request exceeds the allowance of its workspace"
         retry_after_s = 0.0
         if account is not None:
             account.note_refused(cost)
             now_s = self._clock.monotonic()
             retry_after_s = account.retry_after_s(cost, now_s)
+            message += (
+                f" of {account.allowance.rate:g}/s: it costs {cost.tokens:g},"
+                f" and {account.available(now_s):.0f} are available here"
+            )
         return outcome.refused(
             outcome.Reason.OVER_ALLOWANCE,
-            "the request exceeds the allowance of its workspace",
-            datetime.timedelta(seconds=round(retry_after_s, 2)),
+            message,
+            datetime.timedelta(seconds=math.ceil(100 * retry_after_s) / 100),
         )
 
 
--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -197,7 +197,7 @@
         await asyncio.sleep(float(headers["Retry-After"]))
         status, _, _ = await harness.call("/lookup/1", "r2")
         assert status == 200
-        assert len(runner.requests) == 1
+        assert len(runner.arrivals) == 1
         (shown,) = statuspage.describe_allowances(
             harness.state.allowances.ledger
         )
