--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 import random
 
 import pytest
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome
-from hibiscusstile.gateway import allowances, routes, statuspage
+from hibiscusstile.gateway import allowances, notices, routes, statuspage
+from hibiscusstile.peers import mesh
 from hibiscusstile.platform import operatorrecords
 from tests import builders as base
 from tests.builders import allowances as fleets
 from tests.builders import gateway as builders
 
+_POLL = datetime.timedelta(milliseconds=10)
 _NAME = fleets.WORKSPACE
 _ALLOWANCE = routes.Allowance(1000.0, 2000.0, in_tokens=True, plain_cost=200.0)
 _WORKSPACE = routes.Workspace(_NAME, allowance=_ALLOWANCE)
@@ -240,3 +243,42 @@
     for rate in (0, None):
         fields = {**tenant, "rate_per_s": rate, "burst": 5}
         assert not builders.routing_table(tenants=[fields]).allowances
+
+
+async def test_tokens_pass_over_peer_connections() -> None:
+    """Guards against questions and answers that the mesh does not deliver."""
+    clock = clock_lib.SystemClock()
+    states, links = {}, {}
+    for name in ("a", "b"):
+        states[name] = builders.gateway_state(clock)
+        links[name] = mesh.Mesh(
+            name,
+            "127.0.0.1",
+            0,
+            states[name],
+            notices.NoticeHandler(states[name]),
+            builders.configuration_relay(states[name], name),
+        )
+        desk = states[name].allowances
+        desk.apply({_NAME: _ALLOWANCE})
+        desk.ledger.note_gateways(("other",))
+    async with asyncio.timeout(10.0), asyncio.TaskGroup() as group:
+        tasks = []
+        for link in links.values():
+            tasks += [
+                group.create_task(link.run_server()),
+                group.create_task(link.run_connections()),
+            ]
+            await link.wait_listening()
+        for name, other in (("a", "b"), ("b", "a")):
+            peer = mesh.Peer(other, links[other].address, links[other].secret)
+            await links[name].set_peers({other: peer})
+        while any(link.disconnected_for(0.0) for link in links.values()):
+            await clock.sleep(_POLL)
+        await asyncio.sleep(0.2)
+        held = states["a"].allowances.ledger.held(_NAME)
+        assert await _is_admitted(states["a"].allowances, round(1.5 * held))
+        for task in tasks:
+            task.cancel()
+    lent = states["b"].allowances.ledger.accounts[_NAME].totals.lent_tokens
+    assert lent == pytest.approx(0.5 * held, rel=0.3)
