--- a/tests/gateway/test_members.py
+++ b/tests/gateway/test_members.py
@@ -9,7 +9,7 @@
 import pytest
 
 from hibiscusstile import clock as clock_lib
-from hibiscusstile.gateway import notices
+from hibiscusstile.gateway import allowances, notices, routes
 from hibiscusstile.peers import mesh
 from hibiscusstile.platform import members, topics
 from tests import builders as base
@@ -172,3 +172,30 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
         assert not ended
+
+
+@pytest.mark.parametrize("restarted", [False, True])
+async def test_a_new_gateway_fills_no_bucket_before_others_count_it(
+    restarted: bool,
+) -> None:
+    """Guards against shares that add up to more than an allowance.
+
+    A gateway that restarts is counted already and fills its buckets at once.
+    """
+    clock = base.YieldingClock()
+    membership, peer_mesh = _new_membership(clock, rollouts.MemoryLog())
+    ledger = membership._state.allowances.ledger
+    ledger.apply({"growers": routes.Allowance(1000.0, 8000.0)})
+    value = json.dumps(_LOST_MEMBER).encode()
+    listed = [topics.KeyedRecord("b", value, 0)]
+    if restarted:
+        listed.append(topics.KeyedRecord("a", value, 1))
+    membership.apply_all(listed)
+    await _run_tasks(membership, peer_mesh, 20)
+    started_s = clock.monotonic()
+    assert ledger.gateways == 2
+    assert (ledger.held("growers") > 0) is (restarted or started_s > 1003)
+    clock.advance(max(0.0, 1003.1 - started_s))
+    ledger.try_take("growers", allowances.Cost(0.0))
+    clock.advance(1.0)
+    assert ledger.held("growers") >= 500
