Tell restarted gateways the number that allowances are divided by

A gateway that had withdrawn before its restart held no tokens for 3 s: in a play where all restart in turn, most requests of limited workspaces were refused for 6 s. It also divided by the gateways listed at that moment only.

--- a/hibiscusstile/gateway/allowances/__init__.py
+++ b/hibiscusstile/gateway/allowances/__init__.py
@@ -14,7 +14,7 @@
     Cost,
     Grant,
 )
-from hibiscusstile.gateway.allowances.shares import Tolerance
+from hibiscusstile.gateway.allowances.shares import ToldCount, Tolerance
 
 __all__ = [
     "AllowanceDesk",
@@ -24,5 +24,6 @@
     "Cost",
     "Grant",
     "Peer",
+    "ToldCount",
     "Tolerance",
 ]
--- a/hibiscusstile/gateway/allowances/account.py
+++ b/hibiscusstile/gateway/allowances/account.py
@@ -26,8 +26,9 @@
 _LOW_PART = 0.4
 _TARGET_PART = 0.7
 _MIN_AHEAD_INTERVAL_S = 0.02
-# Questions that bring a smaller part than this pause.
+# Questions pause while they bring a smaller part than this on average.
 _MIN_YIELD = 1 / 3
+_YIELD_WEIGHT = 0.2
 _MIN_PAUSE_S = 0.05
 _MAX_PAUSE_S = 1.6
 _MIN_RETRY_S = 0.05
@@ -79,6 +80,7 @@
         self._stocks = peerstocks.PeerStocks(rng)
         self._questions: dict[int, _Question] = {}
         self._waiting: list[demand.Cost] = []
+        self._mean_yield = 1.0
         self._pause_s = 0.0
         self._paused_until_s = 0.0
         self._asked_ahead_s = 0.0
@@ -288,10 +290,12 @@
         return expected
 
     def _note_yield(self, granted_part: float, now_s: float) -> None:
-        if granted_part >= _MIN_YIELD:
+        change = min(1.0, granted_part) - self._mean_yield
+        self._mean_yield += _YIELD_WEIGHT * change
+        if self._mean_yield >= _MIN_YIELD:
             self._pause_s = 0.0
             return
-        if now_s < self._paused_until_s:
+        if now_s < self._paused_until_s or granted_part >= _MIN_YIELD:
             return
         self._pause_s = min(_MAX_PAUSE_S, max(_MIN_PAUSE_S, 2 * self._pause_s))
         self._paused_until_s = now_s + self._pause_s
--- a/hibiscusstile/gateway/allowances/ledger.py
+++ b/hibiscusstile/gateway/allowances/ledger.py
@@ -141,6 +141,21 @@
         for each in self._accounts.values():
             each.forget_peers(names)
 
+    def note_told_count(self, told: shares.ToldCount) -> None:
+        """Adopts the number of gateways that another one counts."""
+        now_s = self._clock.monotonic()
+        self._count.note_told(told, now_s)
+        self._refresh(now_s)
+
+    def tell_count(self) -> shares.ToldCount | None:
+        """Returns the count for a gateway that connects.
+
+        None if it is unknown or nothing is limited.
+        """
+        if not self._accounts:
+            return None
+        return self._count.tell(self._clock.monotonic())
+
     def held(self, name: str) -> float:
         """Returns the tokens of a limited workspace that are held here."""
         return self._accounts[name].available(self._clock.monotonic())
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -11,7 +11,13 @@
 import dataclasses
 from typing import TYPE_CHECKING
 
-from hibiscusstile.gateway import crashfacts, exchange, load, serverstatements
+from hibiscusstile.gateway import (
+    allowances,
+    crashfacts,
+    exchange,
+    load,
+    serverstatements,
+)
 from hibiscusstile.peers import messages
 
 if TYPE_CHECKING:
@@ -210,6 +216,7 @@
         """
         now_s = self._state.clock.monotonic()
         crashes, clearances = self._state.crashing_parts.charges.snapshot()
+        told = self._state.allowances.ledger.tell_count()
         return messages.GatewayNotice(
             loads=tuple(
                 messages.LoadUpdate(
@@ -245,6 +252,11 @@
             crashes=_crash_updates(crashes),
             clearances=_clearance_updates(clearances),
             leaving=_leaving_updates(self._state.server_statements.snapshot()),
+            counted=(
+                messages.GatewayCountUpdate(*dataclasses.astuple(told))
+                if told
+                else None
+            ),
         )
 
     def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
@@ -277,6 +289,10 @@
             self._state.engine_rates(rates.service).adopt(
                 rates.sizes, rates.observations
             )
+        if notice.counted is not None:
+            self._state.allowances.ledger.note_told_count(
+                allowances.ToldCount(*dataclasses.astuple(notice.counted))
+            )
         self._apply_charges(notice)
         for leaving in notice.leaving:
             self._state.server_statements.note_leaving(
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -20,6 +20,7 @@
     "ClearanceUpdate",
     "CrashUpdate",
     "GatewayConfiguration",
+    "GatewayCountUpdate",
     "GatewayNotice",
     "LeaseClaimUpdate",
     "LeavingUpdate",
@@ -231,6 +232,21 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayCountUpdate:
+    """The number of gateways that the sender divides allowances by.
+
+    Attributes:
+        gateways: The number.
+        for_s: Seconds since it is as high.
+        age_s: Seconds since as many gateways were announced.
+    """
+
+    gateways: Count
+    for_s: Seconds
+    age_s: Seconds
+
+
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayNotice(PeerMessage):
@@ -247,6 +263,7 @@
     crashes: _Crashes = ()
     clearances: _Clearances = ()
     leaving: _Leaving = ()
+    counted: GatewayCountUpdate | None = None
 
 
 @message_types.register()
--- a/tests/builders/allowances.py
+++ b/tests/builders/allowances.py
@@ -35,6 +35,7 @@
         ] = []
         self.listed_others: tuple[str, ...] | None = None
         self.is_joining = False
+        self.met: set[_Gateway] = set()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -244,6 +245,23 @@
             gateway.ledger.note_gateways(
                 gateway.listed_others, joining=gateway.is_joining
             )
+        self._tell(gateway)
+
+    def _tell(self, gateway: _Gateway) -> None:
+        """Sends the count to processes that the gateway has just met."""
+        assert gateway.ledger is not None
+        told = gateway.ledger.tell_count()
+        for name in gateway.listed_others or ():
+            other = self._gateways.get(name)
+            if (
+                told is not None
+                and other is not None
+                and other.ledger is not None
+                and other not in gateway.met
+                and frozenset((gateway.name, name)) not in self.cut
+            ):
+                gateway.met.add(other)
+                other.ledger.note_told_count(told)
 
     def _peers(self, name: str) -> tuple[list[str], list[str]]:
         listed = self._gateways[name].listed_others or ()
--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -282,3 +282,26 @@
             task.cancel()
     lent = states["b"].allowances.ledger.accounts[_NAME].totals.lent_tokens
     assert lent == pytest.approx(0.5 * held, rel=0.3)
+
+
+def test_a_counted_gateway_fills_after_its_restart() -> None:
+    """Guards against seconds without tokens after a planned restart.
+
+    It had withdrawn its announcement, so its list did not name it.
+    """
+    clock = base.ManualClock()
+    peer = _desk(clock, ("a", "b", "c"))
+    clock.advance(2.0)
+    for others, filled in (
+        (("b", "c", "d"), True),
+        (("b", "c", "d", "e"), False),
+    ):
+        desk = allowances.AllowanceDesk(clock, random.Random(1))
+        desk.apply({_NAME: _ALLOWANCE})
+        desk.ledger.note_gateways(others[:1], joining=True)
+        desk.ledger.note_gateways(others, joining=True)
+        told = peer.ledger.tell_count()
+        assert told is not None
+        desk.ledger.note_told_count(told)
+        clock.advance(1.0)
+        assert (desk.ledger.held(_NAME) > 0) is filled
--- a/tests/gateway/test_allowances_stateful.py
+++ b/tests/gateway/test_allowances_stateful.py
@@ -161,10 +161,20 @@
 def _join_together() -> None:
     fleet = builders.SimulatedFleet(2)
     fleet.run(10.0, {})
-    for second in range(8):
-        for index in range(12):
-            fleet.start(f"late{second}-{index}")
-        _flood(fleet, 1.0)
+    for round_ in range(4):
+        # The others read the list late, and are connected late.
+        before = fleet.names
+        new = [f"late{round_}-{index}" for index in range(12)]
+        fleet.cut_from_list.update(before)
+        fleet.cut.update(
+            frozenset((one, other)) for one in before for other in new
+        )
+        for name in new:
+            fleet.start(name)
+        _flood(fleet, 1.8)
+        fleet.cut_from_list.clear()
+        fleet.cut.clear()
+        _flood(fleet, 1.2)
 
 
 def _lend_in_a_flood() -> None:
@@ -257,7 +267,8 @@
     """Divides by the newest number of gateways."""
 
     def note(self, gateways: int, now_s: float, *, joining: bool) -> None:
-        self._counts.clear()
+        self._last_s = {}
+        self._listed = 0
         super().note(gateways, now_s, joining=joining)
 
 
