--- a/hibiscusstile/gateway/allowances/account.py
+++ b/hibiscusstile/gateway/allowances/account.py
@@ -27,8 +27,8 @@
 _TARGET_PART = 0.7
 _MIN_AHEAD_INTERVAL_S = 0.02
 # Questions pause while they bring a smaller part than this on average.
-_MIN_YIELD = 1 / 3
-_YIELD_WEIGHT = 0.2
+_MIN_YIELD = 0.1
+_YIELD_WEIGHT = 0.05
 _MIN_PAUSE_S = 0.05
 _MAX_PAUSE_S = 1.6
 _MIN_RETRY_S = 0.05
--- a/hibiscusstile/gateway/allowances/peerstocks.py
+++ b/hibiscusstile/gateway/allowances/peerstocks.py
@@ -14,7 +14,7 @@
 # serves requests of its own.
 _EXPECTED_GROWTH = 0.5
 # Part of an expected stock that is counted on.
-_RELIANCE = 0.7
+_RELIANCE = 0.5
 # Stocks below this part of the cap are not worth a message.
 _MIN_STOCK = 0.02
 _MIN_SILENCE_S = 0.5
--- a/tests/builders/allowances.py
+++ b/tests/builders/allowances.py
@@ -228,6 +228,10 @@
         assert gateway.ledger is not None
         if round(now_s / _STEP_S) % round(_LIST_S / _STEP_S) == 0:
             self._read_list(gateway)
+        self._admit_waiting(gateway, now_s)
+
+    def _admit_waiting(self, gateway: _Gateway, now_s: float) -> None:
+        assert gateway.ledger is not None
         for waiting in list(gateway.waiting):
             end_s, cost, account = waiting
             taken = gateway.ledger.try_take(WORKSPACE, cost)
@@ -237,6 +241,16 @@
                 gateway.waiting.remove(waiting)
                 account.end_wait(cost)
 
+    def _continue_waiting(self, gateway: _Gateway, now_s: float) -> None:
+        """Admits what a grant suffices for, and asks for the rest."""
+        assert gateway.ledger is not None
+        self._admit_waiting(gateway, now_s)
+        if gateway.waiting:
+            peers = self._peers(gateway.name)
+            self._send(
+                gateway.name, gateway.ledger.asks_for_waiting(WORKSPACE, *peers)
+            )
+
     def _read_list(self, gateway: _Gateway) -> None:
         assert gateway.ledger is not None
         if gateway.name not in self.cut_from_list:
@@ -308,6 +322,7 @@
                 self._put(message.receiver, message.sender, grant)
             else:
                 receiver.ledger.receive(message.sender, message.content)
+                self._continue_waiting(receiver, now_s)
 
 
 def _limit(allowance: routes.Allowance) -> float:
