Ask for tokens whenever all gateways together are expected to have them

A request that cost more than half of what all held was refused unasked. Also show what a gateway gains on the status page, and log changes of the shares.

--- a/hibiscusstile/gateway/allowances/account.py
+++ b/hibiscusstile/gateway/allowances/account.py
@@ -96,6 +96,11 @@
         """Tokens and requests since the process started."""
         return self._totals
 
+    @property
+    def gained_per_s(self) -> float:
+        """Tokens per second that the bucket gains; 0 while it may not fill."""
+        return self._bucket.rate
+
     def configure(
         self,
         allowance: routes.Allowance,
--- a/hibiscusstile/gateway/allowances/ledger.py
+++ b/hibiscusstile/gateway/allowances/ledger.py
@@ -6,7 +6,10 @@
 import random
 from collections.abc import Mapping, Sequence
 
+import logbook
+
 from hibiscusstile import clock as clock_lib
+from hibiscusstile import logs
 from hibiscusstile.gateway import routes
 from hibiscusstile.gateway.allowances import account as account_lib
 from hibiscusstile.gateway.allowances import shares
@@ -14,6 +17,8 @@
 
 __all__ = ["AllowanceLedger", "Ask", "Cost", "Grant"]
 
+_log = logbook.Logger("allowances")
+
 # An allowance that is removed and set again within this time makes no tokens.
 _KEEP_RETIRED_S = 60.0
 _REFRESH_INTERVAL_S = 0.5
@@ -256,6 +261,13 @@
         divided_by = (self._count.current(), self._count.filling(now_s))
         if divided_by != self._divided_by:
             self._divided_by = divided_by
+            if self._accounts:
+                logs.event(
+                    _log,
+                    "allowances_divided",
+                    gateways=divided_by[0],
+                    filling=divided_by[1],
+                )
             self._configure_all()
 
     def _configure_all(self) -> None:
--- a/hibiscusstile/gateway/allowances/peerstocks.py
+++ b/hibiscusstile/gateway/allowances/peerstocks.py
@@ -13,7 +13,7 @@
 # Part of its share's rate by which a peer's stock is expected to grow: the peer
 # serves requests of its own.
 _EXPECTED_GROWTH = 0.5
-# Part of an expected stock that is counted on.
+# Part of an expected stock that is counted on, where there are more to ask.
 _RELIANCE = 0.5
 # Stocks below this part of the cap are not worth a message.
 _MIN_STOCK = 0.02
@@ -80,6 +80,7 @@
         """
         chosen: list[tuple[str, float]] = []
         missing = tokens
+        total = 0.0
         for zone in (near, far):
             expected = [
                 (self._expected(peer, share, now_s), self._rng.random(), peer)
@@ -91,7 +92,8 @@
                     break
                 chosen.append((peer, min(missing, stock)))
                 missing -= _RELIANCE * stock
-        return chosen if missing <= 0 or partial else []
+                total += stock
+        return chosen if total >= tokens or partial else []
 
     def _expected(self, peer: str, share: shares.Share, now_s: float) -> float:
         stock = self._stocks.get(peer)
--- a/hibiscusstile/gateway/statuspage.py
+++ b/hibiscusstile/gateway/statuspage.py
@@ -11,13 +11,15 @@
 def describe_state(
     state: state_lib.GatewayState, own_name: str
 ) -> dict[str, object]:
-    """Returns the engines' rates, blocked prompt parts and backend servers.
+    """Returns allowances, engines' rates, blocked prompt parts and servers.
 
     Args:
         state: State of this gateway process.
         own_name: Name of this instance.
     """
+    limited = describe_allowances(state.allowances.ledger)
     return {
+        **({"allowances": limited} if limited else {}),
         "engine_rates": {
             service: {
                 "observations": each.observations,
@@ -27,7 +29,6 @@
             for service, each in state.all_engine_rates.items()
             if each.observations
         },
-        "allowances": describe_allowances(state.allowances.ledger),
         "blocked": [
             {"key": each.label, "crashes": each.crashes}
             for each in state.crashing_parts.blocks
@@ -50,6 +51,7 @@
             "burst": account.allowance.burst,
             "unit": "tokens" if account.allowance.in_tokens else "requests",
             "gateways": ledger.gateways,
+            "gained_per_s": round(account.gained_per_s, 1),
             "held": round(ledger.held(name)),
             "admitted": round(account.totals.admitted_tokens),
             "refused": account.totals.refused,
--- a/tests/gateway/test_allowances_stateful.py
+++ b/tests/gateway/test_allowances_stateful.py
@@ -342,3 +342,11 @@
     fleet.run(8.0, {"g0": 2 * rate}, sizes)
     spent = fleet.run(10.0, {"g0": 2 * rate}, sizes)
     assert spent >= 0.9 * rate * 10.0
+
+
+def test_a_request_above_a_share_is_admitted() -> None:
+    """Guards against long requests that no gateway can ever hold."""
+    fleet = builders.SimulatedFleet(24)
+    fleet.run(10.0, {})
+    fleet.request("g0", 90_000.0)
+    assert fleet.run(0.1, {}) == 90_000.0
