--- a/hibiscusstile/gateway/routes.py
+++ b/hibiscusstile/gateway/routes.py
@@ -9,6 +9,7 @@
 from collections.abc import Mapping
 
 __all__ = [
+    "Allowance",
     "EngineProperties",
     "HttpLimits",
     "PrefixStore",
@@ -158,6 +159,34 @@
     prefix_store: PrefixStore | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Allowance:
+    """What the requests of a workspace may cost, over all gateways.
+
+    Attributes:
+        rate: Cost per second; above 0.
+        burst: Cost that may be added to this at once.
+        in_tokens: Whether a request costs its tokens; otherwise it costs 1.
+        plain_cost: Cost in tokens of a request that states none.
+    """
+
+    rate: float
+    burst: float = 0.0
+    in_tokens: bool = False
+    plain_cost: float = 0.0
+
+    def cost(self, tokens: int) -> float:
+        """Returns the cost of a request.
+
+        Args:
+            tokens: Tokens of its prompt and at most of its output; 0 if the
+                request does not state them.
+        """
+        if not self.in_tokens:
+            return 1.0
+        return tokens or self.plain_cost
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Workspace:
     """A customer of the platform.
@@ -166,11 +195,13 @@
         name: Name of the workspace.
         rank: Rank that replaces the route's; None keeps the route's.
         isolated: Whether it must not share cached prefixes with others.
+        allowance: What its requests may cost; None for no limit.
     """
 
     name: str
     rank: int | None = None
     isolated: bool = False
+    allowance: Allowance | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -238,6 +269,15 @@
             if service.prefix_store is not None
         )
 
+    @functools.cached_property
+    def allowances(self) -> Mapping[str, Allowance]:
+        """Allowances of the limited workspaces that have keys, by name."""
+        return {
+            workspace.name: workspace.allowance
+            for workspace in self.workspaces_by_key.values()
+            if workspace.allowance is not None
+        }
+
     @functools.cached_property
     def shared_cache_scope(self) -> str:
         """Scope in which workspaces that are not isolated share prompt parts.
--- a/hibiscusstile/platform/bounded.py
+++ b/hibiscusstile/platform/bounded.py
@@ -10,11 +10,12 @@
 
 import pydantic
 
-__all__ = ["Count", "Milliseconds", "Rank", "Text", "Version", "Weight"]
+__all__ = ["Count", "Milliseconds", "Rank", "Rate", "Text", "Version", "Weight"]
 
 _MAX_COUNT = 2**53
 _MAX_MILLISECONDS = 1_000_000_000
 _MAX_RANK = 1_000_000
+_MAX_RATE = 1_000_000_000_000
 _MAX_TEXT_LENGTH = 256
 _MAX_VERSION = 2**63 - 1
 _MAX_WEIGHT = 1_000_000_000
@@ -27,6 +28,8 @@
 """A duration of at most 11 days."""
 Rank = Annotated[int, pydantic.Field(ge=-_MAX_RANK, le=_MAX_RANK)]
 """A rank of requests."""
+Rate = Annotated[float, pydantic.Field(ge=0, le=_MAX_RATE, allow_inf_nan=False)]
+"""A number of tokens or requests, or of these per second."""
 Text = Annotated[
     str,
     pydantic.StringConstraints(
--- a/hibiscusstile/platform/operatorrecords.py
+++ b/hibiscusstile/platform/operatorrecords.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+from typing import Literal
 
 import pydantic
 
@@ -84,6 +85,10 @@
     api_keys: list[str]
     priority: bounded.Rank | None = None
     isolated: bool = False
+    rate_per_s: bounded.Rate | None = None
+    burst: bounded.Rate | None = None
+    unit: Literal["requests", "tokens"] | None = None
+    plain_tokens: bounded.Count | None = None
 
 
 class _Configuration(_RecordModel):
@@ -150,7 +155,10 @@
     isolated = frozenset(each.name for each in tenants if each.isolated)
     workspaces_by_key = {
         key: routes.Workspace(
-            tenant.name, tenant.priority, tenant.name in isolated
+            tenant.name,
+            tenant.priority,
+            tenant.name in isolated,
+            _to_allowance(tenant),
         )
         for tenant in tenants
         for key in tenant.api_keys
@@ -174,6 +182,17 @@
     )
 
 
+def _to_allowance(parsed: _Tenant) -> routes.Allowance | None:
+    if not parsed.rate_per_s:
+        return None
+    return routes.Allowance(
+        rate=parsed.rate_per_s,
+        burst=parsed.burst or 0.0,
+        in_tokens=parsed.unit == "tokens",
+        plain_cost=float(parsed.plain_tokens or 0),
+    )
+
+
 def _to_route(parsed: _Route) -> routes.Route:
     if parsed.traffic_split:
         shares = tuple(
