Share the room of engines while there is too little of it

Short requests are now offered to the other engines before they are refused; what is beyond a workspace's fair share is refused first; callers return in order, spread out. It is on where the configuration gives workspaces allowances, or as the setting share_room says.

--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -20,6 +20,7 @@
     relaying,
     requestlog,
     requestprogress,
+    requestroom,
     requestservers,
     resolving,
     retries,
@@ -87,6 +88,9 @@
         self._servers = requestservers.RequestServers(
             state, request, destination, self._limits, self._rates
         )
+        self._room = requestroom.RequestRoom(
+            state, request, destination, self._rates
+        )
         self._retries = retries.Retries(
             state, destination, writer, self._progress, self._log
         )
@@ -182,7 +186,7 @@
             self._refuse_if_suspect()
             selected = self._servers.select_next()
             if selected is not None:
-                self._refuse_if_overloaded(selected)
+                selected = self._in_time_or_refuse(selected)
                 if (
                     self._writer.started
                     or not await self._prefill_coalescer.wait(selected)
@@ -222,18 +226,24 @@
         if refusal is not None:
             raise outcome.Refused(refusal)
 
-    def _refuse_if_overloaded(self, selected: selection.SelectedServer) -> None:
-        """Refuses a request that the selected server would answer too late."""
+    def _in_time_or_refuse(
+        self, selected: selection.SelectedServer
+    ) -> selection.SelectedServer:
+        """Returns the selected server, or one that responds earlier.
+
+        Raises:
+            Refused: No server is expected to respond in time, or room is short
+                and others go first.
+        """
         if self._writer.started or self._limits.delivery_failed:
-            return
-        refusal = overload.refusal(
-            selected.expected_s,
-            self._destination.route.target_latency_s,
-            selected.unloaded_s,
+            return selected
+        found, refusal = self._room.find(
+            selected, self._servers.select_excluding
         )
         if refusal is not None:
-            self._log.server_selected(selected, "server_too_busy")
+            self._log.server_selected(found, "server_too_busy")
             raise outcome.Refused(refusal)
+        return found
 
     def _refuse_further_attempts(self) -> None:
         """Refuses a request for which no further attempt is possible."""
--- a/hibiscusstile/gateway/overload.py
+++ b/hibiscusstile/gateway/overload.py
@@ -8,7 +8,7 @@
 
 from hibiscusstile import outcome
 
-__all__ = ["no_server_refusal", "refusal"]
+__all__ = ["limit_s", "no_server_refusal", "refusal"]
 
 # While more requests arrive than engines can serve, the queue grows up to the
 # limit and each request waits for as long as the limit allows. A limit above
@@ -26,6 +26,19 @@
 _PAUSE_SPREAD_S = 0.3
 
 
+def limit_s(target_latency_s: float, unloaded_s: float = 0.0) -> float:
+    """Returns the expected time beyond which a request is refused.
+
+    Args:
+        target_latency_s: Target latency of the route.
+        unloaded_s: Part of the expected time that an idle server would need.
+    """
+    return max(
+        _MAX_TARGET_MULTIPLE * target_latency_s,
+        unloaded_s + _MAX_WAIT_TARGET_SHARE * target_latency_s,
+    )
+
+
 def refusal(
     expected_s: float, target_latency_s: float, unloaded_s: float = 0.0
 ) -> outcome.Refusal | None:
@@ -36,11 +49,7 @@
         target_latency_s: Target latency of the route.
         unloaded_s: Part of `expected_s` that an idle server would also need.
     """
-    limit_s = max(
-        _MAX_TARGET_MULTIPLE * target_latency_s,
-        unloaded_s + _MAX_WAIT_TARGET_SHARE * target_latency_s,
-    )
-    if expected_s <= limit_s:
+    if expected_s <= limit_s(target_latency_s, unloaded_s):
         return None
     retry_after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, expected_s))
     return outcome.Refusal(
--- a/hibiscusstile/gateway/requestservers.py
+++ b/hibiscusstile/gateway/requestservers.py
@@ -64,6 +64,12 @@
         """Returns a server for an attempt after one at another server."""
         return self._select(self._limits.excluded | {server_id})
 
+    def select_excluding(
+        self, server_ids: Collection[str]
+    ) -> selection.SelectedServer | None:
+        """Returns a server for the next attempt that is none of these."""
+        return self._select(self._limits.excluded | set(server_ids))
+
     def _select(
         self, excluded_ids: Collection[str]
     ) -> selection.SelectedServer | None:
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -22,6 +22,7 @@
     pendingprefills,
     prefixstores,
     recentprefills,
+    roomsharing,
     routes,
     serverstatements,
 )
@@ -106,6 +107,7 @@
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
+        self._room = roomsharing.RoomSharing()
 
     @property
     def clock(self) -> clock_lib.Clock:
@@ -182,6 +184,11 @@
         """Prompt parts that crash engines."""
         return self._crashing_parts
 
+    @property
+    def room(self) -> roomsharing.RoomSharing:
+        """Shares the room of engines while there is too little of it."""
+        return self._room
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """Updates to send to other gateways."""
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -44,6 +44,7 @@
 class _Gateway(_FileModel):
     held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
+    share_room: pydantic.StrictBool | None = None
 
 
 class _File(_FileModel):
@@ -84,6 +85,8 @@
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         max_held_total_bytes: Size of all bodies that are held at the same time.
+        shares_room: Whether callers share the room of engines fairly; None
+            leaves it to the configuration.
         role: Name of the process's role.
     """
 
@@ -103,6 +106,7 @@
     version_s: float
     max_held_body_bytes: int
     max_held_total_bytes: int
+    shares_room: bool | None = None
     role: str = "gateway"
 
 
@@ -157,4 +161,5 @@
         version_s=parsed.bounds.version_ms / 1000,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
+        shares_room=parsed.gateway.share_room,
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -83,6 +83,7 @@
             _weights_bounds(boot_settings),
             hibiscusstile.STARTED_S,
         )
+        self._state.room.set_enabled(boot_settings.shares_room)
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
         self._ingress = ingress.Ingress(
@@ -343,6 +344,7 @@
         self._settings = boot_settings
         self._state.set_retries(_retry_policy(boot_settings))
         self._state.weights.bounds = _weights_bounds(boot_settings)
+        self._state.room.set_enabled(boot_settings.shares_room)
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
--- /dev/null
+++ b/tests/gateway/test_requestroom.py
@@ -0,0 +1,110 @@
+"""Tests of the search for an engine that is in time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import pytest
+
+from hibiscusstile import outcome
+from hibiscusstile.gateway import (
+    attemptlimits,
+    load,
+    requestroom,
+    requestservers,
+    resolving,
+    selection,
+)
+from hibiscusstile.gateway import state as state_lib
+from tests import builders as base
+from tests.builders import gateway as builders
+
+_SHORT = (("aa", 50), ("bb", 200))
+_LONG = (("aa", 3_000), ("bb", 9_000))
+_ALLOWANCE = {"rate_per_s": 10_000, "burst": 10_000, "unit": "tokens"}
+
+
+def _state(**tenant: Any) -> state_lib.GatewayState:
+    """A gateway with an engine that is late and one without free slots.
+
+    At the first, prompts wait for 0.6 s; the second has eight slots and twelve
+    requests, each of which runs for 0.4 s.
+    """
+    state = builders.gateway_state(base.ManualClock())
+    tenants = [{"name": "growers", "api_keys": [builders.KEY], **tenant}]
+    state.apply_table(builders.routing_table(tenants=tenants))
+    now_s = state.clock.monotonic()
+    for server_id in ("i-late", "i-full"):
+        state.fleet.put(builders.backend_server(server_id))
+    state.loads.for_server("i-late").begin(
+        load.InFlightRequest(30_000, 100, now_s, 0.6), "other", ()
+    )
+    for _ in range(12):
+        state.loads.for_server("i-full").begin(
+            load.InFlightRequest(0, 100, now_s, 0.1), "other", ()
+        )
+    return state
+
+
+def _find(
+    state: state_lib.GatewayState, parts: tuple[tuple[str, int], ...]
+) -> tuple[selection.SelectedServer, outcome.Refusal | None]:
+    request = builders.forwarded_request(parts=parts)
+    destination = resolving.resolve(state.table, request)
+    rates = state.engine_rates(destination.service.name)
+    servers = requestservers.RequestServers(
+        state, request, destination, attemptlimits.AttemptLimits(), rates
+    )
+    first = servers.select_next()
+    assert first is not None
+    assert first.candidate.server.server_id == "i-late"
+    room = requestroom.RequestRoom(state, request, destination, rates)
+    return room.find(first, servers.select_excluding)
+
+
+def test_a_short_request_is_sent_to_a_full_engine_that_is_in_time() -> None:
+    """Guards against refusals while another engine would answer in time.
+
+    In a burst of short questions, four in ten were refused for the expected
+    time of the one engine with a free slot, at which long prompts waited.
+    """
+    found, refusal = _find(_state(**_ALLOWANCE), _SHORT)
+    assert refusal is None
+    assert found.candidate.server.server_id == "i-full"
+
+
+def test_a_long_prompt_does_not_delay_short_requests_elsewhere() -> None:
+    """Guards against a burst of long prompts that makes all others late."""
+    found, refusal = _find(_state(**_ALLOWANCE), _LONG)
+    assert refusal is not None
+    assert refusal.verdict is outcome.Verdict.NOT_RUN
+    assert found.candidate.server.server_id == "i-late"
+
+
+def test_no_unhealthy_engine_is_tried_before_a_refusal() -> None:
+    """Guards against requests that are sent to a server that is down."""
+    state = _state(**_ALLOWANCE)
+    server = state.fleet.get("i-full")
+    assert server is not None
+    for _ in range(2):
+        state.health.note_no_response(server)
+    assert not state.health.is_up("i-full")
+    assert _find(state, _SHORT)[1] is not None
+
+
+@pytest.mark.parametrize(
+    ("enabled", "allowance", "shared"),
+    [
+        (None, {}, False),
+        (None, _ALLOWANCE, True),
+        (False, _ALLOWANCE, False),
+        (True, {}, True),
+    ],
+)
+def test_room_is_shared_where_it_is_asked_for(
+    enabled: bool | None, allowance: dict[str, Any], shared: bool
+) -> None:
+    """Guards against a change for deployments that do not ask for it."""
+    state = _state(**allowance)
+    state.room.set_enabled(enabled)
+    assert (_find(state, _SHORT)[1] is None) == shared
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -13,6 +13,7 @@
     "gateway.follower",
     "gateway.notices",
     "gateway.forwarding",
+    "gateway.roomsharing",
     "gateway.rollout",
     "gateway.selection.expected_first_token",
     "gateway.selection.least_running",
