Show how callers share room on the status page, in metrics and logs

request_ended names the workspace, the status page has the decisions and the fair level of each route, and hibiscusstile_room_decisions counts.

--- a/hibiscusstile/gateway/requestlog.py
+++ b/hibiscusstile/gateway/requestlog.py
@@ -192,6 +192,11 @@
             retry_after_s=retry_after.total_seconds() if retry_after else None,
             route=route.name,
             service=self._destination.service.name,
+            workspace=(
+                self._destination.workspace.name
+                if self._destination.workspace
+                else None
+            ),
             rank=self._destination.rank,
             runs=progress.runs,
             first_event_s=self._first_event_s or None,
--- a/hibiscusstile/gateway/roomsharing/room.py
+++ b/hibiscusstile/gateway/roomsharing/room.py
@@ -11,9 +11,9 @@
 import dataclasses
 import datetime
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
-from hibiscusstile import outcome
+from hibiscusstile import metrics, outcome
 from hibiscusstile.gateway import overload
 from hibiscusstile.gateway.roomsharing import fairshares, returns
 
@@ -56,12 +56,18 @@
         self._draw = draw
         self._shares = fairshares.FairShares()
         self._returns = returns.ReturnSchedule()
+        self._decisions: collections.Counter[str] = collections.Counter()
 
     @property
     def shares(self) -> fairshares.FairShares:
         """Demand of the workspaces and the level that is fair."""
         return self._shares
 
+    @property
+    def decisions(self) -> Mapping[str, int]:
+        """Number of requests `sent` and refused as `late` or `excess`."""
+        return self._decisions
+
     def note_demand(self, request: RoomRequest, now_s: float) -> None:
         """Counts a request as demand of its workspace."""
         self._shares.note_demand(request.flow, request.tokens, now_s)
@@ -85,13 +91,17 @@
         limit_s = latest_s(request.target_latency_s, unloaded_s)
         excess = self._draw() < self._shares.excess_share(request.flow, now_s)
         if expected_s > limit_s:
+            decision = "late"
             message = "no server is expected to respond in time"
         elif excess and expected_s > _excess_limit_s(limit_s, unloaded_s):
+            decision = "excess"
             message = "room is short and the workspace exceeds its fair share"
         else:
             self._shares.note_granted(request.tokens, now_s)
             self._returns.note_placed(now_s)
+            self._note_decision("sent")
             return None
+        self._note_decision(decision)
         return_s = self._returns.next_return_s(
             expected_s - limit_s, request.timeout_s, now_s
         )
@@ -101,6 +111,10 @@
             retry_after=datetime.timedelta(seconds=round(return_s, 2)),
         )
 
+    def _note_decision(self, decision: str) -> None:
+        self._decisions[decision] += 1
+        metrics.count_room_decision(decision)
+
 
 def latest_s(target_latency_s: float, unloaded_s: float) -> float:
     """Returns the expected time beyond which a request is refused.
@@ -130,6 +144,11 @@
             collections.OrderedDict()
         )
 
+    @property
+    def routes(self) -> Mapping[str, RouteRoom]:
+        """Room of the routes whose requests have asked for it."""
+        return self._routes
+
     def is_enabled(self, has_allowances: bool) -> bool:
         """Returns whether requests share room under a configuration."""
         return has_allowances if self._enabled is None else self._enabled
--- a/hibiscusstile/gateway/statuspage.py
+++ b/hibiscusstile/gateway/statuspage.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 from hibiscusstile.gateway import fleet
 from hibiscusstile.gateway import state as state_lib
 
@@ -11,7 +13,7 @@
 def describe_state(
     state: state_lib.GatewayState, own_name: str
 ) -> dict[str, object]:
-    """Returns the engines' rates, blocked prompt parts and backend servers.
+    """Returns the engines' rates and room, blocked parts and servers.
 
     Args:
         state: State of this gateway process.
@@ -31,6 +33,15 @@
             {"key": each.label, "crashes": each.crashes}
             for each in state.crashing_parts.blocks
         ],
+        "room": {
+            route: {
+                **each.decisions,
+                "fair_tokens": round(each.shares.level)
+                if math.isfinite(each.shares.level)
+                else "",
+            }
+            for route, each in state.room.routes.items()
+        },
         "backend_servers": [
             _describe_server(state, own_name, server)
             for server in state.fleet.servers
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -73,6 +73,11 @@
 _attempts = collectors.Counter(
     "hibiscusstile_attempts", "Attempts at backend servers by outcome"
 )
+_room_decisions = collectors.Counter(
+    "hibiscusstile_room_decisions",
+    "Requests to shared engines: sent, or refused since no engine is in time or"
+    " the workspace exceeds its share",
+)
 _retries = collectors.Counter(
     "hibiscusstile_retries", "Retries by budget and whether it granted them"
 )
@@ -125,6 +130,11 @@
     _retries.inc({"service": service, "granted": str(granted).lower()})
 
 
+def count_room_decision(decision: str) -> None:
+    """Counts a decision on room: `sent`, `late` or `excess`."""
+    _room_decisions.inc({"decision": decision})
+
+
 def count_server_down(planned: bool) -> None:
     """Counts a server that is down; `planned` if it was known to leave."""
     _servers_down.inc({"planned": str(planned).lower()})
