--- a/tests/gateway/test_requestroom.py
+++ b/tests/gateway/test_requestroom.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
+import pathlib
 from typing import Any
 
 import pytest
 
-from hibiscusstile import outcome
+from hibiscusstile import outcome, settingsfaults
 from hibiscusstile.gateway import (
     attemptlimits,
     load,
@@ -16,6 +17,7 @@
     selection,
 )
 from hibiscusstile.gateway import state as state_lib
+from hibiscusstile.platform import boot
 from tests import builders as base
 from tests.builders import gateway as builders
 
@@ -108,3 +110,30 @@
     state = _state(**allowance)
     state.room.set_enabled(enabled)
     assert (_find(state, _SHORT)[1] is None) == shared
+
+
+@pytest.mark.parametrize(
+    ("line", "shares_room"),
+    [("", None), ("share_room = true", True), ("share_room = false", False)],
+)
+def test_the_setting_is_read(
+    tmp_path: pathlib.Path, line: str, shares_room: bool | None
+) -> None:
+    """Guards against a setting that has no effect."""
+    settings = boot.load_boot_settings(_settings_file(tmp_path, line))
+    assert settings.shares_room is shares_room
+
+
+def test_a_wrong_setting_is_named(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that starts with another setting than given."""
+    with pytest.raises(settingsfaults.SettingsError, match="share_room"):
+        boot.load_boot_settings(_settings_file(tmp_path, 'share_room = "on"'))
+
+
+def _settings_file(folder: pathlib.Path, line: str) -> pathlib.Path:
+    path = folder / "settings.toml"
+    path.write_text(
+        'node = "a"\nzone = "z1"\n[platform]\naddress = "127.0.0.1:1"\n'
+        f"[gateway]\n{line}\n"
+    )
+    return path
