--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -23,6 +23,7 @@
     pendingprefills,
     prefixstores,
     recentprefills,
+    roomsharing,
     routes,
     servermemory,
     serverstatements,
@@ -110,6 +111,7 @@
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
+        self._room = roomsharing.RoomSharing()
 
     @property
     def clock(self) -> clock_lib.Clock:
@@ -196,6 +198,11 @@
         """Admits requests within the allowances of their workspaces."""
         return self._allowances
 
+    @property
+    def room(self) -> roomsharing.RoomSharing:
+        """Shares the room of engines while there is too little of it."""
+        return self._room
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """Updates to send to other gateways."""
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -54,6 +54,7 @@
     held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
     server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
+    share_room: pydantic.StrictBool | None = None
 
 
 class _File(_FileModel):
@@ -102,6 +103,8 @@
             hold exceed their memory.
         max_server_body_bytes: Size of the request bodies that all gateways may
             have sent to one server; only with `limits_server_memory`.
+        shares_room: Whether callers share the room of engines fairly; None
+            leaves it to the configuration.
         role: Name of the process's role.
     """
 
@@ -126,6 +129,7 @@
     max_held_total_bytes: int
     limits_server_memory: bool = False
     max_server_body_bytes: int = 64 * 1024 * 1024
+    shares_room: bool | None = None
     role: str = "gateway"
 
 
@@ -185,4 +189,5 @@
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
         limits_server_memory=_MEMORY_CONTRACT in parsed.contracts,
         max_server_body_bytes=parsed.gateway.server_bodies_kb * 1024,
+        shares_room=parsed.gateway.share_room,
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -87,6 +87,7 @@
         )
         self._state.server_memory.limits = _memory_limits(boot_settings)
         self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
+        self._state.room.set_enabled(boot_settings.shares_room)
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
         self._ingress = ingress.Ingress(
@@ -349,6 +350,7 @@
         self._state.weights.bounds = _weights_bounds(boot_settings)
         self._state.server_memory.limits = _memory_limits(boot_settings)
         self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
+        self._state.room.set_enabled(boot_settings.shares_room)
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
