--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -7,6 +7,7 @@
 
 from hibiscusstile import outcome
 from hibiscusstile.gateway import (
+    allowances,
     attemptfailures,
     attemptlimits,
     crashdetection,
@@ -20,6 +21,7 @@
     relaying,
     requestlog,
     requestprogress,
+    requestroom,
     requestservers,
     resolving,
     retries,
@@ -50,6 +52,7 @@
         request: The request.
         writer: Writes the response to the caller.
         destination: Route and service that the request was resolved to.
+        charge: What the request was charged to its workspace; nothing if None.
     """
 
     def __init__(
@@ -60,12 +63,14 @@
         request: exchange.ForwardedRequest,
         writer: exchange.ResponseWriter,
         destination: resolving.Destination,
+        charge: allowances.Charge | None = None,
     ) -> None:
         self._state = state
         self._client = client
         self._request = request
         self._writer = writer
         self._destination = destination
+        self._charge = charge or allowances.Charge()
         self._deadline = deadline.RequestDeadline(
             request, destination.route, state.clock
         )
@@ -87,6 +92,9 @@
         self._servers = requestservers.RequestServers(
             state, request, destination, self._limits, self._rates
         )
+        self._room = requestroom.RequestRoom(
+            state, request, destination, self._rates
+        )
         self._retries = retries.Retries(
             state, destination, writer, self._progress, self._log
         )
@@ -118,6 +126,11 @@
         """When the request must have its final response."""
         return self._deadline
 
+    @property
+    def verdict(self) -> outcome.Verdict:
+        """Whether a server may have run the request."""
+        return self._progress.verdict
+
     async def run(self) -> None:
         """Serves the request.
 
@@ -182,7 +195,7 @@
             self._refuse_if_suspect()
             selected = self._servers.select_next()
             if selected is not None:
-                self._refuse_if_overloaded(selected)
+                selected = self._in_time_or_refuse(selected)
                 if (
                     self._writer.started
                     or not await self._prefill_coalescer.wait(selected)
@@ -222,18 +235,24 @@
         if refusal is not None:
             raise outcome.Refused(refusal)
 
-    def _refuse_if_overloaded(self, selected: selection.SelectedServer) -> None:
-        """Refuses a request that the selected server would answer too late."""
+    def _in_time_or_refuse(
+        self, selected: selection.SelectedServer
+    ) -> selection.SelectedServer:
+        """Returns the selected server, or one that responds earlier.
+
+        Raises:
+            Refused: No server is expected to respond in time, or room is short
+                and others go first.
+        """
         if self._writer.started or self._limits.delivery_failed:
-            return
-        refusal = overload.refusal(
-            selected.expected_s,
-            self._destination.route.target_latency_s,
-            selected.unloaded_s,
+            return selected
+        found, refusal = self._room.find(
+            selected, self._servers.select_excluding
         )
         if refusal is not None:
-            self._log.server_selected(selected, "server_too_busy")
+            self._log.server_selected(found, "server_too_busy")
             raise outcome.Refused(refusal)
+        return found
 
     def _refuse_further_attempts(self) -> None:
         """Refuses a request for which no further attempt is possible."""
@@ -274,6 +293,7 @@
             expected_s=selected.expected_s,
             work=selected.observable_work,
         )
+        self._charge.note_attempt(self._progress.runs)
         self._progress.note_attempt(server.address)
         self._evidence.begin_attempt()
         self._log.server_selected(selected)
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -12,6 +12,7 @@
 from typing import TYPE_CHECKING
 
 from hibiscusstile.gateway import (
+    allowances,
     crashfacts,
     exchange,
     load,
@@ -222,6 +223,7 @@
         """
         now_s = self._state.clock.monotonic()
         crashes, clearances = self._state.crashing_parts.charges.snapshot()
+        told = self._state.allowances.ledger.tell_count()
         return messages.GatewayNotice(
             loads=tuple(
                 messages.LoadUpdate(
@@ -262,6 +264,11 @@
             memory=noticeupdates.memory_updates(
                 self._state.server_memory.snapshot()
             ),
+            counted=(
+                messages.GatewayCountUpdate(*dataclasses.astuple(told))
+                if told
+                else None
+            ),
         )
 
     def apply(self, peer_id: str, notice: messages.GatewayNotice) -> None:
@@ -294,6 +301,10 @@
             self._state.engine_rates(rates.service).adopt(
                 rates.sizes, rates.observations
             )
+        if notice.counted is not None:
+            self._state.allowances.ledger.note_told_count(
+                allowances.ToldCount(*dataclasses.astuple(notice.counted))
+            )
         self._apply_charges(notice)
         for memory in notice.memory:
             self._state.server_memory.note_peer(
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -11,6 +11,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, metrics, retrybudget
 from hibiscusstile.gateway import (
+    allowances,
     crashingparts,
     enginerates,
     fleet,
@@ -22,6 +23,7 @@
     pendingprefills,
     prefixstores,
     recentprefills,
+    roomsharing,
     routes,
     servermemory,
     serverstatements,
@@ -105,9 +107,11 @@
         self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._pauses = pausedetection.PauseDetector(clock)
+        self._allowances = allowances.AllowanceDesk(clock)
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
+        self._room = roomsharing.RoomSharing()
 
     @property
     def clock(self) -> clock_lib.Clock:
@@ -189,6 +193,16 @@
         """Prompt parts that crash engines."""
         return self._crashing_parts
 
+    @property
+    def allowances(self) -> allowances.AllowanceDesk:
+        """Admits requests within the allowances of their workspaces."""
+        return self._allowances
+
+    @property
+    def room(self) -> roomsharing.RoomSharing:
+        """Shares the room of engines while there is too little of it."""
+        return self._room
+
     @property
     def notices(self) -> notices.NoticeOutbox:
         """Updates to send to other gateways."""
@@ -222,6 +236,7 @@
             return False
         before = self._table.version if self._table else None
         self._table = table
+        self._allowances.apply(table.allowances)
         metrics.set_revision(table.version)
         logs.event(
             _log,
--- a/hibiscusstile/gateway/statuspage.py
+++ b/hibiscusstile/gateway/statuspage.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
-from hibiscusstile.gateway import fleet
+import math
+
+from hibiscusstile.gateway import allowances, fleet
 from hibiscusstile.gateway import state as state_lib
 
 __all__ = ["describe_state"]
@@ -11,13 +13,15 @@
 def describe_state(
     state: state_lib.GatewayState, own_name: str
 ) -> dict[str, object]:
-    """Returns the engines' rates, blocked prompt parts and backend servers.
+    """Returns allowances, engines' rates and room, blocked parts and servers.
 
     Args:
         state: State of this gateway process.
         own_name: Name of this instance.
     """
+    limited = describe_allowances(state.allowances.ledger)
     return {
+        **({"allowances": limited} if limited else {}),
         "engine_rates": {
             service: {
                 "observations": each.observations,
@@ -31,6 +35,15 @@
             {"key": each.label, "crashes": each.crashes}
             for each in state.crashing_parts.blocks
         ],
+        "room": {
+            route: {
+                **each.decisions,
+                "fair_tokens": round(each.shares.level)
+                if math.isfinite(each.shares.level)
+                else "",
+            }
+            for route, each in state.room.routes.items()
+        },
         "backend_servers": [
             _describe_server(state, own_name, server)
             for server in state.fleet.servers
@@ -38,6 +51,29 @@
     }
 
 
+def describe_allowances(
+    ledger: allowances.AllowanceLedger,
+) -> list[dict[str, object]]:
+    """Returns each limited workspace's allowance and what is held here."""
+    return [
+        {
+            "workspace": name,
+            "rate_per_s": account.allowance.rate,
+            "burst": account.allowance.burst,
+            "unit": "tokens" if account.allowance.in_tokens else "requests",
+            "gateways": ledger.gateways,
+            "gained_per_s": round(account.gained_per_s, 1),
+            "held": round(ledger.held(name)),
+            "admitted": round(account.totals.admitted_tokens),
+            "refused": account.totals.refused,
+            "refused_tokens": round(account.totals.refused_tokens),
+            "lent": round(account.totals.lent_tokens),
+            "borrowed": round(account.totals.borrowed_tokens),
+        }
+        for name, account in ledger.accounts.items()
+    ]
+
+
 def _describe_server(
     state: state_lib.GatewayState, own_name: str, server: fleet.BackendServer
 ) -> dict[str, object]:
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -9,6 +9,7 @@
 from hibiscusstile import outcome
 
 __all__ = [
+    "count_allowance",
     "count_attempt",
     "count_control_bytes",
     "count_crashing_part",
@@ -71,9 +72,18 @@
 _requests = collectors.Counter(
     "hibiscusstile_requests", "Forwarded requests by kind, rank and outcome"
 )
+_allowance_requests = collectors.Counter(
+    "hibiscusstile_allowance_requests",
+    "Requests of limited workspaces: with tokens held here, borrowed, refused",
+)
 _attempts = collectors.Counter(
     "hibiscusstile_attempts", "Attempts at backend servers by outcome"
 )
+_room_decisions = collectors.Counter(
+    "hibiscusstile_room_decisions",
+    "Requests to shared engines: sent, or refused since no engine is in time or"
+    " the workspace exceeds its share",
+)
 _retries = collectors.Counter(
     "hibiscusstile_retries", "Retries by budget and whether it granted them"
 )
@@ -120,6 +130,11 @@
     _requests.inc({"kind": kind, "rank": str(rank), "outcome": result})
 
 
+def count_allowance(result: str) -> None:
+    """Counts a request of a workspace that has an allowance."""
+    _allowance_requests.inc({"outcome": result})
+
+
 def count_attempt(result: str) -> None:
     """Counts an attempt at a backend server."""
     _attempts.inc({"outcome": result})
@@ -130,6 +145,11 @@
     _retries.inc({"service": service, "granted": str(granted).lower()})
 
 
+def count_room_decision(decision: str) -> None:
+    """Counts a decision on room: `sent`, `late` or `excess`."""
+    _room_decisions.inc({"decision": decision})
+
+
 def count_server_down(planned: bool) -> None:
     """Counts a server that is down; `planned` if it was known to leave."""
     _servers_down.inc({"planned": str(planned).lower()})
--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -20,6 +20,7 @@
     "ClearanceUpdate",
     "CrashUpdate",
     "GatewayConfiguration",
+    "GatewayCountUpdate",
     "GatewayNotice",
     "LeaseClaimUpdate",
     "LeavingUpdate",
@@ -251,6 +252,21 @@
 ]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewayCountUpdate:
+    """The number of gateways that the sender divides allowances by.
+
+    Attributes:
+        gateways: The number.
+        for_s: Seconds since it is as high.
+        age_s: Seconds since as many gateways were announced.
+    """
+
+    gateways: Count
+    for_s: Seconds
+    age_s: Seconds
+
+
 @message_types.register()
 @dataclasses.dataclass(frozen=True, slots=True)
 class GatewayNotice(PeerMessage):
@@ -268,6 +284,7 @@
     clearances: _Clearances = ()
     leaving: _Leaving = ()
     memory: _Memory = ()
+    counted: GatewayCountUpdate | None = None
 
 
 @message_types.register()
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -30,6 +30,9 @@
     ready: str = ""
 
 
+_Tolerated = Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)]
+
+
 class _Bounds(_FileModel):
     drain_ms: Annotated[float, pydantic.Field(gt=0)] = 2000
     stable_window_ms: Annotated[float, pydantic.Field(gt=0)] = 3000
@@ -38,6 +41,9 @@
     budget_slack: float = 50
     lease_ms: float = 3000
     version_ms: Annotated[float, pydantic.Field(gt=0)] = 8000
+    quota_window_s: _Tolerated = 0
+    quota_over: _Tolerated = 0
+    quota_slack: _Tolerated = 0
 
 
 class _Store(_FileModel):
@@ -49,6 +55,7 @@
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
     server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
     engine_fill: Annotated[float, pydantic.Field(ge=0, le=1000)] = 0.0
+    share_room: pydantic.StrictBool | None = None
 
 
 class _File(_FileModel):
@@ -87,6 +94,9 @@
             rollout lease.
         version_s: Time after the publication of weights from which no request
             may start on older ones.
+        allowance_window_s: Window in which the use of allowances is counted.
+        allowance_excess_share: Share by which a window may exceed them.
+        allowance_excess_tokens: Further tokens by which it may exceed them.
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         max_held_total_bytes: Size of all bodies that are held at the same time.
@@ -96,6 +106,8 @@
             have sent to one server; only with `limits_server_memory`.
         engine_fill: What the requests at one engine may need, as a multiple of
             its KV cache; 0 for no bound; only with `limits_server_memory`.
+        shares_room: Whether callers share the room of engines fairly; None
+            leaves it to the configuration.
         role: Name of the process's role.
     """
 
@@ -113,11 +125,15 @@
     retry_reserve: float
     lease_s: float
     version_s: float
+    allowance_window_s: float
+    allowance_excess_share: float
+    allowance_excess_tokens: float
     max_held_body_bytes: int
     max_held_total_bytes: int
     limits_server_memory: bool = False
     max_server_body_bytes: int = 64 * 1024 * 1024
     engine_fill: float = 0.0
+    shares_room: bool | None = None
     role: str = "gateway"
 
 
@@ -170,9 +186,13 @@
         retry_reserve=parsed.bounds.budget_slack,
         lease_s=parsed.bounds.lease_ms / 1000,
         version_s=parsed.bounds.version_ms / 1000,
+        allowance_window_s=parsed.bounds.quota_window_s,
+        allowance_excess_share=parsed.bounds.quota_over,
+        allowance_excess_tokens=parsed.bounds.quota_slack,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
         limits_server_memory=_MEMORY_CONTRACT in parsed.contracts,
         max_server_body_bytes=parsed.gateway.server_bodies_kb * 1024,
         engine_fill=parsed.gateway.engine_fill,
+        shares_room=parsed.gateway.share_room,
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -14,6 +14,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
 from hibiscusstile.gateway import (
+    allowances,
     configurationrelay,
     follower,
     heldbodies,
@@ -85,6 +86,8 @@
             hibiscusstile.STARTED_S,
         )
         self._state.server_memory.limits = _memory_limits(boot_settings)
+        self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
+        self._state.room.set_enabled(boot_settings.shares_room)
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
         self._ingress = ingress.Ingress(
@@ -346,6 +349,8 @@
         self._state.set_retries(_retry_policy(boot_settings))
         self._state.weights.bounds = _weights_bounds(boot_settings)
         self._state.server_memory.limits = _memory_limits(boot_settings)
+        self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
+        self._state.room.set_enabled(boot_settings.shares_room)
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
@@ -366,6 +371,14 @@
     )
 
 
+def _tolerance(boot_settings: boot.BootSettings) -> allowances.Tolerance:
+    return allowances.Tolerance(
+        boot_settings.allowance_window_s,
+        boot_settings.allowance_excess_share,
+        boot_settings.allowance_excess_tokens,
+    )
+
+
 def _modification_time_ns(path: os.PathLike[str]) -> int:
     try:
         return os.stat(path).st_mtime_ns
--- a/tests/test_layers.py
+++ b/tests/test_layers.py
@@ -8,11 +8,13 @@
 import pytest
 
 _DECISIONS = (
+    "gateway.allowances",
     "gateway.serverselection",
     "gateway.rolloutlease",
     "gateway.follower",
     "gateway.notices",
     "gateway.forwarding",
+    "gateway.roomsharing",
     "gateway.rollout",
     "gateway.selection.expected_first_token",
     "gateway.selection.least_running",
