--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -55,6 +55,7 @@
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
     server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
     share_room: pydantic.StrictBool | None = None
+    engine_fill: Annotated[float, pydantic.Field(ge=0, le=1000)] = 0.0
 
 
 class _File(_FileModel):
@@ -105,6 +106,8 @@
             have sent to one server; only with `limits_server_memory`.
         shares_room: Whether callers share the room of engines fairly; None
             leaves it to the configuration.
+        engine_fill: What the requests at one engine may need, as a multiple of
+            its KV cache; 0 for no bound; only with `limits_server_memory`.
         role: Name of the process's role.
     """
 
@@ -130,6 +133,7 @@
     limits_server_memory: bool = False
     max_server_body_bytes: int = 64 * 1024 * 1024
     shares_room: bool | None = None
+    engine_fill: float = 0.0
     role: str = "gateway"
 
 
@@ -190,4 +194,5 @@
         limits_server_memory=_MEMORY_CONTRACT in parsed.contracts,
         max_server_body_bytes=parsed.gateway.server_bodies_kb * 1024,
         shares_room=parsed.gateway.share_room,
+        engine_fill=parsed.gateway.engine_fill,
     )
