--- a/hibiscusstile/gateway/allowances/ledger.py
+++ b/hibiscusstile/gateway/allowances/ledger.py
@@ -83,6 +83,7 @@
         self._retired: dict[str, tuple[account_lib.Account, float]] = {}
         self._divided_by = (0, False)
         self._refreshed_s = 0.0
+        self._names: Sequence[str] = ()
         self._next_number = rng.getrandbits(_NUMBER_BITS)
         self._ask_tokens = _MAX_ASK_BURST
         self._ask_tokens_s = clock.monotonic()
@@ -143,8 +144,10 @@
         now_s = self._clock.monotonic()
         self._count.note(len(names) + 1, now_s, joining=joining)
         self._refresh(now_s)
-        for each in self._accounts.values():
-            each.forget_peers(names)
+        if names != self._names:
+            self._names = tuple(names)
+            for each in self._accounts.values():
+                each.forget_peers(names)
 
     def note_told_count(self, told: shares.ToldCount) -> None:
         """Adopts the number of gateways that another one counts."""
