--- a/hibiscusstile/gateway/allowances/account.py
+++ b/hibiscusstile/gateway/allowances/account.py
@@ -176,7 +176,12 @@
         if missing <= 0:
             return []
         return self._stocks.choose(
-            missing, near, far, self._share, now_s, partial=False
+            max(missing, self._missing_ahead(now_s)),
+            near,
+            far,
+            self._share,
+            now_s,
+            required=missing,
         )
 
     def plan_ahead(
@@ -184,17 +189,10 @@
     ) -> list[tuple[str, float]]:
         """Returns whom to ask for what coming requests will lack."""
         self._asked_ahead_s = now_s
-        rate = self._demand.rate(now_s)
-        missing = (
-            _TARGET_PART * self._share.credit_s * rate
-            - self.available(now_s)
-            - self._expected(now_s)
-        )
+        missing = self._missing_ahead(now_s)
         if missing <= 0:
             return []
-        return self._stocks.choose(
-            missing, near, far, self._share, now_s, partial=True
-        )
+        return self._stocks.choose(missing, near, far, self._share, now_s)
 
     def runs_low(self, now_s: float) -> bool:
         """Returns whether to ask ahead of need."""
@@ -268,6 +266,17 @@
         """Drops what is known of gateways that are not announced any more."""
         self._stocks.keep_only(kept)
 
+    def _missing_ahead(self, now_s: float) -> float:
+        """Returns what coming requests will lack beyond what is gained."""
+        rate = self._demand.rate(now_s)
+        if rate <= self._bucket.rate:
+            return 0.0
+        return (
+            _TARGET_PART * self._share.credit_s * rate
+            - self.available(now_s)
+            - self._expected(now_s)
+        )
+
     def _reserve(self, cost: demand.Cost, now_s: float) -> float:
         return 0.0 if self._demand.prefers(cost) else self._kept(now_s)
 
--- a/hibiscusstile/gateway/allowances/peerstocks.py
+++ b/hibiscusstile/gateway/allowances/peerstocks.py
@@ -17,6 +17,7 @@
 _RELIANCE = 0.5
 # Stocks below this part of the cap are not worth a message.
 _MIN_STOCK = 0.02
+_MIN_EXTRA_STOCK = 0.1
 _MIN_SILENCE_S = 0.5
 _MAX_SILENCE_S = 4.0
 
@@ -65,7 +66,7 @@
         share: shares.Share,
         now_s: float,
         *,
-        partial: bool,
+        required: float = 0.0,
     ) -> list[tuple[str, float]]:
         """Returns the peers to ask, with the tokens to ask each of.
 
@@ -75,8 +76,8 @@
             far: Connected gateways of other zones.
             share: Share of a gateway.
             now_s: Time on the monotonic clock.
-            partial: Whether a part of the tokens is of use. Otherwise nobody
-                is asked if all together are not expected to have them.
+            required: Tokens without which the others are of no use: nobody is
+                asked if all together are not expected to have them.
         """
         chosen: list[tuple[str, float]] = []
         missing = tokens
@@ -88,12 +89,13 @@
             ]
             expected.sort(reverse=True)
             for stock, _, peer in expected:
-                if missing <= 0 or stock <= _MIN_STOCK * share.cap:
+                least = _MIN_STOCK if total < required else _MIN_EXTRA_STOCK
+                if missing <= 0 or stock <= least * share.cap:
                     break
                 chosen.append((peer, min(missing, stock)))
                 missing -= _RELIANCE * stock
                 total += stock
-        return chosen if total >= tokens or partial else []
+        return chosen if total >= required else []
 
     def _expected(self, peer: str, share: shares.Share, now_s: float) -> float:
         stock = self._stocks.get(peer)
