Spread load by estimates of what load reports do not tell

Cause: many gateways choose the cheapest server on reports that are 0.2 to 0.75 s old, a report of one request counts for 1.5 s although the request took a tenth of that, and the pool of engines for long prompts was a constant. Change: with the setting even_load (auto by default: from 8 gateways and one unseen arrival per server on), old reports fade, servers of nearly equal cost are drawn at random, the pool follows the measured prefill work, a prefix that is used often may be computed on a further engine, and a long prompt costs more where others' streams run.

--- a/hibiscusstile/gateway/load.py
+++ b/hibiscusstile/gateway/load.py
@@ -24,6 +24,8 @@
 _INITIAL_STREAM_DURATION_S = 0.4
 _STREAM_DURATION_WEIGHT = 0.05
 _MIN_LATENCY_RATIO = 0.5
+# Shortest time for which a reported request is assumed to stay.
+_MIN_DRAIN_S = 0.05
 _MAX_LATENCY_RATIO = 8.0
 
 
@@ -59,11 +61,13 @@
         running: Requests in flight.
         waiting_tokens: Prompt tokens of requests that have not started.
         expires_s: When the report expires, on the monotonic clock.
+        reported_s: When it arrived.
     """
 
     running: int
     waiting_tokens: int
     expires_s: float
+    reported_s: float = 0.0
 
 
 class ServerLoad:
@@ -84,6 +88,7 @@
         self._cached_tokens = 0
         self._latency_ratio = 1.0
         self._mean_stream_duration_s = _INITIAL_STREAM_DURATION_S
+        self._mean_flight_s = _INITIAL_STREAM_DURATION_S
 
     @property
     def running(self) -> int:
@@ -106,6 +111,30 @@
             if now_s < each.expires_s
         )
 
+    def probable_peer_load(
+        self, now_s: float, prefill_tokens_per_s: float
+    ) -> PeerLoad:
+        """Returns what probably remains of the load that peers reported.
+
+        Requests that take a time D and were in flight at the time of a report
+        are spread evenly over their age, so that the share 1 - age/D remains.
+
+        Args:
+            now_s: Time on the monotonic clock.
+            prefill_tokens_per_s: Prompt tokens that the server prefills.
+        """
+        reports = [
+            each for each in self._peer_loads.values() if now_s < each.expires_s
+        ]
+        waiting = sum(each.waiting_tokens for each in reports)
+        drain_s = max(_MIN_DRAIN_S, waiting / prefill_tokens_per_s)
+        running = remaining = 0.0
+        for each in reports:
+            age_s = now_s - each.reported_s
+            running += each.running * max(0.0, 1 - age_s / self._mean_flight_s)
+            remaining += each.waiting_tokens * max(0.0, 1 - age_s / drain_s)
+        return PeerLoad(round(running), round(remaining), now_s, now_s)
+
     def note_peer_load(
         self, peer_id: str, peer_load: PeerLoad, now_s: float
     ) -> None:
@@ -217,6 +246,9 @@
         """Removes a finished or failed request."""
         self._in_flight.pop(id(request), None)
         if request.started:
+            self._mean_flight_s += _STREAM_DURATION_WEIGHT * (
+                max(_MIN_DRAIN_S, now_s - request.sent_s) - self._mean_flight_s
+            )
             stream_duration_s = now_s - request.started_s
             self._mean_stream_duration_s += _STREAM_DURATION_WEIGHT * (
                 stream_duration_s - self._mean_stream_duration_s
--- a/hibiscusstile/gateway/notices.py
+++ b/hibiscusstile/gateway/notices.py
@@ -9,6 +9,7 @@
 import asyncio
 import collections
 import dataclasses
+from collections.abc import Iterable
 from typing import TYPE_CHECKING
 
 from hibiscusstile.gateway import crashfacts, exchange, load, serverstatements
@@ -17,7 +18,7 @@
 if TYPE_CHECKING:
     from hibiscusstile.gateway import state as state_lib
 
-__all__ = ["NoticeHandler", "NoticeOutbox"]
+__all__ = ["NoticeHandler", "NoticeOutbox", "announced_tokens"]
 
 # A peer's load report expires after this time unless it is repeated.
 _MAX_LOAD_AGE_S = 1.5
@@ -168,6 +169,11 @@
         return notice if notice != messages.GatewayNotice() else None
 
 
+def announced_tokens(parts: Iterable[exchange.PromptPart]) -> int:
+    """Returns the tokens of those parts that are announced to peers."""
+    return sum(each.tokens for each in parts if each.tokens >= _MIN_PART_TOKENS)
+
+
 class NoticeHandler:
     """Builds this process's notices and applies those of its peers.
 
@@ -257,6 +263,7 @@
                     peer_load.running,
                     peer_load.waiting,
                     now_s + _MAX_LOAD_AGE_S,
+                    now_s,
                 ),
                 now_s,
             )
@@ -271,6 +278,11 @@
                     exchange.PromptPart(prefix.part, prefix.tokens),
                     prefix.server,
                 )
+            server = self._state.fleet.get(prefix.server)
+            if server is not None:
+                self._state.even_load.traffic(server.service).note_announced(
+                    prefix.tokens, now_s
+                )
         for done in notice.reads:
             self._state.pending_prefills.finish(done.salt, done.part)
         for rates in notice.rates:
--- a/hibiscusstile/gateway/pools.py
+++ b/hibiscusstile/gateway/pools.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 import itertools
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 from hibiscusstile import rendezvous
 from hibiscusstile.gateway import fleet
@@ -21,6 +21,7 @@
 
 def long_prompt_engines(
     servers: Iterable[fleet.BackendServer],
+    wanted_engines: Callable[[int], int] | None = None,
 ) -> frozenset[str]:
     """Returns the ids of the engines preferred for long prompts.
 
@@ -31,6 +32,8 @@
         servers: Engines of the service that are up. Engines that are loading
             new weights count, as they are back before a queue could move to
             other engines.
+        wanted_engines: Returns how many engines to prefer, given the upper
+            limit; the limit if None.
     """
     ids_by_zone: dict[str, list[str]] = {}
     for server in servers:
@@ -49,4 +52,6 @@
         )
     ]
     count = max(1, round(len(ranked) * _LONG_PROMPT_SHARE))
+    if wanted_engines is not None:
+        count = wanted_engines(count)
     return frozenset(ranked[:count])
--- a/hibiscusstile/gateway/prefillcoalescing.py
+++ b/hibiscusstile/gateway/prefillcoalescing.py
@@ -11,6 +11,7 @@
 from hibiscusstile.gateway import (
     enginerates,
     exchange,
+    notices,
     pendingprefills,
     selection,
 )
@@ -107,8 +108,14 @@
                 self._state.pending_prefills.begin(salt, part, server_id)
         uncached_tokens = self._request.prompt_tokens - selected.cached_tokens
         prefill_s = uncached_tokens / self._rates.prefill_tokens_per_s
-        if prefill_s > selection.LONG_PREFILL_S:
+        is_long = prefill_s > selection.LONG_PREFILL_S
+        if is_long:
             self._state.notices.send_soon()
+        self._state.even_load.traffic(candidate.server.service).note_sent(
+            prefill_s if is_long else 0.0,
+            notices.announced_tokens(self._shared_parts),
+            now_s,
+        )
 
     def finish(self) -> None:
         """Records that the prefill has finished or the request has ended."""
--- a/hibiscusstile/gateway/requestlog.py
+++ b/hibiscusstile/gateway/requestlog.py
@@ -88,6 +88,7 @@
         # The last part belongs to this request alone, so the one before it ends
         # the shared prefix. Log readers leave out fields that are None.
         parts = self._request.parts
+        traffic = self._state.even_load.traffic(self._destination.service.name)
         logs.event(
             _log,
             event,
@@ -107,6 +108,8 @@
             stored_tokens=candidate.stored_tokens or None,
             behind_s=round(candidate.weights_lag_s, 2) or None,
             failures=round(candidate.failure_rate, 3) or None,
+            unseen=round(traffic.unseen, 2) if traffic.active else None,
+            spread=round(traffic.spread, 3) or None,
             elapsed_s=self._elapsed_s(),
         )
 
--- a/hibiscusstile/gateway/requestservers.py
+++ b/hibiscusstile/gateway/requestservers.py
@@ -45,6 +45,7 @@
             destination.route.target_latency_s,
             state.zone,
             rates,
+            state.even_load.traffic(destination.service.name).spread,
         )
 
     def select_next(self) -> selection.SelectedServer | None:
--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -37,6 +37,8 @@
             lower.
         zone: Availability zone of this process.
         rates: Estimate of the service's engines; unused for plain services.
+        spread: Difference of costs up to which servers count as equal, as
+            knowledge of their load is old; 0 to select the cheapest.
     """
 
     request: exchange.ForwardedRequest
@@ -44,6 +46,7 @@
     target_latency_s: float
     zone: str
     rates: enginerates.EngineRates
+    spread: float = 0.0
 
     @property
     def long_prompt_tokens(self) -> float:
@@ -71,6 +74,7 @@
         recently_prefilled_tokens: Tokens of the prompt's shared parts that
             some server has computed recently, whether or not this one also
             caches them.
+        recent_uses: How often the prompt's shared parts were sent recently.
         takes_long_prompts: Whether it is preferred for long prompts.
         start_within_s: Time within which the request must start there, as its
             weights are outdated.
@@ -87,6 +91,7 @@
     running: int = 0
     waiting_tokens: int = 0
     recently_prefilled_tokens: int = 0
+    recent_uses: float = 0.0
     takes_long_prompts: bool = False
     start_within_s: float = math.inf
 
--- a/hibiscusstile/gateway/selection/expected_first_token.py
+++ b/hibiscusstile/gateway/selection/expected_first_token.py
@@ -9,6 +9,7 @@
 
 import dataclasses
 import math
+import random
 from collections.abc import Sequence
 
 import xxhash
@@ -53,6 +54,11 @@
 # Cost of a prompt that is not long, for each second of prefill work that waits
 # at the engine.
 _WAITING_PROMPT_COST_PER_S = 1.0
+# Cost of a long prompt for each request that runs at the engine: its prefill
+# delays their next events, which makes some of these answers late.
+_DISTURBED_STREAM_COST = 0.25
+# Share of a prefix's recent uses that is expected at one more engine with it.
+_LATER_USES_SHARE = 0.1
 # Relative loss of value for each multiple of the target latency: prefers the
 # faster of servers that are equal otherwise.
 _LATENCY_WEIGHT = 0.02
@@ -80,6 +86,8 @@
             for each in options
             if each.expected_s <= each.candidate.start_within_s
         ]
+        if context.spread and len(in_time) > 1:
+            return _draw(in_time, context.spread)
         return min(in_time, key=lambda each: each.cost, default=None)
 
     def _evaluate(
@@ -119,6 +127,8 @@
         if uncached_tokens > context.long_prompt_tokens:
             if not candidate.takes_long_prompts:
                 cost += _LONG_PROMPT_COST
+            if context.spread:
+                cost += _DISTURBED_STREAM_COST * candidate.running
         else:
             if (
                 candidate.takes_long_prompts
@@ -137,7 +147,13 @@
             - cached_tokens
             - fetched_tokens,
         )
-        cost += recomputed_tokens * _RECOMPUTE_COST_PER_TOKEN
+        # A part that is used often is computed once for many later requests,
+        # so a hot prefix gets another engine before it overruns the first.
+        cost += (
+            recomputed_tokens
+            * _RECOMPUTE_COST_PER_TOKEN
+            / max(1.0, candidate.recent_uses * _LATER_USES_SHARE)
+        )
         if candidate.server.server_id != home_id:
             # Another process may be sending the same prefix to its home server.
             uncomputed_tokens = max(
@@ -162,6 +178,18 @@
         )
 
 
+def _draw(
+    options: Sequence[selection.SelectedServer], spread: float
+) -> selection.SelectedServer:
+    """Returns a server at random, cheaper ones more often.
+
+    Gateways with the same old knowledge then do not all select the same one.
+    """
+    lowest = min(each.cost for each in options)
+    weights = [math.exp((lowest - each.cost) / spread) for each in options]
+    return random.choices(options, weights)[0]
+
+
 def _slot_wait_s(candidate: selection.Candidate) -> float:
     """Returns the expected time until the engine has a free slot."""
     slots = max(1, candidate.server.slots)
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -40,10 +40,21 @@
     usable_servers = state.fleet.usable_servers(service.name)
     long_prompt_ids: frozenset[str] = frozenset()
     if service.engine is not None:
+        now_s = state.clock.monotonic()
+        traffic = state.even_load.traffic(service.name)
+        traffic.update(
+            state.even_load.mode,
+            state.peer_count + 1,
+            len(usable_servers),
+            now_s,
+        )
         long_prompt_ids = pools.long_prompt_engines(
-            each
-            for each in usable_servers
-            if state.health.is_up(each.server_id)
+            (
+                each
+                for each in usable_servers
+                if state.health.is_up(each.server_id)
+            ),
+            lambda most: traffic.long_prompt_engines(most, now_s),
         )
     candidates = [
         candidate
@@ -102,7 +113,8 @@
         return None
     now_s = state.clock.monotonic()
     load = state.loads.for_server(server_id)
-    running = load.running + load.peer_running(now_s)
+    peer_load = _peer_load(state, service, context, load)
+    running = load.running + peer_load.running
     # Each request in progress uses a connection of its own.
     if service.max_connections and running >= service.max_connections:
         return None
@@ -122,12 +134,13 @@
         stored_tokens=_stored_tokens(state, context, salt, version),
         version=version,
         running=running,
-        waiting_tokens=load.waiting_tokens + load.peer_waiting_tokens(now_s),
+        waiting_tokens=load.waiting_tokens + peer_load.waiting_tokens,
         recently_prefilled_tokens=sum(
             part.tokens
             for part in context.request.parts[:-1]
             if state.recent_prefills.is_recent(salt, part.part_id, now_s)
         ),
+        recent_uses=_recent_uses(state, context, salt),
         takes_long_prompts=takes_long_prompts,
         start_within_s=_start_within_s(
             state, context.request.model, version, weights_lag_s
@@ -135,6 +148,37 @@
     )
 
 
+def _recent_uses(
+    state: state_lib.GatewayState,
+    context: selection.SelectionContext,
+    salt: str,
+) -> float:
+    """Returns how often the prompt's shared prefix was sent recently."""
+    parts = context.request.parts
+    if len(parts) < 2 or not context.spread:
+        return 0.0
+    return state.recent_prefills.uses(
+        salt, parts[-2].part_id, state.clock.monotonic()
+    )
+
+
+def _peer_load(
+    state: state_lib.GatewayState,
+    service: routes.Service,
+    context: selection.SelectionContext,
+    load: load_lib.ServerLoad,
+) -> load_lib.PeerLoad:
+    """Returns the load that other gateways put on a server."""
+    now_s = state.clock.monotonic()
+    if state.even_load.traffic(service.name).active:
+        return load.probable_peer_load(
+            now_s, context.rates.prefill_tokens_per_s
+        )
+    return load_lib.PeerLoad(
+        load.peer_running(now_s), load.peer_waiting_tokens(now_s), now_s
+    )
+
+
 def _start_within_s(
     state: state_lib.GatewayState,
     model: str,
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -13,6 +13,7 @@
 from hibiscusstile.gateway import (
     crashingparts,
     enginerates,
+    evenload,
     fleet,
     health,
     heldbodies,
@@ -69,6 +70,7 @@
         weights_bounds: Bounds on the use of outdated weights.
         started_s: When the process started, on the monotonic clock; now if
             None.
+        even_load: When load is spread by estimates.
     """
 
     def __init__(
@@ -80,6 +82,7 @@
         stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
         weights_bounds: weights_lib.WeightsBounds | None = None,
         started_s: float | None = None,
+        even_load: evenload.Mode = evenload.Mode.AUTO,
     ) -> None:
         self._clock = clock
         self._held_bodies = held_bodies or heldbodies.HeldBodies()
@@ -94,6 +97,7 @@
         self._fleet = fleet.Fleet(clock, self._server_statements, stable_window)
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
+        self._even_load = evenload.EvenLoad(clock, even_load)
         self._weights = weights_lib.WeightsTable(
             clock, weights_bounds, started_s
         )
@@ -147,6 +151,11 @@
         """Load and expected cache contents of each server."""
         return self._loads
 
+    @property
+    def even_load(self) -> evenload.EvenLoad:
+        """Estimates of what is not known of the servers' load."""
+        return self._even_load
+
     @property
     def weights(self) -> weights_lib.WeightsTable:
         """Target and loaded versions of model weights."""
--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -26,9 +26,11 @@
     "observe_first_event",
     "observe_first_token",
     "render",
+    "set_long_prompt_engines",
     "set_queue_length",
     "set_revision",
     "set_store_era",
+    "set_unseen_arrivals",
 ]
 
 _prompt_tokens = collectors.Counter(
@@ -98,6 +100,14 @@
 _store_era = collectors.Gauge(
     "hibiscusstile_store_era", "Newest known era of the platform's store"
 )
+_unseen_arrivals = collectors.Gauge(
+    "hibiscusstile_unseen_arrivals",
+    "Estimated arrivals per server that no load report tells of, by service",
+)
+_long_prompt_engines = collectors.Gauge(
+    "hibiscusstile_long_prompt_engines",
+    "Engines preferred for long prompts, by service, if derived from work",
+)
 _first_event_seconds = collectors.Histogram(
     "hibiscusstile_first_event_seconds",
     "Time from a request to its answer's first event, by rank",
@@ -155,6 +165,16 @@
     _store_era.set({}, era)
 
 
+def set_unseen_arrivals(service: str, arrivals: float) -> None:
+    """Records the arrivals per server that no load report tells of."""
+    _unseen_arrivals.set({"service": service}, arrivals)
+
+
+def set_long_prompt_engines(service: str, engines: int) -> None:
+    """Records the number of engines preferred for long prompts."""
+    _long_prompt_engines.set({"service": service}, engines)
+
+
 def observe_first_event(rank: int, seconds: float) -> None:
     """Records the time to the first event of an answer."""
     _first_event_seconds.observe({"rank": str(rank)}, seconds)
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -11,6 +11,7 @@
 import pydantic
 
 from hibiscusstile import settingsfaults
+from hibiscusstile.gateway import evenload
 
 __all__ = ["BootSettings", "load_boot_settings", "settings_path"]
 
@@ -44,6 +45,7 @@
 class _Gateway(_FileModel):
     held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
+    even_load: evenload.Mode = evenload.Mode.AUTO
 
 
 class _File(_FileModel):
@@ -84,6 +86,7 @@
         max_held_body_bytes: Size up to which the body of a response is held
             until it is complete.
         max_held_total_bytes: Size of all bodies that are held at the same time.
+        even_load: When load is spread by estimates of what is not known.
         role: Name of the process's role.
     """
 
@@ -103,6 +106,7 @@
     version_s: float
     max_held_body_bytes: int
     max_held_total_bytes: int
+    even_load: evenload.Mode = evenload.Mode.AUTO
     role: str = "gateway"
 
 
@@ -157,4 +161,5 @@
         version_s=parsed.bounds.version_ms / 1000,
         max_held_body_bytes=parsed.gateway.held_body_kb * 1024,
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
+        even_load=parsed.gateway.even_load,
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -82,6 +82,7 @@
             datetime.timedelta(seconds=boot_settings.stable_window_s),
             _weights_bounds(boot_settings),
             hibiscusstile.STARTED_S,
+            boot_settings.even_load,
         )
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
@@ -343,6 +344,7 @@
         self._settings = boot_settings
         self._state.set_retries(_retry_policy(boot_settings))
         self._state.weights.bounds = _weights_bounds(boot_settings)
+        self._state.even_load.mode = boot_settings.even_load
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
