--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -14,6 +14,7 @@
     allowances,
     crashingparts,
     enginerates,
+    evenload,
     fleet,
     health,
     heldbodies,
@@ -72,6 +73,7 @@
         weights_bounds: Bounds on the use of outdated weights.
         started_s: When the process started, on the monotonic clock; now if
             None.
+        even_load: When load is spread by estimates.
     """
 
     def __init__(
@@ -83,6 +85,7 @@
         stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
         weights_bounds: weights_lib.WeightsBounds | None = None,
         started_s: float | None = None,
+        even_load: evenload.Mode = evenload.Mode.AUTO,
     ) -> None:
         self._clock = clock
         self._held_bodies = held_bodies or heldbodies.HeldBodies()
@@ -98,6 +101,7 @@
         self._health = health.HealthTable(clock)
         self._loads = load.LoadTable()
         self._server_memory = servermemory.ServerMemory(clock)
+        self._even_load = evenload.EvenLoad(clock, even_load)
         self._weights = weights_lib.WeightsTable(
             clock, weights_bounds, started_s
         )
@@ -158,6 +162,11 @@
         """Memory that all gateways' requests need at each server."""
         return self._server_memory
 
+    @property
+    def even_load(self) -> evenload.EvenLoad:
+        """Estimates of what is not known of the servers' load."""
+        return self._even_load
+
     @property
     def weights(self) -> weights_lib.WeightsTable:
         """Target and loaded versions of model weights."""
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -11,6 +11,7 @@
 import pydantic
 
 from hibiscusstile import settingsfaults
+from hibiscusstile.gateway import evenload
 
 __all__ = ["BootSettings", "load_boot_settings", "settings_path"]
 
@@ -56,6 +57,7 @@
     server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
     share_room: pydantic.StrictBool | None = None
     engine_fill: Annotated[float, pydantic.Field(ge=0, le=1000)] = 0.0
+    even_load: evenload.Mode = evenload.Mode.AUTO
 
 
 class _File(_FileModel):
@@ -108,6 +110,7 @@
             leaves it to the configuration.
         engine_fill: What the requests at one engine may need, as a multiple of
             its KV cache; 0 for no bound; only with `limits_server_memory`.
+        even_load: When load is spread by estimates of what is not known.
         role: Name of the process's role.
     """
 
@@ -134,6 +137,7 @@
     max_server_body_bytes: int = 64 * 1024 * 1024
     shares_room: bool | None = None
     engine_fill: float = 0.0
+    even_load: evenload.Mode = evenload.Mode.AUTO
     role: str = "gateway"
 
 
@@ -195,4 +199,5 @@
         max_server_body_bytes=parsed.gateway.server_bodies_kb * 1024,
         shares_room=parsed.gateway.share_room,
         engine_fill=parsed.gateway.engine_fill,
+        even_load=parsed.gateway.even_load,
     )
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -84,6 +84,7 @@
             datetime.timedelta(seconds=boot_settings.stable_window_s),
             _weights_bounds(boot_settings),
             hibiscusstile.STARTED_S,
+            boot_settings.even_load,
         )
         self._state.server_memory.limits = _memory_limits(boot_settings)
         self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
@@ -351,6 +352,7 @@
         self._state.server_memory.limits = _memory_limits(boot_settings)
         self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
         self._state.room.set_enabled(boot_settings.shares_room)
+        self._state.even_load.mode = boot_settings.even_load
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
