Explain where a request would go now, without sending it

Operators asked for a command that says where a given request would go and why. The selection strategies gain `rate`, which lists every server with its estimates; `select` decides as before.

tests/gateway/test_placementpreview.py and tests/ctl/test_where.py, the latter with a gateway process; saved status pages are not served yet.

--- a/hibiscusstile/ctl/__init__.py
+++ b/hibiscusstile/ctl/__init__.py
@@ -63,6 +63,7 @@
         f"{__name__}.records_list",
         f"{__name__}.records_show",
         f"{__name__}.status",
+        f"{__name__}.where",
     ),
 )
 
--- a/hibiscusstile/gateway/selection/__init__.py
+++ b/hibiscusstile/gateway/selection/__init__.py
@@ -137,6 +137,15 @@
         `candidates` must not be empty.
         """
 
+    @abc.abstractmethod
+    def rate(
+        self, context: SelectionContext, candidates: Sequence[Candidate]
+    ) -> list[SelectedServer]:
+        """Returns the estimates for each server, lowest cost first.
+
+        `candidates` must not be empty.
+        """
+
 
 class SelectionNotFound(registry.NameNotFound):
     """No selection strategy has the requested name."""
--- a/hibiscusstile/gateway/selection/expected_first_token.py
+++ b/hibiscusstile/gateway/selection/expected_first_token.py
@@ -70,18 +70,35 @@
         candidates: Sequence[selection.Candidate],
     ) -> selection.SelectedServer | None:
         """Returns the server with the lowest cost that starts in time."""
-        home_id = _home_server(context, candidates)
-        options = [
-            self._evaluate(context, candidate, home_id)
-            for candidate in candidates
-        ]
         in_time = [
             each
-            for each in options
+            for each in self._evaluate_all(context, candidates)
             if each.expected_s <= each.candidate.start_within_s
         ]
         return min(in_time, key=lambda each: each.cost, default=None)
 
+    def rate(
+        self,
+        context: selection.SelectionContext,
+        candidates: Sequence[selection.Candidate],
+    ) -> list[selection.SelectedServer]:
+        """Returns the estimates for each server, lowest cost first."""
+        return sorted(
+            self._evaluate_all(context, candidates),
+            key=lambda each: each.cost,
+        )
+
+    def _evaluate_all(
+        self,
+        context: selection.SelectionContext,
+        candidates: Sequence[selection.Candidate],
+    ) -> list[selection.SelectedServer]:
+        home_id = _home_server(context, candidates)
+        return [
+            self._evaluate(context, candidate, home_id)
+            for candidate in candidates
+        ]
+
     def _evaluate(
         self,
         context: selection.SelectionContext,
--- a/hibiscusstile/gateway/selection/least_running.py
+++ b/hibiscusstile/gateway/selection/least_running.py
@@ -31,15 +31,28 @@
         Servers in other zones and servers that fail requests count as running
         more.
         """
+        return self.rate(context, candidates)[0]
 
-        def cost(candidate: selection.Candidate) -> tuple[float, str]:
-            server = candidate.server
-            weighted_running = float(candidate.load.running)
-            if server.zone != context.zone:
-                weighted_running += _CROSS_ZONE_PENALTY_REQUESTS
-            weighted_running += (
-                candidate.failure_rate * _FAILURE_PENALTY_REQUESTS
-            )
-            return weighted_running, server.server_id
-
-        return selection.SelectedServer(min(candidates, key=cost))
+    def rate(
+        self,
+        context: selection.SelectionContext,
+        candidates: Sequence[selection.Candidate],
+    ) -> list[selection.SelectedServer]:
+        """Returns the servers with the running requests that count as cost."""
+        rated = [
+            selection.SelectedServer(each, cost=_cost(context, each))
+            for each in candidates
+        ]
+        return sorted(
+            rated,
+            key=lambda each: (each.cost, each.candidate.server.server_id),
+        )
+
+
+def _cost(
+    context: selection.SelectionContext, candidate: selection.Candidate
+) -> float:
+    weighted_running = float(candidate.load.running)
+    if candidate.server.zone != context.zone:
+        weighted_running += _CROSS_ZONE_PENALTY_REQUESTS
+    return weighted_running + candidate.failure_rate * _FAILURE_PENALTY_REQUESTS
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -9,7 +9,7 @@
 from hibiscusstile.gateway import load as load_lib
 from hibiscusstile.gateway import state as state_lib
 
-__all__ = ["cache_salt", "is_healthy", "select_server"]
+__all__ = ["cache_salt", "is_healthy", "rate_servers", "select_server"]
 
 _ENGINE_STRATEGY = "expected_first_token"
 _PLAIN_SERVICE_STRATEGY = "least_running"
@@ -37,6 +37,50 @@
         scope: Scope in which the request shares cached prompt parts.
         excluded_ids: Ids of servers not to use.
     """
+    candidates = _candidates(state, service, context, scope, excluded_ids)
+    if not candidates:
+        return None
+    healthy = [
+        each
+        for each in candidates
+        if is_healthy(state, each.server.server_id, each.load)
+    ]
+    strategy = _strategy(service)
+    # An outdated engine may be healthy but too late.
+    selected = strategy.select(context, healthy) if healthy else None
+    return selected or strategy.select(context, candidates)
+
+
+def rate_servers(
+    state: state_lib.GatewayState,
+    service: routes.Service,
+    context: selection.SelectionContext,
+    scope: str,
+) -> list[selection.SelectedServer]:
+    """Returns the estimates for each usable server, lowest cost first.
+
+    Args:
+        state: State of this gateway process.
+        service: The service that the request would be sent to.
+        context: The request and its routing parameters.
+        scope: Scope in which the request shares cached prompt parts.
+    """
+    candidates = _candidates(state, service, context, scope, ())
+    return _strategy(service).rate(context, candidates) if candidates else []
+
+
+def _strategy(service: routes.Service) -> selection.Selection:
+    name = _ENGINE_STRATEGY if service.engine else _PLAIN_SERVICE_STRATEGY
+    return selection.get_selection_by_name(name)()
+
+
+def _candidates(
+    state: state_lib.GatewayState,
+    service: routes.Service,
+    context: selection.SelectionContext,
+    scope: str,
+    excluded_ids: Collection[str],
+) -> list[selection.Candidate]:
     usable_servers = state.fleet.usable_servers(service.name)
     long_prompt_ids: frozenset[str] = frozenset()
     if service.engine is not None:
@@ -45,7 +89,7 @@
             for each in usable_servers
             if state.health.is_up(each.server_id)
         )
-    candidates = [
+    return [
         candidate
         for server in usable_servers
         if server.server_id not in excluded_ids
@@ -60,18 +104,6 @@
             )
         )
     ]
-    if not candidates:
-        return None
-    healthy = [
-        each
-        for each in candidates
-        if is_healthy(state, each.server.server_id, each.load)
-    ]
-    name = _ENGINE_STRATEGY if service.engine else _PLAIN_SERVICE_STRATEGY
-    strategy = selection.get_selection_by_name(name)()
-    # An outdated engine may be healthy but too late.
-    selected = strategy.select(context, healthy) if healthy else None
-    return selected or strategy.select(context, candidates)
 
 
 def is_healthy(
--- a/hibiscusstile/operators.py
+++ b/hibiscusstile/operators.py
@@ -1,4 +1,4 @@
-"""HTTP server for operators: metrics and status, both read-only."""
+"""HTTP server for operators: metrics, status and placements, all read-only."""
 
 from __future__ import annotations
 
@@ -7,18 +7,20 @@
 
 from aiohttp import web
 
-from hibiscusstile import metrics
+from hibiscusstile import metrics, placementquery
 
 __all__ = ["OperatorsServer"]
 
 
 class OperatorsServer:
-    """Serves `GET /metrics` and `GET /status`.
+    """Serves `GET /metrics`, `GET /status` and, at a gateway, `POST /where`.
 
     Args:
         host: IP address to listen on.
         port: Port to listen on.
         status: Returns the fields of the status page.
+        place: Says where a described request would go now; None if the process
+            does not place requests.
     """
 
     def __init__(
@@ -26,8 +28,11 @@
         host: str,
         port: int,
         status: Callable[[], Mapping[str, object]],
+        place: Callable[[placementquery.PlacementQuery], Mapping[str, object]]
+        | None = None,
     ) -> None:
         self._host = host
+        self._place = place
         self._status = status
         self._port = port
         self._listening = asyncio.Event()
@@ -46,6 +51,8 @@
         app = web.Application()
         app.router.add_get("/metrics", self._get_metrics)
         app.router.add_get("/status", self._get_status)
+        if self._place is not None:
+            app.router.add_post("/where", self._post_where)
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
         try:
@@ -65,3 +72,11 @@
     async def _get_status(self, request: web.Request) -> web.Response:
         del request
         return web.json_response(dict(self._status()))
+
+    async def _post_where(self, request: web.Request) -> web.Response:
+        assert self._place is not None
+        try:
+            query = placementquery.parse_query(await request.read())
+        except placementquery.QueryError as error:
+            return web.Response(status=400, text=str(error))
+        return web.json_response(dict(self._place(query)))
--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -12,12 +12,20 @@
 
 import hibiscusstile
 from hibiscusstile import clock as clock_lib
-from hibiscusstile import logs, operators, roles, settingsfaults, supervisor
+from hibiscusstile import (
+    logs,
+    operators,
+    placementquery,
+    roles,
+    settingsfaults,
+    supervisor,
+)
 from hibiscusstile.gateway import (
     configurationrelay,
     follower,
     heldbodies,
     notices,
+    placementpreview,
     rollout,
     rolloutlease,
     service,
@@ -91,7 +99,7 @@
         self._engine_orders = orders.HttpOrders(self._state.server_statements)
         self._cache_event_feed = cacheevents.CacheEventFeed(self._state)
         self._operators_server = operators.OperatorsServer(
-            boot_settings.address, _METRICS_PORT, self._status
+            boot_settings.address, _METRICS_PORT, self._status, self._place
         )
         self._readiness_server = ingress.ReadinessServer(
             boot_settings.ready_address, self._gateway
@@ -207,6 +215,10 @@
             **statuspage.describe_state(self._state, self._settings.name),
         }
 
+    def _place(self, query: placementquery.PlacementQuery) -> dict[str, object]:
+        """Returns where a described request would go now."""
+        return placementpreview.preview(self._state, query)
+
     def _store_status(self) -> dict[str, object]:
         known_for_s = self._platform_store.era_known_for_s
         return {
