--- a/hibiscusstile/boundedhttp.py
+++ b/hibiscusstile/boundedhttp.py
@@ -151,17 +151,16 @@
 
     def _parse(self, data: bytes) -> None:
         payload = None if self._expects_head() else self._payload
+        is_paused = self._reading_paused
         if payload is None:
             self._head_bytes += len(data)
         else:
             content_bytes = payload.total_bytes
         super().data_received(data)
-        # While the body's reader is slow, the parser holds content back.
-        if (
-            payload is not None
-            and not payload.is_eof()
-            and not self._reading_paused
-        ):
+        if is_paused:
+            # The body's reader is slow, so that the parser holds content back.
+            self._thin_steps = 0
+        elif payload is not None and not payload.is_eof():
             content_bytes = payload.total_bytes - content_bytes
             self._note_content_share(content_bytes, len(data))
         if self.exception() is not None:
