--- a/hibiscusstile/metrics.py
+++ b/hibiscusstile/metrics.py
@@ -15,6 +15,7 @@
     "count_crashing_part",
     "count_dropped_line",
     "count_full_server",
+    "count_memory_decision",
     "count_peer_rejection",
     "count_prompt_tokens",
     "count_recomputed_tokens",
@@ -29,6 +30,7 @@
     "observe_first_token",
     "render",
     "set_long_prompt_engines",
+    "set_memory_use",
     "set_queue_length",
     "set_revision",
     "set_store_era",
@@ -123,6 +125,13 @@
     "hibiscusstile_long_prompt_engines",
     "Engines preferred for long prompts, by service, if derived from work",
 )
+_memory_decisions = collectors.Counter(
+    "hibiscusstile_memory_decisions",
+    "Requests refused or ended and connections closed for lack of room",
+)
+_memory_bytes = collectors.Gauge(
+    "hibiscusstile_memory_bytes", "Memory that callers' requests hold, by use"
+)
 _first_event_seconds = collectors.Histogram(
     "hibiscusstile_first_event_seconds",
     "Time from a request to its answer's first event, by rank",
@@ -227,6 +236,16 @@
     _peer_rejections.inc({"cause": cause})
 
 
+def count_memory_decision(decision: str, use: str, count: int = 1) -> None:
+    """Counts what was refused, ended or closed for lack of room."""
+    _memory_decisions.add({"decision": decision, "use": use}, count)
+
+
+def set_memory_use(use: str, size_bytes: int) -> None:
+    """Records the memory in use."""
+    _memory_bytes.set({"use": use}, size_bytes)
+
+
 def observe_first_token(rank: str, seconds: float) -> None:
     """Records a time to first token."""
     _first_token_seconds.observe({"rank": rank}, seconds)
--- a/hibiscusstile/operators.py
+++ b/hibiscusstile/operators.py
@@ -21,6 +21,7 @@
         status: Returns the fields of the status page.
         place: Says where a described request would go now; None if the process
             does not place requests.
+        update_metrics: Called before the metrics are read.
     """
 
     def __init__(
@@ -30,7 +31,9 @@
         status: Callable[[], Mapping[str, object]],
         place: Callable[[placementquery.PlacementQuery], Mapping[str, object]]
         | None = None,
+        update_metrics: Callable[[], None] = lambda: None,
     ) -> None:
+        self._update_metrics = update_metrics
         self._host = host
         self._place = place
         self._status = status
@@ -66,6 +69,7 @@
 
     async def _get_metrics(self, request: web.Request) -> web.Response:
         del request
+        self._update_metrics()
         body, content_type = metrics.render()
         return web.Response(body=body, headers={"Content-Type": content_type})
 
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -10,7 +10,7 @@
 
 import pydantic
 
-from hibiscusstile import settingsfaults
+from hibiscusstile import memory, settingsfaults
 from hibiscusstile.gateway import evenload
 
 __all__ = ["BootSettings", "load_boot_settings", "settings_path"]
@@ -60,6 +60,11 @@
     even_load: evenload.Mode = evenload.Mode.AUTO
 
 
+class _Limits(_FileModel):
+    memory_mb: Annotated[float, pydantic.Field(ge=0)] = 0
+    max_fds: Annotated[int, pydantic.Field(ge=0)] = 0
+
+
 class _File(_FileModel):
     node: str
     zone: str
@@ -67,6 +72,7 @@
     internal_ports: tuple[int, int] = (0, 0)
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     platform: _Store
     contracts: tuple[str, ...] = ()
     # The project's own settings.
@@ -111,6 +117,8 @@
         engine_fill: What the requests at one engine may need, as a multiple of
             its KV cache; 0 for no bound; only with `limits_server_memory`.
         even_load: When load is spread by estimates of what is not known.
+        memory_mb: Memory at which the process is killed, in MB.
+        max_descriptors: Descriptors that the process may have open.
         role: Name of the process's role.
     """
 
@@ -133,6 +141,8 @@
     allowance_excess_tokens: float
     max_held_body_bytes: int
     max_held_total_bytes: int
+    memory_mb: float
+    max_descriptors: int
     limits_server_memory: bool = False
     max_server_body_bytes: int = 64 * 1024 * 1024
     shares_room: bool | None = None
@@ -200,4 +210,6 @@
         shares_room=parsed.gateway.share_room,
         engine_fill=parsed.gateway.engine_fill,
         even_load=parsed.gateway.even_load,
+        memory_mb=parsed.limits.memory_mb or memory.DEFAULT_MEMORY_MB,
+        max_descriptors=parsed.limits.max_fds or memory.DEFAULT_DESCRIPTORS,
     )
