--- a/hibiscusstile/boundedhttp.py
+++ b/hibiscusstile/boundedhttp.py
@@ -54,12 +54,18 @@
     Args:
         loop: Event loop of the connection.
         skips_responses: Whether responses to other requests are skipped.
+        receive_bytes: Size of the kernel's receive buffer, which it doubles.
     """
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, *, skips_responses: bool = False
+        self,
+        loop: asyncio.AbstractEventLoop,
+        *,
+        skips_responses: bool = False,
+        receive_bytes: int = _RECEIVE_BUFFER_BYTES,
     ) -> None:
         super().__init__(loop)
+        self._receive_bytes = receive_bytes
         self._skips_responses = skips_responses
         self._head_count = 0
         self._head_bytes = 0
@@ -84,7 +90,7 @@
         tcp_socket = transport.get_extra_info("socket")
         if tcp_socket is not None:
             tcp_socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BUFFER_BYTES
+                socket.SOL_SOCKET, socket.SO_RCVBUF, self._receive_bytes
             )
         super().connection_made(transport)
 
@@ -156,12 +162,16 @@
 
     def _parse(self, data: bytes) -> None:
         payload = None if self._expects_head() else self._payload
+        is_paused = self._reading_paused
         if payload is None:
             self._head_bytes += len(data)
         else:
             content_bytes = payload.total_bytes
         super().data_received(data)
-        if payload is not None and not payload.is_eof():
+        if is_paused:
+            # The body's reader is slow, so that the parser holds content back.
+            self._thin_steps = 0
+        elif payload is not None and not payload.is_eof():
             content_bytes = payload.total_bytes - content_bytes
             self._note_content_share(content_bytes, len(data))
         if self.exception() is not None:
@@ -208,11 +218,16 @@
 
     Args:
         skips_responses: Whether responses to other requests are skipped.
+        receive_bytes: Size of the kernel's receive buffer of a connection.
         **options: Options of `aiohttp.TCPConnector`.
     """
 
     def __init__(
-        self, *, skips_responses: bool = False, **options: Any
+        self,
+        *,
+        skips_responses: bool = False,
+        receive_bytes: int = _RECEIVE_BUFFER_BYTES,
+        **options: Any,
     ) -> None:
         super().__init__(**options)
         # aiohttp has no public option for the class of its connections.
@@ -220,6 +235,7 @@
             BoundedResponseHandler,
             loop=self._loop,
             skips_responses=skips_responses,
+            receive_bytes=receive_bytes,
         )
 
 
--- a/hibiscusstile/gateway/serverselection.py
+++ b/hibiscusstile/gateway/serverselection.py
@@ -9,7 +9,7 @@
 from hibiscusstile.gateway import load as load_lib
 from hibiscusstile.gateway import state as state_lib
 
-__all__ = ["cache_salt", "is_healthy", "select_server"]
+__all__ = ["cache_salt", "is_healthy", "rate_servers", "select_server"]
 
 _ENGINE_STRATEGY = "expected_first_token"
 _PLAIN_SERVICE_STRATEGY = "least_running"
@@ -37,15 +37,70 @@
         scope: Scope in which the request shares cached prompt parts.
         excluded_ids: Ids of servers not to use.
     """
+    candidates = _candidates(state, service, context, scope, excluded_ids)
+    if not candidates:
+        return None
+    healthy = [
+        each
+        for each in candidates
+        if is_healthy(state, each.server.server_id, each.load)
+    ]
+    strategy = _strategy(service)
+    # An outdated engine may be healthy but too late.
+    selected = strategy.select(context, healthy) if healthy else None
+    return selected or strategy.select(context, candidates)
+
+
+def rate_servers(
+    state: state_lib.GatewayState,
+    service: routes.Service,
+    context: selection.SelectionContext,
+    scope: str,
+) -> list[selection.SelectedServer]:
+    """Returns the estimates for each usable server, lowest cost first.
+
+    Args:
+        state: State of this gateway process.
+        service: The service that the request would be sent to.
+        context: The request and its routing parameters.
+        scope: Scope in which the request shares cached prompt parts.
+    """
+    candidates = _candidates(state, service, context, scope, ())
+    return _strategy(service).rate(context, candidates) if candidates else []
+
+
+def _strategy(service: routes.Service) -> selection.Selection:
+    name = _ENGINE_STRATEGY if service.engine else _PLAIN_SERVICE_STRATEGY
+    return selection.get_selection_by_name(name)()
+
+
+def _candidates(
+    state: state_lib.GatewayState,
+    service: routes.Service,
+    context: selection.SelectionContext,
+    scope: str,
+    excluded_ids: Collection[str],
+) -> list[selection.Candidate]:
     usable_servers = state.fleet.usable_servers(service.name)
     long_prompt_ids: frozenset[str] = frozenset()
     if service.engine is not None:
+        now_s = state.clock.monotonic()
+        traffic = state.even_load.traffic(service.name)
+        traffic.update(
+            state.even_load.mode,
+            state.peer_count + 1,
+            len(usable_servers),
+            now_s,
+        )
         long_prompt_ids = pools.long_prompt_engines(
-            each
-            for each in usable_servers
-            if state.health.is_up(each.server_id)
+            (
+                each
+                for each in usable_servers
+                if state.health.is_up(each.server_id)
+            ),
+            lambda most: traffic.long_prompt_engines(most, now_s),
         )
-    candidates = [
+    return [
         candidate
         for server in usable_servers
         if server.server_id not in excluded_ids
@@ -60,18 +115,6 @@
             )
         )
     ]
-    if not candidates:
-        return None
-    healthy = [
-        each
-        for each in candidates
-        if is_healthy(state, each.server.server_id, each.load)
-    ]
-    name = _ENGINE_STRATEGY if service.engine else _PLAIN_SERVICE_STRATEGY
-    strategy = selection.get_selection_by_name(name)()
-    # An outdated engine may be healthy but too late.
-    selected = strategy.select(context, healthy) if healthy else None
-    return selected or strategy.select(context, candidates)
 
 
 def is_healthy(
@@ -102,7 +145,8 @@
         return None
     now_s = state.clock.monotonic()
     load = state.loads.for_server(server_id)
-    running = load.running + load.peer_running(now_s)
+    peer_load = _peer_load(state, service, context, load)
+    running = load.running + peer_load.running
     # Each request in progress uses a connection of its own.
     if service.max_connections and running >= service.max_connections:
         return None
@@ -124,12 +168,13 @@
         stored_tokens=_stored_tokens(state, context, salt, version),
         version=version,
         running=running,
-        waiting_tokens=load.waiting_tokens + load.peer_waiting_tokens(now_s),
+        waiting_tokens=load.waiting_tokens + peer_load.waiting_tokens,
         recently_prefilled_tokens=sum(
             part.tokens
             for part in context.request.parts[:-1]
             if state.recent_prefills.is_recent(salt, part.part_id, now_s)
         ),
+        recent_uses=_recent_uses(state, context, salt),
         takes_long_prompts=takes_long_prompts,
         start_within_s=_start_within_s(
             state, context.request.model, version, weights_lag_s
@@ -137,6 +182,37 @@
     )
 
 
+def _recent_uses(
+    state: state_lib.GatewayState,
+    context: selection.SelectionContext,
+    salt: str,
+) -> float:
+    """Returns how often the prompt's shared prefix was sent recently."""
+    parts = context.request.parts
+    if len(parts) < 2 or not context.spread:
+        return 0.0
+    return state.recent_prefills.uses(
+        salt, parts[-2].part_id, state.clock.monotonic()
+    )
+
+
+def _peer_load(
+    state: state_lib.GatewayState,
+    service: routes.Service,
+    context: selection.SelectionContext,
+    load: load_lib.ServerLoad,
+) -> load_lib.PeerLoad:
+    """Returns the load that other gateways put on a server."""
+    now_s = state.clock.monotonic()
+    if state.even_load.traffic(service.name).active:
+        return load.probable_peer_load(
+            now_s, context.rates.prefill_tokens_per_s
+        )
+    return load_lib.PeerLoad(
+        load.peer_running(now_s), load.peer_waiting_tokens(now_s), now_s
+    )
+
+
 def _start_within_s(
     state: state_lib.GatewayState,
     model: str,
--- a/hibiscusstile/outcome.py
+++ b/hibiscusstile/outcome.py
@@ -41,6 +41,7 @@
     KEY_CONFLICT = "key_conflict"
     OVERLOADED = "overloaded"
     OVER_ALLOWANCE = "over_allowance"
+    MEMORY_SHORT = "memory_short"
     EXPIRED = "expired"
     CANCELLED = "cancelled"
     LEAVING = "leaving"
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -10,7 +10,8 @@
 
 import pydantic
 
-from hibiscusstile import settingsfaults
+from hibiscusstile import memory, settingsfaults
+from hibiscusstile.gateway import evenload
 
 __all__ = ["BootSettings", "load_boot_settings", "settings_path"]
 
@@ -54,8 +55,14 @@
     held_body_kb: Annotated[int, pydantic.Field(ge=1)] = 1024
     held_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 8 * 1024
     server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
-    engine_fill: Annotated[float, pydantic.Field(ge=0, le=1000)] = 0.0
     share_room: pydantic.StrictBool | None = None
+    engine_fill: Annotated[float, pydantic.Field(ge=0, le=1000)] = 0.0
+    even_load: evenload.Mode = evenload.Mode.AUTO
+
+
+class _Limits(_FileModel):
+    memory_mb: Annotated[float, pydantic.Field(ge=0)] = 0
+    max_fds: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 class _File(_FileModel):
@@ -65,6 +72,7 @@
     internal_ports: tuple[int, int] = (0, 0)
     listen: _Listen = _Listen()
     bounds: _Bounds = _Bounds()
+    limits: _Limits = _Limits()
     platform: _Store
     contracts: tuple[str, ...] = ()
     # The project's own settings.
@@ -104,10 +112,13 @@
             hold exceed their memory.
         max_server_body_bytes: Size of the request bodies that all gateways may
             have sent to one server; only with `limits_server_memory`.
-        engine_fill: What the requests at one engine may need, as a multiple of
-            its KV cache; 0 for no bound; only with `limits_server_memory`.
         shares_room: Whether callers share the room of engines fairly; None
             leaves it to the configuration.
+        engine_fill: What the requests at one engine may need, as a multiple of
+            its KV cache; 0 for no bound; only with `limits_server_memory`.
+        even_load: When load is spread by estimates of what is not known.
+        memory_mb: Memory at which the process is killed, in MB.
+        max_descriptors: Descriptors that the process may have open.
         role: Name of the process's role.
     """
 
@@ -130,10 +141,13 @@
     allowance_excess_tokens: float
     max_held_body_bytes: int
     max_held_total_bytes: int
+    memory_mb: float
+    max_descriptors: int
     limits_server_memory: bool = False
     max_server_body_bytes: int = 64 * 1024 * 1024
-    engine_fill: float = 0.0
     shares_room: bool | None = None
+    engine_fill: float = 0.0
+    even_load: evenload.Mode = evenload.Mode.AUTO
     role: str = "gateway"
 
 
@@ -193,6 +207,9 @@
         max_held_total_bytes=parsed.gateway.held_bodies_kb * 1024,
         limits_server_memory=_MEMORY_CONTRACT in parsed.contracts,
         max_server_body_bytes=parsed.gateway.server_bodies_kb * 1024,
-        engine_fill=parsed.gateway.engine_fill,
         shares_room=parsed.gateway.share_room,
+        engine_fill=parsed.gateway.engine_fill,
+        even_load=parsed.gateway.even_load,
+        memory_mb=parsed.limits.memory_mb or memory.DEFAULT_MEMORY_MB,
+        max_descriptors=parsed.limits.max_fds or memory.DEFAULT_DESCRIPTORS,
     )
