--- a/tests/gateway/test_requestroom.py
+++ b/tests/gateway/test_requestroom.py
@@ -67,8 +67,8 @@
 def test_a_short_request_is_sent_to_a_full_engine_that_is_in_time() -> None:
     """Guards against refusals while another engine would answer in time.
 
-    In a burst of short questions, four in ten were refused for the expected
-    time of the one engine with a free slot, at which long prompts waited.
+    In a burst of short questions, over half of the attempts were refused for
+    the expected time of one engine at which long prompts waited.
     """
     found, refusal = _find(_state(**_ALLOWANCE), _SHORT)
     assert refusal is None
