--- a/hibiscusstile/gateway/relaying.py
+++ b/hibiscusstile/gateway/relaying.py
@@ -123,7 +123,10 @@
             self._progress.note_run(outcome.Verdict.RAN)
             if held.complete:
                 return await self._relay_held_body(server, response, held.data)
-        await self._relay_long_body(server, response, held.data)
+        await self._start_long_body(response, held.data)
+        # A caller may take minutes to read the rest.
+        del held
+        await self._relay_rest(server, response)
         return None
 
     async def _relay_held_body(
@@ -145,13 +148,10 @@
         await self._writer.send_response(response.head, body)
         return None
 
-    async def _relay_long_body(
-        self,
-        server: fleet.BackendServer,
-        response: exchange.ServerResponse,
-        start: bytes,
+    async def _start_long_body(
+        self, response: exchange.ServerResponse, start: bytes
     ) -> None:
-        """Relays a body of which `start` has been read, as it arrives."""
+        """Relays the start of a body that is too long to be held."""
         if response.head.status >= _FIRST_SERVER_ERROR_STATUS:
             raise exchange.AttemptFailed(
                 exchange.FailureCause.INVALID,
@@ -162,6 +162,11 @@
         self._log.note_status(response.head.status)
         await self._writer.start_stream(response.head)
         await self._writer.write(start)
+
+    async def _relay_rest(
+        self, server: fleet.BackendServer, response: exchange.ServerResponse
+    ) -> None:
+        """Relays the rest of a body as it arrives."""
         async for chunk in response.chunks():
             await self._writer.write(chunk)
         await self._writer.finish_stream()
--- a/hibiscusstile/memory/limits.py
+++ b/hibiscusstile/memory/limits.py
@@ -22,7 +22,7 @@
 # The rest of the headroom is for copies, the allocator and all other state.
 _BUDGET_SHARE = 0.45
 _RESERVE_SHARE = 0.25
-_HELD_SHARE = 0.25
+_HELD_SHARE = 0.125
 _CONNECTIONS_SHARE = 0.3
 # An open connection without a request: 450 of them took 2 MB.
 _CONNECTION_BYTES = 8 * 1024
@@ -58,11 +58,6 @@
         """Memory for responses that are held until they are complete."""
         return int(self.budget_bytes * _HELD_SHARE)
 
-    @property
-    def connection_bytes(self) -> int:
-        """Memory of an open connection without a request."""
-        return _CONNECTION_BYTES
-
 
 def memory_limits(memory_mb: float, max_descriptors: int) -> MemoryLimits:
     """Returns the limits of a process.
--- a/hibiscusstile/memory/unreadbytes.py
+++ b/hibiscusstile/memory/unreadbytes.py
@@ -16,6 +16,7 @@
 _SERVER_BUFFER_BYTES = 128 * 1024
 # Parts up to this size are counted only if the caller has not read them.
 _UNCOUNTED_BYTES = 16 * 1024
+_PIECE_BYTES = 64 * 1024
 
 
 class UnreadBytes:
@@ -40,7 +41,21 @@
             ConnectionResetError: The caller closed the connection, or it was
                 closed as the memory is short.
         """
+        if len(data) <= _PIECE_BYTES:
+            await self._write_piece(response, data)
+            return
+        # aiohttp copies what it writes, and its transport holds it.
+        with memoryview(data) as view:
+            for start in range(0, len(data), _PIECE_BYTES):
+                piece = bytes(view[start : start + _PIECE_BYTES])
+                await self._write_piece(response, piece)
+
+    async def _write_piece(
+        self, response: web.StreamResponse, data: bytes
+    ) -> None:
         transport: Any = self._request.transport
+        if transport is None:
+            raise ConnectionResetError("the caller closed the connection")
         waiting_bytes = transport.get_write_buffer_size()
         if waiting_bytes or len(data) > _UNCOUNTED_BYTES:
             self._count(transport, waiting_bytes + len(data), waiting_bytes > 0)
