--- a/hibiscusstile/roles/gateway.py
+++ b/hibiscusstile/roles/gateway.py
@@ -22,7 +22,6 @@
     supervisor,
 )
 from hibiscusstile.gateway import (
-    allowances,
     configurationrelay,
     follower,
     heldbodies,
@@ -30,11 +29,9 @@
     placementpreview,
     rollout,
     rolloutlease,
-    servermemory,
     service,
     statuspage,
     stopping,
-    weights,
 )
 from hibiscusstile.gateway import state as state_lib
 from hibiscusstile.peers import mesh
@@ -50,6 +47,7 @@
     serverentries,
     servers,
 )
+from hibiscusstile.roles import gatewaysettings
 
 __all__ = ["GatewayRole"]
 
@@ -61,9 +59,6 @@
 _METRICS_PORT = 9464
 _METRICS_RETRY_DELAY = datetime.timedelta(seconds=10)
 _DRAIN_POLL_INTERVAL = datetime.timedelta(milliseconds=50)
-# Share of the allowed retries that is used. The rest covers retries that are
-# counted in another window than their requests.
-_RETRY_SAFETY_FACTOR = 0.9
 
 
 @roles.roles.register()
@@ -91,7 +86,7 @@
         self._state = state_lib.GatewayState(
             clock,
             boot_settings.zone,
-            _retry_policy(boot_settings),
+            gatewaysettings.retry_policy(boot_settings),
             heldbodies.HeldBodies(
                 boot_settings.max_held_body_bytes,
                 min(
@@ -101,13 +96,11 @@
                 self._memory,
             ),
             datetime.timedelta(seconds=boot_settings.stable_window_s),
-            _weights_bounds(boot_settings),
+            gatewaysettings.weights_bounds(boot_settings),
             hibiscusstile.STARTED_S,
             boot_settings.even_load,
         )
-        self._state.server_memory.limits = _memory_limits(boot_settings)
-        self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
-        self._state.room.set_enabled(boot_settings.shares_room)
+        gatewaysettings.apply_settings(self._state, boot_settings)
         self._server_client = servers.HttpServerClient()
         self._gateway = service.Gateway(self._state, self._server_client)
         self._ingress = ingress.Ingress(
@@ -375,12 +368,7 @@
             if getattr(boot_settings, name) != getattr(self._settings, name)
         ]
         self._settings = boot_settings
-        self._state.set_retries(_retry_policy(boot_settings))
-        self._state.weights.bounds = _weights_bounds(boot_settings)
-        self._state.server_memory.limits = _memory_limits(boot_settings)
-        self._state.allowances.ledger.set_tolerance(_tolerance(boot_settings))
-        self._state.room.set_enabled(boot_settings.shares_room)
-        self._state.even_load.mode = boot_settings.even_load
+        gatewaysettings.apply_settings(self._state, boot_settings)
         if self._platform_store.address != boot_settings.store_address:
             await self._platform_store.move(boot_settings.store_address)
             for keyed_follower in self._followers:
@@ -388,39 +376,8 @@
         logs.event(_log, "settings_reloaded", changed=changed)
 
 
-def _retry_policy(boot_settings: boot.BootSettings) -> state_lib.RetryPolicy:
-    return state_lib.RetryPolicy(
-        boot_settings.retry_share * _RETRY_SAFETY_FACTOR,
-        boot_settings.retry_reserve,
-    )
-
-
-def _weights_bounds(boot_settings: boot.BootSettings) -> weights.WeightsBounds:
-    return weights.WeightsBounds(
-        boot_settings.version_s, boot_settings.stable_window_s
-    )
-
-
-def _tolerance(boot_settings: boot.BootSettings) -> allowances.Tolerance:
-    return allowances.Tolerance(
-        boot_settings.allowance_window_s,
-        boot_settings.allowance_excess_share,
-        boot_settings.allowance_excess_tokens,
-    )
-
-
 def _modification_time_ns(path: os.PathLike[str]) -> int:
     try:
         return os.stat(path).st_mtime_ns
     except OSError:
         return 0
-
-
-def _memory_limits(
-    boot_settings: boot.BootSettings,
-) -> servermemory.MemoryLimits:
-    return servermemory.MemoryLimits(
-        boot_settings.limits_server_memory,
-        boot_settings.max_server_body_bytes,
-        boot_settings.engine_fill,
-    )
