Follow the response writer to its module in a test

test_silentservers slowed the writer down by the name of its old module; its checks are unchanged. It failed with an AttributeError, and passes now.

--- a/tests/gateway/test_silentservers.py
+++ b/tests/gateway/test_silentservers.py
@@ -20,7 +20,7 @@
     selection,
     serverselection,
 )
-from hibiscusstile.platform import ingress, servers
+from hibiscusstile.platform import callerresponses, servers
 from tests.builders import gateway as builders
 from tests.builders import gatewayprocess, rawserver, streams
 
@@ -146,7 +146,7 @@
     leaving = asyncio.Event()
     try_leave = handover.StreamHandover.try_leave
     read_events = servers._HttpServerResponse.events
-    write = ingress._HttpResponseWriter.write
+    write = callerresponses.HttpResponseWriter.write
 
     def note_leave(
         self: handover.StreamHandover, server: fleet.BackendServer
@@ -165,14 +165,16 @@
             yield event
 
     async def write_slowly(
-        self: ingress._HttpResponseWriter, data: bytes
+        self: callerresponses.HttpResponseWriter, data: bytes
     ) -> None:
         await write(self, data)
         await asyncio.sleep(0.05)
 
     monkeypatch.setattr(handover.StreamHandover, "try_leave", note_leave)
     monkeypatch.setattr(servers._HttpServerResponse, "events", events_at_leave)
-    monkeypatch.setattr(ingress._HttpResponseWriter, "write", write_slowly)
+    monkeypatch.setattr(
+        callerresponses.HttpResponseWriter, "write", write_slowly
+    )
     sequence = rawserver.AnswerSequence(rawserver.stream(*streams.EVENTS))
     async with streams.silent_servers(sequence, sequence) as harness:
         budget = harness.state.budget(builders.ENGINE_SERVICE)
