--- a/hibiscusstile/gateway/evenload.py
+++ b/hibiscusstile/gateway/evenload.py
@@ -197,7 +197,7 @@
         mode: The operators' setting.
     """
 
-    def __init__(self, clock: clock_lib.Clock, mode: Mode = Mode.AUTO) -> None:
+    def __init__(self, clock: clock_lib.Clock, mode: Mode = Mode.OFF) -> None:
         self._clock = clock
         self._traffic: dict[str, ServiceTraffic] = {}
         self.mode = mode
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -85,7 +85,7 @@
         stable_window: datetime.timedelta = _DEFAULT_STABLE_WINDOW,
         weights_bounds: weights_lib.WeightsBounds | None = None,
         started_s: float | None = None,
-        even_load: evenload.Mode = evenload.Mode.AUTO,
+        even_load: evenload.Mode = evenload.Mode.OFF,
     ) -> None:
         self._clock = clock
         self._held_bodies = held_bodies or heldbodies.HeldBodies()
--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -57,7 +57,7 @@
     server_bodies_kb: Annotated[int, pydantic.Field(ge=1)] = 64 * 1024
     share_room: pydantic.StrictBool | None = None
     engine_fill: Annotated[float, pydantic.Field(ge=0, le=1000)] = 0.0
-    even_load: evenload.Mode = evenload.Mode.AUTO
+    even_load: evenload.Mode = evenload.Mode.OFF
 
 
 class _Limits(_FileModel):
@@ -147,7 +147,7 @@
     max_server_body_bytes: int = 64 * 1024 * 1024
     shares_room: bool | None = None
     engine_fill: float = 0.0
-    even_load: evenload.Mode = evenload.Mode.AUTO
+    even_load: evenload.Mode = evenload.Mode.OFF
     role: str = "gateway"
 
 
--- a/tests/gateway/test_evenload.py
+++ b/tests/gateway/test_evenload.py
@@ -115,9 +115,9 @@
     path = tmp_path / "settings.toml"
     text = 'node = "g1"\nzone = "z1"\n[platform]\naddress = "10.0.0.1:1"\n'
     path.write_text(text)
-    assert boot.load_boot_settings(path).even_load is evenload.Mode.AUTO
-    path.write_text(text + '[gateway]\neven_load = "off"\n')
     assert boot.load_boot_settings(path).even_load is evenload.Mode.OFF
+    path.write_text(text + '[gateway]\neven_load = "auto"\n')
+    assert boot.load_boot_settings(path).even_load is evenload.Mode.AUTO
     path.write_text(text + '[gateway]\neven_load = "of"\n')
     with pytest.raises(settingsfaults.SettingsError, match="even_load"):
         boot.load_boot_settings(path)
