Let requests that need no memory overlap at one server

Cause: the entry of a server is dropped once the sum of what it holds is nothing. The second of two overlapping requests without a body then found no entry: KeyError at its end. Change: a missing entry counts as nothing. Result: the new test failed with KeyError before; tests/gateway/ test_servermemory.py passes.

--- a/hibiscusstile/gateway/servermemory.py
+++ b/hibiscusstile/gateway/servermemory.py
@@ -161,7 +161,7 @@
         try:
             yield
         finally:
-            rest = self._own.pop(server_id) + Footprint(
+            rest = self._own.pop(server_id, NOTHING) + Footprint(
                 -footprint.tokens, -footprint.body_bytes
             )
             if rest != NOTHING:
--- a/tests/gateway/test_servermemory.py
+++ b/tests/gateway/test_servermemory.py
@@ -182,6 +182,20 @@
         assert not second.server_memory.may_send(body, gateways.service, "i-1")
 
 
+def test_requests_that_need_no_memory_overlap() -> None:
+    """Guards against a request without a body that fails when it ends."""
+    held = servermemory.ServerMemory(base.ManualClock())
+    empty = builders.forwarded_request(body=b"")
+    body = builders.forwarded_request(body=bytes(100))
+    with held.hold("i-1", empty), held.hold("i-1", empty):
+        pass
+    with held.hold("i-1", empty):
+        with held.hold("i-1", body):
+            assert held.held("i-1").body_bytes == 100
+        assert held.held("i-1") == servermemory.NOTHING
+    assert held.held("i-1") == servermemory.NOTHING
+
+
 def test_nothing_is_counted_or_announced_unless_it_is_asked_for() -> None:
     """Guards against a change for deployments that do not ask for it."""
     gateways = _Gateways(2, limited=False)
