Keep what running responses and complete bodies were given

Cause: a stream counted as unread for 2 s as soon as it became slow, since its progress was only recorded while a body arrived. Slow streams of more than 128 KiB were reset while the reserve was free. A complete body gave its memory back and took it again, so that it could be refused beyond the limit on requests. Change: progress is recorded when a response starts to be unread; a running response may use the reserve; a complete body's memory is moved to its request, and what was counted too much for a chunked body is returned. Responses that are held count toward the peak. Result: four new tests failed before; tests/memory passes.

--- a/hibiscusstile/memory/budget.py
+++ b/hibiscusstile/memory/budget.py
@@ -119,14 +119,20 @@
     def start_running(self, size_bytes: int) -> bool:
         """Takes memory for a request whose body is complete.
 
+        A body that was admitted keeps the memory it has.
+
         Returns:
             Whether there is room for it.
         """
+        self._end = None
         if self.phase is shedding.Phase.ARRIVING:
-            self._budget.give_back(Use.ARRIVING, self._request_bytes)
-            self._request_bytes = 0
+            self._budget.move(Use.ARRIVING, Use.REQUESTS, self._request_bytes)
             self.phase = shedding.Phase.RUNNING
-        self._end = None
+            # A body of unannounced length took memory in steps.
+            surplus_bytes = self._request_bytes - _REQUEST_BYTES - size_bytes
+            if surplus_bytes > 0:
+                self._budget.give_back(Use.REQUESTS, surplus_bytes)
+                self._request_bytes -= surplus_bytes
         return self.grow(size_bytes)
 
     def set_unread(self, size_bytes: int, end: Callable[[], None]) -> bool:
@@ -139,6 +145,8 @@
         Returns:
             False without room; the connection must then be closed.
         """
+        if size_bytes and not self._unread_bytes:
+            self.note_progress()
         added_bytes = size_bytes - self._unread_bytes
         if added_bytes > 0:
             if not self._budget.take(self, Use.UNREAD, added_bytes):
@@ -233,7 +241,10 @@
         if new_request and len(self._holdings) > self._limits.max_requests:
             return self._refuse(holding, use)
         room_bytes = self._limits.budget_bytes - self._total_bytes
-        if holding.size_bytes + size_bytes > self._limits.small_bytes:
+        # A response that already runs may use the reserve.
+        if use is not Use.UNREAD and (
+            holding.size_bytes + size_bytes > self._limits.small_bytes
+        ):
             room_bytes -= self._limits.reserve_bytes
         if size_bytes > room_bytes:
             chosen = shedding.choose(
@@ -242,9 +253,7 @@
             if not chosen:
                 return self._refuse(holding, use)
             self._end(chosen)
-        self._used_bytes[use] += size_bytes
-        self._total_bytes += size_bytes
-        self._peak_bytes = max(self._peak_bytes, self._total_bytes)
+        self._add(use, size_bytes)
         return True
 
     def take_held(self, size_bytes: int) -> bool:
@@ -252,8 +261,7 @@
         room_bytes = self._limits.budget_bytes - self._limits.reserve_bytes
         if self._total_bytes + size_bytes > room_bytes:
             return False
-        self._used_bytes[Use.HELD] += size_bytes
-        self._total_bytes += size_bytes
+        self._add(Use.HELD, size_bytes)
         return True
 
     def give_back(self, use: Use, size_bytes: int) -> None:
@@ -261,6 +269,11 @@
         self._used_bytes[use] -= size_bytes
         self._total_bytes -= size_bytes
 
+    def move(self, source: Use, target: Use, size_bytes: int) -> None:
+        """Records that memory is used for something else."""
+        self._used_bytes[source] -= size_bytes
+        self._used_bytes[target] += size_bytes
+
     def remove(self, holding: Holding) -> None:
         """Records that a request holds no memory any more."""
         self._holdings.discard(holding)
@@ -285,6 +298,11 @@
         """Returns the memory in use by what it is used for."""
         return {use.value: size for use, size in self._used_bytes.items()}
 
+    def _add(self, use: Use, size_bytes: int) -> None:
+        self._used_bytes[use] += size_bytes
+        self._total_bytes += size_bytes
+        self._peak_bytes = max(self._peak_bytes, self._total_bytes)
+
     def _refuse(self, holding: Holding, use: Use) -> bool:
         self._refused += 1
         metrics.count_memory_decision("refused", use.value)
--- a/hibiscusstile/memory/limits.py
+++ b/hibiscusstile/memory/limits.py
@@ -40,7 +40,8 @@
 
     Attributes:
         budget_bytes: Memory for everything that callers' requests hold.
-        reserve_bytes: Part of it that only small requests may use.
+        reserve_bytes: Part of it that only small requests, and responses whose
+            callers are slow, may use.
         small_bytes: Largest size of a small request.
         max_connections: Callers' connections that may be open.
         max_requests: Requests in progress; each may take a connection to a
--- a/tests/memory/test_budget.py
+++ b/tests/memory/test_budget.py
@@ -71,3 +71,47 @@
         assert holding.start_arriving(_end_nothing, 4096 * _KIB)
         assert holding.start_running(4096 * _KIB)
     assert limits.max_connections > 1000
+
+
+def test_a_stream_that_becomes_slow_has_time_to_be_read() -> None:
+    """Guards against a response that counts as unread as soon as it is slow."""
+    clock = builders.StoppedClock()
+    budget = builders.budget(clock)
+    ended: list[str] = []
+    stream = budget.open("a")
+    assert stream.start_running(10 * _KIB)
+    clock.now_s += 10
+    assert stream.set_unread(1500 * _KIB, lambda: ended.append("a"))
+    assert not budget.open("a").start_running(2000 * _KIB)
+    clock.now_s += 2
+    assert budget.open("a").start_running(2000 * _KIB)
+    assert ended == ["a"]
+
+
+def test_a_slow_response_may_use_the_reserve() -> None:
+    """Guards against slow streams that are reset while memory is free."""
+    budget = builders.budget(builders.StoppedClock())
+    assert budget.open("a").start_running(3030 * _KIB)
+    stream = budget.open("b")
+    assert stream.start_running(10 * _KIB)
+    assert stream.set_unread(160 * _KIB, _end_nothing)
+
+
+def test_a_complete_body_keeps_its_memory() -> None:
+    """Guards against an admitted body that is refused when it is complete."""
+    budget = builders.budget(builders.StoppedClock(), requests=1)
+    with budget.open("a") as admitted:
+        assert admitted.start_arriving(_end_nothing, 100 * _KIB)
+        others = [budget.open("b") for _ in range(2)]
+        assert not others[0].start_running(0)
+        assert admitted.start_running(60 * _KIB)
+        used = budget.used_bytes()
+        assert (used["arriving"], used["requests"]) == (0, 92 * _KIB)
+    assert budget.total_bytes == 0
+
+
+def test_the_peak_counts_held_responses() -> None:
+    """Guards against a peak on the status page below the memory in use."""
+    budget = builders.budget(builders.StoppedClock())
+    assert budget.take_held(10 * _KIB)
+    assert budget.status()["peak_bytes"] == 10 * _KIB
