Don't end the time limit of a body that was refused

Cause: after BodyTooLarge or MemoryShort a request kept its callback. Another request that needed the memory then rescheduled a time limit that was over: RuntimeError in that other request. Change: the callback is dropped when the body's reader ends, however it ends.

--- a/hibiscusstile/memory/budget.py
+++ b/hibiscusstile/memory/budget.py
@@ -160,6 +160,10 @@
         )
         return True
 
+    def clear_end(self) -> None:
+        """Drops the callback; the request may still lose its memory."""
+        self._end = None
+
     def end(self) -> None:
         """Ends the request to free its memory."""
         end = self._end
--- a/hibiscusstile/memory/requestbodies.py
+++ b/hibiscusstile/memory/requestbodies.py
@@ -49,14 +49,18 @@
     size_bytes = request.content_length or request.content.total_bytes
     if size_bytes > max_bytes:
         raise BodyTooLarge
-    if not holding.start_arriving(lambda: expire(timeout), size_bytes):
-        raise MemoryShort
-    if size_bytes > _LARGE_BYTES:
-        sockets.expect_body(request.transport)
-    body = await _read(request.content, holding, max_bytes, size_bytes)
-    if not holding.start_running(len(body)):
-        raise MemoryShort
-    return body
+    try:
+        if not holding.start_arriving(lambda: expire(timeout), size_bytes):
+            raise MemoryShort
+        if size_bytes > _LARGE_BYTES:
+            sockets.expect_body(request.transport)
+        body = await _read(request.content, holding, max_bytes, size_bytes)
+        if not holding.start_running(len(body)):
+            raise MemoryShort
+        return body
+    finally:
+        # A time limit that is over cannot be changed.
+        holding.clear_end()
 
 
 def expire(timeout: asyncio.Timeout) -> None:
