Count a connection's wait from the start of its next head

Cause: at the limit on connections, one that had been idle for long was closed first, even if its next request had just begun to arrive. Change: the start of an incomplete head is recorded, and later parts don't change it; the wait is worked out in one place.

--- a/hibiscusstile/entry/listener.py
+++ b/hibiscusstile/entry/listener.py
@@ -55,7 +55,7 @@
         "_connections",
         "_content",
         "_head_bytes",
-        "_head_started",
+        "_head_started_s",
         "_head_timeout_s",
         "_head_timer",
         "_max_head_bytes",
@@ -84,7 +84,8 @@
         self._head_bytes = 0
         self._max_head_bytes = max_head_bytes
         self._remote = ""
-        self._head_started = False
+        # Since when a part of the next request's head has been there.
+        self._head_started_s: float | None = None
         self._head_timeout_s = head_timeout_s
         self._head_timer: asyncio.TimerHandle | None = None
         self._opened_s = 0.0
@@ -98,14 +99,10 @@
         incomplete. A connection becomes idle only a while after it was opened
         or after its last response, since a request may be on the way.
         """
-        if not self._is_waiting or self._head_started:
+        if not self._is_waiting or self.head_started:
             return False
-        waiting_since_s = max(
-            self._opened_s,
-            self._next_keepalive_close_time - self._keepalive_timeout,
-        )
         now_s = asyncio.get_running_loop().time()
-        return now_s - waiting_since_s >= _REQUEST_WAIT_S
+        return now_s - self._waiting_since_s >= _REQUEST_WAIT_S
 
     @property
     def remote(self) -> str:
@@ -116,21 +113,17 @@
     def waiting_s(self) -> float | None:
         """Time without a complete request; None with one, or if it is short.
 
-        An incomplete head counts as no request.
+        An incomplete head counts as no request; the time starts when it began.
         """
         if not self._is_waiting:
             return None
-        waiting_since_s = max(
-            self._opened_s,
-            self._next_keepalive_close_time - self._keepalive_timeout,
-        )
-        waiting_s = asyncio.get_running_loop().time() - waiting_since_s
+        waiting_s = asyncio.get_running_loop().time() - self._waiting_since_s
         return waiting_s if waiting_s >= _REQUEST_WAIT_S else None
 
     @property
     def head_started(self) -> bool:
         """Whether a part of the next request's head has been received."""
-        return self._head_started
+        return self._head_started_s is not None
 
     @property
     def reused(self) -> bool:
@@ -168,12 +161,23 @@
             self._head_bytes = 0
         elif not receives_body:
             self._limit_head(len(data))
-        self._head_started = self._request_count == count and not (
+        if self._request_count > count or (
             self._messages or self._current_request
-        )
+        ):
+            self._head_started_s = None
+        elif self._head_started_s is None:
+            self._head_started_s = asyncio.get_running_loop().time()
         if self._head_timer and (self._messages or self._current_request):
             self._cancel_head_timer()
 
+    @property
+    def _waiting_since_s(self) -> float:
+        return max(
+            self._opened_s,
+            self._next_keepalive_close_time - self._keepalive_timeout,
+            self._head_started_s or 0.0,
+        )
+
     @property
     def _is_waiting(self) -> bool:
         return self._waiter is not None and not self._waiter.done()
