Refuse an infinite memory limit in the settings file

Cause: memory_mb = inf was accepted and overflowed when the limits were worked out, without naming the value. Change: the field takes finite numbers only. Result: the new test failed for inf before; nan was refused already.

--- a/hibiscusstile/platform/boot.py
+++ b/hibiscusstile/platform/boot.py
@@ -61,7 +61,7 @@
 
 
 class _Limits(_FileModel):
-    memory_mb: Annotated[float, pydantic.Field(ge=0)] = 0
+    memory_mb: Annotated[float, pydantic.Field(ge=0, allow_inf_nan=False)] = 0
     max_fds: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
--- a/tests/memory/test_limits.py
+++ b/tests/memory/test_limits.py
@@ -34,6 +34,17 @@
         _load(tmp_path, "[limits]\nmax_fds = -1\n")
 
 
+@pytest.mark.parametrize("memory_mb", ["inf", "nan"])
+def test_memory_without_a_number_is_refused(
+    tmp_path: pathlib.Path, memory_mb: str
+) -> None:
+    """Guards against a process that fails later, without naming the value."""
+    with pytest.raises(
+        settingsfaults.SettingsError, match=r"limits\.memory_mb"
+    ):
+        _load(tmp_path, f"[limits]\nmemory_mb = {memory_mb}\n")
+
+
 @pytest.mark.parametrize("memory_mb", [100, 150, 300, 4096])
 def test_limits_fit_into_the_memory(memory_mb: int) -> None:
     """Guards against shares that add up to more than a machine has."""
