Bound the ranks that weigh fair shares

Ranks may be up to a million either way; the weight of one below -511 or above 537 raised OverflowError or ZeroDivisionError at each request of a shortage. Ranks are now bounded to 0..9, as many as engines tell apart. Ranks of -600 and 600 beside another flow failed before and pass now.

--- a/hibiscusstile/gateway/roomsharing/fairshares.py
+++ b/hibiscusstile/gateway/roomsharing/fairshares.py
@@ -24,6 +24,8 @@
 _DIVISION_INTERVAL_S = 0.1
 # Weight of a rank, as a share of that of the next more urgent one.
 _NEXT_RANK_SHARE = 0.25
+# Engines tell apart as many ranks. Weights of ranks far beyond would overflow.
+_MAX_RANK = 9
 # Weight of a caller that sends several times the mean of its workspace.
 _LARGE_CALLER_SHARE = 0.5
 _MAX_WORKSPACES = 2048
@@ -97,12 +99,13 @@
 
     def note_demand(self, flow: Flow, tokens: int, now_s: float) -> None:
         """Counts a request, whether or not it will be refused."""
-        key = (flow.rank, flow.workspace)
+        rank = _bounded_rank(flow)
+        key = (rank, flow.workspace)
         measured = self._flows.setdefault(key, _WorkspaceDemand())
         self._flows.move_to_end(key)
         if len(self._flows) > _MAX_WORKSPACES:
             self._flows.popitem(last=False)
-        measured.weight = flow.weight * _NEXT_RANK_SHARE**flow.rank
+        measured.weight = flow.weight * _NEXT_RANK_SHARE**rank
         measured.tokens.add(tokens, now_s)
         measured.callers.add("", flow.caller, tokens, now_s)
         self._demanded_tokens.add(tokens, now_s)
@@ -114,7 +117,7 @@
 
     def excess_share(self, flow: Flow, now_s: float) -> float:
         """Returns which share of a flow's requests exceeds its fair share."""
-        measured = self._flows.get((flow.rank, flow.workspace))
+        measured = self._flows.get((_bounded_rank(flow), flow.workspace))
         if measured is None:
             return 0.0
         if now_s >= self._next_division_s:
@@ -147,3 +150,7 @@
             left_tokens -= level * weight
             left_weight -= weight
         return left_tokens / left_weight if left_weight > 0.0 else math.inf
+
+
+def _bounded_rank(flow: Flow) -> int:
+    return max(0, min(_MAX_RANK, flow.rank))
--- a/tests/gateway/test_roomsharing.py
+++ b/tests/gateway/test_roomsharing.py
@@ -5,9 +5,11 @@
 import itertools
 import random
 
+import pytest
+
 from hibiscusstile import outcome
 from hibiscusstile.gateway import overload, roomsharing
-from hibiscusstile.gateway.roomsharing import returns
+from hibiscusstile.gateway.roomsharing import fairshares, returns
 from tests.builders import room as builders
 
 _OTHERS = tuple(f"w{number}" for number in range(9))
@@ -131,3 +133,17 @@
     assert refusal.verdict is outcome.Verdict.NOT_RUN
     assert refusal.retry_after is not None
     assert 0.5 <= refusal.retry_after.total_seconds() <= 1.2
+
+
+@pytest.mark.parametrize("rank", [-600, 600])
+def test_a_far_rank_is_weighed(rank: int) -> None:
+    """Guards against an arithmetic error at each request of a shortage."""
+    shares = fairshares.FairShares()
+    far = roomsharing.Flow("far", "", rank, 1.0)
+    near = roomsharing.Flow("near", "", 0, 1.0)
+    for _ in range(20):
+        shares.note_demand(far, 1000, 0.0)
+        shares.note_demand(near, 1000, 0.0)
+    shares.note_granted(10_000, 0.0)
+    assert 0.0 < shares.excess_share(near, 0.0) < 1.0
+    assert 0.0 < shares.excess_share(far, 0.0) <= 1.0
