Weigh workspaces without a token limit by the mean rate

A workspace without an allowance weighed 1 and one limited in requests its requests per second, beside others that weigh their tokens per second: it was starved in a shortage. Both now weigh the mean rate of the workspaces limited in tokens. Beside a rate of 10,000 the weight was 1 or the rate in requests in the new test, and is 10,000 now.

--- a/hibiscusstile/gateway/requestroom.py
+++ b/hibiscusstile/gateway/requestroom.py
@@ -48,12 +48,17 @@
         self._prompt_tokens = request.prompt_tokens
         workspace = destination.workspace
         allowance = workspace.allowance if workspace else None
+        table = state.table
+        if allowance is not None and allowance.in_tokens:
+            weight = allowance.rate
+        else:
+            weight = table.mean_token_rate if table else 1.0
         self._request = roomsharing.RoomRequest(
             roomsharing.Flow(
                 workspace.name if workspace else "",
                 request.key,
                 destination.rank,
-                allowance.rate if allowance else 1.0,
+                weight,
             ),
             request.prompt_tokens + request.max_output_tokens,
             destination.route.target_latency_s,
--- a/hibiscusstile/gateway/routes.py
+++ b/hibiscusstile/gateway/routes.py
@@ -278,6 +278,16 @@
             if workspace.allowance is not None
         }
 
+    @functools.cached_property
+    def mean_token_rate(self) -> float:
+        """Mean rate of the workspaces limited in tokens; 1 if none is."""
+        rates = [
+            allowance.rate
+            for allowance in self.allowances.values()
+            if allowance.in_tokens
+        ]
+        return sum(rates) / len(rates) if rates else 1.0
+
     @functools.cached_property
     def shared_cache_scope(self) -> str:
         """Scope in which workspaces that are not isolated share prompt parts.
--- a/tests/gateway/test_requestroom.py
+++ b/tests/gateway/test_requestroom.py
@@ -130,6 +130,30 @@
         boot.load_boot_settings(_settings_file(tmp_path, 'share_room = "on"'))
 
 
+@pytest.mark.parametrize("unlimited", [{}, {**_ALLOWANCE, "unit": "requests"}])
+def test_a_workspace_without_tokens_weighs_the_mean(
+    unlimited: dict[str, Any],
+) -> None:
+    """Guards against one that gets a ten-thousandth of the room of others."""
+    state = builders.gateway_state(base.ManualClock())
+    state.apply_table(
+        builders.routing_table(
+            tenants=[
+                {"name": "growers", "api_keys": [builders.KEY], **unlimited},
+                {"name": "florists", "api_keys": ["fl-key"], **_ALLOWANCE},
+            ]
+        )
+    )
+    assert _room(state)._request.flow.weight == 10_000
+
+
+def _room(state: state_lib.GatewayState) -> requestroom.RequestRoom:
+    request = builders.forwarded_request(parts=_SHORT)
+    destination = resolving.resolve(state.table, request)
+    rates = state.engine_rates(destination.service.name)
+    return requestroom.RequestRoom(state, request, destination, rates)
+
+
 def _settings_file(folder: pathlib.Path, line: str) -> pathlib.Path:
     path = folder / "settings.toml"
     path.write_text(
