Let the new weight test fail for a limit in requests

Its rate in requests equalled the rate in tokens of the other workspace, so that case passed without the fix. It is 5 now; both cases fail with the former module and pass now.

--- a/tests/gateway/test_requestroom.py
+++ b/tests/gateway/test_requestroom.py
@@ -130,7 +130,9 @@
         boot.load_boot_settings(_settings_file(tmp_path, 'share_room = "on"'))
 
 
-@pytest.mark.parametrize("unlimited", [{}, {**_ALLOWANCE, "unit": "requests"}])
+@pytest.mark.parametrize(
+    "unlimited", [{}, {"rate_per_s": 5, "burst": 5, "unit": "requests"}]
+)
 def test_a_workspace_without_tokens_weighs_the_mean(
     unlimited: dict[str, Any],
 ) -> None:
