Make no tokens by refunds

A bucket and the costs that it may still give back are now at most its cap together: what it regains, or a lower cap, takes the place of the oldest cost.

A request admitted after its allowance was removed has an empty charge, and a charge in one unit is not given back in the other.

--- a/hibiscusstile/gateway/allowances/account.py
+++ b/hibiscusstile/gateway/allowances/account.py
@@ -110,6 +110,9 @@
         filling: bool,
     ) -> None:
         """Changes the allowance or this gateway's share of it."""
+        if allowance.in_tokens != self._allowance.in_tokens:
+            # Charges in the other unit are not given back in this one.
+            self._bucket.drop_refundable()
         self._allowance = allowance
         self._share = share
         if filling:
@@ -119,7 +122,7 @@
 
     def add(self, tokens: float, now_s: float) -> None:
         """Adds tokens to the bucket, up to its cap."""
-        self._bucket.give_back(tokens, now_s)
+        self._bucket.add(tokens, now_s)
 
     def available(self, now_s: float) -> float:
         """Returns the tokens held here."""
@@ -142,10 +145,20 @@
         self._bucket.take(tokens, now_s)
         self._totals.admitted_tokens += tokens
 
-    def give_back(self, tokens: float, now_s: float) -> None:
-        """Returns the cost of a request that no server has run."""
-        self._bucket.give_back(tokens, now_s)
-        self._totals.admitted_tokens -= tokens
+    def note_refundable(
+        self, charge: object, tokens: float, now_s: float
+    ) -> None:
+        """Records that a cost may be given back."""
+        self._bucket.note_refundable(charge, tokens, now_s)
+
+    def settle(
+        self, charge: object, tokens: float, now_s: float, *, ran: bool
+    ) -> None:
+        """Ends a charge, and returns the cost if no server has run it."""
+        refund = self._bucket.settle(charge, now_s)
+        if refund and not ran:
+            self._bucket.add(refund, now_s)
+            self._totals.admitted_tokens -= tokens
 
     def note_refused(self, cost: demand.Cost) -> None:
         """Counts a refused request."""
--- a/hibiscusstile/gateway/allowances/desk.py
+++ b/hibiscusstile/gateway/allowances/desk.py
@@ -62,6 +62,8 @@
         self._workspace = workspace
         self._tokens = tokens
         self._charged_runs = 1
+        if ledger is not None:
+            ledger.note_refundable(workspace, self, tokens)
 
     def note_attempt(self, runs: int) -> None:
         """Charges a further attempt.
@@ -72,12 +74,18 @@
         if self._ledger is not None and runs >= self._charged_runs:
             self._charged_runs += 1
             self._ledger.charge(self._workspace, self._tokens)
+            self._ledger.note_refundable(self._workspace, self, self._tokens)
 
     def settle(self, verdict: outcome.Verdict) -> None:
         """Ends the request, and gives back what no server has run, once."""
         ledger, self._ledger = self._ledger, None
-        if ledger is not None and verdict is outcome.Verdict.NOT_RUN:
-            ledger.give_back(self._workspace, self._tokens * self._charged_runs)
+        if ledger is not None:
+            ledger.settle(
+                self._workspace,
+                self,
+                self._tokens * self._charged_runs,
+                ran=verdict is not outcome.Verdict.NOT_RUN,
+            )
 
 
 class AllowanceDesk:
@@ -168,6 +176,9 @@
         metrics.count_allowance(result)
         if not admitted:
             raise self._refused(name, cost)
+        if name not in self._ledger.accounts:
+            # The allowance was removed during the wait: nothing was taken.
+            return Charge()
         return Charge(self._ledger, name, cost.tokens)
 
     def receive_ask(self, peer: str, ask: ledger_lib.Ask) -> None:
--- a/hibiscusstile/gateway/allowances/ledger.py
+++ b/hibiscusstile/gateway/allowances/ledger.py
@@ -189,11 +189,29 @@
         if found is not None:
             found.charge(tokens, self._clock.monotonic())
 
-    def give_back(self, name: str, tokens: float) -> None:
-        """Returns the cost of a request that no server has run."""
+    def note_refundable(self, name: str, charge: object, tokens: float) -> None:
+        """Records that the cost of a request may be given back."""
         found = self._accounts.get(name)
         if found is not None:
-            found.give_back(tokens, self._clock.monotonic())
+            found.note_refundable(charge, tokens, self._clock.monotonic())
+
+    def settle(
+        self, name: str, charge: object, tokens: float, *, ran: bool
+    ) -> None:
+        """Ends a charge, and returns the cost if no server has run it.
+
+        Args:
+            name: Name of the workspace.
+            charge: The charge; one of a removed account is not given back to
+                another account.
+            tokens: Its cost.
+            ran: Whether a server may have run the request.
+        """
+        found = self._accounts.get(name)
+        if found is None and name in self._retired:
+            found = self._retired[name][0]
+        if found is not None:
+            found.settle(charge, tokens, self._clock.monotonic(), ran=ran)
 
     def asks_for_waiting(
         self, name: str, near: Sequence[str], far: Sequence[str]
--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -305,3 +305,53 @@
         desk.ledger.note_told_count(told)
         clock.advance(1.0)
         assert (desk.ledger.held(_NAME) > 0) is filled
+
+
+@pytest.mark.parametrize("idle_s", [1.5, 1.8, 4.0])
+async def test_a_late_refund_makes_no_tokens(idle_s: float) -> None:
+    """Guards against a bucket that refills and is then refunded as well."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(10.0)
+    cap = desk.ledger.held(_NAME)
+    charge = await _admit(desk, round(cap))
+    clock.advance(idle_s)
+    held = desk.ledger.held(_NAME)
+    second = await _admit(desk, round(held) - 1)
+    second.settle(outcome.Verdict.RAN)
+    charge.settle(outcome.Verdict.NOT_RUN)
+    assert held + desk.ledger.held(_NAME) <= cap + 2
+
+
+async def test_no_refund_without_a_charge_in_its_unit() -> None:
+    """Guards against tokens made by a change of the allowance."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(1.0)
+    charge = await _admit(desk, 600)
+    in_requests = routes.Allowance(1000.0, 2000.0)
+    desk.apply({_NAME: in_requests})
+    charge.settle(outcome.Verdict.NOT_RUN)
+    assert desk.ledger.held(_NAME) == pytest.approx(400)
+
+
+async def test_no_refund_of_what_was_admitted_without_an_allowance() -> None:
+    """Guards against tokens made by an allowance that is removed and set."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(0.3)
+    desk.connect(
+        lambda peer, message: None, lambda: [allowances.Peer("b", True)]
+    )
+    desk.ledger.note_gateways(("b",))
+    desk.apply({_NAME: _ALLOWANCE})
+    held = desk.ledger.held(_NAME)
+    task = asyncio.ensure_future(_admit(desk, round(held) + 200))
+    await asyncio.sleep(0)
+    desk.apply({})
+    for waiter in desk._waiters[_NAME]:
+        waiter.wake()
+    charge = await task
+    desk.apply({_NAME: _ALLOWANCE})
+    charge.settle(outcome.Verdict.NOT_RUN)
+    assert desk.ledger.held(_NAME) == pytest.approx(held)
