Refuse a count of no gateways from a peer

A peer that told 0 gateways made each later division of allowances raise ZeroDivisionError. The message now holds 1 to 100,000; both ends of the range failed to raise before and are refused now.

--- a/hibiscusstile/peers/messages/gateway.py
+++ b/hibiscusstile/peers/messages/gateway.py
@@ -262,7 +262,7 @@
         age_s: Seconds since as many gateways were announced.
     """
 
-    gateways: Count
+    gateways: Annotated[int, pydantic.Field(ge=1, le=100_000)]
     for_s: Seconds
     age_s: Seconds
 
--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -11,7 +11,7 @@
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome
 from hibiscusstile.gateway import allowances, notices, routes, statuspage
-from hibiscusstile.peers import mesh
+from hibiscusstile.peers import codec, mesh, messages
 from hibiscusstile.platform import operatorrecords
 from tests import builders as base
 from tests.builders import allowances as fleets
@@ -284,6 +284,15 @@
     assert lent == pytest.approx(0.5 * held, rel=0.3)
 
 
+@pytest.mark.parametrize("gateways", [0, 100_001])
+def test_an_impossible_count_of_a_peer_is_refused(gateways: int) -> None:
+    """Guards against a division by zero at each later request."""
+    counted = messages.GatewayCountUpdate(gateways, 2.0, 1.0)
+    frame = codec.encode(messages.GatewayNotice(counted=counted), 1)
+    with pytest.raises(codec.FrameError):
+        codec.decode(frame)
+
+
 def test_a_counted_gateway_fills_after_its_restart() -> None:
     """Guards against seconds without tokens after a planned restart.
 
