Leave half of a peer's queue to notices

Questions and grants could fill a peer's queue of 16, and the next notice then dropped the oldest entry, which may be a notice. They are now dropped from 8 entries on. 40 questions left 16 entries before, and 8 now.

--- a/hibiscusstile/peers/mesh.py
+++ b/hibiscusstile/peers/mesh.py
@@ -42,6 +42,8 @@
 _MIN_RETRY_DELAY_S = 0.5
 _MAX_RETRY_DELAY_S = 8.0
 _MAX_QUEUED_MESSAGES = 16
+# Questions and answers about tokens leave the rest of the queue to notices.
+_MAX_QUEUED_BEFORE_TOKENS = _MAX_QUEUED_MESSAGES // 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -221,12 +223,12 @@
     def _send_tokens(
         self, name: str, message: allowances.Ask | allowances.Grant
     ) -> None:
-        """Queues a question or an answer, unless the queue is full.
+        """Queues a question or an answer, unless the queue is half full.
 
         A lost one costs tokens, while notices must not be dropped for it.
         """
         queue = self._queues.get(name)
-        if queue is None or queue.full():
+        if queue is None or queue.qsize() >= _MAX_QUEUED_BEFORE_TOKENS:
             return
         if isinstance(message, allowances.Ask):
             queue.put_nowait(
--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -293,6 +293,23 @@
         codec.decode(frame)
 
 
+async def test_questions_leave_room_for_notices() -> None:
+    """Guards against questions for which the next notice drops another one."""
+    state = builders.gateway_state(base.ManualClock())
+    link = mesh.Mesh(
+        "a",
+        "127.0.0.1",
+        0,
+        state,
+        notices.NoticeHandler(state),
+        builders.configuration_relay(state),
+    )
+    await link.set_peers({"b": mesh.Peer("b", "127.0.0.1:1", "secret")})
+    for number in range(40):
+        link._send_tokens("b", allowances.Ask(number, _NAME, 100.0))
+    assert link._queues["b"].qsize() == 8
+
+
 def test_a_counted_gateway_fills_after_its_restart() -> None:
     """Guards against seconds without tokens after a planned restart.
 
