Settle the charge of a request that cannot be forwarded

The forwarder was built, and its deadline set, before the try block that settles the charge: an exception there kept the tokens.

--- a/hibiscusstile/gateway/service.py
+++ b/hibiscusstile/gateway/service.py
@@ -164,23 +164,28 @@
         destination: resolving.Destination,
         charge: allowances.Charge,
     ) -> None:
-        forwarder = forwarding.RequestForwarder(
-            self._state,
-            self._client,
-            self._crash_detector,
-            request,
-            writer,
-            destination,
-            charge,
-        )
-        if self._schedule is not None:
-            forwarder.deadline.end_by(self._schedule.answer_until_s)
-        self._forwarders.add(forwarder)
+        # Stays if an exception precedes the first attempt.
+        verdict = outcome.Verdict.NOT_RUN
         try:
-            await forwarder.run()
+            forwarder = forwarding.RequestForwarder(
+                self._state,
+                self._client,
+                self._crash_detector,
+                request,
+                writer,
+                destination,
+                charge,
+            )
+            if self._schedule is not None:
+                forwarder.deadline.end_by(self._schedule.answer_until_s)
+            self._forwarders.add(forwarder)
+            try:
+                await forwarder.run()
+            finally:
+                self._forwarders.discard(forwarder)
+                verdict = forwarder.verdict
         finally:
-            self._forwarders.discard(forwarder)
-            charge.settle(forwarder.verdict)
+            charge.settle(verdict)
 
     def _log_refusal(
         self, request_id: str, refusal: outcome.Refusal, **fields: str
--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -5,14 +5,22 @@
 import asyncio
 import datetime
 import random
+from unittest import mock
 
 import pytest
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome
-from hibiscusstile.gateway import allowances, notices, routes, statuspage
+from hibiscusstile.gateway import (
+    allowances,
+    forwarding,
+    notices,
+    routes,
+    service,
+    statuspage,
+)
 from hibiscusstile.peers import codec, mesh, messages
-from hibiscusstile.platform import operatorrecords
+from hibiscusstile.platform import operatorrecords, servers
 from tests import builders as base
 from tests.builders import allowances as fleets
 from tests.builders import gateway as builders
@@ -310,6 +318,34 @@
     assert link._queues["b"].qsize() == 8
 
 
+async def test_a_request_that_cannot_be_forwarded_is_given_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against tokens lost by an exception before any attempt."""
+
+    def fail(*args: object) -> None:
+        raise ValueError("no forwarder")
+
+    monkeypatch.setattr(forwarding, "RequestForwarder", fail)
+    clock = base.ManualClock()
+    state = builders.gateway_state(clock)
+    tenant = {"name": _NAME, "api_keys": [builders.KEY], "unit": "tokens"}
+    tenant |= {"rate_per_s": 10_000, "burst": 10_000}
+    state.apply_table(builders.routing_table(tenants=[tenant]))
+    ledger = state.allowances.ledger
+    ledger.note_gateways(())
+    clock.advance(0.5)
+    held = ledger.held(_NAME)
+    client = servers.HttpServerClient()
+    gateway = service.Gateway(state, client)
+    request = builders.forwarded_request(parts=(("aa", 50),))
+    with pytest.raises(ValueError, match="no forwarder"):
+        await gateway.serve(request, mock.Mock())
+    await client.close()
+    assert held > 0
+    assert ledger.held(_NAME) == held
+
+
 def test_a_counted_gateway_fills_after_its_restart() -> None:
     """Guards against seconds without tokens after a planned restart.
 
