Forget the least used route, and count callers without a workspace as one

Beyond 1,024 routes, the oldest route lost its demand even if it was busy; now the one that was not used for longest does. Callers without a workspace could each name another key and fill the meter of callers; they now count as one. Both tests failed before and pass now.

--- a/hibiscusstile/gateway/requestroom.py
+++ b/hibiscusstile/gateway/requestroom.py
@@ -56,7 +56,8 @@
         self._request = roomsharing.RoomRequest(
             roomsharing.Flow(
                 workspace.name if workspace else "",
-                request.key,
+                # Without a workspace, each caller could name another key.
+                request.key if workspace else "",
                 destination.rank,
                 weight,
             ),
--- a/hibiscusstile/gateway/roomsharing/room.py
+++ b/hibiscusstile/gateway/roomsharing/room.py
@@ -164,4 +164,5 @@
             room = self._routes[name] = RouteRoom()
             if len(self._routes) > _MAX_ROUTES:
                 self._routes.popitem(last=False)
+        self._routes.move_to_end(name)
         return room
--- a/tests/gateway/test_requestroom.py
+++ b/tests/gateway/test_requestroom.py
@@ -149,6 +149,14 @@
     assert _room(state)._request.flow.weight == 10_000
 
 
+def test_callers_of_no_workspace_count_as_one() -> None:
+    """Guards against random keys that fill the meter of callers."""
+    state = builders.gateway_state(base.ManualClock())
+    state.apply_table(builders.routing_table(tenants=None))
+    flow = _room(state)._request.flow
+    assert (flow.workspace, flow.caller) == ("", "")
+
+
 def _room(state: state_lib.GatewayState) -> requestroom.RequestRoom:
     request = builders.forwarded_request(parts=_SHORT)
     destination = resolving.resolve(state.table, request)
--- a/tests/gateway/test_roomsharing.py
+++ b/tests/gateway/test_roomsharing.py
@@ -135,6 +135,15 @@
     assert 0.5 <= refusal.retry_after.total_seconds() <= 1.2
 
 
+def test_the_least_used_route_is_dropped() -> None:
+    """Guards against a busy route whose demand is forgotten."""
+    room = roomsharing.RoomSharing()
+    busy = room.route("busy")
+    for number in range(2000):
+        room.route(f"rare-{number}")
+        assert room.route("busy") is busy
+
+
 @pytest.mark.parametrize("rank", [-600, 600])
 def test_a_far_rank_is_weighed(rank: int) -> None:
     """Guards against an arithmetic error at each request of a shortage."""
