Tell the verdict of earlier attempts in a refusal for lack of room

A 5xx response that allows a retry is no failed delivery, so the search for the next server could refuse the request with the verdict not_run after a run. The caller got the held 5xx response, but the log had the wrong verdict. The new test saw NOT_RUN after a run before, and RAN now.

--- a/hibiscusstile/gateway/forwarding.py
+++ b/hibiscusstile/gateway/forwarding.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import datetime
 
 from hibiscusstile import outcome
@@ -251,7 +252,9 @@
         )
         if refusal is not None:
             self._log.server_selected(found, "server_too_busy")
-            raise outcome.Refused(refusal)
+            raise outcome.Refused(
+                dataclasses.replace(refusal, verdict=self._progress.verdict)
+            )
         return found
 
     def _refuse_further_attempts(self) -> None:
--- a/tests/gateway/test_requestroom.py
+++ b/tests/gateway/test_requestroom.py
@@ -4,12 +4,14 @@
 
 import pathlib
 from typing import Any
+from unittest import mock
 
 import pytest
 
 from hibiscusstile import outcome, settingsfaults
 from hibiscusstile.gateway import (
     attemptlimits,
+    forwarding,
     load,
     requestroom,
     requestservers,
@@ -157,6 +159,29 @@
     assert (flow.workspace, flow.caller) == ("", "")
 
 
+def test_a_refusal_after_a_run_says_so() -> None:
+    """Guards against a second run of a request that a server answered with 5xx.
+
+    Such an answer is no failed attempt: the next server may be too late.
+    """
+    state = _state(**_ALLOWANCE)
+    request = builders.forwarded_request(parts=_LONG)
+    forwarder = forwarding.RequestForwarder(
+        state,
+        mock.Mock(),
+        mock.Mock(),
+        request,
+        mock.Mock(started=False),
+        resolving.resolve(state.table, request),
+    )
+    forwarder._progress.note_run(outcome.Verdict.RAN)
+    selected = forwarder._servers.select_next()
+    assert selected is not None
+    with pytest.raises(outcome.Refused) as refused:
+        forwarder._in_time_or_refuse(selected)
+    assert refused.value.refusal.verdict is outcome.Verdict.RAN
+
+
 def _room(state: state_lib.GatewayState) -> requestroom.RequestRoom:
     request = builders.forwarded_request(parts=_SHORT)
     destination = resolving.resolve(state.table, request)
