--- a/tests/gateway/test_allowances.py
+++ b/tests/gateway/test_allowances.py
@@ -5,14 +5,22 @@
 import asyncio
 import datetime
 import random
+from unittest import mock
 
 import pytest
 
 from hibiscusstile import clock as clock_lib
 from hibiscusstile import outcome
-from hibiscusstile.gateway import allowances, notices, routes, statuspage
-from hibiscusstile.peers import mesh
-from hibiscusstile.platform import operatorrecords
+from hibiscusstile.gateway import (
+    allowances,
+    forwarding,
+    notices,
+    routes,
+    service,
+    statuspage,
+)
+from hibiscusstile.peers import codec, mesh, messages
+from hibiscusstile.platform import operatorrecords, servers
 from tests import builders as base
 from tests.builders import allowances as fleets
 from tests.builders import gateway as builders
@@ -284,6 +292,60 @@
     assert lent == pytest.approx(0.5 * held, rel=0.3)
 
 
+@pytest.mark.parametrize("gateways", [0, 100_001])
+def test_an_impossible_count_of_a_peer_is_refused(gateways: int) -> None:
+    """Guards against a division by zero at each later request."""
+    counted = messages.GatewayCountUpdate(gateways, 2.0, 1.0)
+    frame = codec.encode(messages.GatewayNotice(counted=counted), 1)
+    with pytest.raises(codec.FrameError):
+        codec.decode(frame)
+
+
+async def test_questions_leave_room_for_notices() -> None:
+    """Guards against questions for which the next notice drops another one."""
+    state = builders.gateway_state(base.ManualClock())
+    link = mesh.Mesh(
+        "a",
+        "127.0.0.1",
+        0,
+        state,
+        notices.NoticeHandler(state),
+        builders.configuration_relay(state),
+    )
+    await link.set_peers({"b": mesh.Peer("b", "127.0.0.1:1", "secret")})
+    for number in range(40):
+        link._send_tokens("b", allowances.Ask(number, _NAME, 100.0))
+    assert link._queues["b"].qsize() == 8
+
+
+async def test_a_request_that_cannot_be_forwarded_is_given_back(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against tokens lost by an exception before any attempt."""
+
+    def fail(*args: object) -> None:
+        raise ValueError("no forwarder")
+
+    monkeypatch.setattr(forwarding, "RequestForwarder", fail)
+    clock = base.ManualClock()
+    state = builders.gateway_state(clock)
+    tenant = {"name": _NAME, "api_keys": [builders.KEY], "unit": "tokens"}
+    tenant |= {"rate_per_s": 10_000, "burst": 10_000}
+    state.apply_table(builders.routing_table(tenants=[tenant]))
+    ledger = state.allowances.ledger
+    ledger.note_gateways(())
+    clock.advance(0.5)
+    held = ledger.held(_NAME)
+    client = servers.HttpServerClient()
+    gateway = service.Gateway(state, client)
+    request = builders.forwarded_request(parts=(("aa", 50),))
+    with pytest.raises(ValueError, match="no forwarder"):
+        await gateway.serve(request, mock.Mock())
+    await client.close()
+    assert held > 0
+    assert ledger.held(_NAME) == held
+
+
 def test_a_counted_gateway_fills_after_its_restart() -> None:
     """Guards against seconds without tokens after a planned restart.
 
@@ -305,3 +367,53 @@
         desk.ledger.note_told_count(told)
         clock.advance(1.0)
         assert (desk.ledger.held(_NAME) > 0) is filled
+
+
+@pytest.mark.parametrize("idle_s", [1.5, 1.8, 4.0])
+async def test_a_late_refund_makes_no_tokens(idle_s: float) -> None:
+    """Guards against a bucket that refills and is then refunded as well."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(10.0)
+    cap = desk.ledger.held(_NAME)
+    charge = await _admit(desk, round(cap))
+    clock.advance(idle_s)
+    held = desk.ledger.held(_NAME)
+    second = await _admit(desk, round(held) - 1)
+    second.settle(outcome.Verdict.RAN)
+    charge.settle(outcome.Verdict.NOT_RUN)
+    assert held + desk.ledger.held(_NAME) <= cap + 2
+
+
+async def test_no_refund_without_a_charge_in_its_unit() -> None:
+    """Guards against tokens made by a change of the allowance."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(1.0)
+    charge = await _admit(desk, 600)
+    in_requests = routes.Allowance(1000.0, 2000.0)
+    desk.apply({_NAME: in_requests})
+    charge.settle(outcome.Verdict.NOT_RUN)
+    assert desk.ledger.held(_NAME) == pytest.approx(400)
+
+
+async def test_no_refund_of_what_was_admitted_without_an_allowance() -> None:
+    """Guards against tokens made by an allowance that is removed and set."""
+    clock = base.ManualClock()
+    desk = _desk(clock)
+    clock.advance(0.3)
+    desk.connect(
+        lambda peer, message: None, lambda: [allowances.Peer("b", True)]
+    )
+    desk.ledger.note_gateways(("b",))
+    desk.apply({_NAME: _ALLOWANCE})
+    held = desk.ledger.held(_NAME)
+    task = asyncio.ensure_future(_admit(desk, round(held) + 200))
+    await asyncio.sleep(0)
+    desk.apply({})
+    for waiter in desk._waiters[_NAME]:
+        waiter.wake()
+    charge = await task
+    desk.apply({_NAME: _ALLOWANCE})
+    charge.settle(outcome.Verdict.NOT_RUN)
+    assert desk.ledger.held(_NAME) == pytest.approx(held)
--- a/tests/gateway/test_requestroom.py
+++ b/tests/gateway/test_requestroom.py
@@ -4,12 +4,14 @@
 
 import pathlib
 from typing import Any
+from unittest import mock
 
 import pytest
 
 from hibiscusstile import outcome, settingsfaults
 from hibiscusstile.gateway import (
     attemptlimits,
+    forwarding,
     load,
     requestroom,
     requestservers,
@@ -130,6 +132,63 @@
         boot.load_boot_settings(_settings_file(tmp_path, 'share_room = "on"'))
 
 
+@pytest.mark.parametrize(
+    "unlimited", [{}, {"rate_per_s": 5, "burst": 5, "unit": "requests"}]
+)
+def test_a_workspace_without_tokens_weighs_the_mean(
+    unlimited: dict[str, Any],
+) -> None:
+    """Guards against one that gets a ten-thousandth of the room of others."""
+    state = builders.gateway_state(base.ManualClock())
+    state.apply_table(
+        builders.routing_table(
+            tenants=[
+                {"name": "growers", "api_keys": [builders.KEY], **unlimited},
+                {"name": "florists", "api_keys": ["fl-key"], **_ALLOWANCE},
+            ]
+        )
+    )
+    assert _room(state)._request.flow.weight == 10_000
+
+
+def test_callers_of_no_workspace_count_as_one() -> None:
+    """Guards against random keys that fill the meter of callers."""
+    state = builders.gateway_state(base.ManualClock())
+    state.apply_table(builders.routing_table(tenants=None))
+    flow = _room(state)._request.flow
+    assert (flow.workspace, flow.caller) == ("", "")
+
+
+def test_a_refusal_after_a_run_says_so() -> None:
+    """Guards against a second run of a request that a server answered with 5xx.
+
+    Such an answer is no failed attempt: the next server may be too late.
+    """
+    state = _state(**_ALLOWANCE)
+    request = builders.forwarded_request(parts=_LONG)
+    forwarder = forwarding.RequestForwarder(
+        state,
+        mock.Mock(),
+        mock.Mock(),
+        request,
+        mock.Mock(started=False),
+        resolving.resolve(state.table, request),
+    )
+    forwarder._progress.note_run(outcome.Verdict.RAN)
+    selected = forwarder._servers.select_next()
+    assert selected is not None
+    with pytest.raises(outcome.Refused) as refused:
+        forwarder._in_time_or_refuse(selected)
+    assert refused.value.refusal.verdict is outcome.Verdict.RAN
+
+
+def _room(state: state_lib.GatewayState) -> requestroom.RequestRoom:
+    request = builders.forwarded_request(parts=_SHORT)
+    destination = resolving.resolve(state.table, request)
+    rates = state.engine_rates(destination.service.name)
+    return requestroom.RequestRoom(state, request, destination, rates)
+
+
 def _settings_file(folder: pathlib.Path, line: str) -> pathlib.Path:
     path = folder / "settings.toml"
     path.write_text(
