--- a/hibiscusstile/gateway/allowances/__init__.py
+++ b/hibiscusstile/gateway/allowances/__init__.py
@@ -7,7 +7,11 @@
 
 from __future__ import annotations
 
-from hibiscusstile.gateway.allowances.desk import AllowanceDesk, Charge, Peer
+from hibiscusstile.gateway.allowances.admission import (
+    AllowanceAdmission,
+    Charge,
+    Peer,
+)
 from hibiscusstile.gateway.allowances.ledger import (
     AllowanceLedger,
     Ask,
@@ -17,7 +21,7 @@
 from hibiscusstile.gateway.allowances.shares import ToldCount, Tolerance
 
 __all__ = [
-    "AllowanceDesk",
+    "AllowanceAdmission",
     "AllowanceLedger",
     "Ask",
     "Charge",
--- a/hibiscusstile/gateway/allowances/account.py
+++ b/hibiscusstile/gateway/allowances/account.py
@@ -120,7 +120,7 @@
         else:
             self._bucket.configure(0.0, 0.0, now_s)
 
-    def add(self, tokens: float, now_s: float) -> None:
+    def prefill(self, tokens: float, now_s: float) -> None:
         """Adds tokens to the bucket, up to its cap."""
         self._bucket.add(tokens, now_s)
 
--- a/hibiscusstile/gateway/allowances/desk.py
+++ b/hibiscusstile/gateway/allowances/admission.py
@@ -18,7 +18,7 @@
 from hibiscusstile.gateway.allowances import ledger as ledger_lib
 from hibiscusstile.gateway.allowances import shares
 
-__all__ = ["AllowanceDesk", "Charge", "Peer"]
+__all__ = ["AllowanceAdmission", "Charge", "Peer"]
 
 _log = logbook.Logger("allowances")
 
@@ -88,7 +88,7 @@
             )
 
 
-class AllowanceDesk:
+class AllowanceAdmission:
     """Admits or refuses requests, and exchanges tokens with other gateways.
 
     Args:
--- a/hibiscusstile/gateway/allowances/ledger.py
+++ b/hibiscusstile/gateway/allowances/ledger.py
@@ -125,7 +125,7 @@
                 share = shares.share_of(
                     allowance, self._tolerance, self._count.current()
                 )
-                added.add(share.rate * (now_s - configured_s), now_s)
+                added.prefill(share.rate * (now_s - configured_s), now_s)
         self._retired = {
             name: (retired, since_s)
             for name, (retired, since_s) in self._retired.items()
--- a/hibiscusstile/gateway/servermemory.py
+++ b/hibiscusstile/gateway/servermemory.py
@@ -17,7 +17,7 @@
 from hibiscusstile import logs, metrics
 from hibiscusstile.gateway import exchange, routes
 
-__all__ = ["NOTHING", "Footprint", "MemoryLimits", "ServerMemory", "fits"]
+__all__ = ["NOTHING", "Footprint", "ServerMemory", "ServerMemoryLimits", "fits"]
 
 _log = logbook.Logger("servermemory")
 
@@ -56,7 +56,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class MemoryLimits:
+class ServerMemoryLimits:
     """Limits of what servers are sent.
 
     Attributes:
@@ -118,7 +118,7 @@
         self._peers: dict[str, dict[str, tuple[Footprint, float]]] = {}
         self._announced: dict[str, tuple[Footprint, float]] = {}
         self._logged_s: dict[str, float] = {}
-        self.limits = MemoryLimits()
+        self.limits = ServerMemoryLimits()
         self.peer_count = 0
 
     def held(self, server_id: str) -> Footprint:
--- a/hibiscusstile/gateway/state.py
+++ b/hibiscusstile/gateway/state.py
@@ -111,7 +111,7 @@
         self._crashing_parts = crashingparts.CrashingParts(clock)
         self._engine_rates: dict[str, enginerates.EngineRates] = {}
         self._pauses = pausedetection.PauseDetector(clock)
-        self._allowances = allowances.AllowanceDesk(clock)
+        self._allowances = allowances.AllowanceAdmission(clock)
         self._peer_count = 0
         self._process_count = _MIN_PROCESSES
         self._budgets: dict[str, retrybudget.RetryBudget] = {}
@@ -203,7 +203,7 @@
         return self._crashing_parts
 
     @property
-    def allowances(self) -> allowances.AllowanceDesk:
+    def allowances(self) -> allowances.AllowanceAdmission:
         """Admits requests within the allowances of their workspaces."""
         return self._allowances
 
--- a/hibiscusstile/roles/gatewaysettings.py
+++ b/hibiscusstile/roles/gatewaysettings.py
@@ -19,7 +19,7 @@
     """Applies the settings that may change while the process runs."""
     state.set_retries(retry_policy(settings))
     state.weights.bounds = weights_bounds(settings)
-    state.server_memory.limits = servermemory.MemoryLimits(
+    state.server_memory.limits = servermemory.ServerMemoryLimits(
         settings.limits_server_memory,
         settings.max_server_body_bytes,
         settings.engine_fill,
