--- a/review/6/case.py
+++ b/review/6/case.py
@@ -72,7 +72,7 @@
 
 async def come_back(world: world2.World, runner: world2.Runner) -> None:
     """Lists a crashed runner as a new lifetime once it has started again."""
-    while not await listens(runner):
+    while not await listens(runner):  # noqa: ASYNC110
         await asyncio.sleep(0.2)
     world.list_restarted(runner)
 
@@ -85,7 +85,8 @@
         await world.start(gateways=2, engines=6, services=3)
         engines = [each for each in world.runners if each.service == "engines"]
         parts = [
-            (b"%04x" % (0x5C00 + number), PART_TOKENS) for number in range(PARTS)
+            (b"%04x" % (0x5C00 + number), PART_TOKENS)
+            for number in range(PARTS)
         ] + [(b"00ab12cd", 100)]
         headers = world2.model_headers(parts)
         size = sum(len(each) + 2 for each in headers)
@@ -104,9 +105,7 @@
         results: list[tuple[str, float, float | None, int]] = []
         stop = asyncio.Event()
         callers = [
-            asyncio.create_task(
-                ordinary_caller(world, gateway, results, stop)
-            )
+            asyncio.create_task(ordinary_caller(world, gateway, results, stop))
             for gateway in world.gateways
         ]
         await asyncio.sleep(2.0)
@@ -165,9 +164,7 @@
     for gateway in world.gateways:
         own = [each for each in results if each[0].startswith(gateway.name)]
         late = [
-            each
-            for each in own
-            if each[2] is None or each[2] > ROUTE_TIMEOUT_S
+            each for each in own if each[2] is None or each[2] > ROUTE_TIMEOUT_S
         ]
         lost = [each for each in late if each[2] is None]
         slowest = max((each[2] for each in own if each[2]), default=0.0)
--- a/review/common-2/world2.py
+++ b/review/common-2/world2.py
@@ -133,6 +133,7 @@
         engines: int,
         services: int,
         work_s: tuple[float, float] | None = None,
+        raw_services: bool = False,
         **route: Any,
     ) -> None:
         """Starts everything, and waits until all gateways are ready.
@@ -142,16 +143,21 @@
             engines: Number of model runners.
             services: Number of runners of the plain service.
             work_s: Shortest and longest work of these; none if left out.
+            raw_services: Whether these keep the bytes that they receive.
             **route: Properties of all routes.
         """
         port = self._start_stand_in("store")
         self._store_url = f"http://127.0.0.1:{port}"
         self._put("keyed.op", "config", configuration(**route))
-        self._put("keyed.op", f"version/{MODEL}", {"model": MODEL, "version": 1})
+        self._put(
+            "keyed.op", f"version/{MODEL}", {"model": MODEL, "version": 1}
+        )
         for number in range(engines):
             self._start_runner(f"e-{number}", "engines")
         for number in range(services):
-            self._start_runner(f"s-{number}", "accounts", work_s)
+            self._start_runner(
+                f"s-{number}", "accounts", work_s, raw=raw_services
+            )
         for number in range(gateways):
             self._start_gateway(number)
         end = time.monotonic() + _START_S
@@ -175,6 +181,11 @@
         with urllib.request.urlopen(request, timeout=5) as response:
             response.read()
 
+    def raw_requests(self, runner: Runner) -> list[dict[str, Any]]:
+        """Returns what a runner that keeps all bytes has received."""
+        with urllib.request.urlopen(f"{runner.url}/record", timeout=5) as reply:
+            return list(json.load(reply))
+
     def arrivals(self, runner: Runner) -> list[dict[str, Any]]:
         """Returns the requests that have reached a runner."""
         with urllib.request.urlopen(f"{runner.url}/record", timeout=5) as reply:
@@ -217,16 +228,30 @@
             response.read()
 
     def _start_stand_in(self, kind: str, *options: str) -> int:
+        return self._start_server(
+            kind,
+            [
+                *("-m", "hibiscusstile_standins", "--kind", kind),
+                *("--port", "0", *options),
+            ],
+        )
+
+    def _start_raw_runner(self, server_id: str) -> int:
+        program = pathlib.Path(__file__).with_name("rawrunner.py")
+        return self._start_server(
+            "rawrunner", [str(program), "--server-id", server_id]
+        )
+
+    def _start_server(self, name: str, arguments: list[str]) -> int:
         popen = subprocess.Popen(
-            [sys.executable, "-m", "hibiscusstile_standins"]
-            + ["--kind", kind, "--port", "0", *options],
+            [sys.executable, *arguments],
             cwd=ROOT,
             env=self._environment,
             stdout=subprocess.PIPE,
             stderr=subprocess.DEVNULL,
             text=True,
         )
-        self._processes.append(Process(kind, popen))
+        self._processes.append(Process(name, popen))
         assert popen.stdout is not None
         return int(popen.stdout.readline())
 
@@ -235,6 +260,8 @@
         server_id: str,
         service: str,
         work_s: tuple[float, float] | None = None,
+        *,
+        raw: bool = False,
     ) -> None:
         options = ["--server-id", server_id, "--model", MODEL]
         kind = "runner"
@@ -242,7 +269,11 @@
             kind = "silent_runner"
             options += ["--min-silence-s", str(work_s[0])]
             options += ["--max-silence-s", str(work_s[1])]
-        port = self._start_stand_in(kind, *options)
+        port = (
+            self._start_raw_runner(server_id)
+            if raw
+            else self._start_stand_in(kind, *options)
+        )
         address = f"127.0.0.1:{port}"
         runner = Runner(
             server_id,
@@ -265,7 +296,9 @@
         )
         path = pathlib.Path(self._folder.name) / f"{gateway.name}.toml"
         path.write_text(self._settings(gateway, ports[2]))
-        log = (pathlib.Path(self._folder.name) / f"{gateway.name}.log").open("w")
+        log = (pathlib.Path(self._folder.name) / f"{gateway.name}.log").open(
+            "w"
+        )
         popen = subprocess.Popen(
             self._role["run"].split(),
             cwd=ROOT,
@@ -394,7 +427,9 @@
 
 async def _is_ready(address: str) -> bool:
     try:
-        answer = await ask(address, b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n")
+        answer = await ask(
+            address, b"GET /v1/ready HTTP/1.1\r\nHost: x\r\n\r\n"
+        )
     except OSError:
         return False
     return answer is not None and answer.status == 200
@@ -506,7 +541,9 @@
     return b"\r\n".join([*lines, b"", b""]) + body
 
 
-def model_headers(parts: list[tuple[bytes, int]], output: int = 12) -> list[bytes]:
+def model_headers(
+    parts: list[tuple[bytes, int]], output: int = 12
+) -> list[bytes]:
     """Returns the headers of a request for a model."""
     prefix = b",".join(part + b":%d" % tokens for part, tokens in parts)
     total = sum(tokens for _, tokens in parts)
