--- a/review/common-2/world2.py
+++ b/review/common-2/world2.py
@@ -99,6 +99,8 @@
     """
 
     def __init__(self, record: Record, memory_mb: int = 150) -> None:
+        # A time limit that ends the script ends its processes, too.
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
         self.record = record
         self.runners: list[Runner] = []
         self.gateways: list[Gateway] = []
