--- a/review/14/case.py
+++ b/review/14/case.py
@@ -1,4 +1,4 @@
-"""A part of long prompts that crashes each runner that begins on it."""
+"""A prompt part that crashes runners, in requests for several models."""
 
 from __future__ import annotations
 
@@ -9,20 +9,18 @@
 sys.path.insert(0, str(pathlib.Path(__file__).parent.parent / "common-3"))
 
 import crashing
-import engines
 import harness
 
-# Blocks of 16 tokens, in which musgolap's engines keep their memory; a prompt
-# of 17,020 tokens, as a dossier there has, is 1,063 of them.
-PART_TOKENS = 16
-SHARED = tuple(
-    f"{each:08x}" for each in range(int(os.environ.get("PARTS", "1062")))
+MODELS = tuple(
+    f"m{each}" for each in range(1, int(os.environ.get("MODELS", "10")) + 1)
 )
+SHARED = ("5c1e07a2", "91bd3f06", "e4402b7d")
+PART_TOKENS = 300
 
 
 def _make_prompt(name: str, number: int, marked: str) -> crashing.Headers:
-    del number
-    return crashing.prompt(name, engines.MODEL, SHARED, marked, PART_TOKENS)
+    model = MODELS[number % len(MODELS)]
+    return crashing.prompt(name, model, SHARED, marked, PART_TOKENS)
 
 
 async def main(world: harness.World) -> int:
@@ -30,7 +28,7 @@
     plan = crashing.Play(
         engine_count=6,
         gateway_count=2,
-        models=(engines.MODEL,),
+        models=MODELS,
         make_prompt=_make_prompt,
         sound_per_s=6.0,
         bad_per_s=1.5,
