--- a/review/common-3/crashing.py
+++ b/review/common-3/crashing.py
@@ -64,6 +64,7 @@
     def _crash(self) -> None:
         if self._server is None:
             return
+        self._log.note_crash(self._server_id)
         self._server.close()
         self._server = None
         for writer in tuple(self._writers):
@@ -92,7 +93,6 @@
                 self._log.note_arrival(self._server_id, headers, is_bad)
                 await asyncio.sleep(0.03)
                 if is_bad and harness.DISRUPTED:
-                    self._log.note_crash(self._server_id)
                     self._crash()
                     return
                 await self._stream(writer, headers)
@@ -174,6 +174,7 @@
         sound_per_s: Sound requests a second, over all gateways.
         bad_per_s: Requests with the crashing part a second.
         play_s: How long they are sent.
+        batch: Requests with the crashing part that come at one moment.
     """
 
     engine_count: int
@@ -183,6 +184,7 @@
     sound_per_s: float
     bad_per_s: float
     play_s: float
+    batch: int = 1
 
 
 async def play(world: harness.World, plan: Play) -> int:
@@ -232,19 +234,20 @@
 
     tasks: list[asyncio.Task[None]] = []
 
-    async def keep_sending(kind: str, marked: str, per_s: float) -> None:
+    async def keep_sending(
+        kind: str, marked: str, per_s: float, batch: int
+    ) -> None:
         end_s = time.monotonic() + plan.play_s
-        for number in itertools.count():
-            if time.monotonic() >= end_s:
-                return
-            tasks.append(
-                asyncio.create_task(send(f"{kind}-{number}", number, marked))
-            )
+        numbers = itertools.count()
+        while time.monotonic() < end_s:
+            for number in itertools.islice(numbers, batch):
+                request = send(f"{kind}-{number}", number, marked)
+                tasks.append(asyncio.create_task(request))
             await asyncio.sleep(1 / per_s)
 
     await asyncio.gather(
-        keep_sending("sound", SOUND_PART, plan.sound_per_s),
-        keep_sending("bad", BAD_PART, plan.bad_per_s),
+        keep_sending("sound", SOUND_PART, plan.sound_per_s, 1),
+        keep_sending("bad", BAD_PART, plan.bad_per_s, plan.batch),
     )
     await asyncio.gather(*tasks)
     record.write(
